--- /dev/null
+++ b/packages/papayapost/src/papayapost/errors.py
@@ -0,0 +1,101 @@
+"""Every error that papayapost raises, each with a stable code.
+
+Codes are grouped by hundreds: 1xx rules, 2xx settings, 3xx store, 4xx
+messages between nodes, 5xx calls.
+"""
+
+from collections.abc import Sequence
+from enum import Enum
+
+from papayapost.findings import Finding
+
+__all__ = [
+    "ErrorCode",
+    "FindingsError",
+    "FrameError",
+    "PapayapostError",
+    "RulesRefused",
+    "SettingsRefused",
+    "StoreConflict",
+    "StoreUnavailable",
+    "UnknownRow",
+]
+
+
+class ErrorCode(Enum):
+    """Stable code of an error, printed as ``PP`` and its number."""
+
+    RULES_REFUSED = 101
+    SETTINGS_REFUSED = 201
+    STORE_UNAVAILABLE = 301
+    STORE_CONFLICT = 302
+    FRAME_MALFORMED = 401
+    UNKNOWN_ROW = 901
+
+    def __str__(self):
+        return f"PP{self.value}"
+
+
+class PapayapostError(Exception):
+    """Base of all errors; ``code`` identifies the kind for programs."""
+
+    code: ErrorCode
+
+    def __str__(self):
+        return f"{self.code}: {super().__str__()}"
+
+
+class FindingsError(PapayapostError):
+    """Several findings, reported together with their places.
+
+    Parameters
+    ----------
+    findings
+        Everything that was found, in file order; never empty.
+    """
+
+    def __init__(self, findings: Sequence[Finding]):
+        self.findings = tuple(findings)
+        super().__init__("\n".join(str(finding) for finding in self.findings))
+
+
+class RulesRefused(FindingsError):
+    """A rules text has findings and is refused whole."""
+
+    code = ErrorCode.RULES_REFUSED
+
+
+class SettingsRefused(FindingsError):
+    """A settings file has findings; the process does not start."""
+
+    code = ErrorCode.SETTINGS_REFUSED
+
+
+class StoreUnavailable(PapayapostError):
+    """The object store gave no answer; a write may have taken effect."""
+
+    code = ErrorCode.STORE_UNAVAILABLE
+
+
+class StoreConflict(PapayapostError):
+    """A conditional update named a version that is no longer current."""
+
+    code = ErrorCode.STORE_CONFLICT
+
+
+class FrameError(PapayapostError):
+    """A frame from a peer does not decode to a known message."""
+
+    code = ErrorCode.FRAME_MALFORMED
+
+
+class UnknownRow(PapayapostError):
+    """A table holds no row under the key that was asked for."""
+
+    code = ErrorCode.UNKNOWN_ROW
+
+    def __init__(self, table: str, key: object):
+        super().__init__(
+            f"table {table!r} has no row {key!r}; use get() where a missing "
+            "row is expected"
+        )
--- /dev/null
+++ b/packages/papayapost/src/papayapost/ids.py
@@ -0,0 +1,51 @@
+"""Identifier and unit types shared by every part of the system."""
+
+from typing import NewType
+
+__all__ = [
+    "Address",
+    "AttemptId",
+    "CallId",
+    "ConnectionEpoch",
+    "DataCentreId",
+    "IdempotencyKey",
+    "Incarnation",
+    "Micros",
+    "NodeId",
+    "Owner",
+    "RegionId",
+    "RuleVersion",
+    "ServiceName",
+]
+
+NodeId = NewType("NodeId", str)
+"""Name of a node, unique in the mesh and kept over restarts."""
+
+Incarnation = NewType("Incarnation", int)
+"""Start time of a node's process in µs; a restart raises it."""
+
+DataCentreId = NewType("DataCentreId", str)
+RegionId = NewType("RegionId", str)
+ServiceName = NewType("ServiceName", str)
+
+Address = NewType("Address", str)
+"""An ``ip:port`` pair with a literal IP number."""
+
+RuleVersion = NewType("RuleVersion", int)
+"""Version that the object store gave the rules file; 0 is "none yet"."""
+
+CallId = NewType("CallId", int)
+"""A caller's request at its entry node, unique within one process."""
+
+AttemptId = NewType("AttemptId", str)
+"""One try of a call at one backend server, unique in the mesh."""
+
+ConnectionEpoch = NewType("ConnectionEpoch", int)
+"""Number of the entry node's connection that an attempt was sent on."""
+
+IdempotencyKey = NewType("IdempotencyKey", str)
+Owner = NewType("Owner", str)
+"""The person whom a rule's trailing comment names."""
+
+Micros = NewType("Micros", int)
+"""A monotonic time or a duration in microseconds."""
