--- /dev/null
+++ b/packages/papayapost/src/papayapost/kernel/__init__.py
@@ -0,0 +1,8 @@
+"""Tables, systems and the tick that everything else is built from."""
+
+from papayapost.kernel.system import System
+from papayapost.kernel.table import Table
+from papayapost.kernel.timers import Timers
+from papayapost.kernel.world import Tick, World
+
+__all__ = ["System", "Table", "Tick", "Timers", "World"]
