Serve one rule from the store to an answered call

Cause: the whole path comes first. Change: rules are compiled whole, staged and swapped once their services are known; backend servers are announced through seeds; calls are routed, offered to the owner node, admitted into its slots and answered. Shells by h11 and pyzmq translate only. Conclusion: thin, whole bodies only, every node watches the store.

--- /dev/null
+++ b/packages/papayapost-node/src/papayapost_node/__init__.py
@@ -0,0 +1,6 @@
+"""papayad: the node that runs on every backend server VM."""
+
+from papayapost_node.composition import build_node
+from papayapost_node.settings import Settings, load_settings
+
+__all__ = ["Settings", "build_node", "load_settings"]
--- /dev/null
+++ b/packages/papayapost-node/src/papayapost_node/addresses.py
@@ -0,0 +1,17 @@
+"""Addresses as sockets want them."""
+
+from papayapost.ids import Address
+
+__all__ = ["split_address"]
+
+
+def split_address(address: Address) -> tuple[str, int]:
+    """Return the IP number and the port of an address.
+
+    Examples
+    --------
+    >>> split_address(Address("127.0.0.1:80"))
+    ('127.0.0.1', 80)
+    """
+    ip, _, port = address.rpartition(":")
+    return ip.strip("[]"), int(port)
--- /dev/null
+++ b/packages/papayapost-node/src/papayapost_node/composition.py
@@ -0,0 +1,166 @@
+"""The composition root: wires one node from its settings."""
+
+from random import Random
+
+from papayapost.distribution import (
+    BackendServerRow,
+    PeerSend,
+    RulesInForce,
+    RulesRejected,
+    WatchObject,
+)
+from papayapost.errors import FrameError
+from papayapost.ids import (
+    Address,
+    DataCentreId,
+    Incarnation,
+    NodeId,
+    RegionId,
+    ServiceName,
+)
+from papayapost.node import NodeWorld, build_node_world
+from papayapost.place import Place, SelfRow
+from papayapost.states import BackendServerState
+from papayapost_node.clock import Clock, SystemClock
+from papayapost_node.events import Event, log_event
+from papayapost_node.exchange import Exchange
+from papayapost_node.http import HttpServer
+from papayapost_node.runner import WorldRunner
+from papayapost_node.settings import Settings
+from papayapost_node.store import HttpStoreClient, StoreWatcher
+from papayapost_node.transport import ZmqTransport
+from papayapost_node.wire import (
+    WIRE_NUMBERS,
+    AnswerCarrier,
+    MessagePackCodec,
+    OfferCarrier,
+)
+
+__all__ = ["Node", "build_node"]
+
+
+class Node:
+    """One running node; `build_node` wires it."""
+
+    def __init__(self, settings: Settings, clock: Clock):
+        self._settings = settings
+        self._clock = clock
+        self._me = _self_row(settings, clock)
+        self.world: NodeWorld = build_node_world(
+            self._me,
+            [Address(seed) for seed in settings.seeds],
+            _own_row(settings, self._me),
+            Random(self._me.incarnation),
+        )
+        self._codec = MessagePackCodec(WIRE_NUMBERS)
+        self._transport = ZmqTransport(self._me.peer_address)
+        backend = settings.backend_server
+        self._exchange = Exchange(
+            self._me.node_id,
+            Address(backend.address) if backend else None,
+            self._post,
+            self._send,
+        )
+        store = HttpStoreClient(Address(settings.store_address))
+        self._watcher = StoreWatcher(store, self._post)
+        self._server = HttpServer(
+            Address(settings.caller_address),
+            self._exchange.call_arrived,
+            self._exchange.caller_gone,
+        )
+        self.runner = WorldRunner(
+            self.world.world,
+            clock,
+            {
+                **self._exchange.handlers(),
+                PeerSend: self._send,
+                WatchObject: self._watcher.watch,
+                RulesInForce: self._rules_in_force,
+                RulesRejected: self._rules_rejected,
+            },
+        )
+
+    async def start(self) -> None:
+        """Listen for callers and peers and begin to watch the rules.
+
+        Raises
+        ------
+        OSError
+            If an address is in use or not this machine's.
+        """
+        self._transport.start(self._on_frame)
+        await self._server.start()
+        for message in self.world.first_messages():
+            self._post(message)
+        log_event(Event.NODE_STARTED, node=self._me.node_id)
+
+    async def close(self) -> None:
+        """Close everything at once."""
+        self.runner.close()
+        await self._server.close()
+        self._watcher.close()
+        self._exchange.close()
+        self._transport.close()
+        log_event(Event.NODE_STOPPED, node=self._me.node_id)
+
+    def _post(self, message: object) -> None:
+        self.runner.post(message)
+
+    def _send(self, effect: PeerSend) -> None:
+        self._transport.send(effect.address, self._codec.encode(effect.message))
+
+    def _on_frame(self, frame: bytes) -> None:
+        try:
+            message = self._codec.decode(frame)
+        except FrameError as error:
+            log_event(Event.FRAME_REFUSED, reason=str(error))
+            return
+        if isinstance(message, OfferCarrier):
+            self._exchange.offer_arrived(message)
+        elif isinstance(message, AnswerCarrier):
+            self._exchange.answer_arrived(message)
+        else:
+            self._post(message)
+
+    def _rules_in_force(self, message: RulesInForce) -> None:
+        log_event(Event.RULES_IN_FORCE, node=self._me.node_id, version=message.version)
+
+    def _rules_rejected(self, message: RulesRejected) -> None:
+        log_event(
+            Event.RULES_REJECTED,
+            node=self._me.node_id,
+            version=message.version,
+            findings=[str(finding) for finding in message.findings],
+        )
+
+
+async def build_node(settings: Settings, clock: Clock | None = None) -> Node:
+    """Wire a node; it listens only after `Node.start`."""
+    return Node(settings, clock or SystemClock())
+
+
+def _self_row(settings: Settings, clock: Clock) -> SelfRow:
+    place = Place(DataCentreId(settings.data_centre), RegionId(settings.region))
+    return SelfRow(
+        NodeId(settings.node_id),
+        Incarnation(clock.wall_us()),
+        place,
+        Address(settings.peer_address),
+    )
+
+
+def _own_row(settings: Settings, me: SelfRow) -> BackendServerRow | None:
+    backend = settings.backend_server
+    if backend is None:
+        return None
+    return BackendServerRow(
+        node_id=me.node_id,
+        incarnation=me.incarnation,
+        revision=1,
+        service=ServiceName(backend.service),
+        data_centre=me.place.data_centre,
+        region=me.place.region,
+        peer_address=me.peer_address,
+        slots=backend.slots,
+        state=BackendServerState.READY,
+    )
--- /dev/null
+++ b/packages/papayapost-node/src/papayapost_node/http/connection.py
@@ -0,0 +1,131 @@
+"""HTTP client calls over one connection, by h11."""
+
+import asyncio
+from dataclasses import dataclass, field
+
+import h11
+
+from papayapost.ids import Address
+from papayapost_node.addresses import split_address
+
+__all__ = ["ClientConnection", "HttpAnswer", "HttpRequest"]
+
+_READ_BYTES = 65_536
+
+
+@dataclass(slots=True)
+class HttpRequest:
+    """A request with its whole body."""
+
+    method: str
+    target: str
+    headers: list[tuple[bytes, bytes]]
+    body: bytes = b""
+
+
+@dataclass(slots=True)
+class HttpAnswer:
+    """An answer with its body.
+
+    Parameters
+    ----------
+    is_whole
+        False when the connection ended before the body did.
+    """
+
+    status: int
+    headers: list[tuple[bytes, bytes]] = field(default_factory=list)
+    body: bytes = b""
+    is_whole: bool = True
+
+    def header(self, name: bytes) -> bytes | None:
+        """Return the first value of a header, its name in lower case."""
+        return next((value for key, value in self.headers if key == name), None)
+
+
+class ClientConnection:
+    """One connection that runs one call at a time.
+
+    Attributes
+    ----------
+    is_sent
+        Whether bytes of the current request may have left this process.
+    """
+
+    def __init__(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter):
+        self._reader = reader
+        self._writer = writer
+        self._http = h11.Connection(h11.CLIENT)
+        self.is_sent = False
+
+    @classmethod
+    async def open(cls, address: Address) -> "ClientConnection":
+        """Connect to an address.
+
+        Raises
+        ------
+        OSError
+            If nothing accepts there.
+        """
+        ip, port = split_address(address)
+        return cls(*await asyncio.open_connection(ip, port))
+
+    @property
+    def is_reusable(self) -> bool:
+        """Whether a further call can follow on this connection."""
+        return self._http.our_state is h11.IDLE and not self._reader.at_eof()
+
+    async def call(self, request: HttpRequest) -> HttpAnswer:
+        """Send a request and read its whole answer.
+
+        Raises
+        ------
+        OSError, h11.RemoteProtocolError
+            If the connection ends or the answer is malformed before its head.
+        """
+        self._send(request)
+        head = await self._next_event()
+        while isinstance(head, h11.InformationalResponse):
+            head = await self._next_event()
+        if not isinstance(head, h11.Response):
+            raise ConnectionResetError("the connection ended before an answer")
+        answer = HttpAnswer(head.status_code, list(head.headers))
+        await self._read_body(answer)
+        return answer
+
+    def close(self) -> None:
+        """Close the connection."""
+        self._writer.close()
+
+    def _send(self, request: HttpRequest) -> None:
+        self.is_sent = False
+        head = h11.Request(
+            method=request.method, target=request.target, headers=request.headers
+        )
+        parts = [self._http.send(head)]
+        if request.body:
+            parts.append(self._http.send(h11.Data(data=request.body)))
+        parts.append(self._http.send(h11.EndOfMessage()))
+        self.is_sent = True
+        self._writer.write(b"".join(part for part in parts if part))
+
+    async def _read_body(self, answer: HttpAnswer) -> None:
+        chunks = []
+        try:
+            while isinstance(event := await self._next_event(), h11.Data):
+                chunks.append(bytes(event.data))
+        except (OSError, h11.RemoteProtocolError):
+            answer.is_whole = False
+        answer.body = b"".join(chunks)
+        if answer.is_whole and self._http.states == {
+            h11.CLIENT: h11.DONE,
+            h11.SERVER: h11.DONE,
+        }:
+            self._http.start_next_cycle()
+
+    async def _next_event(self):
+        while True:
+            event = self._http.next_event()
+            if event is not h11.NEED_DATA:
+                return event
+            self._http.receive_data(await self._reader.read(_READ_BYTES))
--- /dev/null
+++ b/packages/papayapost-node/src/papayapost_node/store/__init__.py
@@ -0,0 +1,6 @@
+"""The platform's object store, as the system uses it."""
+
+from papayapost_node.store.client import HttpStoreClient, StoreClient, StoredObject
+from papayapost_node.store.watcher import StoreWatcher
+
+__all__ = ["HttpStoreClient", "StoreClient", "StoreWatcher", "StoredObject"]
--- /dev/null
+++ b/packages/papayapost-node/src/papayapost_node/store/client.py
@@ -0,0 +1,166 @@
+"""Clients of the platform's object API.
+
+The API, as papayapost uses it:
+
+- ``GET /objects/KIND/NAME`` answers the bytes with the version as ``ETag``,
+  or 404.
+- The same with ``If-None-Match: "V"`` and ``Prefer: wait=SECONDS`` is a watch:
+  it answers once the version is no longer V, or 304 when the time is over.
+- ``PUT`` with ``If-Match: "V"`` (or ``If-None-Match: *`` to create) is a
+  conditional update: 200 with the new ``ETag``, or 412 with the current one.
+"""
+
+from abc import ABC, abstractmethod
+from dataclasses import dataclass
+
+import h11
+
+from papayapost.errors import StoreConflict, StoreUnavailable
+from papayapost.ids import Address
+from papayapost_node.http import ClientConnection, HttpAnswer, HttpRequest
+
+__all__ = ["HttpStoreClient", "StoreClient", "StoredObject"]
+
+
+@dataclass(slots=True)
+class StoredObject:
+    """An object's value at a version; version 0 means it does not exist."""
+
+    version: int
+    value: bytes
+
+
+class StoreClient(ABC):
+    """Reads, watches and conditionally updates objects."""
+
+    @abstractmethod
+    async def read(self, kind: str, name: str) -> StoredObject:
+        """Return the object.
+
+        Raises
+        ------
+        StoreUnavailable
+            If the store gives no answer.
+        """
+
+    @abstractmethod
+    async def watch(
+        self, kind: str, name: str, after_version: int, wait_s: int
+    ) -> StoredObject | None:
+        """Return the object once its version differs, or None in time.
+
+        Raises
+        ------
+        StoreUnavailable
+            If the store gives no answer.
+        """
+
+    @abstractmethod
+    async def update(
+        self, kind: str, name: str, value: bytes, expected_version: int
+    ) -> int:
+        """Replace the object and return its new version.
+
+        Parameters
+        ----------
+        expected_version
+            Version that the update replaces; 0 creates the object.
+
+        Raises
+        ------
+        StoreConflict
+            If another version is current.
+        StoreUnavailable
+            If the store gives no answer; the update may have taken effect.
+        """
+
+
+class HttpStoreClient(StoreClient):
+    """The object API over HTTP, one connection per request."""
+
+    def __init__(self, address: Address):
+        self._address = address
+
+    async def read(self, kind: str, name: str) -> StoredObject:
+        """Return the object."""
+        answer = await self._call("GET", kind, name, [])
+        return _object_of(answer)
+
+    async def watch(
+        self, kind: str, name: str, after_version: int, wait_s: int
+    ) -> StoredObject | None:
+        """Return the object once its version differs, or None in time."""
+        headers = [
+            (b"if-none-match", _tag(after_version)),
+            (b"prefer", b"wait=%d" % wait_s),
+        ]
+        answer = await self._call("GET", kind, name, headers)
+        if answer.status == 304:
+            return None
+        return _object_of(answer)
+
+    async def update(
+        self, kind: str, name: str, value: bytes, expected_version: int
+    ) -> int:
+        """Replace the object and return its new version."""
+        condition = (
+            (b"if-match", _tag(expected_version))
+            if expected_version
+            else (b"if-none-match", b"*")
+        )
+        answer = await self._call("PUT", kind, name, [condition], value)
+        if answer.status == 412:
+            raise StoreConflict(
+                f"{kind}/{name} is no longer at version {expected_version} but at "
+                f"{_version_of(answer)}; read it and decide again"
+            )
+        if answer.status != 200:
+            raise StoreUnavailable(
+                f"the store answered {answer.status} to an update of {kind}/{name}; "
+                "read the object back before trying again"
+            )
+        return _version_of(answer)
+
+    async def _call(
+        self,
+        method: str,
+        kind: str,
+        name: str,
+        headers: list[tuple[bytes, bytes]],
+        body: bytes = b"",
+    ) -> HttpAnswer:
+        base = [
+            (b"host", self._address.encode()),
+            (b"content-length", b"%d" % len(body)),
+        ]
+        request = HttpRequest(method, f"/objects/{kind}/{name}", base + headers, body)
+        try:
+            connection = await ClientConnection.open(self._address)
+            try:
+                answer = await connection.call(request)
+            finally:
+                connection.close()
+        except (OSError, h11.RemoteProtocolError) as error:
+            raise StoreUnavailable(
+                f"no answer from the store at {self._address}: {error}; check that "
+                "it runs and is reachable"
+            ) from error
+        if answer.status >= 500 or not answer.is_whole:
+            raise StoreUnavailable(
+                f"the store at {self._address} answered {answer.status}; try later"
+            )
+        return answer
+
+
+def _tag(version: int) -> bytes:
+    return b'"%d"' % version
+
+
+def _version_of(answer: HttpAnswer) -> int:
+    return int((answer.header(b"etag") or b'"0"').strip(b'"'))
+
+
+def _object_of(answer: HttpAnswer) -> StoredObject:
+    if answer.status == 404:
+        return StoredObject(0, b"")
+    return StoredObject(_version_of(answer), answer.body)
