Give storage, membership and events their own packages

Cause: rules, membership and calls all need store requests, the directory and events; one module for all would tie them together. Change: typed store effects with request ids, one directory row per node, Noted events emitted by systems, and a builder per part. Values in the store are encoded by kind in the shell.

--- a/packages/papayapost-node/src/papayapost_node/composition.py
+++ b/packages/papayapost-node/src/papayapost_node/composition.py
@@ -2,13 +2,6 @@
 
 from random import Random
 
-from papayapost.distribution import (
-    BackendServerRow,
-    PeerSend,
-    RulesInForce,
-    RulesRejected,
-    WatchObject,
-)
 from papayapost.errors import FrameError
 from papayapost.ids import (
     Address,
@@ -18,16 +11,20 @@
     RegionId,
     ServiceName,
 )
+from papayapost.membership import BackendServerRow
 from papayapost.node import NodeWorld, build_node_world
+from papayapost.observe import Event, Noted
+from papayapost.peering import PeerSend
 from papayapost.place import Place, SelfRow
 from papayapost.states import BackendServerState
+from papayapost.storage import ReadObject, UpdateObject, WatchObject
 from papayapost_node.clock import Clock, SystemClock
-from papayapost_node.events import Event, log_event
+from papayapost_node.events import EventLog
 from papayapost_node.exchange import Exchange
 from papayapost_node.http import HttpServer
 from papayapost_node.runner import WorldRunner
 from papayapost_node.settings import Settings
-from papayapost_node.store import HttpStoreClient, StoreWatcher
+from papayapost_node.store import HttpStoreClient, StoreShell
 from papayapost_node.transport import ZmqTransport
 from papayapost_node.wire import (
     WIRE_NUMBERS,
@@ -52,6 +49,7 @@
             _own_row(settings, self._me),
             Random(self._me.incarnation),
         )
+        self._log = EventLog(self._me.node_id)
         self._codec = MessagePackCodec(WIRE_NUMBERS)
         self._transport = ZmqTransport(self._me.peer_address)
         backend = settings.backend_server
@@ -62,7 +60,7 @@
             self._send,
         )
         store = HttpStoreClient(Address(settings.store_address))
-        self._watcher = StoreWatcher(store, self._post)
+        self._store = StoreShell(store, self._post)
         self._server = HttpServer(
             Address(settings.caller_address),
             self._exchange.call_arrived,
@@ -74,9 +72,10 @@
             {
                 **self._exchange.handlers(),
                 PeerSend: self._send,
-                WatchObject: self._watcher.watch,
-                RulesInForce: self._rules_in_force,
-                RulesRejected: self._rules_rejected,
+                WatchObject: self._store.watch,
+                ReadObject: self._store.read,
+                UpdateObject: self._store.update,
+                Noted: self._log.note,
             },
         )
 
@@ -92,16 +91,16 @@
         await self._server.start()
         for message in self.world.first_messages():
             self._post(message)
-        log_event(Event.NODE_STARTED, node=self._me.node_id)
+        self._log.note_event(Event.NODE_STARTED)
 
     async def close(self) -> None:
         """Close everything at once."""
         self.runner.close()
         await self._server.close()
-        self._watcher.close()
+        self._store.close()
         self._exchange.close()
         self._transport.close()
-        log_event(Event.NODE_STOPPED, node=self._me.node_id)
+        self._log.note_event(Event.NODE_STOPPED)
 
     def _post(self, message: object) -> None:
         self.runner.post(message)
@@ -113,7 +112,7 @@
         try:
             message = self._codec.decode(frame)
         except FrameError as error:
-            log_event(Event.FRAME_REFUSED, reason=str(error))
+            self._log.note_event(Event.FRAME_REFUSED, str(error))
             return
         if isinstance(message, OfferCarrier):
             self._exchange.offer_arrived(message)
@@ -122,17 +121,6 @@
         else:
             self._post(message)
 
-    def _rules_in_force(self, message: RulesInForce) -> None:
-        log_event(Event.RULES_IN_FORCE, node=self._me.node_id, version=message.version)
-
-    def _rules_rejected(self, message: RulesRejected) -> None:
-        log_event(
-            Event.RULES_REJECTED,
-            node=self._me.node_id,
-            version=message.version,
-            findings=[str(finding) for finding in message.findings],
-        )
-
 
 async def build_node(settings: Settings, clock: Clock | None = None) -> Node:
     """Wire a node; it listens only after `Node.start`."""
@@ -149,18 +137,16 @@
     )
 
 
-def _own_row(settings: Settings, me: SelfRow) -> BackendServerRow | None:
+def _own_row(settings: Settings, me: SelfRow) -> BackendServerRow:
     backend = settings.backend_server
-    if backend is None:
-        return None
     return BackendServerRow(
         node_id=me.node_id,
         incarnation=me.incarnation,
         revision=1,
-        service=ServiceName(backend.service),
+        service=ServiceName(backend.service) if backend else None,
         data_centre=me.place.data_centre,
         region=me.place.region,
         peer_address=me.peer_address,
-        slots=backend.slots,
+        slots=backend.slots if backend else 0,
         state=BackendServerState.READY,
     )
--- a/packages/papayapost-node/src/papayapost_node/events.py
+++ b/packages/papayapost-node/src/papayapost_node/events.py
@@ -1,23 +1,13 @@
-"""Numbered events, written to the log and kept for the time line."""
+"""Writes numbered events to the log."""
 
 import sys
-from enum import Enum
 
 import structlog
 
-__all__ = ["Event", "configure_logging", "log_event"]
+from papayapost.ids import NodeId
+from papayapost.observe import Event, Noted
 
-
-class Event(Enum):
-    """Every event a node can log; the catalogue is docs/EVENTS.md."""
-
-    NODE_STARTED = 100
-    NODE_DRAINING = 101
-    NODE_STOPPED = 102
-    RULES_IN_FORCE = 200
-    RULES_REJECTED = 201
-    STORE_FAILED = 300
-    FRAME_REFUSED = 400
+__all__ = ["EventLog", "configure_logging"]
 
 
 def configure_logging() -> None:
@@ -31,6 +21,25 @@
     )
 
 
-def log_event(event: Event, **fields: object) -> None:
-    """Log one event with its number and fields."""
-    structlog.get_logger().info(event.name.lower(), number=event.value, **fields)
+class EventLog:
+    """The log of one node."""
+
+    def __init__(self, node_id: NodeId):
+        self._logger = structlog.get_logger().bind(node=node_id)
+
+    def note(self, noted: Noted) -> None:
+        """Log one event with its number and the fields that it has."""
+        about = {
+            "version": noted.version,
+            "call_id": noted.call_id,
+            "attempt_id": noted.attempt_id,
+            "peer": noted.peer,
+            "detail": noted.detail or None,
+        }
+        fields = {name: value for name, value in about.items() if value is not None}
+        event = noted.event
+        self._logger.info(event.name.lower(), number=event.value, **fields)
+
+    def note_event(self, event: Event, detail: str = "") -> None:
+        """Log an event of the shell itself."""
+        self.note(Noted(event, detail=detail))
--- a/packages/papayapost-node/src/papayapost_node/exchange.py
+++ b/packages/papayapost-node/src/papayapost_node/exchange.py
@@ -6,8 +6,8 @@
 
 import h11
 
-from papayapost.distribution import PeerSend
 from papayapost.ids import Address, AttemptId, CallId, IdempotencyKey, Micros, NodeId
+from papayapost.peering import PeerSend
 from papayapost.traffic import (
     AnswerBegun,
     AnswerEnded,
--- a/packages/papayapost-node/src/papayapost_node/store/__init__.py
+++ b/packages/papayapost-node/src/papayapost_node/store/__init__.py
@@ -1,6 +1,6 @@
 """The platform's object store, as the system uses it."""
 
 from papayapost_node.store.client import HttpStoreClient, StoreClient, StoredObject
-from papayapost_node.store.watcher import StoreWatcher
+from papayapost_node.store.shell import StoreShell
 
-__all__ = ["HttpStoreClient", "StoreClient", "StoreWatcher", "StoredObject"]
+__all__ = ["HttpStoreClient", "StoreClient", "StoreShell", "StoredObject"]
--- a/packages/papayapost-node/src/papayapost_node/store/client.py
+++ b/packages/papayapost-node/src/papayapost_node/store/client.py
@@ -110,10 +110,7 @@
         )
         answer = await self._call("PUT", kind, name, [condition], value)
         if answer.status == 412:
-            raise StoreConflict(
-                f"{kind}/{name} is no longer at version {expected_version} but at "
-                f"{_version_of(answer)}; read it and decide again"
-            )
+            raise StoreConflict(f"{kind}/{name}", expected_version, _version_of(answer))
         if answer.status != 200:
             raise StoreUnavailable(
                 f"the store answered {answer.status} to an update of {kind}/{name}; "
--- /dev/null
+++ b/packages/papayapost-node/src/papayapost_node/store/shell.py
@@ -0,0 +1,113 @@
+"""Carries out what the decisions ask of the store."""
+
+import asyncio
+from collections.abc import Callable, Coroutine
+
+from papayapost.errors import StoreConflict, StoreUnavailable
+from papayapost.storage import (
+    ObjectKey,
+    ObjectSeen,
+    ObjectUpdated,
+    ReadObject,
+    RequestId,
+    StoreFailed,
+    UpdateConflicted,
+    UpdateObject,
+    UpdateUnknown,
+    WatchObject,
+)
+from papayapost_node.store.client import StoreClient, StoredObject
+from papayapost_node.store.values import decode_value, encode_value
+
+__all__ = ["StoreShell"]
+
+_WAIT_S = 30
+
+
+class StoreShell:
+    """Runs reads, updates, and at most one watch per object.
+
+    Parameters
+    ----------
+    post
+        Hands a result to the next tick.
+    """
+
+    def __init__(self, client: StoreClient, post: Callable[[object], None]):
+        self._client = client
+        self._post = post
+        self._watches: dict[ObjectKey, asyncio.Task] = {}
+        self._requests: set[asyncio.Task] = set()
+
+    def watch(self, request: WatchObject) -> None:
+        """Watch the object, in place of an earlier watch of it."""
+        earlier = self._watches.get(request.key)
+        if earlier is not None:
+            earlier.cancel()
+        self._watches[request.key] = self._start(self._watch(request))
+
+    def read(self, request: ReadObject) -> None:
+        """Read the object once."""
+        self._start(self._read(request))
+
+    def update(self, request: UpdateObject) -> None:
+        """Update the object if its version is still the expected one."""
+        self._start(self._update(request))
+
+    def close(self) -> None:
+        """Cancel everything."""
+        for task in self._requests:
+            task.cancel()
+
+    def _start(self, work: Coroutine) -> asyncio.Task:
+        task = asyncio.get_running_loop().create_task(work)
+        self._requests.add(task)
+        task.add_done_callback(self._requests.discard)
+        return task
+
+    async def _watch(self, request: WatchObject) -> None:
+        key = request.key
+        try:
+            seen = None
+            while seen is None:
+                seen = await self._client.watch(
+                    key.kind.value, key.name, request.after_version, _WAIT_S
+                )
+        except StoreUnavailable as error:
+            self._post(StoreFailed(key, str(error)))
+            return
+        self._post_seen(key, seen, None)
+
+    async def _read(self, request: ReadObject) -> None:
+        key = request.key
+        try:
+            seen = await self._client.read(key.kind.value, key.name)
+        except StoreUnavailable as error:
+            self._post(StoreFailed(key, str(error), request.request_id))
+            return
+        self._post_seen(key, seen, request.request_id)
+
+    async def _update(self, request: UpdateObject) -> None:
+        key, request_id = request.key, request.request_id
+        value = encode_value(request.value)
+        try:
+            version = await self._client.update(
+                key.kind.value, key.name, value, request.expected_version
+            )
+        except StoreConflict as error:
+            self._post(UpdateConflicted(key, request_id, error.current_version))
+        except StoreUnavailable as error:
+            self._post(UpdateUnknown(key, request_id, str(error)))
+        else:
+            self._post(ObjectUpdated(key, request_id, version))
+
+    def _post_seen(
+        self, key: ObjectKey, seen: StoredObject, request_id: RequestId | None
+    ) -> None:
+        try:
+            value = decode_value(key.kind, seen.value) if seen.version else None
+        except ValueError as error:
+            reason = f"{key.kind.value}/{key.name} does not decode: {error}"
+            self._post(StoreFailed(key, reason, request_id))
+            return
+        self._post(ObjectSeen(key, seen.version, value, request_id))
--- /dev/null
+++ b/packages/papayapost-node/src/papayapost_node/store/values.py
@@ -0,0 +1,36 @@
+"""Encodes the values of objects by their kind.
+
+The rules file is plain text, so that operators can edit it in the store;
+everything else is JSON, so that they can read it there.
+"""
+
+from collections.abc import Mapping
+
+import msgspec
+
+from papayapost.storage import ObjectKind
+
+__all__ = ["VALUE_TYPES", "decode_value", "encode_value"]
+
+VALUE_TYPES: Mapping[ObjectKind, type] = {ObjectKind.CONFIG: str}
+
+
+def encode_value(value: object) -> bytes:
+    """Return the bytes of an object's value."""
+    if isinstance(value, str):
+        return value.encode()
+    return msgspec.json.encode(value)
+
+
+def decode_value(kind: ObjectKind, data: bytes) -> object:
+    """Return the value of an object's bytes.
+
+    Raises
+    ------
+    ValueError
+        If the bytes are not a value of that kind.
+    """
+    value_type = VALUE_TYPES[kind]
+    if value_type is str:
+        return data.decode()
+    return msgspec.json.decode(data, type=value_type)
--- a/packages/papayapost-node/src/papayapost_node/wire/catalogue.py
+++ b/packages/papayapost-node/src/papayapost_node/wire/catalogue.py
@@ -3,17 +3,24 @@
 A number is never reused, so that mixed versions on the wire stay apart.
 """
 
-from papayapost.distribution import Announcement
+from papayapost.membership import Announcement
 from papayapost.traffic import AttemptCancel, AttemptOffer, AttemptRefused
 from papayapost_node.wire.carriers import AnswerCarrier, OfferCarrier
 
 __all__ = ["WIRE_NUMBERS"]
 
-WIRE_NUMBERS: dict[type, int] = {
+_MEMBERSHIP: dict[type, int] = {
     Announcement: 1,
-    AttemptOffer: 20,
-    AttemptCancel: 21,
-    AttemptRefused: 22,
-    OfferCarrier: 30,
-    AnswerCarrier: 31,
 }
+_DISTRIBUTION: dict[type, int] = {}
+_TRAFFIC: dict[type, int] = {
+    AttemptOffer: 40,
+    AttemptCancel: 41,
+    AttemptRefused: 42,
+}
+_CARRIERS: dict[type, int] = {
+    OfferCarrier: 60,
+    AnswerCarrier: 61,
+}
+
+WIRE_NUMBERS: dict[type, int] = _MEMBERSHIP | _DISTRIBUTION | _TRAFFIC | _CARRIERS
--- a/packages/papayapost-operator/src/papayapost_operator/commands.py
+++ b/packages/papayapost-operator/src/papayapost_operator/commands.py
@@ -4,7 +4,7 @@
 import sys
 from pathlib import Path
 
-from papayapost.distribution import RULES_KIND, RULES_NAME
+from papayapost.distribution import RULES_KEY
 from papayapost.errors import PapayapostError, RulesRefused
 from papayapost.ids import Address
 from papayapost.rules import compile_rules
@@ -56,5 +56,7 @@
 
 async def _apply(text: str, address: Address) -> int:
     client = HttpStoreClient(address)
-    current = await client.read(RULES_KIND, RULES_NAME)
-    return await client.update(RULES_KIND, RULES_NAME, text.encode(), current.version)
+    current = await client.read(RULES_KEY.kind.value, RULES_KEY.name)
+    return await client.update(
+        RULES_KEY.kind.value, RULES_KEY.name, text.encode(), current.version
+    )
--- a/packages/papayapost-testing/tests/test_whole_path.py
+++ b/packages/papayapost-testing/tests/test_whole_path.py
@@ -1,6 +1,5 @@
 import asyncio
 
-from papayapost.distribution import RULES_KIND, RULES_NAME
 from papayapost.ids import Address
 from papayapost_node import Settings, build_node
 from papayapost_node.http import ClientConnection, HttpAnswer, HttpRequest
@@ -65,7 +64,7 @@
     for node in nodes:
         await node.start()
     client = HttpStoreClient(store_address)
-    await client.update(RULES_KIND, RULES_NAME, RULES.encode(), 0)
+    await client.update("config", "rules", RULES.encode(), 0)
     entry = Address(settings[0].caller_address)
     answer = await until_answered(entry, "/gusts/wanli?now")
     unknown = await get(entry, "/bookings")
--- a/packages/papayapost/src/papayapost/distribution/__init__.py
+++ b/packages/papayapost/src/papayapost/distribution/__init__.py
@@ -1,50 +1,24 @@
-"""Distribution of rules versions and of the backend server directory."""
+"""Distribution of rules versions to every node."""
 
-from papayapost.distribution.directory import AnnounceToSeeds, MergeAnnouncements
-from papayapost.distribution.messages import (
-    Announcement,
-    ObjectSeen,
-    PeerSend,
-    RefreshDue,
-    RulesInForce,
-    RulesRejected,
-    StoreFailed,
-    WatchObject,
-)
-from papayapost.distribution.tables import (
-    BackendServerRow,
-    Directory,
-    RulesTable,
-    VersionRow,
-    directory_table,
-)
+from papayapost.distribution.messages import RulesInForce, RulesRejected
+from papayapost.distribution.part import DistributionPart, build_distribution
+from papayapost.distribution.tables import RulesTable, VersionRow
 from papayapost.distribution.versions import (
-    RULES_KIND,
-    RULES_NAME,
+    RULES_KEY,
     StageRules,
     SwapRules,
     WatchRules,
 )
 
 __all__ = [
-    "RULES_KIND",
-    "RULES_NAME",
-    "AnnounceToSeeds",
-    "Announcement",
-    "BackendServerRow",
-    "Directory",
-    "MergeAnnouncements",
-    "ObjectSeen",
-    "PeerSend",
-    "RefreshDue",
+    "RULES_KEY",
+    "DistributionPart",
     "RulesInForce",
     "RulesRejected",
     "RulesTable",
     "StageRules",
-    "StoreFailed",
     "SwapRules",
     "VersionRow",
-    "WatchObject",
     "WatchRules",
-    "directory_table",
+    "build_distribution",
 ]
--- a/packages/papayapost/src/papayapost/distribution/versions.py
+++ b/packages/papayapost/src/papayapost/distribution/versions.py
@@ -1,24 +1,25 @@
 """Systems that bring rules versions into force."""
 
-from papayapost.distribution.messages import (
-    Announcement,
-    ObjectSeen,
-    RulesInForce,
-    RulesRejected,
-    StoreFailed,
-    WatchObject,
-)
-from papayapost.distribution.tables import Directory, RulesTable, VersionRow
+from papayapost.distribution.messages import RulesInForce, RulesRejected
+from papayapost.distribution.tables import RulesTable, VersionRow
 from papayapost.errors import RulesRefused
 from papayapost.ids import Micros, RuleVersion
 from papayapost.kernel import System, Tick
+from papayapost.membership import Directory, DirectoryChanged
+from papayapost.observe import Event, Noted
 from papayapost.rules import compile_rules
 from papayapost.states import StagedState
+from papayapost.storage import (
+    ObjectKey,
+    ObjectKind,
+    ObjectSeen,
+    StoreFailed,
+    WatchObject,
+)
 
-__all__ = ["RULES_KIND", "RULES_NAME", "StageRules", "SwapRules", "WatchRules"]
+__all__ = ["RULES_KEY", "StageRules", "SwapRules", "WatchRules"]
 
-RULES_KIND = "config"
-RULES_NAME = "rules"
+RULES_KEY = ObjectKey(ObjectKind.CONFIG, "rules")
 
 _RETRY_MIN_US = 200_000
 _RETRY_MAX_US = 2_000_000
@@ -37,16 +38,17 @@
         for request in tick.take(WatchObject):
             tick.emit(request)
         for seen in tick.take(ObjectSeen):
-            if (seen.kind, seen.name) == (RULES_KIND, RULES_NAME):
+            if seen.key == RULES_KEY:
                 after = max(seen.version, self._rules.newest_seen)
-                tick.emit(WatchObject(RULES_KIND, RULES_NAME, after))
+                tick.emit(WatchObject(RULES_KEY, after))
         for failed in tick.take(StoreFailed):
-            if (failed.kind, failed.name) == (RULES_KIND, RULES_NAME):
-                self._retry_later(tick)
+            if failed.key == RULES_KEY:
+                self._retry_later(tick, failed.reason)
 
-    def _retry_later(self, tick: Tick) -> None:
+    def _retry_later(self, tick: Tick, reason: str) -> None:
+        tick.emit(Noted(Event.STORE_FAILED, detail=reason))
         pause_us = tick.random.randrange(_RETRY_MIN_US, _RETRY_MAX_US)
-        again = WatchObject(RULES_KIND, RULES_NAME, self._rules.newest_seen)
+        again = WatchObject(RULES_KEY, self._rules.newest_seen)
         tick.set_timer("watch rules", Micros(tick.now_us + pause_us), again)
 
 
@@ -61,7 +63,7 @@
     def run(self, tick: Tick) -> None:
         """Stage the versions that are newer than all seen before."""
         for seen in tick.take(ObjectSeen):
-            if (seen.kind, seen.name) != (RULES_KIND, RULES_NAME):
+            if seen.key != RULES_KEY or not isinstance(seen.value, str):
                 continue
             if seen.version > self._rules.newest_seen:
                 self._rules.newest_seen = RuleVersion(seen.version)
@@ -71,7 +73,9 @@
         try:
             rules = compile_rules(text)
         except RulesRefused as refused:
-            tick.emit(RulesRejected(version, refused.findings))
+            tick.post(RulesRejected(version, refused.findings))
+            detail = "; ".join(str(finding) for finding in refused.findings)
+            tick.emit(Noted(Event.RULES_REJECTED, version=version, detail=detail))
             return
         self._rules.staged = VersionRow(
             version, rules, StagedState.WAITING_FOR_SERVICES
@@ -81,7 +85,7 @@
 class SwapRules(System):
     """Swaps a staged version in once all its services are known."""
 
-    consumes = (ObjectSeen, Announcement)
+    consumes = (ObjectSeen, DirectoryChanged)
 
     def __init__(self, rules: RulesTable, directory: Directory):
         self._rules = rules
@@ -95,9 +99,8 @@
         staged.state = StagedState.IN_FORCE
         self._rules.in_force = staged
         self._rules.staged = None
-        message = RulesInForce(staged.version)
-        tick.post(message)
-        tick.emit(message)
+        tick.post(RulesInForce(staged.version))
+        tick.emit(Noted(Event.RULES_IN_FORCE, version=staged.version))
 
     def _knows_services(self, staged: VersionRow) -> bool:
         return all(
--- a/packages/papayapost/src/papayapost/errors.py
+++ b/packages/papayapost/src/papayapost/errors.py
@@ -82,6 +82,13 @@
 
     code = ErrorCode.STORE_CONFLICT
 
+    def __init__(self, name: str, expected_version: int, current_version: int):
+        self.current_version = current_version
+        super().__init__(
+            f"{name} is no longer at version {expected_version} but at "
+            f"{current_version}; read it and decide again"
+        )
+
 
 class FrameError(PapayapostError):
     """A frame from a peer does not decode to a known message."""
--- a/packages/papayapost/src/papayapost/distribution/directory.py
+++ b/packages/papayapost/src/papayapost/membership/directory.py
@@ -2,10 +2,15 @@
 
 from collections.abc import Sequence
 
-from papayapost.distribution.messages import Announcement, PeerSend, RefreshDue
-from papayapost.distribution.tables import Directory
 from papayapost.ids import Address, Micros
 from papayapost.kernel import System, Tick
+from papayapost.membership.messages import (
+    Announcement,
+    DirectoryChanged,
+    RefreshDue,
+)
+from papayapost.membership.tables import BackendServerRow, Directory
+from papayapost.peering import PeerSend
 from papayapost.place import SelfRow
 
 __all__ = ["AnnounceToSeeds", "MergeAnnouncements"]
@@ -48,10 +53,9 @@
     def run(self, tick: Tick) -> None:
         """Keep the newest row of each node."""
         for announcement in tick.take(Announcement):
-            for row in announcement.rows:
-                known = self._directory.get(row.node_id)
-                if known is None or row.stamp > known.stamp:
-                    self._directory.put(row.node_id, row)
+            changed = tuple(row for row in announcement.rows if self._merge(row))
+            if changed:
+                tick.post(DirectoryChanged(changed))
             if announcement.wants_reply:
                 reply = Announcement(
                     self._me.node_id,
@@ -60,3 +64,10 @@
                     False,
                 )
                 tick.emit(PeerSend(announcement.reply_to, reply))
+
+    def _merge(self, row: BackendServerRow) -> bool:
+        known = self._directory.get(row.node_id)
+        if known is not None and row.stamp <= known.stamp:
+            return False
+        self._directory.put(row.node_id, row)
+        return True
--- /dev/null
+++ b/packages/papayapost/src/papayapost/storage/messages.py
@@ -0,0 +1,139 @@
+"""Effects on the platform's object store and what comes back.
+
+Values are typed: text for the rules file, else a dataclass that the shell
+encodes by the object's kind.
+"""
+
+from dataclasses import dataclass
+from enum import Enum
+from typing import NewType
+
+__all__ = [
+    "ObjectKey",
+    "ObjectKind",
+    "ObjectSeen",
+    "ObjectUpdated",
+    "ReadObject",
+    "RequestId",
+    "StoreFailed",
+    "UpdateConflicted",
+    "UpdateObject",
+    "UpdateUnknown",
+    "WatchObject",
+]
+
+RequestId = NewType("RequestId", str)
+"""Names a store request, so that its result finds the system that asked."""
+
+
+class ObjectKind(Enum):
+    """Kinds of objects that the system keeps in the store."""
+
+    CONFIG = "config"
+    ACCEPTED = "accepted"
+    DIRECTORY = "directory"
+    STATUS = "status"
+    RECORD = "record"
+    CLAIMS = "claims"
+
+
+@dataclass(frozen=True, slots=True)
+class ObjectKey:
+    """Kind and name of an object."""
+
+    kind: ObjectKind
+    name: str
+
+
+@dataclass(slots=True)
+class WatchObject:
+    """Effect: wait until the object's version is no longer this one.
+
+    A further watch of the same object replaces the earlier one.
+    """
+
+    key: ObjectKey
+    after_version: int
+
+
+@dataclass(slots=True)
+class ReadObject:
+    """Effect: read the object once."""
+
+    key: ObjectKey
+    request_id: RequestId
+
+
+@dataclass(slots=True)
+class UpdateObject:
+    """Effect: replace the object if it still has `expected_version`.
+
+    Parameters
+    ----------
+    expected_version
+        Version that is replaced; 0 creates the object.
+    """
+
+    key: ObjectKey
+    request_id: RequestId
+    expected_version: int
+    value: object
+
+
+@dataclass(slots=True)
+class ObjectSeen:
+    """Input: the store answered a watch or a read.
+
+    Parameters
+    ----------
+    version
+        The store's version of the object; 0 if it does not exist.
+    value
+        The object's value, or None if it does not exist.
+    request_id
+        Of the read, or None for a watch.
+    """
+
+    key: ObjectKey
+    version: int
+    value: object
+    request_id: RequestId | None = None
+
+
+@dataclass(slots=True)
+class ObjectUpdated:
+    """Input: the update took effect."""
+
+    key: ObjectKey
+    request_id: RequestId
+    version: int
+
+
+@dataclass(slots=True)
+class UpdateConflicted:
+    """Input: another version was current, nothing was written."""
+
+    key: ObjectKey
+    request_id: RequestId
+    current_version: int
+
+
+@dataclass(slots=True)
+class UpdateUnknown:
+    """Input: no answer; the update may have taken effect.
+
+    Read the object back before deciding again.
+    """
+
+    key: ObjectKey
+    request_id: RequestId
+    reason: str
+
+
+@dataclass(slots=True)
+class StoreFailed:
+    """Input: no answer to a watch or a read."""
+
+    key: ObjectKey
+    reason: str
+    request_id: RequestId | None = None
--- a/packages/papayapost/src/papayapost/traffic/__init__.py
+++ b/packages/papayapost/src/papayapost/traffic/__init__.py
@@ -22,6 +22,7 @@
     RefusalCode,
 )
 from papayapost.traffic.owner import AdmitAttempts
+from papayapost.traffic.part import TrafficPart, build_traffic
 from papayapost.traffic.tables import OwnerTables, TrafficTables
 
 __all__ = [
@@ -50,5 +51,7 @@
     "RefusalCode",
     "RouteCalls",
     "SettleRefusals",
+    "TrafficPart",
     "TrafficTables",
+    "build_traffic",
 ]
--- a/packages/papayapost/src/papayapost/traffic/balancing.py
+++ b/packages/papayapost/src/papayapost/traffic/balancing.py
@@ -4,7 +4,7 @@
 from collections.abc import Sequence
 from random import Random
 
-from papayapost.distribution import BackendServerRow
+from papayapost.membership import BackendServerRow
 from papayapost.place import SelfRow
 from papayapost.states import LinkClass
 from papayapost.traffic.tables import TrafficTables
--- a/packages/papayapost/src/papayapost/traffic/entry.py
+++ b/packages/papayapost/src/papayapost/traffic/entry.py
@@ -1,9 +1,10 @@
 """Systems of the entry node: from a caller's request to its answer."""
 
-from papayapost.distribution import BackendServerRow, Directory, RulesTable
-from papayapost.distribution.messages import PeerSend
+from papayapost.distribution import RulesTable
 from papayapost.ids import AttemptId, CallId, ConnectionEpoch, Micros
 from papayapost.kernel import System, Tick
+from papayapost.membership import BackendServerRow, Directory
+from papayapost.peering import PeerSend
 from papayapost.place import SelfRow
 from papayapost.rules import match_route
 from papayapost.states import BackendServerState, LinkClass, Outcome
--- a/packages/papayapost/src/papayapost/traffic/owner.py
+++ b/packages/papayapost/src/papayapost/traffic/owner.py
@@ -1,8 +1,8 @@
 """Systems of the owner node: admission into the backend server's slots."""
 
-from papayapost.distribution.messages import PeerSend
 from papayapost.ids import AttemptId, Micros
 from papayapost.kernel import System, Tick
+from papayapost.peering import PeerSend
 from papayapost.place import SelfRow
 from papayapost.traffic.messages import (
     AttemptCancel,
