--- /dev/null
+++ b/packages/papayapost-testing/src/papayapost_testing/bench/__main__.py
@@ -0,0 +1,66 @@
+"""Runs the benchmarks and prints their tables."""
+
+import sys
+from collections.abc import Sequence
+from importlib import import_module
+from pathlib import Path
+
+import fire
+import msgspec
+
+from papayapost_testing.bench.rows import BenchRow
+
+__all__ = ["main"]
+
+BENCHMARKS = ("kernel",)
+
+
+def run(*names: str, long: bool = False, output: str = "") -> None:
+    """Run benchmarks and print a table of each.
+
+    Parameters
+    ----------
+    names
+        Benchmarks to run; none for all.
+    long
+        Run the long form, for figures that go into the docs.
+    output
+        Path of a JSON file that the rows are added to, by benchmark.
+    """
+    unknown = sorted(set(names) - set(BENCHMARKS))
+    if unknown:
+        sys.exit(f"no benchmark {', '.join(unknown)}; use {', '.join(BENCHMARKS)}")
+    results: dict[str, list[BenchRow]] = {}
+    for name in names or BENCHMARKS:
+        module = import_module(f"papayapost_testing.bench.{name}")
+        print(f"== {name}", flush=True)
+        results[name] = module.run(short=not long)
+        print_rows(results[name])
+    if output:
+        write_rows(Path(output), results)
+
+
+def print_rows(rows: Sequence[BenchRow]) -> None:
+    """Print rows as a table with the ratio to the baseline."""
+    for row in rows:
+        ratio = f"{row.ratio:9.3f} x baseline" if row.ratio is not None else ""
+        figure = f"{row.value:14,.3f} {row.unit:<16}"
+        print(f"{row.name:<56} {row.size:>8,} {figure} {ratio}")
+
+
+def write_rows(path: Path, results: dict[str, list[BenchRow]]) -> None:
+    """Replace the benchmarks that were run in a file of results."""
+    stored: dict = {}
+    if path.exists():
+        stored = msgspec.json.decode(path.read_bytes())
+    stored.update(msgspec.to_builtins(results))
+    path.write_bytes(msgspec.json.format(msgspec.json.encode(stored), indent=1))
+
+
+def main() -> None:
+    """Entry point of ``python -m papayapost_testing.bench``."""
+    fire.Fire(run, name="bench")
+
+
+if __name__ == "__main__":
+    main()
