Give the stand-ins faults, in the project's shape

Cause: failures of the store and of backend servers must be brought about in tests and in the demo. Conclusion: waits on the demo and the load generator to use them.

--- a/packages/papayapost-node/src/papayapost_node/runner.py
+++ b/packages/papayapost-node/src/papayapost_node/runner.py
@@ -7,7 +7,7 @@
 from papayapost.kernel import World
 from papayapost_node.clock import Clock
 
-__all__ = ["WorldRunner"]
+__all__ = ["EffectHandler", "WorldRunner"]
 
 EffectHandler = Callable[[Any], None]
 
--- a/packages/papayapost-testing/src/papayapost_testing/__init__.py
+++ b/packages/papayapost-testing/src/papayapost_testing/__init__.py
@@ -1,6 +1,11 @@
 """Stand-ins for the platform and for backend servers, demo and benchmarks."""
 
-from papayapost_testing.backend_server import BackendServerStandIn
-from papayapost_testing.object_store import ObjectStoreStandIn
+from papayapost_testing.backend import BackendServerStandIn, BehaviourRow
+from papayapost_testing.store import FaultsRow, ObjectStoreStandIn
 
-__all__ = ["BackendServerStandIn", "ObjectStoreStandIn"]
+__all__ = [
+    "BackendServerStandIn",
+    "BehaviourRow",
+    "FaultsRow",
+    "ObjectStoreStandIn",
+]
--- a/packages/papayapost-testing/tests/test_whole_path.py
+++ b/packages/papayapost-testing/tests/test_whole_path.py
@@ -54,7 +54,7 @@
     await store.start()
     settings = [node_settings(addresses, store_address, number) for number in (0, 1)]
     backends = [
-        BackendServerStandIn(Address(item.backend_server.address), 8)
+        BackendServerStandIn(Address(item.backend_server.address))
         for item in settings
         if item.backend_server
     ]
