--- a/packages/papayapost-testing/src/papayapost_testing/backend/server.py
+++ b/packages/papayapost-testing/src/papayapost_testing/backend/server.py
@@ -1,8 +1,8 @@
 """The HTTP face of the backend server stand-in.
 
 Paths of its own: ``PUT /behaviour`` takes the fields of `BehaviourRow` as
-JSON, ``GET /counts`` answers those of `CountsRow`, and ``GET /health`` those
-of `HealthRow`.
+JSON, ``GET /counts`` answers those of `CountsRow`, ``GET /health`` those of
+`HealthRow`, and ``GET /keys`` how often each idempotency key was run.
 """
 
 import itertools
@@ -94,6 +94,8 @@
         target = call.request.target
         if target == "/counts":
             call.answer(HttpAnswer(200, [], msgspec.json.encode(self.counts)))
+        elif target == "/keys":
+            call.answer(HttpAnswer(200, [], msgspec.json.encode(self.tables.keys)))
         elif target == "/health":
             body = msgspec.json.encode(self.tables.health)
             call.answer(HttpAnswer(200, [], body))
