--- a/packages/papayapost-node/src/papayapost_node/store/values.py
+++ b/packages/papayapost-node/src/papayapost_node/store/values.py
@@ -8,11 +8,15 @@
 
 import msgspec
 
+from papayapost.distribution.status import StatusReport
 from papayapost.storage import ObjectKind
 
 __all__ = ["VALUE_TYPES", "decode_value", "encode_value"]
 
-VALUE_TYPES: Mapping[ObjectKind, type] = {ObjectKind.CONFIG: str}
+VALUE_TYPES: Mapping[ObjectKind, type] = {
+    ObjectKind.CONFIG: str,
+    ObjectKind.STATUS: StatusReport,
+}
 
 
 def encode_value(value: object) -> bytes:
