--- a/packages/papayapost/src/papayapost/rules/checks.py
+++ b/packages/papayapost/src/papayapost/rules/checks.py
@@ -1,6 +1,7 @@
 """Checks that need more than one line of a rules text."""
 
 from abc import ABC, abstractmethod
+from collections.abc import Iterator
 
 from papayapost.rules.compilers import RulesDraft
 from papayapost.rules.faults import RuleFault
@@ -10,7 +11,7 @@
 
 __all__ = ["FILE_CHECKS", "FileCheck"]
 
-_ANY_METHOD = "*"
+_ANY_METHOD = frozenset(["*"])
 
 
 class FileCheck(ABC):
@@ -55,10 +56,10 @@
 
 def _takers_of(index: RouteIndex, route: Route) -> list[Route]:
     """Return the earlier routes that leave this one no call, or none."""
-    left = set(route.methods) or {_ANY_METHOD}
+    left = route.methods or _ANY_METHOD
     takers = []
-    for earlier in index.covering(route):
-        taken = left if not earlier.methods else left & earlier.methods
+    for earlier in _earlier(index, route):
+        taken = left & earlier.methods if earlier.methods else left
         if taken:
             takers.append(earlier)
             left = left - taken
@@ -67,6 +68,14 @@
     return []
 
 
+def _earlier(index: RouteIndex, route: Route) -> Iterator[Route]:
+    for routes in index.covering(route):
+        for earlier in routes:
+            if earlier.line >= route.line:
+                break
+            yield earlier
+
+
 class ShareSums(FileCheck):
     """Each rank has one share, and the floors fit into the whole."""
 
--- a/packages/papayapost/src/papayapost/rules/compile.py
+++ b/packages/papayapost/src/papayapost/rules/compile.py
@@ -1,7 +1,5 @@
 """Compiles a rules text, whole or not at all."""
 
-from dataclasses import replace
-
 import xxhash
 
 from papayapost.errors import RulesRefused
@@ -80,7 +78,7 @@
         if row is None:
             _read_line(RuleLine(number, raw, draft.findings), draft)
         else:
-            draft.add(row if row.line == number else replace(row, line=number))
+            draft.add(row if row.line == number else row.at_line(number))
 
 
 def _read_line(line: RuleLine, draft: RulesDraft) -> None:
--- a/packages/papayapost/src/papayapost/rules/index.py
+++ b/packages/papayapost/src/papayapost/rules/index.py
@@ -7,7 +7,7 @@
 """
 
 from bisect import bisect_right
-from collections.abc import Iterable, Iterator
+from collections.abc import Iterable, Sequence
 from dataclasses import dataclass
 
 from papayapost.rules.model import ANY_HOST, Route
@@ -28,14 +28,14 @@
     """The routes of one host pattern."""
 
     def __init__(self, routes: list[Route]):
-        self.exact: dict[str, tuple[Route, ...]] = {}
-        own: dict[str, tuple[Route, ...]] = {}
+        self.exact: dict[str, list[Route]] = {}
+        own: dict[str, list[Route]] = {}
         for route in routes:
             stem = route.stem
             if stem is None:
-                self.exact[route.path] = (*self.exact.get(route.path, ()), route)
+                self.exact.setdefault(route.path, []).append(route)
             else:
-                own[stem] = (*own.get(stem, ()), route)
+                own.setdefault(stem, []).append(route)
         self._texts = sorted(own)
         self._stems = _nest(self._texts, own)
 
@@ -47,6 +47,13 @@
             stem = stem.parent
         return stem.routes if stem is not None else ()
 
+    def covering(self, route: Route) -> tuple[Sequence[Route], ...]:
+        """Return the routes whose path takes in a route's path."""
+        stem = route.stem
+        if stem is not None:
+            return (self.under(stem),)
+        return (self.exact.get(route.path, ()), self.under(route.path))
+
 
 class RouteIndex:
     """Routes in file order, found by host and path.
@@ -79,19 +86,19 @@
             best = _first_of(others.under(path), method, best)
         return best
 
-    def covering(self, route: Route) -> Iterator[Route]:
-        """Yield the earlier routes whose host and path take in this one's."""
-        for host in dict.fromkeys((route.host, ANY_HOST)):
-            rows = self._hosts.get(host)
-            if rows is None:
-                continue
-            stem = route.stem
-            if stem is None:
-                yield from _before(rows.exact.get(route.path, ()), route.line)
-            yield from _before(rows.under(stem or route.path), route.line)
+    def covering(self, route: Route) -> tuple[Sequence[Route], ...]:
+        """Return the routes whose host and path take in this one's.
+
+        Each sequence is in file order; the route itself stands in one.
+        """
+        named = self._hosts[route.host]
+        others = self._any_host
+        if others is None or others is named:
+            return named.covering(route)
+        return named.covering(route) + others.covering(route)
 
 
-def _nest(texts: list[str], own: dict[str, tuple[Route, ...]]) -> list[_Stem]:
+def _nest(texts: list[str], own: dict[str, list[Route]]) -> list[_Stem]:
     stems: list[_Stem] = []
     parent: _Stem | None = None
     for text in texts:
@@ -108,19 +115,10 @@
     return route.line
 
 
-def _first_of(
-    routes: tuple[Route, ...], method: str, best: Route | None
-) -> Route | None:
+def _first_of(routes: Sequence[Route], method: str, best: Route | None) -> Route | None:
     for route in routes:
         if best is not None and route.line > best.line:
             return best
         if not route.methods or method in route.methods:
             return route
     return best
-
-
-def _before(routes: tuple[Route, ...], line: int) -> Iterator[Route]:
-    for route in routes:
-        if route.line >= line:
-            return
-        yield route
--- a/packages/papayapost/src/papayapost/rules/model.py
+++ b/packages/papayapost/src/papayapost/rules/model.py
@@ -1,6 +1,6 @@
 """Compiled lines, immutable and shared by every table that names them."""
 
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 from papayapost.ids import Owner, ServiceName
 from papayapost.states import Rank
@@ -67,6 +67,26 @@
     owner: Owner
     reason: str
 
+    def at_line(self, line: int) -> "Route":
+        """Return the route as it stands on another line."""
+        # dataclasses.replace takes four times as long, and an edit at the
+        # top of a file moves every line.
+        return Route(
+            line,
+            self.methods,
+            self.host,
+            self.path,
+            self.service,
+            self.rank,
+            self.idempotent,
+            self.timeout_ms,
+            self.retries,
+            self.hedge_ms,
+            self.cross_link,
+            self.owner,
+            self.reason,
+        )
+
     @property
     def pattern(self) -> RoutePattern:
         """Which calls the route matches."""
@@ -96,3 +116,7 @@
     ceiling_percent: int
     owner: Owner
     reason: str
+
+    def at_line(self, line: int) -> "Share":
+        """Return the share as it stands on another line."""
+        return replace(self, line=line)
