Explain calls and compare rules texts

Cause: operators ask which rule decided a call, whose it is and why a rule that looks right did not; and what an edit changes, rule by rule.

--- a/packages/papayapost/src/papayapost/rules/__init__.py
+++ b/packages/papayapost/src/papayapost/rules/__init__.py
@@ -2,6 +2,8 @@
 
 from papayapost.rules.characters import MAX_TEXT_BYTES, decode_text
 from papayapost.rules.compile import compile_rules, digest_of
+from papayapost.rules.diff import ChangeKind, RuleChange, RuleKey, diff_rules
+from papayapost.rules.explain import Explanation, Mismatch, NearMiss, explain
 from papayapost.rules.faults import RuleFault
 from papayapost.rules.match import match_route
 from papayapost.rules.model import Route, Share
@@ -9,12 +11,20 @@
 
 __all__ = [
     "MAX_TEXT_BYTES",
+    "ChangeKind",
+    "Explanation",
+    "Mismatch",
+    "NearMiss",
     "Route",
+    "RuleChange",
     "RuleFault",
+    "RuleKey",
     "RuleSet",
     "Share",
     "compile_rules",
     "decode_text",
+    "diff_rules",
     "digest_of",
+    "explain",
     "match_route",
 ]
--- /dev/null
+++ b/packages/papayapost/src/papayapost/rules/diff.py
@@ -0,0 +1,146 @@
+"""What differs between two rules texts, rule by rule."""
+
+from bisect import bisect_left
+from dataclasses import dataclass
+from enum import Enum
+from typing import NewType
+
+from papayapost.ids import Owner
+from papayapost.rules.tokens import RuleLine, rule_lines
+
+__all__ = ["ChangeKind", "RuleChange", "RuleKey", "diff_rules"]
+
+RuleKey = NewType("RuleKey", str)
+"""What a rule is about: ``route METHODS TARGET`` or ``share RANK``."""
+
+_KEY_WORDS = {"route": 3, "share": 2}
+
+
+class ChangeKind(Enum):
+    """What happened to a rule."""
+
+    ADDED = "added"
+    REMOVED = "removed"
+    CHANGED = "changed"
+    MOVED = "moved"
+
+
+@dataclass(frozen=True, slots=True)
+class RuleChange:
+    """One rule that differs.
+
+    Parameters
+    ----------
+    before, after
+        The line in the two texts, its blanks evened out; empty where the
+        text does not have the rule.
+    owner_before, owner_after
+        Whom the line names in the two texts.
+    """
+
+    kind: ChangeKind
+    rule: RuleKey
+    before: str
+    after: str
+    owner_before: Owner
+    owner_after: Owner
+
+
+@dataclass(slots=True)
+class _RuleRow:
+    rule: RuleKey
+    text: str
+    owner: Owner
+
+
+def diff_rules(before: str, after: str) -> tuple[RuleChange, ...]:
+    """Return the rules that differ, in the order of the later text.
+
+    Removed rules come last. Either text may be one that does not compile:
+    an edit that was refused has its differences as well.
+
+    Examples
+    --------
+    >>> old = "share bulk floor=5% # Ana: downloads"
+    >>> new = "share  bulk floor=9% # Mei: archives"
+    >>> [change.after for change in diff_rules(old, new)]
+    ['share bulk floor=9% # Mei: archives']
+    >>> diff_rules(old, old.replace(" ", "  "))
+    ()
+    """
+    old, new = _rows_of(before), _rows_of(after)
+    moved = _moved(old, new)
+    changes = []
+    for rule, row in new.items():
+        earlier = old.get(rule)
+        if earlier is None:
+            kind = ChangeKind.ADDED
+        elif earlier.text != row.text:
+            kind = ChangeKind.CHANGED
+        elif rule in moved:
+            kind = ChangeKind.MOVED
+        else:
+            continue
+        changes.append(_change(kind, earlier, row))
+    for rule, row in old.items():
+        if rule not in new:
+            changes.append(_change(ChangeKind.REMOVED, row, None))
+    return tuple(changes)
+
+
+def _change(
+    kind: ChangeKind, before: _RuleRow | None, after: _RuleRow | None
+) -> RuleChange:
+    row = after or before
+    assert row is not None
+    return RuleChange(
+        kind,
+        row.rule,
+        before.text if before else "",
+        after.text if after else "",
+        before.owner if before else Owner(""),
+        after.owner if after else Owner(""),
+    )
+
+
+def _rows_of(text: str) -> dict[RuleKey, _RuleRow]:
+    """Return the rules of a text; repeated ones are numbered."""
+    rows: dict[RuleKey, _RuleRow] = {}
+    times: dict[str, int] = {}
+    for line in rule_lines(text, []):
+        name = _name_of(line)
+        times[name] = times.get(name, 0) + 1
+        rule = RuleKey(name if times[name] == 1 else f"{name} #{times[name]}")
+        rows[rule] = _RuleRow(rule, " ".join(line.text.split()), line.owner)
+    return rows
+
+
+def _name_of(line: RuleLine) -> str:
+    count = _KEY_WORDS.get(line.words[0].text, len(line.words))
+    return " ".join(word.text for word in line.words[:count])
+
+
+def _moved(old: dict[RuleKey, _RuleRow], new: dict[RuleKey, _RuleRow]) -> set[RuleKey]:
+    """Return the rules to move, as few as possible, to get the new order."""
+    position = {rule: number for number, rule in enumerate(old)}
+    common = [rule for rule in new if rule in position]
+    kept = _longest_increasing([position[rule] for rule in common])
+    return {rule for number, rule in enumerate(common) if number not in kept}
+
+
+def _longest_increasing(numbers: list[int]) -> set[int]:
+    """Return the places of a longest increasing subsequence."""
+    tails: list[int] = []
+    tail_places: list[int] = []
+    before: list[int | None] = []
+    for place, number in enumerate(numbers):
+        length = bisect_left(tails, number)
+        before.append(tail_places[length - 1] if length else None)
+        tails[length : length + 1] = [number]
+        tail_places[length : length + 1] = [place]
+    kept: set[int] = set()
+    at = tail_places[-1] if tail_places else None
+    while at is not None:
+        kept.add(at)
+        at = before[at]
+    return kept
