Add the demo of both deployments

Cause: a newcomer should see real rules reach real nodes with one command, and see each promise judged. Change: a director (tables of steps, nodes and applied versions; systems that follow the nodes and run the script) starts the stand-ins and 11 or 12 papayad processes, applies edits under load, kills a node, drains another, cuts a data centre from the store, and judges convergence, truthfulness, doubled keys and urgent service. Exit code 1 if a promise broke.

--- /dev/null
+++ b/packages/papayapost-testing/src/papayapost_testing/demo/__main__.py
@@ -0,0 +1,48 @@
+"""Runs the demo; the exit code is 1 if any promise broke."""
+
+import asyncio
+import sys
+import tempfile
+from pathlib import Path
+
+import fire
+
+from papayapost_testing.demo.director import Director
+from papayapost_testing.demo.plans import DEPLOYMENTS
+from papayapost_testing.demo.script import build_script
+
+__all__ = ["run"]
+
+
+def run(*names: str, keep: str = "") -> None:
+    """Run the deployments one after the other.
+
+    Parameters
+    ----------
+    names
+        Deployments to run; none for all.
+    keep
+        Folder for settings files and logs; by default they are removed.
+    """
+    broken = []
+    for deployment in DEPLOYMENTS:
+        if names and deployment.name not in names:
+            continue
+        with tempfile.TemporaryDirectory() as temporary:
+            folder = Path(keep or temporary) / deployment.name
+            folder.mkdir(parents=True, exist_ok=True)
+            results = asyncio.run(_run(deployment, folder))
+        print(results.summary(), flush=True)
+        broken += [f"{results.name}: {text}" for text in results.broken_promises()]
+    print("\nPromises broken:" if broken else "\nAll promises held.")
+    for text in broken:
+        print(f"  {text}")
+    sys.exit(1 if broken else 0)
+
+
+async def _run(deployment, folder: Path):
+    return await Director(deployment, build_script(deployment), folder).run()
+
+
+if __name__ == "__main__":
+    fire.Fire(run, name="demo")
--- /dev/null
+++ b/packages/papayapost-testing/src/papayapost_testing/demo/director.py
@@ -0,0 +1,227 @@
+"""Carries out the steps of the demo's script for one deployment."""
+
+import asyncio
+from pathlib import Path
+from random import Random
+
+import psutil
+
+from papayapost.ids import DataCentreId, Micros, NodeId, RuleVersion
+from papayapost.kernel import World
+from papayapost_node.clock import SystemClock
+from papayapost_node.runner import EffectHandler, WorldRunner
+from papayapost_node.store import HttpStoreClient
+from papayapost_testing.demo.control import read_account, read_json, set_faults
+from papayapost_testing.demo.files import write_files
+from papayapost_testing.demo.messages import (
+    Perform,
+    Progress,
+    RulesApplied,
+    ScriptDone,
+    ScriptStarted,
+    StepPerformed,
+)
+from papayapost_testing.demo.plans import Deployment
+from papayapost_testing.demo.processes import (
+    NodeProcesses,
+    start_module,
+    stop_process,
+)
+from papayapost_testing.demo.results import DemoResults
+from papayapost_testing.demo.systems import FollowNodes, RunScript
+from papayapost_testing.demo.tables import DemoTables, NodeRow, StepKind, StepRow
+from papayapost_testing.load import LoadGenerator
+from papayapost_testing.store import FaultsRow, ListenerId
+
+__all__ = ["Director"]
+
+_RATE_PER_S = 120.0
+_SEED = 20
+_IDLE_S = 3.0
+
+
+class Director:
+    """Runs one deployment from its first rule to its last process.
+
+    Parameters
+    ----------
+    folder
+        An empty folder for settings files and logs.
+    """
+
+    def __init__(self, deployment: Deployment, steps: list[StepRow], folder: Path):
+        self._deployment = deployment
+        self._files = write_files(deployment, folder)
+        self._edits = list(deployment.edits)
+        self.tables = DemoTables(steps)
+        for plan in self._files.plans:
+            row = NodeRow(plan.node_id, plan.place.data_centre)
+            self.tables.nodes.put(plan.node_id, row)
+        systems = [FollowNodes(self.tables), RunScript(self.tables)]
+        handlers: dict[type, EffectHandler] = {
+            Perform: self._perform,
+            Progress: self._show,
+            ScriptDone: self._end,
+        }
+        world = World(systems, Random(_SEED))
+        self._clock = SystemClock()
+        self._runner = WorldRunner(world, self._clock, handlers)
+        self._nodes = NodeProcesses(folder, self._runner.post)
+        self._load = LoadGenerator(deployment.mixes, _SEED)
+        self._platform: asyncio.subprocess.Process | None = None
+        self._tasks: set[asyncio.Task] = set()
+        self._done = asyncio.Event()
+        self._started_us = self._clock.now_us()
+        self._failure: BaseException | None = None
+        self.results = DemoResults(deployment.name, self.tables, self._load.tables)
+
+    async def run(self) -> DemoResults:
+        """Run the script; whatever happens, no process is left."""
+        self._runner.post(ScriptStarted())
+        try:
+            await self._done.wait()
+        finally:
+            await self._nodes.stop()
+            if self._platform is not None:
+                await stop_process(self._platform)
+            self._runner.close()
+        if self._failure is not None:
+            raise self._failure
+        return self.results
+
+    def _show(self, progress: Progress) -> None:
+        elapsed_s = (self._clock.now_us() - self._started_us) / 1e6
+        print(
+            f"{self._deployment.name} {elapsed_s:6.1f} s  {progress.text}", flush=True
+        )
+
+    def _end(self, _: ScriptDone) -> None:
+        self._done.set()
+
+    def _perform(self, effect: Perform) -> None:
+        task = asyncio.get_running_loop().create_task(self._carry_out(effect.step))
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def _carry_out(self, step: StepRow) -> None:
+        work = {
+            StepKind.START_PLATFORM: self._start_platform,
+            StepKind.APPLY: self._apply,
+            StepKind.START_NODES: self._start_nodes,
+            StepKind.LOAD: self._start_load,
+            StepKind.IDLE: self._measure_idle,
+            StepKind.KILL: self._kill,
+            StepKind.DRAIN: self._drain,
+            StepKind.CUT_STORE: self._cut,
+            StepKind.HEAL_STORE: self._heal,
+            StepKind.RESTART: self._restart,
+            StepKind.FINISH: self._finish,
+            StepKind.COLLECT: self._collect,
+            StepKind.STOP: self._stop,
+        }
+        try:
+            if step.kind in work:
+                await work[step.kind](step)
+        except Exception as error:
+            self._failure = error
+            self._done.set()
+            return
+        self._runner.post(StepPerformed())
+
+    @property
+    def _store_address(self):
+        return next(iter(self._files.store_addresses.values()))
+
+    async def _start_platform(self, step: StepRow) -> None:
+        self._platform = await start_module(
+            "papayapost_testing.platform",
+            f"--settings={self._files.platform_path}",
+            log=self._files.folder / "platform.log",
+        )
+        async with asyncio.timeout(step.limit_ms / 1_000):
+            while True:
+                try:
+                    await read_account(self._store_address)
+                    return
+                except OSError:
+                    await asyncio.sleep(0.05)
+
+    async def _apply(self, step: StepRow) -> None:
+        path = self._files.rules_path
+        if self.tables.applications:
+            path.write_text(path.read_text() + self._edits.pop(0) + "\n")
+        process = await start_module(
+            "papayapost_operator.main",
+            "apply",
+            str(path),
+            f"--store={self._store_address}",
+            log=self._files.folder / "papaya.log",
+        )
+        if await process.wait():
+            raise RuntimeError(
+                f"papaya apply ended with {process.returncode}: "
+                + (self._files.folder / "papaya.log").read_text()
+            )
+        stored = await HttpStoreClient(self._store_address).read("config", "rules")
+        account = await read_account(self._store_address)
+        version = RuleVersion(stored.version)
+        applied_us = Micros(account.last_write_us)
+        self._runner.post(RulesApplied(version, applied_us, step.subject))
+
+    async def _start_nodes(self, step: StepRow) -> None:
+        for plan in self._files.plans:
+            await self._nodes.start(plan.node_id)
+
+    async def _start_load(self, step: StepRow) -> None:
+        for addresses in self._files.addresses.values():
+            self._load.open_entry(addresses.caller)
+        self._load.set_rate(_RATE_PER_S)
+
+    async def _measure_idle(self, step: StepRow) -> None:
+        before = {n: _cpu_s(p) for n, p in self._nodes.usage().items()}
+        await asyncio.sleep(_IDLE_S)
+        for node_id, process in self._nodes.usage().items():
+            used_s = _cpu_s(process) - before[node_id]
+            self.results.idle_cores[node_id] = used_s / _IDLE_S
+
+    async def _kill(self, step: StepRow) -> None:
+        node_id = NodeId(step.subject)
+        self._nodes.kill(node_id)
+        self._load.close_entry(self._files.addresses[node_id].caller)
+
+    async def _drain(self, step: StepRow) -> None:
+        node_id = NodeId(step.subject)
+        self._load.close_entry(self._files.addresses[node_id].caller)
+        self._nodes.drain(node_id)
+
+    async def _cut(self, step: StepRow) -> None:
+        position = list(self._files.store_addresses).index(DataCentreId(step.subject))
+        faults = FaultsRow(cut_listeners=frozenset([ListenerId(position)]))
+        await set_faults(self._store_address, faults)
+
+    async def _heal(self, step: StepRow) -> None:
+        await set_faults(self._store_address, FaultsRow())
+
+    async def _restart(self, step: StepRow) -> None:
+        node_id = NodeId(step.subject)
+        await self._nodes.start(node_id)
+        self._load.open_entry(self._files.addresses[node_id].caller)
+
+    async def _finish(self, step: StepRow) -> None:
+        await self._load.finish()
+
+    async def _collect(self, step: StepRow) -> None:
+        for node_id, process in self._nodes.usage().items():
+            self.results.memory_bytes[node_id] = process.memory_info().rss
+        for addresses in self._files.addresses.values():
+            keys = await read_json(addresses.backend, "/keys", dict[str, int])
+            self.results.add_keys(keys)
+        self.results.account = await read_account(self._store_address)
+
+    async def _stop(self, step: StepRow) -> None:
+        await self._nodes.stop()
+
+
+def _cpu_s(process: psutil.Process) -> float:
+    times = process.cpu_times()
+    return times.user + times.system
--- /dev/null
+++ b/packages/papayapost-testing/src/papayapost_testing/demo/files.py
@@ -0,0 +1,105 @@
+"""Writes the settings files of a deployment."""
+
+from dataclasses import dataclass
+from pathlib import Path
+
+import msgspec
+
+from papayapost.ids import Address, DataCentreId, NodeId
+from papayapost_testing.demo.plans import Deployment, NodePlan, plan_nodes
+from papayapost_testing.platform_settings import BackendSettings, PlatformSettings
+from papayapost_testing.ports import free_addresses
+
+__all__ = ["DeploymentFiles", "NodeAddresses", "write_files"]
+
+
+@dataclass(frozen=True, slots=True)
+class NodeAddresses:
+    """Where a node and its backend server listen."""
+
+    caller: Address
+    peer: Address
+    backend: Address
+
+
+@dataclass(frozen=True, slots=True)
+class DeploymentFiles:
+    """A deployment's folder and addresses.
+
+    Parameters
+    ----------
+    store_addresses
+        One listener of the object store for each data centre, in order.
+    """
+
+    folder: Path
+    plans: tuple[NodePlan, ...]
+    addresses: dict[NodeId, NodeAddresses]
+    store_addresses: dict[DataCentreId, Address]
+
+    @property
+    def platform_path(self) -> Path:
+        """Settings file of the stand-ins."""
+        return self.folder / "platform.json"
+
+    @property
+    def rules_path(self) -> Path:
+        """The rules file that operators edit."""
+        return self.folder / "rules.txt"
+
+
+def write_files(deployment: Deployment, folder: Path) -> DeploymentFiles:
+    """Write all settings files and the first rules file."""
+    plans = tuple(plan_nodes(deployment))
+    free = iter(free_addresses(3 * len(plans) + len(deployment.places)))
+    addresses = {
+        plan.node_id: NodeAddresses(next(free), next(free), next(free))
+        for plan in plans
+    }
+    stores = {place.data_centre: next(free) for place in deployment.places}
+    files = DeploymentFiles(folder, plans, addresses, stores)
+    _write_platform(files)
+    seeds = _seeds(files)
+    for plan in plans:
+        _write_node(files, plan, seeds)
+    files.rules_path.write_text(deployment.rules)
+    return files
+
+
+def _seeds(files: DeploymentFiles) -> list[Address]:
+    """Return the peer address of the first node of each data centre."""
+    first: dict[DataCentreId, Address] = {}
+    for plan in files.plans:
+        address = files.addresses[plan.node_id].peer
+        first.setdefault(plan.place.data_centre, address)
+    return list(first.values())
+
+
+def _write_platform(files: DeploymentFiles) -> None:
+    backends = [
+        BackendSettings(files.addresses[plan.node_id].backend, plan.service.behaviour)
+        for plan in files.plans
+    ]
+    settings = PlatformSettings(list(files.store_addresses.values()), backends)
+    files.platform_path.write_bytes(msgspec.json.encode(settings))
+
+
+def _write_node(files: DeploymentFiles, plan: NodePlan, seeds: list[Address]) -> None:
+    addresses = files.addresses[plan.node_id]
+    settings = {
+        "node_id": plan.node_id,
+        "data_centre": plan.place.data_centre,
+        "region": plan.place.region,
+        "caller_address": addresses.caller,
+        "peer_address": addresses.peer,
+        "store_address": files.store_addresses[plan.place.data_centre],
+        "seeds": seeds,
+        "backend_server": {
+            "service": plan.service.name,
+            "address": addresses.backend,
+            "slots": plan.service.behaviour.slots,
+            "connections": plan.service.connections,
+        },
+    }
+    path = files.folder / f"{plan.node_id}.json"
+    path.write_bytes(msgspec.json.format(msgspec.json.encode(settings)))
--- a/packages/papayapost-testing/src/papayapost_testing/store/tables.py
+++ b/packages/papayapost-testing/src/papayapost_testing/store/tables.py
@@ -84,13 +84,20 @@
 
 @dataclass(slots=True)
 class AccountRow:
-    """Calls answered so far; a waiting watch is one read."""
+    """Calls answered so far; a waiting watch is one read.
+
+    Attributes
+    ----------
+    last_write_us
+        Monotonic time of the last update that took effect, in µs.
+    """
 
     reads: int = 0
     writes: int = 0
     conflicts: int = 0
     read_bytes: int = 0
     written_bytes: int = 0
+    last_write_us: int = 0
 
 
 class StoreTables:
