--- /dev/null
+++ b/packages/papayapost-testing/src/papayapost_testing/bench/rules.py
@@ -0,0 +1,104 @@
+"""Cost of compiling a rules text and of matching a call against it."""
+
+import time
+from collections.abc import Callable
+from random import Random
+
+from papayapost.rules import Route, RuleSet, compile_rules, match_route
+from papayapost_testing.bench.rows import BenchRow
+
+__all__ = ["run"]
+
+_SERVICES = 810
+_CALLS = 200
+
+Call = tuple[str, str, str]
+Match = Callable[[RuleSet, str, str, str], Route | None]
+
+
+def run(short: bool) -> list[BenchRow]:
+    """Return µs per match and ms per compilation at several sizes.
+
+    Parameters
+    ----------
+    short
+        Fewer repetitions.
+    """
+    repetitions = 3 if short else 30
+    rows = []
+    for size in (10, 810, 5_000):
+        rules = compile_rules(_text_of(size))
+        calls = _calls_of(size)
+        linear_rounds = max(1, repetitions * 10 // size)
+        rows.append(
+            BenchRow(
+                "match of one call, routes",
+                size,
+                _match_us(match_route, rules, calls, repetitions * 10),
+                "us",
+                _match_us(_match_linear, rules, calls, linear_rounds),
+            )
+        )
+    for size in (1_000, 5_000):
+        text = _text_of(size)
+        whole_ms = _compile_ms(text, None, repetitions)
+        rows.append(BenchRow("compilation of a text, lines", size, whole_ms, "ms"))
+        edited = "route GET /new -> gusts # Mei: wind desk\n" + text
+        value = _compile_ms(edited, compile_rules(text), repetitions)
+        rows.append(
+            BenchRow("compilation after one edit, lines", size, value, "ms", whole_ms)
+        )
+    return rows
+
+
+def _text_of(size: int) -> str:
+    lines = []
+    for number in range(size):
+        service = number % _SERVICES
+        version, star = divmod(number // _SERVICES, 2)
+        path = f"/v{version}/service-{service}/" + ("*" if star else "status")
+        lines.append(
+            f"route GET,POST mesh-{service % 30}.example{path} -> service-{service} "
+            f"rank=high idempotent=yes timeout_ms=900 retries=1 # Ana: line {number}"
+        )
+    return "\n".join(lines)
+
+
+def _calls_of(size: int) -> list[Call]:
+    random = Random(1)
+    calls = []
+    for _ in range(_CALLS):
+        number = random.randrange(size)
+        service = number % _SERVICES
+        version, star = divmod(number // _SERVICES, 2)
+        path = f"/v{version}/service-{service}/" + ("item/7" if star else "status")
+        calls.append(("GET", f"mesh-{service % 30}.example", path))
+    return calls
+
+
+def _match_us(match: Match, rules: RuleSet, calls: list[Call], rounds: int) -> float:
+    start_ns = time.perf_counter_ns()
+    for _ in range(rounds):
+        for method, host, path in calls:
+            match(rules, method, host, path)
+    return (time.perf_counter_ns() - start_ns) / rounds / len(calls) / 1_000
+
+
+def _match_linear(rules: RuleSet, method: str, host: str, path: str) -> Route | None:
+    """Match as the baseline does: route by route."""
+    for route in rules.routes:
+        if route.methods and method not in route.methods:
+            continue
+        if route.host not in ("*", host):
+            continue
+        stem = route.stem
+        if path == route.path if stem is None else path.startswith(stem):
+            return route
+    return None
+
+
+def _compile_ms(text: str, previous: RuleSet | None, repetitions: int) -> float:
+    start_ns = time.perf_counter_ns()
+    for _ in range(repetitions):
+        compile_rules(text, previous)
+    return (time.perf_counter_ns() - start_ns) / repetitions / 1_000_000
--- /dev/null
+++ b/packages/papayapost/src/papayapost/rules/checks.py
@@ -0,0 +1,109 @@
+"""Checks that need more than one line of a rules text."""
+
+from abc import ABC, abstractmethod
+
+from papayapost.rules.compilers import RulesDraft
+from papayapost.rules.faults import RuleFault
+from papayapost.rules.index import RouteIndex
+from papayapost.rules.model import Route, Share
+from papayapost.states import Rank
+
+__all__ = ["FILE_CHECKS", "FileCheck"]
+
+_ANY_METHOD = "*"
+
+
+class FileCheck(ABC):
+    """One check over all rows of a draft."""
+
+    @abstractmethod
+    def run(self, draft: RulesDraft, index: RouteIndex) -> None:
+        """Report what is wrong at the lines concerned."""
+
+
+class ReachableRoutes(FileCheck):
+    """Every route decides some call that no earlier route takes."""
+
+    def run(self, draft: RulesDraft, index: RouteIndex) -> None:
+        """Report each route that earlier ones cover wholly."""
+        for route in draft.routes:
+            takers = _takers_of(index, route)
+            if takers:
+                self._report(draft, route, takers)
+
+    def _report(self, draft: RulesDraft, route: Route, takers: list[Route]) -> None:
+        line = draft.line(route.line)
+        first = takers[0]
+        column = line.words[0].column
+        if len(takers) == 1 and first.pattern == route.pattern:
+            line.report(
+                RuleFault.DUPLICATE_ROUTE,
+                column,
+                f"the route of line {first.line} by {first.owner} matches the "
+                "same calls",
+                "remove one of the two",
+            )
+            return
+        numbers = ", ".join(str(taker.line) for taker in takers)
+        line.report(
+            RuleFault.UNREACHABLE_ROUTE,
+            column,
+            f"no call reaches the route: line {numbers} takes them all",
+            f"move it above line {first.line}, or remove it",
+        )
+
+
+def _takers_of(index: RouteIndex, route: Route) -> list[Route]:
+    """Return the earlier routes that leave this one no call, or none."""
+    left = set(route.methods) or {_ANY_METHOD}
+    takers = []
+    for earlier in index.covering(route):
+        taken = left if not earlier.methods else left & earlier.methods
+        if taken:
+            takers.append(earlier)
+            left = left - taken
+        if not left:
+            return sorted(takers, key=lambda taker: taker.line)
+    return []
+
+
+class ShareSums(FileCheck):
+    """Each rank has one share, and the floors fit into the whole."""
+
+    def run(self, draft: RulesDraft, index: RouteIndex) -> None:
+        """Report second shares of a rank and the floor that is too much."""
+        first: dict[Rank, Share] = {}
+        floors_percent = 0
+        for share in draft.shares:
+            earlier = first.setdefault(share.rank, share)
+            if earlier is not share:
+                self._report_duplicate(draft, share, earlier)
+                continue
+            before_percent = floors_percent
+            floors_percent += share.floor_percent
+            if before_percent <= 100 < floors_percent:
+                self._report_sum(draft, share, floors_percent)
+
+    def _report_duplicate(
+        self, draft: RulesDraft, share: Share, earlier: Share
+    ) -> None:
+        line = draft.line(share.line)
+        line.report(
+            RuleFault.DUPLICATE_SHARE,
+            line.words[1].column,
+            f"rank {share.rank.name.lower()} has a share on line {earlier.line} "
+            f"by {earlier.owner}",
+            "keep one of the two",
+        )
+
+    def _report_sum(self, draft: RulesDraft, share: Share, floors_percent: int) -> None:
+        line = draft.line(share.line)
+        line.report(
+            RuleFault.FLOORS_OVER_WHOLE,
+            line.words[1].column,
+            f"with this share the floors add up to {floors_percent}%",
+            "lower the floors until they add up to 100% at most",
+        )
+
+
+FILE_CHECKS: tuple[FileCheck, ...] = (ReachableRoutes(), ShareSums())
--- /dev/null
+++ b/packages/papayapost/src/papayapost/rules/compilers.py
@@ -0,0 +1,52 @@
+"""What each kind of line compiles to."""
+
+from abc import ABC, abstractmethod
+from dataclasses import dataclass, field
+from typing import ClassVar
+
+from papayapost.findings import Finding
+from papayapost.rules.model import Route, Share
+from papayapost.rules.tokens import RuleLine
+
+__all__ = ["LineCompiler", "RulesDraft"]
+
+
+@dataclass(slots=True)
+class RulesDraft:
+    """Rows read so far, and where findings about them go.
+
+    Parameters
+    ----------
+    texts
+        Every line of the rules text, also those without a rule.
+    """
+
+    texts: list[str]
+    findings: list[Finding]
+    routes: list[Route] = field(default_factory=list)
+    shares: list[Share] = field(default_factory=list)
+
+    def add(self, row: Route | Share) -> None:
+        """Add a row after all earlier ones of its kind."""
+        if isinstance(row, Route):
+            self.routes.append(row)
+        else:
+            self.shares.append(row)
+
+    def line(self, number: int) -> RuleLine:
+        """Return a line, so that checks of the whole file report at it."""
+        return RuleLine(number, self.texts[number - 1], self.findings)
+
+
+class LineCompiler(ABC):
+    """Compiles the lines that start with one keyword."""
+
+    keyword: ClassVar[str]
+
+    @abstractmethod
+    def compile(self, line: RuleLine, draft: RulesDraft) -> None:
+        """Add the line's row to the draft and report what is wrong with it.
+
+        A row whose key can be read is added even if the rest is faulty, so
+        that checks of the whole file find everything at once.
+        """
--- /dev/null
+++ b/packages/papayapost/src/papayapost/rules/index.py
@@ -0,0 +1,126 @@
+"""Finds routes by host and path without reading all of them.
+
+A prefix pattern is kept by its stem, the text before the ``*``. In the sorted
+list of a host's stems, every stem that is a prefix of a path lies at or before
+the path's own place, and the longest of them is the stem found there or one
+of that stem's own prefixes. So one bisection and a short walk find it.
+"""
+
+from bisect import bisect_right
+from collections.abc import Iterable, Iterator
+from dataclasses import dataclass
+
+from papayapost.rules.model import ANY_HOST, Route
+
+__all__ = ["RouteIndex"]
+
+
+@dataclass(slots=True)
+class _Stem:
+    """A stem with the routes of itself and its own prefixes, by line."""
+
+    text: str
+    routes: tuple[Route, ...]
+    parent: "_Stem | None"
+
+
+class _HostRoutes:
+    """The routes of one host pattern."""
+
+    def __init__(self, routes: list[Route]):
+        self.exact: dict[str, tuple[Route, ...]] = {}
+        own: dict[str, tuple[Route, ...]] = {}
+        for route in routes:
+            stem = route.stem
+            if stem is None:
+                self.exact[route.path] = (*self.exact.get(route.path, ()), route)
+            else:
+                own[stem] = (*own.get(stem, ()), route)
+        self._texts = sorted(own)
+        self._stems = _nest(self._texts, own)
+
+    def under(self, path: str) -> tuple[Route, ...]:
+        """Return the prefix routes that match a path, by line."""
+        position = bisect_right(self._texts, path) - 1
+        stem = self._stems[position] if position >= 0 else None
+        while stem is not None and not path.startswith(stem.text):
+            stem = stem.parent
+        return stem.routes if stem is not None else ()
+
+
+class RouteIndex:
+    """Routes in file order, found by host and path.
+
+    Examples
+    --------
+    >>> from papayapost.rules import compile_rules
+    >>> rules = compile_rules("route GET /scans/* -> records # Ana: scans")
+    >>> rules.index.first("GET", "oleaje.example", "/scans/7").service
+    'records'
+    """
+
+    def __init__(self, routes: Iterable[Route]):
+        by_host: dict[str, list[Route]] = {}
+        for route in routes:
+            by_host.setdefault(route.host, []).append(route)
+        self._hosts = {host: _HostRoutes(rows) for host, rows in by_host.items()}
+        self._any_host = self._hosts.get(ANY_HOST)
+
+    def first(self, method: str, host: str, path: str) -> Route | None:
+        """Return the first route in file order that matches a call."""
+        best = None
+        named = self._hosts.get(host)
+        if named is not None:
+            best = _first_of(named.exact.get(path, ()), method, best)
+            best = _first_of(named.under(path), method, best)
+        others = self._any_host
+        if others is not None and others is not named:
+            best = _first_of(others.exact.get(path, ()), method, best)
+            best = _first_of(others.under(path), method, best)
+        return best
+
+    def covering(self, route: Route) -> Iterator[Route]:
+        """Yield the earlier routes whose host and path take in this one's."""
+        for host in dict.fromkeys((route.host, ANY_HOST)):
+            rows = self._hosts.get(host)
+            if rows is None:
+                continue
+            stem = route.stem
+            if stem is None:
+                yield from _before(rows.exact.get(route.path, ()), route.line)
+            yield from _before(rows.under(stem or route.path), route.line)
+
+
+def _nest(texts: list[str], own: dict[str, tuple[Route, ...]]) -> list[_Stem]:
+    stems: list[_Stem] = []
+    parent: _Stem | None = None
+    for text in texts:
+        while parent is not None and not text.startswith(parent.text):
+            parent = parent.parent
+        inherited = parent.routes if parent is not None else ()
+        routes = sorted((*own[text], *inherited), key=_line_of)
+        parent = _Stem(text, tuple(routes), parent)
+        stems.append(parent)
+    return stems
+
+
+def _line_of(route: Route) -> int:
+    return route.line
+
+
+def _first_of(
+    routes: tuple[Route, ...], method: str, best: Route | None
+) -> Route | None:
+    for route in routes:
+        if best is not None and route.line > best.line:
+            return best
+        if not route.methods or method in route.methods:
+            return route
+    return best
+
+
+def _before(routes: tuple[Route, ...], line: int) -> Iterator[Route]:
+    for route in routes:
+        if route.line >= line:
+            return
+        yield route
--- a/packages/papayapost/src/papayapost/rules/match.py
+++ b/packages/papayapost/src/papayapost/rules/match.py
@@ -1,6 +1,7 @@
 """Finds the route that decides a call."""
 
-from papayapost.rules.model import Route, RuleSet
+from papayapost.rules.model import Route
+from papayapost.rules.ruleset import RuleSet
 
 __all__ = ["match_route"]
 
@@ -17,17 +18,4 @@
     path
         Path without query.
     """
-    for route in rules.routes:
-        if route.methods and method not in route.methods:
-            continue
-        if route.host not in ("*", host):
-            continue
-        if _path_matches(route.path, path):
-            return route
-    return None
-
-
-def _path_matches(pattern: str, path: str) -> bool:
-    if pattern.endswith("*"):
-        return path.startswith(pattern[:-1])
-    return path == pattern
+    return rules.index.first(method, host, path)
--- a/packages/papayapost/src/papayapost/rules/model.py
+++ b/packages/papayapost/src/papayapost/rules/model.py
@@ -1,11 +1,23 @@
-"""Compiled rules, immutable and shared by every table that names them."""
+"""Compiled lines, immutable and shared by every table that names them."""
 
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 
 from papayapost.ids import Owner, ServiceName
 from papayapost.states import Rank
 
-__all__ = ["Route", "RuleSet", "Share"]
+__all__ = ["ANY_HOST", "Route", "RoutePattern", "Share"]
+
+ANY_HOST = "*"
+"""Host pattern that matches every host."""
+
+
+@dataclass(frozen=True, slots=True)
+class RoutePattern:
+    """Which calls a route matches."""
+
+    methods: frozenset[str]
+    host: str
+    path: str
 
 
 @dataclass(frozen=True, slots=True)
@@ -31,7 +43,8 @@
     timeout_ms
         Time for the whole call, retries included.
     retries
-        Further attempts after the first, at most.
+        Further attempts after the first, at most. Of a route that is not
+        idempotent only attempts that were refused as not run count.
     hedge_ms
         Delay after which a second attempt starts, or None for no hedging.
     cross_link
@@ -54,6 +67,16 @@
     owner: Owner
     reason: str
 
+    @property
+    def pattern(self) -> RoutePattern:
+        """Which calls the route matches."""
+        return RoutePattern(self.methods, self.host, self.path)
+
+    @property
+    def stem(self) -> str | None:
+        """The prefix before a final ``*``, or None of an exact path."""
+        return self.path[:-1] if self.path.endswith("*") else None
+
 
 @dataclass(frozen=True, slots=True)
 class Share:
@@ -73,26 +96,3 @@
     ceiling_percent: int
     owner: Owner
     reason: str
-
-
-@dataclass(frozen=True, slots=True)
-class RuleSet:
-    """A rules text compiled whole.
-
-    Parameters
-    ----------
-    text
-        The text as the store holds it.
-    digest
-        64-bit hash of the text, in hexadecimal.
-    routes
-        In file order; the first that matches a call decides it.
-    shares
-        At most one for each rank.
-    """
-
-    text: str
-    digest: str
-    routes: tuple[Route, ...]
-    shares: tuple[Share, ...]
-    services: frozenset[ServiceName] = field(default=frozenset())
--- /dev/null
+++ b/packages/papayapost/src/papayapost/rules/route.py
@@ -0,0 +1,120 @@
+"""Compiles ``route METHODS [HOST]/PATH -> SERVICE ...`` lines."""
+
+import re
+from dataclasses import dataclass
+
+from papayapost.ids import ServiceName
+from papayapost.rules.compilers import LineCompiler, RulesDraft
+from papayapost.rules.faults import RuleFault
+from papayapost.rules.model import Route
+from papayapost.rules.options import (
+    FlagReader,
+    NumberReader,
+    OptionReader,
+    RankReader,
+    read_options,
+)
+from papayapost.rules.patterns import read_host, read_methods, read_path
+from papayapost.rules.tokens import RuleLine, Word
+from papayapost.states import Rank
+
+__all__ = ["RouteCompiler"]
+
+_SERVICE = re.compile(r"[a-z][a-z0-9-]{0,62}")
+_DEFAULT_TIMEOUT_MS = 1_000
+_MAX_TIMEOUT_MS = 3_600_000
+_MAX_RETRIES = 5
+_OPTIONS: dict[str, OptionReader] = {
+    "rank": RankReader(),
+    "idempotent": FlagReader(),
+    "timeout_ms": NumberReader(1, _MAX_TIMEOUT_MS),
+    "retries": NumberReader(0, _MAX_RETRIES),
+    "hedge_ms": NumberReader(1, _MAX_TIMEOUT_MS),
+    "link": FlagReader(),
+}
+
+
+@dataclass(slots=True)
+class _RouteOptions:
+    rank: Rank = Rank.NORMAL
+    idempotent: bool = False
+    timeout_ms: int = _DEFAULT_TIMEOUT_MS
+    retries: int = 0
+    hedge_ms: int | None = None
+    link: bool = False
+
+
+class RouteCompiler(LineCompiler):
+    """Which calls go to which service, and how."""
+
+    keyword = "route"
+
+    def compile(self, line: RuleLine, draft: RulesDraft) -> None:
+        """Add the line's row to the draft and report what is wrong with it."""
+        words = line.words
+        if len(words) < 5 or words[3].text != "->":
+            line.report(
+                RuleFault.INCOMPLETE_ROUTE,
+                words[0].column,
+                "the route is incomplete",
+                "write 'route METHODS [HOST]/PATH -> SERVICE ...'",
+            )
+            return
+        methods = read_methods(line, words[1])
+        host = read_host(line, words[2])
+        path = read_path(line, words[2])
+        service = _read_service(line, words[4])
+        options = _RouteOptions()
+        read_options(line, words[5:], _OPTIONS, options)
+        _check_hedge(line, options)
+        if methods is None or host is None or path is None:
+            return
+        route = Route(
+            line=line.number,
+            methods=methods,
+            host=host,
+            path=path,
+            service=service,
+            rank=options.rank,
+            idempotent=options.idempotent,
+            timeout_ms=options.timeout_ms,
+            retries=options.retries,
+            hedge_ms=options.hedge_ms,
+            cross_link=options.link,
+            owner=line.owner,
+            reason=line.reason,
+        )
+        draft.add(route)
+
+
+def _read_service(line: RuleLine, word: Word) -> ServiceName:
+    if not _SERVICE.fullmatch(word.text):
+        line.report(
+            RuleFault.BAD_SERVICE,
+            word.column,
+            f"bad service name {word.text!r}",
+            "start with a lower-case letter and use lower-case letters, digits "
+            "and '-', at most 63",
+        )
+    return ServiceName(word.text)
+
+
+def _check_hedge(line: RuleLine, options: _RouteOptions) -> None:
+    if options.hedge_ms is None:
+        return
+    column = next(w.column for w in line.words if w.text.startswith("hedge_ms="))
+    if not options.idempotent:
+        line.report(
+            RuleFault.HEDGE_NOT_IDEMPOTENT,
+            column,
+            "hedge_ms on a route that is not idempotent would run calls twice",
+            "remove hedge_ms, or write idempotent=yes if a call may run again",
+        )
+    if options.hedge_ms >= options.timeout_ms:
+        line.report(
+            RuleFault.HEDGE_AFTER_TIMEOUT,
+            column,
+            f"hedge_ms={options.hedge_ms} is not before the timeout of "
+            f"{options.timeout_ms} ms, so no second attempt would start",
+            "give a hedge_ms below timeout_ms",
+        )
