Extend the contract of calls and attempts

All new fields have defaults. Conclusion: the shells can be written against it before the decisions land.

--- a/packages/papayapost-node/src/papayapost_node/wire/catalogue.py
+++ b/packages/papayapost-node/src/papayapost_node/wire/catalogue.py
@@ -4,7 +4,12 @@
 """
 
 from papayapost.membership import Announcement
-from papayapost.traffic import AttemptCancel, AttemptOffer, AttemptRefused
+from papayapost.traffic import (
+    AttemptCancel,
+    AttemptFailed,
+    AttemptOffer,
+    AttemptRefused,
+)
 from papayapost_node.wire.carriers import AnswerCarrier, OfferCarrier
 
 __all__ = ["WIRE_NUMBERS"]
@@ -17,6 +22,7 @@
     AttemptOffer: 40,
     AttemptCancel: 41,
     AttemptRefused: 42,
+    AttemptFailed: 43,
 }
 _CARRIERS: dict[type, int] = {
     OfferCarrier: 60,
--- a/packages/papayapost/src/papayapost/traffic/messages.py
+++ b/packages/papayapost/src/papayapost/traffic/messages.py
@@ -2,7 +2,8 @@
 
 Types whose first field is ``sender`` travel between nodes. Request and
 answer bodies never pass through a tick: the shell keeps them under the
-call's or the attempt's id.
+call's or the attempt's id. What the owner node exchanges with its own
+backend server is in `owner_messages`.
 """
 
 from dataclasses import dataclass
@@ -14,6 +15,7 @@
     CallId,
     ConnectionEpoch,
     IdempotencyKey,
+    Incarnation,
     Micros,
     NodeId,
     ServiceName,
@@ -21,25 +23,29 @@
 from papayapost.states import Outcome, Rank
 
 __all__ = [
+    "NO_INCARNATION",
     "AnswerBegun",
     "AnswerEnded",
     "AttemptCancel",
-    "AttemptExpired",
+    "AttemptFailed",
     "AttemptOffer",
     "AttemptRefused",
-    "BackendCallBegun",
-    "BackendCallCancel",
-    "BackendCallEnded",
-    "BackendCallStart",
     "CallArrived",
     "CallExpired",
     "CallRefusal",
     "CallerGone",
+    "CutAnswer",
+    "DropAnswer",
     "ForwardAnswer",
+    "LossCause",
     "OfferSend",
+    "OfferUndelivered",
+    "OwnerLost",
     "RefusalCode",
 ]
 
+NO_INCARNATION = Incarnation(0)
+
 
 class RefusalCode(Enum):
     """Why a call or an attempt was refused; the value is on the wire."""
@@ -54,6 +60,17 @@
     UNREACHABLE = "unreachable"
     CANCELLED = "cancelled"
     LOST = "lost"
+    EVICTED = "evicted"
+    STALE_EPOCH = "stale-epoch"
+    DUPLICATE = "duplicate"
+    CLAIMS_UNAVAILABLE = "claims-unavailable"
+
+
+class LossCause(Enum):
+    """How an entry node learned that an owner node may be gone."""
+
+    CONNECTION = "connection"
+    DIRECTORY = "directory"
 
 
 @dataclass(slots=True)
@@ -148,6 +165,14 @@
         Connection epoch of the entry node; an older one is refused.
     budget_us
         Time left for the attempt, relative to its arrival.
+    incarnation, sequence
+        Of the sender and of the attempt among all of that incarnation; the
+        owner tells a replay by them.
+    content_bytes
+        Length of the body, or None if the caller did not say.
+    refused_attempts
+        Earlier attempts of the same call that were refused as not run; this
+        attempt may take over what they claimed.
     """
 
     sender: NodeId
@@ -159,6 +184,10 @@
     idempotent: bool
     budget_us: Micros
     idempotency_key: IdempotencyKey | None
+    incarnation: Incarnation = NO_INCARNATION
+    sequence: int = 0
+    content_bytes: int | None = 0
+    refused_attempts: tuple[AttemptId, ...] = ()
 
 
 @dataclass(slots=True)
@@ -198,55 +227,62 @@
     ----------
     is_whole
         False when the body was cut short.
+    body_bytes
+        Length of what arrived of the body.
     """
 
     sender: NodeId
     attempt_id: AttemptId
     is_whole: bool
+    body_bytes: int = 0
 
 
 @dataclass(slots=True)
-class AttemptExpired:
-    """Timer at the owner node: the attempt's budget is over."""
+class AttemptFailed:
+    """Owner node to entry node: it may have run, and no answer will come."""
 
+    sender: NodeId
     attempt_id: AttemptId
+    free_slots: int
 
 
 @dataclass(slots=True)
-class BackendCallStart:
-    """Effect at the owner node: send the request to the backend server."""
+class OfferUndelivered:
+    """Input at the entry node: the offer certainly never left this node."""
 
     attempt_id: AttemptId
-    budget_us: Micros
 
 
 @dataclass(slots=True)
-class BackendCallCancel:
-    """Effect at the owner node: stop a call that nobody waits for."""
+class OwnerLost:
+    """Input at the entry node: what was sent to an owner may be lost.
 
-    attempt_id: AttemptId
+    The shell posts it when a connection to a peer ends. Later offers to the
+    address carry a higher connection epoch.
+    """
+
+    address: Address
+    cause: LossCause = LossCause.CONNECTION
 
 
 @dataclass(slots=True)
-class BackendCallBegun:
-    """Input at the owner node: the head of the answer is here."""
+class DropAnswer:
+    """Effect at the entry node: nobody takes this attempt's answer.
+
+    It is late, or another attempt follows it; the shell forgets what it
+    holds and whatever still comes in of it.
+    """
 
     attempt_id: AttemptId
-    status: int
 
 
 @dataclass(slots=True)
-class BackendCallEnded:
-    """Input at the owner node: the call no longer holds a slot.
+class CutAnswer:
+    """Effect at the entry node: the rest of a begun answer is lost.
 
-    Parameters
-    ----------
-    is_sent
-        False only when no byte of the request left this node.
-    is_whole
-        Whether the whole answer arrived.
+    The shell ends the caller's connection so that the answer does not look
+    complete.
     """
 
+    call_id: CallId
     attempt_id: AttemptId
-    is_sent: bool
-    is_whole: bool
--- a/packages/papayapost/src/papayapost/traffic/owner.py
+++ b/packages/papayapost/src/papayapost/traffic/owner.py
@@ -6,13 +6,15 @@
 from papayapost.place import SelfRow
 from papayapost.traffic.messages import (
     AttemptCancel,
-    AttemptExpired,
     AttemptOffer,
     AttemptRefused,
+    RefusalCode,
+)
+from papayapost.traffic.owner_messages import (
+    AttemptExpired,
     BackendCallCancel,
     BackendCallEnded,
     BackendCallStart,
-    RefusalCode,
 )
 from papayapost.traffic.tables import OwnedRow, OwnedState, OwnerTables
 
