--- a/packages/papayapost/src/papayapost/traffic/__init__.py
+++ b/packages/papayapost/src/papayapost/traffic/__init__.py
@@ -1,7 +1,8 @@
 """Calls: routing at the entry node, admission at the owner node."""
 
-from papayapost.traffic.balancing import BalancingPolicy, NearestLeastOutstanding
-from papayapost.traffic.entry import EndCalls, Offers, RouteCalls, SettleRefusals
+from papayapost.traffic.balancing import BalancingPolicy, NearestOfTwo
+from papayapost.traffic.endings import EndCalls
+from papayapost.traffic.entry import RouteCalls
 from papayapost.traffic.messages import (
     AnswerBegun,
     AnswerEnded,
@@ -34,8 +35,12 @@
     DropOffer,
     OwnBackendServerSeen,
 )
+from papayapost.traffic.owner_tables import OwnerTables
 from papayapost.traffic.part import TrafficPart, build_traffic
-from papayapost.traffic.tables import OwnerTables, TrafficTables
+from papayapost.traffic.retries import BudgetedRetries, RetryPolicy
+from papayapost.traffic.settle import SettleAttempts
+from papayapost.traffic.tables import TrafficCounters, TrafficTables
+from papayapost.traffic.upstreams import Upstreams
 
 __all__ = [
     "AdmitAttempts",
@@ -51,6 +56,7 @@
     "BackendCallEnded",
     "BackendCallStart",
     "BalancingPolicy",
+    "BudgetedRetries",
     "CallArrived",
     "CallExpired",
     "CallRefusal",
@@ -63,17 +69,19 @@
     "EndCalls",
     "ForwardAnswer",
     "LossCause",
-    "NearestLeastOutstanding",
+    "NearestOfTwo",
     "OfferSend",
     "OfferUndelivered",
-    "Offers",
     "OwnBackendServerSeen",
     "OwnerLost",
     "OwnerTables",
     "RefusalCode",
+    "RetryPolicy",
     "RouteCalls",
-    "SettleRefusals",
+    "SettleAttempts",
+    "TrafficCounters",
     "TrafficPart",
     "TrafficTables",
+    "Upstreams",
     "build_traffic",
 ]
--- a/packages/papayapost/src/papayapost/traffic/balancing.py
+++ b/packages/papayapost/src/papayapost/traffic/balancing.py
@@ -1,47 +1,140 @@
 """Policies that choose a backend server for an attempt."""
 
 from abc import ABC, abstractmethod
-from collections.abc import Sequence
+from collections.abc import Container
 from random import Random
 
-from papayapost.membership import BackendServerRow
-from papayapost.place import SelfRow
+from papayapost.ids import Micros, NodeId
 from papayapost.states import LinkClass
-from papayapost.traffic.tables import TrafficTables
+from papayapost.traffic.owner_tables import OwnerTables
+from papayapost.traffic.upstreams import ServiceRow, UpstreamRow
 
-__all__ = ["BalancingPolicy", "NearestLeastOutstanding"]
+__all__ = ["BalancingPolicy", "NearestOfTwo"]
+
+_REPORT_MAX_AGE_US = 1_000_000
+_LATENCY_MAX_AGE_US = 10_000_000
+_RAMP_US = 10_000_000
+_RAMP_MIN_WEIGHT = 0.1
 
 
 class BalancingPolicy(ABC):
-    """Chooses among the backend servers that may take an attempt."""
+    """Chooses among the upstreams of a service."""
 
     @abstractmethod
     def choose(
-        self, candidates: Sequence[BackendServerRow], random: Random
-    ) -> BackendServerRow | None:
-        """Return the best candidate, or None if there is none."""
+        self,
+        service: ServiceRow,
+        tried: Container[NodeId],
+        reach: LinkClass,
+        now_us: Micros,
+        random: Random,
+    ) -> UpstreamRow | None:
+        """Return the upstream for an attempt, or None if there is none.
+
+        Parameters
+        ----------
+        tried
+            Owner nodes that the call has tried already.
+        reach
+            The farthest distance that the call may go.
+        """
+
 
+class NearestOfTwo(BalancingPolicy):
+    """The nearest distance with room, and there the better of two.
 
-class NearestLeastOutstanding(BalancingPolicy):
-    """The nearest place, and within it the fewest outstanding attempts."""
+    An upstream is judged by what this node saw itself: outstanding
+    attempts, the free slots that its owner reported last, decayed latency.
 
-    def __init__(self, me: SelfRow, tables: TrafficTables):
-        self._me = me
-        self._tables = tables
+    Parameters
+    ----------
+    owner
+        This node's own slots, known exactly.
+    """
+
+    def __init__(self, owner: OwnerTables):
+        self._owner = owner
 
     def choose(
-        self, candidates: Sequence[BackendServerRow], random: Random
-    ) -> BackendServerRow | None:
-        """Return the best candidate, or None if there is none."""
-        if not candidates:
+        self,
+        service: ServiceRow,
+        tried: Container[NodeId],
+        reach: LinkClass,
+        now_us: Micros,
+        random: Random,
+    ) -> UpstreamRow | None:
+        """Return the upstream for an attempt, or None if there is none."""
+        full: list[UpstreamRow] = []
+        for distance in range(reach + 1):
+            tier = service.tiers[distance]
+            if not tier:
+                continue
+            best = self._choose_in(service, tier, tried, now_us, random)
+            if best is None:
+                continue
+            if not self._is_full(best, now_us):
+                return best
+            full.append(best)
+        if not full:
             return None
-        return min(candidates, key=lambda row: (*self._cost(row), random.random()))
-
-    def _cost(self, row: BackendServerRow) -> tuple[LinkClass, float]:
-        if row.node_id == self._me.node_id:
-            link = LinkClass.SELF
-        else:
-            link = self._me.place.distance_to(row.place)
-        outstanding = self._tables.outstanding.get(row.node_id, 0)
-        is_full = outstanding >= row.slots
-        return (LinkClass.ACROSS if is_full else link, outstanding / row.slots)
+        return min(
+            full, key=lambda row: (1 + row.distance) * _score(service, row, now_us)
+        )
+
+    def _choose_in(
+        self,
+        service: ServiceRow,
+        tier: list[UpstreamRow],
+        tried: Container[NodeId],
+        now_us: Micros,
+        random: Random,
+    ) -> UpstreamRow | None:
+        size = len(tier)
+        if size > 1:
+            first = tier[int(random.random() * size)]
+            second = tier[int(random.random() * size)]
+            if first is not second and _score(service, second, now_us) < _score(
+                service, first, now_us
+            ):
+                first = second
+            if first.node_id not in tried and not self._is_full(first, now_us):
+                return first
+        untried = [row for row in tier if row.node_id not in tried]
+        with_room = [row for row in untried if not self._is_full(row, now_us)]
+        return min(
+            with_room or untried,
+            key=lambda row: _score(service, row, now_us),
+            default=None,
+        )
+
+    def _is_full(self, row: UpstreamRow, now_us: Micros) -> bool:
+        if now_us < row.refuses_until_us:
+            return True
+        if row.distance is LinkClass.SELF:
+            return self._owner.free_slots <= 0
+        return len(row.attempts) >= row.slots
+
+
+def _score(service: ServiceRow, row: UpstreamRow, now_us: Micros) -> float:
+    """Return the expected wait relative to other upstreams; less is better."""
+    load = len(row.attempts) + 1.0
+    age_us = now_us - row.reported_us
+    if age_us < _REPORT_MAX_AGE_US:
+        busy_elsewhere = row.slots - row.free_slots - row.outstanding_at_report
+        if busy_elsewhere > 0:
+            load += busy_elsewhere * (1 - age_us / _REPORT_MAX_AGE_US)
+    latency_us = service.latency_us
+    if row.latency_us and now_us - row.latency_seen_us < _LATENCY_MAX_AGE_US:
+        latency_us = row.latency_us
+    score = load * latency_us / row.slots
+    if row.ramp_from_us is not None:
+        score /= _ramp_weight(row, now_us)
+    return score
+
+
+def _ramp_weight(row: UpstreamRow, now_us: Micros) -> float:
+    age_us = now_us - (row.ramp_from_us or 0)
+    if age_us >= _RAMP_US:
+        row.ramp_from_us = None
+        return 1.0
+    return max(_RAMP_MIN_WEIGHT, age_us / _RAMP_US)
--- /dev/null
+++ b/packages/papayapost/src/papayapost/traffic/endings.py
@@ -0,0 +1,153 @@
+"""Systems of the entry node: answers, expired calls and callers that left."""
+
+from papayapost.ids import CallId
+from papayapost.kernel import System, Tick
+from papayapost.observe import Event, Noted
+from papayapost.states import LinkClass
+from papayapost.traffic.entry import first_step
+from papayapost.traffic.link import HEAD_BYTES, LinkBudget
+from papayapost.traffic.messages import (
+    AnswerBegun,
+    AnswerEnded,
+    CallerGone,
+    CallExpired,
+    DropAnswer,
+    ForwardAnswer,
+    RefusalCode,
+)
+from papayapost.traffic.offers import (
+    Offers,
+    close_call,
+    forget_attempt,
+    refuse_call,
+)
+from papayapost.traffic.retries import RetryPolicy
+from papayapost.traffic.tables import (
+    AttemptRow,
+    AttemptState,
+    CallRow,
+    TrafficTables,
+)
+from papayapost.traffic.track import FailureWatch
+from papayapost.traffic.upstreams import Upstreams
+
+__all__ = ["EndCalls"]
+
+_BAD_STATUSES = frozenset([502, 503, 504])
+
+
+class EndCalls(System):
+    """Ends calls: answered, out of time, or left by their caller."""
+
+    consumes = (AnswerBegun, AnswerEnded, CallExpired, CallerGone)
+
+    def __init__(
+        self,
+        tables: TrafficTables,
+        upstreams: Upstreams,
+        offers: Offers,
+        retries: RetryPolicy,
+        watch: FailureWatch,
+        link: LinkBudget,
+    ):
+        self._tables = tables
+        self._upstreams = upstreams
+        self._offers = offers
+        self._retries = retries
+        self._watch = watch
+        self._link = link
+
+    def run(self, tick: Tick) -> None:
+        """Settle the calls that ended."""
+        for begun in tick.take(AnswerBegun):
+            self._begin(tick, begun)
+        for ended in tick.take(AnswerEnded):
+            self._end(tick, ended)
+        for expired in tick.take(CallExpired):
+            self._expire(tick, expired.call_id)
+        for gone in tick.take(CallerGone):
+            self._abandon(tick, gone.call_id)
+
+    def _begin(self, tick: Tick, begun: AnswerBegun) -> None:
+        attempt = self._tables.attempts.get(begun.attempt_id)
+        call = None if attempt is None else self._tables.calls.get(attempt.call_id)
+        if attempt is None or call is None:
+            self._tables.counters.late_answers += 1
+            tick.emit(DropAnswer(begun.attempt_id))
+            return
+        self._observe(tick, begun, attempt, call)
+        if begun.status in _BAD_STATUSES and self._passes_over(tick, call, attempt):
+            return
+        attempt.state = AttemptState.ANSWERING
+        tick.cancel_timer(("call", call.call_id))
+        if len(call.live) > 1:
+            self._cancel_losers(tick, call, attempt)
+        tick.emit(ForwardAnswer(call.call_id, attempt.attempt_id))
+
+    def _observe(
+        self, tick: Tick, begun: AnswerBegun, attempt: AttemptRow, call: CallRow
+    ) -> None:
+        upstream = attempt.upstream
+        upstream.report(begun.free_slots, tick.now_us)
+        service = self._upstreams.service(call.route.service, tick.now_us)
+        if begun.status in _BAD_STATUSES:
+            self._watch.failed(tick, upstream, service)
+            return
+        latency_us = tick.now_us - attempt.offered_us
+        upstream.sample_latency(latency_us, tick.now_us)
+        service.sample_latency(latency_us)
+        self._watch.succeeded(upstream)
+        self._retries.succeeded(call)
+
+    def _passes_over(self, tick: Tick, call: CallRow, bad: AttemptRow) -> bool:
+        """Prefer another attempt's answer to a bad one, where that is safe."""
+        if not call.route.idempotent:
+            return False
+        if len(call.live) == 1:
+            if not (self._retries.may_retry(call) and self._offers.offer(tick, call)):
+                return False
+            self._retries.spend(call)
+            call.retries += 1
+            self._tables.counters.retries += 1
+            first_step(tick, call)
+        call.live.remove(bad.attempt_id)
+        call.is_maybe_run = True
+        self._offers.cancel(tick, bad.attempt_id)
+        tick.emit(DropAnswer(bad.attempt_id))
+        return True
+
+    def _cancel_losers(self, tick: Tick, call: CallRow, winner: AttemptRow) -> None:
+        for attempt_id in call.live:
+            if attempt_id != winner.attempt_id:
+                self._offers.cancel(tick, attempt_id)
+        call.live = [winner.attempt_id]
+
+    def _end(self, tick: Tick, ended: AnswerEnded) -> None:
+        attempt = forget_attempt(self._tables, ended.attempt_id)
+        if attempt is None:
+            return
+        if attempt.upstream.distance is LinkClass.ACROSS:
+            self._link.charge(HEAD_BYTES + ended.body_bytes)
+        call = self._tables.calls.get(attempt.call_id)
+        if call is not None:
+            close_call(tick, self._tables, call)
+
+    def _expire(self, tick: Tick, call_id: CallId) -> None:
+        call = self._tables.calls.get(call_id)
+        if call is None:
+            return
+        for attempt_id in call.live:
+            attempt = self._tables.attempts.require(attempt_id)
+            service = self._upstreams.service(call.route.service, tick.now_us)
+            self._watch.failed(tick, attempt.upstream, service)
+        call.is_maybe_run = call.is_maybe_run or bool(call.live)
+        self._offers.withdraw(tick, call)
+        refuse_call(tick, self._tables, call, RefusalCode.DEADLINE)
+        if call.is_maybe_run:
+            tick.emit(Noted(Event.OUTCOME_UNKNOWN, call_id=call_id))
+
+    def _abandon(self, tick: Tick, call_id: CallId) -> None:
+        call = self._tables.calls.get(call_id)
+        if call is not None:
+            self._offers.withdraw(tick, call)
+            close_call(tick, self._tables, call)
--- a/packages/papayapost/src/papayapost/traffic/entry.py
+++ b/packages/papayapost/src/papayapost/traffic/entry.py
@@ -1,126 +1,19 @@
-"""Systems of the entry node: from a caller's request to its answer."""
+"""Systems of the entry node: from a caller's request to its first attempt."""
 
 from papayapost.distribution import RulesTable
-from papayapost.ids import AttemptId, CallId, ConnectionEpoch, Micros
+from papayapost.ids import CallId, Micros
 from papayapost.kernel import System, Tick
-from papayapost.membership import BackendServerRow, Directory
-from papayapost.peering import PeerSend
-from papayapost.place import SelfRow
 from papayapost.rules import match_route
-from papayapost.states import BackendServerState, LinkClass, Outcome
-from papayapost.traffic.balancing import BalancingPolicy
-from papayapost.traffic.messages import (
-    AnswerBegun,
-    AnswerEnded,
-    AttemptCancel,
-    AttemptOffer,
-    AttemptRefused,
-    CallArrived,
-    CallerGone,
-    CallExpired,
-    CallRefusal,
-    ForwardAnswer,
-    OfferSend,
-    RefusalCode,
-)
-from papayapost.traffic.tables import (
-    AttemptRow,
-    AttemptState,
-    CallRow,
-    TrafficTables,
-)
+from papayapost.states import Outcome
+from papayapost.traffic.messages import CallArrived, CallRefusal, RefusalCode
+from papayapost.traffic.offers import Offers, set_step
+from papayapost.traffic.tables import CallRow, CallStep, TrafficTables
 
-__all__ = ["EndCalls", "RouteCalls", "SettleRefusals"]
+__all__ = ["RouteCalls", "first_step"]
 
 _NOT_FOUND = 404
 _UNAVAILABLE = 503
-_GATEWAY_TIMEOUT = 504
-
-
-class Offers:
-    """Makes attempts; shared by the first try and by retries.
-
-    Parameters
-    ----------
-    me
-        This node.
-    directory
-        Backend servers known here.
-    policy
-        Chooses among those that may take the attempt.
-    """
-
-    def __init__(
-        self,
-        me: SelfRow,
-        directory: Directory,
-        tables: TrafficTables,
-        policy: BalancingPolicy,
-    ):
-        self._me = me
-        self._directory = directory
-        self._tables = tables
-        self._policy = policy
-        self._sequence = 0
-
-    def offer(self, tick: Tick, call: CallRow) -> bool:
-        """Offer the call to a backend server that was not tried yet."""
-        row = self._policy.choose(self._candidates(call), tick.random)
-        if row is None:
-            return False
-        self._sequence += 1
-        attempt_id = AttemptId(
-            f"{self._me.node_id}/{self._me.incarnation:x}/{self._sequence:x}"
-        )
-        is_local = row.node_id == self._me.node_id
-        call.tried.append(row.node_id)
-        call.attempt_id = attempt_id
-        self._tables.attempts.put(
-            attempt_id,
-            AttemptRow(
-                attempt_id,
-                call.call_id,
-                row.node_id,
-                row.peer_address,
-                is_local,
-                tick.now_us,
-                AttemptState.OFFERED,
-            ),
-        )
-        outstanding = self._tables.outstanding
-        outstanding[row.node_id] = outstanding.get(row.node_id, 0) + 1
-        offer = self._build(tick, call, attempt_id)
-        tick.emit(OfferSend(row.peer_address, call.call_id, offer, is_local))
-        if is_local:
-            tick.post(offer)
-        return True
-
-    def _build(self, tick: Tick, call: CallRow, attempt_id: AttemptId) -> AttemptOffer:
-        return AttemptOffer(
-            sender=self._me.node_id,
-            reply_to=self._me.peer_address,
-            attempt_id=attempt_id,
-            epoch=ConnectionEpoch(0),
-            service=call.route.service,
-            rank=call.route.rank,
-            idempotent=call.route.idempotent,
-            budget_us=Micros(call.deadline_us - tick.now_us),
-            idempotency_key=call.arrived.idempotency_key,
-        )
-
-    def _candidates(self, call: CallRow) -> list[BackendServerRow]:
-        return [
-            row
-            for row in self._directory.find("service", call.route.service)
-            if row.state is BackendServerState.READY
-            and row.node_id not in call.tried
-            and self._may_reach(call, row)
-        ]
-
-    def _may_reach(self, call: CallRow, row: BackendServerRow) -> bool:
-        if call.route.cross_link:
-            return True
-        return self._me.place.distance_to(row.place) is not LinkClass.ACROSS
+_RETRY_AFTER_MS = 1_000
 
 
 class RouteCalls(System):
@@ -139,6 +32,7 @@
             self._route(tick, arrived)
 
     def _route(self, tick: Tick, arrived: CallArrived) -> None:
+        self._tables.counters.calls += 1
         in_force = self._rules.in_force
         if in_force is None:
             self._refuse(tick, arrived.call_id, _UNAVAILABLE, RefusalCode.NO_RULES)
@@ -157,110 +51,25 @@
             )
             return
         self._tables.calls.put(call.call_id, call)
-        expired = CallExpired(call.call_id)
-        tick.set_timer(("call", call.call_id), call.deadline_us, expired)
+        first_step(tick, call)
 
     def _refuse(
         self, tick: Tick, call_id: CallId, status: int, code: RefusalCode
     ) -> None:
-        tick.emit(CallRefusal(call_id, status, code, Outcome.NOT_RUN))
-
-
-class SettleRefusals(System):
-    """Tries another backend server after a true refusal."""
-
-    consumes = (AttemptRefused,)
-
-    def __init__(self, tables: TrafficTables, offers: Offers):
-        self._tables = tables
-        self._offers = offers
-
-    def run(self, tick: Tick) -> None:
-        """Retry within the rule's limit, else tell the caller."""
-        for refused in tick.take(AttemptRefused):
-            attempt = forget_attempt(self._tables, refused.attempt_id)
-            if attempt is None:
-                continue
-            call = self._tables.calls.get(attempt.call_id)
-            if call is None:
-                continue
-            may_retry = len(call.tried) <= call.route.retries
-            if may_retry and self._offers.offer(tick, call):
-                continue
-            close_call(tick, self._tables, call)
-            tick.emit(
-                CallRefusal(
-                    call.call_id,
-                    _UNAVAILABLE,
-                    refused.code,
-                    Outcome.NOT_RUN,
-                    refused.retry_after_ms,
-                )
-            )
-
-
-class EndCalls(System):
-    """Ends calls: answered, out of time, or left by their caller."""
-
-    consumes = (AnswerBegun, AnswerEnded, CallExpired, CallerGone)
-
-    def __init__(self, me: SelfRow, tables: TrafficTables):
-        self._me = me
-        self._tables = tables
-
-    def run(self, tick: Tick) -> None:
-        """Settle the calls that ended."""
-        for begun in tick.take(AnswerBegun):
-            self._begin(tick, begun)
-        for ended in tick.take(AnswerEnded):
-            attempt = forget_attempt(self._tables, ended.attempt_id)
-            call = attempt and self._tables.calls.get(attempt.call_id)
-            if call:
-                close_call(tick, self._tables, call)
-        for expired in tick.take(CallExpired):
-            self._expire(tick, expired.call_id)
-        for gone in tick.take(CallerGone):
-            self._abandon(tick, gone.call_id)
-
-    def _begin(self, tick: Tick, begun: AnswerBegun) -> None:
-        attempt = self._tables.attempts.get(begun.attempt_id)
-        if attempt is None:
-            return
-        attempt.state = AttemptState.ANSWERING
-        tick.cancel_timer(("call", attempt.call_id))
-        tick.emit(ForwardAnswer(attempt.call_id, attempt.attempt_id))
-
-    def _expire(self, tick: Tick, call_id: CallId) -> None:
-        if self._abandon(tick, call_id):
-            refusal = CallRefusal(
-                call_id, _GATEWAY_TIMEOUT, RefusalCode.DEADLINE, Outcome.UNKNOWN
-            )
-            tick.emit(refusal)
-
-    def _abandon(self, tick: Tick, call_id: CallId) -> bool:
-        call = self._tables.calls.get(call_id)
-        if call is None:
-            return False
-        close_call(tick, self._tables, call)
-        attempt = call.attempt_id and forget_attempt(self._tables, call.attempt_id)
-        if attempt:
-            cancel = AttemptCancel(self._me.node_id, attempt.attempt_id)
-            if attempt.is_local:
-                tick.post(cancel)
-            else:
-                tick.emit(PeerSend(attempt.owner_address, cancel))
-        return True
-
-
-def forget_attempt(tables: TrafficTables, attempt_id: AttemptId) -> AttemptRow | None:
-    """Remove an attempt and its place among the outstanding ones."""
-    attempt = tables.attempts.pop(attempt_id)
-    if attempt is not None:
-        tables.outstanding[attempt.owner] -= 1
-    return attempt
-
-
-def close_call(tick: Tick, tables: TrafficTables, call: CallRow) -> None:
-    """Remove a call and its timer."""
-    tables.calls.pop(call.call_id)
-    tick.cancel_timer(("call", call.call_id))
+        self._tables.counters.refused_calls += 1
+        retry_after_ms = None if code is RefusalCode.NO_ROUTE else _RETRY_AFTER_MS
+        tick.emit(CallRefusal(call_id, status, code, Outcome.NOT_RUN, retry_after_ms))
+
+
+def first_step(tick: Tick, call: CallRow) -> None:
+    """Set the timer of a call whose attempt has just been offered."""
+    route = call.route
+    if not route.idempotent:
+        set_step(tick, call, CallStep.NONE, 0)
+    elif route.hedge_ms is not None and not call.is_hedged:
+        set_step(tick, call, CallStep.HEDGE, tick.now_us + route.hedge_ms * 1000)
+    elif call.retries < route.retries:
+        share_us = (call.deadline_us - tick.now_us) // 2
+        set_step(tick, call, CallStep.GIVE_UP_ATTEMPT, tick.now_us + share_us)
+    else:
+        set_step(tick, call, CallStep.NONE, 0)
--- /dev/null
+++ b/packages/papayapost/src/papayapost/traffic/internal.py
@@ -0,0 +1,28 @@
+"""Timers and messages between the systems of calls and attempts."""
+
+from dataclasses import dataclass
+
+from papayapost.ids import AttemptId, CallId, NodeId
+
+__all__ = ["AttemptLost", "CallDue", "EjectionOver"]
+
+
+@dataclass(slots=True)
+class CallDue:
+    """Timer: the call's next step is due; see `CallStep`."""
+
+    call_id: CallId
+
+
+@dataclass(slots=True)
+class AttemptLost:
+    """Internal: the attempt may have run, and its owner is gone."""
+
+    attempt_id: AttemptId
+
+
+@dataclass(slots=True)
+class EjectionOver:
+    """Timer: an ejected upstream may be tried again."""
+
+    node_id: NodeId
--- /dev/null
+++ b/packages/papayapost/src/papayapost/traffic/offers.py
@@ -0,0 +1,198 @@
+"""Makes and withdraws attempts; shared by the systems of the entry node."""
+
+from papayapost.ids import AttemptId, Micros
+from papayapost.kernel import Tick
+from papayapost.peering import PeerSend
+from papayapost.place import SelfRow
+from papayapost.states import LinkClass, Outcome
+from papayapost.traffic.balancing import BalancingPolicy
+from papayapost.traffic.internal import CallDue
+from papayapost.traffic.link import HEAD_BYTES, LinkBudget
+from papayapost.traffic.messages import (
+    AttemptCancel,
+    AttemptOffer,
+    CallExpired,
+    CallRefusal,
+    OfferSend,
+    RefusalCode,
+)
+from papayapost.traffic.tables import (
+    AttemptRow,
+    AttemptState,
+    CallRow,
+    CallStep,
+    TrafficTables,
+)
+from papayapost.traffic.upstreams import UpstreamRow, Upstreams
+
+__all__ = ["Offers", "close_call", "forget_attempt", "refuse_call", "set_step"]
+
+# The owner's time ends a little before the entry node's, so that its
+# refusal, which can say "not run", arrives before the call expires.
+_RETURN_MARGIN_US = {
+    LinkClass.SELF: 0,
+    LinkClass.DATA_CENTRE: 2_000,
+    LinkClass.REGION: 5_000,
+    LinkClass.ACROSS: 70_000,
+}
+_MAX_MARGIN_SHARE = 4
+
+_STATUS_OF = {
+    RefusalCode.NO_ROUTE: 404,
+    RefusalCode.DUPLICATE: 409,
+    RefusalCode.DEADLINE: 504,
+    RefusalCode.UNREACHABLE: 502,
+    RefusalCode.LOST: 502,
+}
+_UNAVAILABLE = 503
+
+
+class Offers:
+    """Chooses an upstream for a call and offers the call to its owner.
+
+    Parameters
+    ----------
+    me
+        This node.
+    policy
+        Chooses among the upstreams of a service.
+    """
+
+    def __init__(
+        self,
+        me: SelfRow,
+        tables: TrafficTables,
+        upstreams: Upstreams,
+        policy: BalancingPolicy,
+        link: LinkBudget,
+    ):
+        self._me = me
+        self._tables = tables
+        self._upstreams = upstreams
+        self._policy = policy
+        self._link = link
+        self._sequence = 0
+        self._prefix = f"{me.node_id}/{me.incarnation:x}/"
+
+    def offer(self, tick: Tick, call: CallRow) -> bool:
+        """Offer the call to a backend server that was not tried yet."""
+        upstream = self._choose(tick, call)
+        if upstream is None:
+            return False
+        self._sequence += 1
+        attempt_id = AttemptId(f"{self._prefix}{self._sequence:x}")
+        offer = self._build(tick, call, attempt_id, upstream)
+        call.tried.append(upstream.node_id)
+        call.live.append(attempt_id)
+        upstream.attempts[attempt_id] = None
+        self._tables.counters.attempts += 1
+        self._tables.attempts.put(
+            attempt_id,
+            AttemptRow(
+                attempt_id,
+                call.call_id,
+                upstream,
+                tick.now_us,
+                AttemptState.OFFERED,
+            ),
+        )
+        is_local = upstream.distance is LinkClass.SELF
+        if upstream.distance is LinkClass.ACROSS:
+            self._link.charge(HEAD_BYTES + (offer.content_bytes or 0))
+        tick.emit(OfferSend(upstream.address, call.call_id, offer, is_local))
+        if is_local:
+            tick.post(offer)
+        return True
+
+    def withdraw(self, tick: Tick, call: CallRow) -> None:
+        """Cancel the call's live attempts, wherever they are."""
+        for attempt_id in call.live:
+            self.cancel(tick, attempt_id)
+        call.live.clear()
+
+    def cancel(self, tick: Tick, attempt_id: AttemptId) -> None:
+        """Forget one attempt and tell its owner."""
+        attempt = forget_attempt(self._tables, attempt_id)
+        if attempt is None:
+            return
+        cancel = AttemptCancel(self._me.node_id, attempt_id)
+        if attempt.upstream.distance is LinkClass.SELF:
+            tick.post(cancel)
+        else:
+            tick.emit(PeerSend(attempt.upstream.address, cancel))
+
+    def _choose(self, tick: Tick, call: CallRow) -> UpstreamRow | None:
+        route = call.route
+        reach = LinkClass.REGION
+        if route.cross_link and self._link.allows(route.rank, tick.now_us):
+            reach = LinkClass.ACROSS
+        service = self._upstreams.service(route.service, tick.now_us)
+        return self._policy.choose(service, call.tried, reach, tick.now_us, tick.random)
+
+    def _build(
+        self,
+        tick: Tick,
+        call: CallRow,
+        attempt_id: AttemptId,
+        upstream: UpstreamRow,
+    ) -> AttemptOffer:
+        route, arrived = call.route, call.arrived
+        left_us = call.deadline_us - tick.now_us
+        margin_us = min(
+            _RETURN_MARGIN_US[upstream.distance], left_us // _MAX_MARGIN_SHARE
+        )
+        return AttemptOffer(
+            self._me.node_id,
+            self._me.peer_address,
+            attempt_id,
+            upstream.epoch,
+            route.service,
+            route.rank,
+            route.idempotent,
+            Micros(left_us - margin_us),
+            arrived.idempotency_key,
+            self._me.incarnation,
+            self._sequence,
+            arrived.content_bytes,
+            tuple(call.refused),
+        )
+
+
+def set_step(tick: Tick, call: CallRow, step: CallStep, due_us: int) -> None:
+    """Set the call's one timer to its next step or its deadline."""
+    key = ("call", call.call_id)
+    if step is CallStep.NONE or due_us >= call.deadline_us:
+        call.step = CallStep.NONE
+        tick.set_timer(key, call.deadline_us, CallExpired(call.call_id))
+    else:
+        call.step = step
+        tick.set_timer(key, Micros(due_us), CallDue(call.call_id))
+
+
+def forget_attempt(tables: TrafficTables, attempt_id: AttemptId) -> AttemptRow | None:
+    """Remove an attempt and its place among the outstanding ones."""
+    attempt = tables.attempts.pop(attempt_id)
+    if attempt is not None:
+        del attempt.upstream.attempts[attempt_id]
+    return attempt
+
+
+def close_call(tick: Tick, tables: TrafficTables, call: CallRow) -> None:
+    """Remove a call and its timer."""
+    tables.calls.pop(call.call_id)
+    tick.cancel_timer(("call", call.call_id))
+
+
+def refuse_call(
+    tick: Tick, tables: TrafficTables, call: CallRow, code: RefusalCode
+) -> None:
+    """End a call without an answer, with what is true of it."""
+    close_call(tick, tables, call)
+    outcome = Outcome.UNKNOWN if call.is_maybe_run else Outcome.NOT_RUN
+    counters = tables.counters
+    if outcome is Outcome.UNKNOWN:
+        counters.unknown_outcomes += 1
+    else:
+        counters.refused_calls += 1
+    status = _STATUS_OF.get(code, _UNAVAILABLE)
+    tick.emit(CallRefusal(call.call_id, status, code, outcome, call.retry_after_ms))
--- a/packages/papayapost/src/papayapost/traffic/owner.py
+++ b/packages/papayapost/src/papayapost/traffic/owner.py
@@ -16,7 +16,7 @@
     BackendCallEnded,
     BackendCallStart,
 )
-from papayapost.traffic.tables import OwnedRow, OwnedState, OwnerTables
+from papayapost.traffic.owner_tables import OwnedRow, OwnedState, OwnerTables
 
 __all__ = ["AdmitAttempts"]
 
--- a/packages/papayapost/src/papayapost/traffic/part.py
+++ b/packages/papayapost/src/papayapost/traffic/part.py
@@ -6,10 +6,18 @@
 from papayapost.kernel import System
 from papayapost.membership import MembershipPart
 from papayapost.place import SelfRow
-from papayapost.traffic.balancing import NearestLeastOutstanding
-from papayapost.traffic.entry import EndCalls, Offers, RouteCalls, SettleRefusals
+from papayapost.traffic.balancing import NearestOfTwo
+from papayapost.traffic.endings import EndCalls
+from papayapost.traffic.entry import RouteCalls
+from papayapost.traffic.link import LinkBudget
+from papayapost.traffic.offers import Offers
 from papayapost.traffic.owner import AdmitAttempts
-from papayapost.traffic.tables import OwnerTables, TrafficTables
+from papayapost.traffic.owner_tables import OwnerTables
+from papayapost.traffic.retries import BudgetedRetries, RetryPolicy
+from papayapost.traffic.settle import SettleAttempts
+from papayapost.traffic.tables import TrafficTables
+from papayapost.traffic.track import FailureWatch, TrackUpstreams
+from papayapost.traffic.upstreams import Upstreams
 
 __all__ = ["TrafficPart", "build_traffic"]
 
@@ -19,7 +27,9 @@
     """Tables and systems of calls and attempts."""
 
     calls: TrafficTables
+    upstreams: Upstreams
     owner: OwnerTables
+    link: LinkBudget
     systems: list[System]
 
 
@@ -28,6 +38,7 @@
     membership: MembershipPart,
     distribution: DistributionPart,
     slots: int,
+    retries: RetryPolicy | None = None,
 ) -> TrafficPart:
     """Return the traffic part of a node without any calls.
 
@@ -35,15 +46,22 @@
     ----------
     slots
         Calls that the own backend server runs at once; 0 without one.
+    retries
+        In place of `BudgetedRetries`.
     """
+    directory = membership.directory
     calls = TrafficTables()
     owner = OwnerTables(slots)
-    policy = NearestLeastOutstanding(me, calls)
-    offers = Offers(me, membership.directory, calls, policy)
+    upstreams = Upstreams(me, directory)
+    link = LinkBudget(me)
+    offers = Offers(me, calls, upstreams, NearestOfTwo(owner), link)
+    watch = FailureWatch(upstreams, calls)
+    retries = retries or BudgetedRetries()
     systems: list[System] = [
+        TrackUpstreams(directory, upstreams, calls, link),
         RouteCalls(distribution.rules, calls, offers),
         AdmitAttempts(me, owner),
-        SettleRefusals(calls, offers),
-        EndCalls(me, calls),
+        SettleAttempts(calls, upstreams, offers, retries, watch),
+        EndCalls(calls, upstreams, offers, retries, watch, link),
     ]
-    return TrafficPart(calls, owner, systems)
+    return TrafficPart(calls, upstreams, owner, link, systems)
--- a/packages/papayapost/src/papayapost/traffic/tables.py
+++ b/packages/papayapost/src/papayapost/traffic/tables.py
@@ -1,21 +1,20 @@
-"""Tables of calls at the entry node and attempts at the owner node."""
+"""Tables of the entry node: calls, attempts and counters."""
 
-from collections import deque
 from dataclasses import dataclass, field
 from enum import Enum
 
-from papayapost.ids import Address, AttemptId, CallId, Micros, NodeId
+from papayapost.ids import AttemptId, CallId, Micros, NodeId
 from papayapost.kernel import Table
 from papayapost.rules import Route
-from papayapost.traffic.messages import AttemptOffer, CallArrived
+from papayapost.traffic.messages import CallArrived, RefusalCode
+from papayapost.traffic.upstreams import UpstreamRow
 
 __all__ = [
     "AttemptRow",
     "AttemptState",
     "CallRow",
-    "OwnedRow",
-    "OwnedState",
-    "OwnerTables",
+    "CallStep",
+    "TrafficCounters",
     "TrafficTables",
 ]
 
@@ -27,11 +26,13 @@
     ANSWERING = "answering"
 
 
-class OwnedState(Enum):
-    """An attempt as its owner node sees it."""
+class CallStep(Enum):
+    """What a call does when its timer is due before its deadline."""
 
-    QUEUED = "queued"
-    RUNNING = "running"
+    NONE = "none"
+    HEDGE = "hedge"
+    GIVE_UP_ATTEMPT = "give-up-attempt"
+    RETRY = "retry"
 
 
 @dataclass(slots=True)
@@ -44,6 +45,15 @@
         Time of the tick clock by which the caller must have an answer.
     tried
         Owner nodes that were tried, in order.
+    live
+        Attempts that may still be answered.
+    refused
+        Attempts that were refused as not run.
+    retries, redirects
+        Further attempts so far that count against the rule's limit, and
+        those that do not because a draining owner sent the call on.
+    is_maybe_run
+        Whether an attempt that is no longer waited for may have run.
     """
 
     call_id: CallId
@@ -51,7 +61,15 @@
     route: Route
     deadline_us: Micros
     tried: list[NodeId] = field(default_factory=list)
-    attempt_id: AttemptId | None = None
+    live: list[AttemptId] = field(default_factory=list)
+    refused: list[AttemptId] = field(default_factory=list)
+    retries: int = 0
+    redirects: int = 0
+    is_hedged: bool = False
+    is_maybe_run: bool = False
+    step: CallStep = CallStep.NONE
+    last_code: RefusalCode = RefusalCode.NO_BACKEND_SERVER
+    retry_after_ms: int | None = None
 
 
 @dataclass(slots=True)
@@ -60,41 +78,26 @@
 
     attempt_id: AttemptId
     call_id: CallId
-    owner: NodeId
-    owner_address: Address
-    is_local: bool
+    upstream: UpstreamRow
     offered_us: Micros
     state: AttemptState
 
 
 @dataclass(slots=True)
-class OwnedRow:
-    """One attempt at its owner node."""
-
-    offer: AttemptOffer
-    deadline_us: Micros
-    state: OwnedState
-
-
-class OwnerTables:
-    """Attempts that wait for or hold a slot of the own backend server.
-
-    Parameters
-    ----------
-    slots
-        Calls that the backend server runs at once.
-    """
-
-    def __init__(self, slots: int):
-        self.slots = slots
-        self.running = 0
-        self.attempts: Table[AttemptId, OwnedRow] = Table("owned attempts")
-        self.queue: deque[AttemptId] = deque()
-
-    @property
-    def free_slots(self) -> int:
-        """Slots that neither run nor are waited for."""
-        return max(0, self.slots - self.running - len(self.queue))
+class TrafficCounters:
+    """Totals of the entry side since the process started."""
+
+    calls: int = 0
+    attempts: int = 0
+    retries: int = 0
+    hedges: int = 0
+    redirects: int = 0
+    refused_calls: int = 0
+    unknown_outcomes: int = 0
+    late_answers: int = 0
+    budget_denials: int = 0
+    ejections: int = 0
+    offers_to_draining: int = 0
 
 
 class TrafficTables:
@@ -103,4 +106,4 @@
     def __init__(self):
         self.calls: Table[CallId, CallRow] = Table("calls")
         self.attempts: Table[AttemptId, AttemptRow] = Table("attempts")
-        self.outstanding: dict[NodeId, int] = {}
+        self.counters = TrafficCounters()
--- /dev/null
+++ b/packages/papayapost/src/papayapost/traffic/track.py
@@ -0,0 +1,121 @@
+"""Systems that keep the upstream tables true to what is seen."""
+
+from papayapost.ids import Micros
+from papayapost.kernel import System, Tick
+from papayapost.membership import BackendServerRow, Directory, DirectoryChanged
+from papayapost.observe import Event, Noted
+from papayapost.states import BackendServerState
+from papayapost.traffic.internal import AttemptLost, EjectionOver
+from papayapost.traffic.link import LinkBudget
+from papayapost.traffic.messages import LossCause, OwnerLost
+from papayapost.traffic.tables import AttemptState, TrafficTables
+from papayapost.traffic.upstreams import ServiceRow, UpstreamRow, Upstreams
+
+__all__ = ["FailureWatch", "TrackUpstreams"]
+
+_MAX_FAILURES = 5
+_EJECTION_MIN_US = 5_000_000
+_EJECTION_MAX_US = 60_000_000
+
+
+class FailureWatch:
+    """Ejects upstreams that fail several times in a row.
+
+    Shared by the systems that see attempts end.
+    """
+
+    def __init__(self, upstreams: Upstreams, tables: TrafficTables):
+        self._upstreams = upstreams
+        self._counters = tables.counters
+
+    def succeeded(self, upstream: UpstreamRow) -> None:
+        """Note a good answer."""
+        upstream.failures = 0
+        upstream.ejections = 0
+
+    def failed(self, tick: Tick, upstream: UpstreamRow, service: ServiceRow) -> None:
+        """Note a lost attempt, an expired one or a bad answer."""
+        upstream.failures += 1
+        if upstream.failures < _MAX_FAILURES or upstream.is_ejected:
+            return
+        upstream.is_ejected = True
+        upstream.failures = 0
+        pause_us = min(_EJECTION_MAX_US, _EJECTION_MIN_US << upstream.ejections)
+        upstream.ejections = min(upstream.ejections + 1, 8)
+        self._counters.ejections += 1
+        service.refresh_tiers()
+        tick.set_timer(
+            ("ejected", upstream.node_id),
+            Micros(tick.now_us + pause_us),
+            EjectionOver(upstream.node_id),
+        )
+        detail = "most upstreams fail; all are used" if service.is_panicking else ""
+        tick.emit(Noted(Event.UPSTREAM_EJECTED, peer=upstream.node_id, detail=detail))
+
+
+class TrackUpstreams(System):
+    """Follows the directory, lost connections and the end of ejections."""
+
+    consumes = (DirectoryChanged, OwnerLost, EjectionOver)
+
+    def __init__(
+        self,
+        directory: Directory,
+        upstreams: Upstreams,
+        tables: TrafficTables,
+        link: LinkBudget,
+    ):
+        self._directory = directory
+        self._upstreams = upstreams
+        self._tables = tables
+        self._link = link
+
+    def run(self, tick: Tick) -> None:
+        """Mark what changed as stale and report what was lost."""
+        for changed in tick.take(DirectoryChanged):
+            self._link.share_among(self._directory, changed.rows)
+            for row in changed.rows:
+                self._follow(tick, row)
+        for lost in tick.take(OwnerLost):
+            for upstream in self._upstreams.rows.find("address", lost.address):
+                self._lose(tick, upstream, lost.cause)
+        for over in tick.take(EjectionOver):
+            self._readmit(tick, over)
+
+    def _follow(self, tick: Tick, row: BackendServerRow) -> None:
+        if row.service is not None:
+            self._upstreams.mark_stale(row.service)
+        upstream = self._upstreams.rows.get(row.node_id)
+        if upstream is None:
+            return
+        known = self._directory.get(row.node_id)
+        if known is None or known.state is BackendServerState.GONE:
+            self._lose(tick, upstream, LossCause.DIRECTORY)
+            self._upstreams.rows.pop(row.node_id)
+        elif known.incarnation != upstream.incarnation:
+            self._lose(tick, upstream, LossCause.CONNECTION)
+        elif known.state is BackendServerState.READY:
+            upstream.is_draining = False
+        elif known.state is BackendServerState.COLD:
+            upstream.ramp_from_us = tick.now_us
+
+    def _lose(self, tick: Tick, upstream: UpstreamRow, cause: LossCause) -> None:
+        upstream.epoch = self._upstreams.next_epoch()
+        for attempt_id in upstream.attempts:
+            attempt = self._tables.attempts.require(attempt_id)
+            # The directory may call a node gone that is merely cut off from
+            # its observers. An answer that is still arriving disproves it.
+            is_arriving = attempt.state is AttemptState.ANSWERING
+            if cause is LossCause.CONNECTION or not is_arriving:
+                tick.post(AttemptLost(attempt_id))
+
+    def _readmit(self, tick: Tick, over: EjectionOver) -> None:
+        upstream = self._upstreams.rows.get(over.node_id)
+        if upstream is None or not upstream.is_ejected:
+            return
+        upstream.is_ejected = False
+        upstream.ramp_from_us = tick.now_us
+        row = self._directory.get(over.node_id)
+        if row is not None and row.service is not None:
+            self._upstreams.service(row.service, tick.now_us).refresh_tiers()
+        tick.emit(Noted(Event.UPSTREAM_READMITTED, peer=over.node_id))
