--- /dev/null
+++ b/packages/papayapost-testing/src/papayapost_testing/bench/traffic.py
@@ -0,0 +1,103 @@
+"""Cost of a call's decisions, in µs of one core."""
+
+import time
+
+from papayapost.ids import (
+    Address,
+    AttemptId,
+    CallId,
+    ConnectionEpoch,
+    Incarnation,
+    Micros,
+    NodeId,
+    ServiceName,
+)
+from papayapost.states import Rank
+from papayapost.traffic import (
+    AnswerBegun,
+    AnswerEnded,
+    AttemptOffer,
+    BackendCallBegun,
+    BackendCallEnded,
+    CallArrived,
+    OfferSend,
+)
+from papayapost_testing.bench.rows import BenchRow
+from papayapost_testing.worlds import backend_row, node_world
+
+__all__ = ["run"]
+
+_RULES = "route GET /gusts/* -> gusts rank=urgent idempotent=yes # Mei: wind desk\n"
+_CALL_EVERY_US = 100
+
+
+def run(short: bool) -> list[BenchRow]:
+    """Return the cost of a call at its entry node and at its owner node.
+
+    Parameters
+    ----------
+    short
+        Fewer calls.
+    """
+    calls = 2_000 if short else 20_000
+    rows = [
+        BenchRow("call at the entry node", size, _entry_us(size, calls), "us")
+        for size in (10, 100, 1_000)
+    ]
+    rows.append(BenchRow("attempt at the owner node", 9, _owner_us(calls), "us"))
+    return rows
+
+
+def _entry_us(upstreams: int, calls: int) -> float:
+    """Return µs per call from its arrival to the end of its answer."""
+    others = [backend_row(f"u{number}", "gusts") for number in range(upstreams)]
+    world = node_world(backend_row("entry", None), others, _RULES).world
+    now_us = 0
+    start_ns = 0
+    for number in range(calls + 100):
+        if number == 100:
+            start_ns = time.perf_counter_ns()
+        now_us += _CALL_EVERY_US
+        call_id = CallId(number)
+        effects = world.tick(
+            Micros(now_us), [CallArrived(call_id, "GET", "wind", "/gusts/wanli")]
+        )
+        offer = next(e.offer for e in effects if type(e) is OfferSend)
+        answer = [
+            AnswerBegun(NodeId("u"), offer.attempt_id, 200, 4),
+            AnswerEnded(NodeId("u"), offer.attempt_id, True),
+        ]
+        world.tick(Micros(now_us + 50), answer)
+    return (time.perf_counter_ns() - start_ns) / calls / 1_000
+
+
+def _owner_us(calls: int) -> float:
+    """Return µs per attempt from its offer to its freed slot."""
+    world = node_world(backend_row("owner", "gusts"), [], _RULES).world
+    now_us = 0
+    start_ns = 0
+    for number in range(calls + 100):
+        if number == 100:
+            start_ns = time.perf_counter_ns()
+        now_us += _CALL_EVERY_US
+        attempt_id = AttemptId(f"entry/1/{number:x}")
+        offer = AttemptOffer(
+            NodeId("entry"),
+            Address("entry:1"),
+            attempt_id,
+            ConnectionEpoch(1),
+            ServiceName("gusts"),
+            Rank.URGENT,
+            True,
+            Micros(1_000_000),
+            None,
+            Incarnation(1),
+            number + 1,
+        )
+        world.tick(Micros(now_us), [offer])
+        ended = [
+            BackendCallBegun(attempt_id, 200),
+            BackendCallEnded(attempt_id, True, True),
+        ]
+        world.tick(Micros(now_us + 50), ended)
+    return (time.perf_counter_ns() - start_ns) / calls / 1_000
--- a/packages/papayapost/src/papayapost/traffic/balancing.py
+++ b/packages/papayapost/src/papayapost/traffic/balancing.py
@@ -91,11 +91,10 @@
     ) -> UpstreamRow | None:
         size = len(tier)
         if size > 1:
-            first = tier[int(random.random() * size)]
-            second = tier[int(random.random() * size)]
-            if first is not second and _score(service, second, now_us) < _score(
-                service, first, now_us
-            ):
+            position = int(random.random() * size)
+            first = tier[position]
+            second = tier[position - 1 - int(random.random() * (size - 1))]
+            if _score(service, second, now_us) < _score(service, first, now_us):
                 first = second
             if first.node_id not in tried and not self._is_full(first, now_us):
                 return first
--- /dev/null
+++ b/packages/papayapost/tests/traffic/test_balancing.py
@@ -0,0 +1,202 @@
+from papayapost.ids import Address, CallId, Incarnation, Micros
+from papayapost.membership import DirectoryChanged
+from papayapost.states import BackendServerState, LinkClass, Outcome, Rank
+from papayapost.traffic import (
+    AnswerBegun,
+    AnswerEnded,
+    AttemptRefused,
+    CallArrived,
+    CallRefusal,
+    OfferSend,
+    OfferUndelivered,
+    OwnerLost,
+    RefusalCode,
+)
+from papayapost.traffic.link import LinkBudget
+from papayapost.traffic.upstreams import SUBSET_SIZE
+from papayapost_testing.worlds import (
+    NORTH_1,
+    NORTH_2,
+    SOUTH_1,
+    backend_row,
+    node_world,
+)
+
+RULES = """\
+route GET /gusts/* -> gusts rank=urgent idempotent=yes retries=2 # Mei: wind desk
+route GET /far/* -> far idempotent=yes link=yes # Mei: archive
+route GET /bulk/* -> far rank=bulk idempotent=yes link=yes # Mei: archive
+"""
+
+
+class Entry:
+    """An entry node whose owners answer as a test says."""
+
+    def __init__(self, rows, rules=RULES, own=None):
+        self.node = node_world(own or backend_row("entry", None), rows, rules)
+        self.now_us = 1_000
+        self.calls = 0
+
+    def tick(self, *messages, after_us=10):
+        self.now_us += after_us
+        return self.node.world.tick(Micros(self.now_us), messages)
+
+    def call(self, path="/gusts/wanli"):
+        self.calls += 1
+        return self.tick(CallArrived(CallId(self.calls), "GET", "wind", path))
+
+    def answer(self, offer, status=200, after_us=1_000, free_slots=0):
+        sender = offer.offer.sender
+        attempt_id = offer.offer.attempt_id
+        begun = AnswerBegun(sender, attempt_id, status, free_slots)
+        return self.tick(
+            begun, AnswerEnded(sender, attempt_id, True), after_us=after_us
+        )
+
+    def set_state(self, row, state):
+        row.state = state
+        row.revision += 1
+        self.tick(DirectoryChanged((row,)))
+
+
+def sent(effects):
+    return [effect for effect in effects if isinstance(effect, OfferSend)]
+
+
+def only(effects):
+    (offer,) = sent(effects)
+    return offer
+
+
+def refusal(effects):
+    return next(e for e in effects if isinstance(e, CallRefusal))
+
+
+def targets(entry, calls, path="/gusts/wanli"):
+    return [only(entry.call(path)).address for _ in range(calls)]
+
+
+def test_a_call_goes_further_only_when_every_nearer_slot_is_taken():
+    own = backend_row("entry", "gusts", slots=1)
+    rows = [
+        backend_row("far", "gusts", SOUTH_1, slots=9),
+        backend_row("region", "gusts", NORTH_2, slots=2),
+        backend_row("near-a", "gusts", NORTH_1, slots=1),
+        backend_row("near-b", "gusts", NORTH_1, slots=1),
+    ]
+    entry = Entry(rows, own=own)
+    reached = targets(entry, 5)
+    assert reached[0] == "entry:1"
+    assert set(reached[1:3]) == {"near-a:1", "near-b:1"}
+    assert reached[3:] == ["region:1", "region:1"]
+    assert "far:1" not in targets(entry, 5)
+
+
+def test_a_refusing_owner_is_left_out_until_its_pause_is_over():
+    entry = Entry([backend_row("a", "gusts"), backend_row("b", "gusts")])
+    first = only(entry.call())
+    refused = AttemptRefused(
+        first.offer.sender, first.offer.attempt_id, RefusalCode.QUEUE_FULL, 50, 0
+    )
+    assert only(entry.tick(refused)).address != first.address
+    assert first.address not in targets(entry, 5)
+    entry.tick(after_us=60_000)
+    assert first.address in targets(entry, 5)
+
+
+def test_a_slow_backend_server_gets_less_work_than_its_peers():
+    entry = Entry([backend_row(name, "gusts") for name in "abc"])
+    reached = {"a:1": 0, "b:1": 0, "c:1": 0}
+    for _ in range(300):
+        offer = only(entry.call())
+        reached[offer.address] += 1
+        entry.answer(offer, after_us=50_000 if offer.address == "a:1" else 1_000)
+    assert reached["a:1"] < reached["b:1"] / 4
+
+
+def test_a_failing_backend_server_is_ejected_and_later_tried_again():
+    entry = Entry([backend_row(name, "gusts") for name in "abc"])
+    bad = Address("a:1")
+    for _ in range(60):
+        offer = only(entry.call())
+        entry.answer(offer, 500 if offer.address != bad else 502, after_us=100)
+    assert entry.node.traffic.calls.counters.ejections == 1
+    assert bad not in targets(entry, 6)
+    entry.tick(after_us=20_000_000)
+    assert bad in targets(entry, 20)
+
+
+def test_when_most_backend_servers_fail_all_of_them_are_used():
+    entry = Entry([backend_row(name, "gusts") for name in "abcd"])
+    for _ in range(100):
+        entry.answer(only(entry.call()), 502, after_us=100)
+    assert entry.node.traffic.calls.counters.ejections >= 3
+    assert len(set(targets(entry, 12))) == 4
+
+
+def test_a_restarted_backend_server_takes_its_full_share_only_after_a_ramp():
+    rows = [backend_row(name, "gusts", slots=100) for name in "abcd"]
+    entry = Entry(rows)
+    targets(entry, 1)
+    rows[0].incarnation = Incarnation(rows[0].incarnation + 1)
+    entry.tick(DirectoryChanged((rows[0],)))
+    assert targets(entry, 40).count("a:1") < 4
+    entry.tick(after_us=11_000_000)
+    assert targets(entry, 200).count("a:1") > 30
+
+
+def test_a_call_never_goes_to_a_draining_or_gone_backend_server():
+    rows = [backend_row(name, "gusts") for name in "ab"]
+    entry = Entry(rows)
+    targets(entry, 4)
+    entry.set_state(rows[0], BackendServerState.DRAINING)
+    assert set(targets(entry, 5)) == {"b:1"}
+    entry.set_state(rows[1], BackendServerState.GONE)
+    refused = refusal(entry.call())
+    assert refused.code is RefusalCode.NO_BACKEND_SERVER
+    assert refused.outcome is Outcome.NOT_RUN
+
+
+def test_an_entry_node_uses_a_bounded_and_stable_part_of_a_large_service():
+    rows = [backend_row(f"u{number}", "gusts", slots=100) for number in range(200)]
+    entry, again = Entry(rows), Entry(rows[::-1])
+    used = set(targets(entry, 600))
+    assert len(used) == SUBSET_SIZE
+    assert set(targets(again, 600)) == used
+    other = Entry(rows, own=backend_row("other", None))
+    assert set(targets(other, 600)) != used
+
+
+def test_bulk_leaves_half_of_the_link_budget_to_the_rest():
+    entry = Entry([backend_row("far", "far", SOUTH_1)])
+    link: LinkBudget = entry.node.traffic.link
+    offer = only(entry.call("/bulk/scan"))
+    size_bytes = int(link.tokens_bytes * 0.6)
+    attempt_id = offer.offer.attempt_id
+    entry.tick(AnswerBegun(offer.offer.sender, attempt_id, 200, 1))
+    entry.tick(AnswerEnded(offer.offer.sender, attempt_id, True, size_bytes))
+    assert refusal(entry.call("/bulk/scan")).outcome is Outcome.NOT_RUN
+    assert only(entry.call("/far/report")).address == "far:1"
+    link.charge(size_bytes)
+    assert not link.allows(Rank.NORMAL, Micros(entry.now_us))
+    assert link.allows(Rank.URGENT, Micros(entry.now_us))
+    entry.tick(after_us=20_000_000)
+    assert only(entry.call("/bulk/scan")).address == "far:1"
+
+
+def test_offers_after_a_lost_connection_carry_a_higher_epoch():
+    entry = Entry([backend_row("a", "gusts")])
+    first = only(entry.call())
+    entry.tick(OwnerLost(first.address))
+    second = only(entry.call())
+    assert second.offer.epoch > first.offer.epoch
+    assert entry.node.traffic.upstreams.rows.require("a").distance is (
+        LinkClass.DATA_CENTRE
+    )
+
+
+def test_an_offer_that_never_left_is_tried_elsewhere():
+    entry = Entry([backend_row("a", "gusts"), backend_row("b", "gusts")])
+    first = only(entry.call())
+    second = only(entry.tick(OfferUndelivered(first.offer.attempt_id)))
+    assert second.address != first.address
