--- a/packages/papayapost/src/papayapost/rules/ruleset.py
+++ b/packages/papayapost/src/papayapost/rules/ruleset.py
@@ -1,7 +1,6 @@
 """A rules text compiled whole."""
 
 from dataclasses import dataclass, field
-from itertools import chain
 
 from papayapost.ids import ServiceName
 from papayapost.rules.index import RouteIndex
@@ -41,7 +40,7 @@
         """Return what each line of the text compiled to."""
         lines = self.text.split("\n")
         rows: dict[str, Route | Share] = {}
-        row: Route | Share
-        for row in chain(self.routes, self.shares):
+        compiled: tuple[Route | Share, ...] = self.routes + self.shares
+        for row in compiled:
             rows[lines[row.line - 1].removesuffix("\r")] = row
         return rows
