--- /dev/null
+++ b/packages/papayapost/src/papayapost/timeline/tracing.py
@@ -0,0 +1,142 @@
+"""Which messages and effects of a call become events of the time line.
+
+Systems note what is unusual; the ordinary steps of a call are noted here,
+from the messages themselves, so that the systems carry no tracing.
+"""
+
+from collections.abc import Callable, Mapping
+from typing import Any
+
+from papayapost.observe import Event, Noted
+from papayapost.traffic import (
+    AnswerBegun,
+    AnswerEnded,
+    AttemptOffer,
+    AttemptRefused,
+    BackendCallEnded,
+    BackendCallStart,
+    CallArrived,
+    CallerGone,
+    CallRefusal,
+    ForwardAnswer,
+    OfferSend,
+)
+
+__all__ = ["TRACED_EFFECTS", "TRACED_INPUTS", "TRACE_EVENTS", "Tracer"]
+
+Tracer = Callable[[Any], Noted]
+
+
+def _call_arrived(message: CallArrived) -> Noted:
+    detail = f"{message.method} {message.host}{message.path}"
+    return Noted(Event.CALL_ARRIVED, call_id=message.call_id, detail=detail)
+
+
+def _caller_gone(message: CallerGone) -> Noted:
+    return Noted(Event.CALLER_GONE, call_id=message.call_id)
+
+
+def _offer_sent(effect: OfferSend) -> Noted:
+    return Noted(
+        Event.ATTEMPT_OFFERED,
+        call_id=effect.call_id,
+        attempt_id=effect.offer.attempt_id,
+        detail=f"to {effect.address}",
+    )
+
+
+def _offer_taken(message: AttemptOffer) -> Noted:
+    detail = f"{message.service} {message.rank.name.lower()}"
+    return Noted(
+        Event.ATTEMPT_TAKEN,
+        attempt_id=message.attempt_id,
+        peer=message.sender,
+        detail=detail,
+    )
+
+
+def _backend_call_started(effect: BackendCallStart) -> Noted:
+    return Noted(Event.BACKEND_CALL_STARTED, attempt_id=effect.attempt_id)
+
+
+def _backend_call_ended(message: BackendCallEnded) -> Noted:
+    whole = "whole" if message.is_whole else "cut short"
+    detail = whole if message.is_sent else "never sent"
+    return Noted(Event.BACKEND_CALL_ENDED, attempt_id=message.attempt_id, detail=detail)
+
+
+def _attempt_refused(message: AttemptRefused) -> Noted:
+    return Noted(
+        Event.ATTEMPT_REFUSED,
+        attempt_id=message.attempt_id,
+        peer=message.sender,
+        detail=message.code.value,
+    )
+
+
+def _answer_begun(message: AnswerBegun) -> Noted:
+    return Noted(
+        Event.ANSWER_BEGUN,
+        attempt_id=message.attempt_id,
+        peer=message.sender,
+        detail=str(message.status),
+    )
+
+
+def _answer_ended(message: AnswerEnded) -> Noted:
+    detail = "whole" if message.is_whole else "cut short"
+    return Noted(
+        Event.ANSWER_ENDED,
+        attempt_id=message.attempt_id,
+        peer=message.sender,
+        detail=detail,
+    )
+
+
+def _answer_forwarded(effect: ForwardAnswer) -> Noted:
+    return Noted(
+        Event.ANSWER_FORWARDED, call_id=effect.call_id, attempt_id=effect.attempt_id
+    )
+
+
+def _call_refused(effect: CallRefusal) -> Noted:
+    return Noted(
+        Event.CALL_REFUSED,
+        call_id=effect.call_id,
+        detail=f"{effect.status} {effect.code.value} {effect.outcome.value}",
+    )
+
+
+TRACED_INPUTS: Mapping[type, Tracer] = {
+    CallArrived: _call_arrived,
+    CallerGone: _caller_gone,
+    AttemptOffer: _offer_taken,
+    AttemptRefused: _attempt_refused,
+    BackendCallEnded: _backend_call_ended,
+    AnswerBegun: _answer_begun,
+    AnswerEnded: _answer_ended,
+}
+
+TRACED_EFFECTS: Mapping[type, Tracer] = {
+    OfferSend: _offer_sent,
+    BackendCallStart: _backend_call_started,
+    ForwardAnswer: _answer_forwarded,
+    CallRefusal: _call_refused,
+}
+
+TRACE_EVENTS = frozenset(
+    [
+        Event.CALL_ARRIVED,
+        Event.CALLER_GONE,
+        Event.ATTEMPT_OFFERED,
+        Event.ATTEMPT_TAKEN,
+        Event.ATTEMPT_REFUSED,
+        Event.BACKEND_CALL_STARTED,
+        Event.BACKEND_CALL_ENDED,
+        Event.ANSWER_BEGUN,
+        Event.ANSWER_ENDED,
+        Event.ANSWER_FORWARDED,
+        Event.CALL_REFUSED,
+    ]
+)
+"""Events of every call: kept in the ring, not written to the log."""
