--- a/packages/papayapost-node/src/papayapost_node/composition.py
+++ b/packages/papayapost-node/src/papayapost_node/composition.py
@@ -20,21 +20,18 @@
 from papayapost.storage import ReadObject, UpdateObject, WatchObject
 from papayapost_node.clock import Clock, SystemClock
 from papayapost_node.events import EventLog
-from papayapost_node.exchange import Exchange
-from papayapost_node.http import HttpServer
+from papayapost_node.exchange import CallerSide, NodeCourier, OwnerSide, WindowBudget
+from papayapost_node.http import BackendPool, StreamingServer
 from papayapost_node.runner import WorldRunner
 from papayapost_node.settings import Settings
 from papayapost_node.store import HttpStoreClient, StoreShell
 from papayapost_node.transport import ZmqTransport
-from papayapost_node.wire import (
-    WIRE_NUMBERS,
-    AnswerCarrier,
-    MessagePackCodec,
-    OfferCarrier,
-)
+from papayapost_node.wire import WIRE_NUMBERS, MessagePackCodec
 
 __all__ = ["Node", "build_node"]
 
+_BODY_MEMORY_BYTES = 12 << 20
+
 
 class Node:
     """One running node; `build_node` wires it."""
@@ -52,25 +49,21 @@
         self._log = EventLog(self._me.node_id)
         self._codec = MessagePackCodec(WIRE_NUMBERS)
         self._transport = ZmqTransport(self._me.peer_address)
-        backend = settings.backend_server
-        self._exchange = Exchange(
-            self._me.node_id,
-            Address(backend.address) if backend else None,
-            self._post,
-            self._send,
-        )
+        self._courier = NodeCourier(self._me.peer_address, self._send_to)
+        budget = WindowBudget(_BODY_MEMORY_BYTES)
+        self._callers = CallerSide(self._me.node_id, self._courier, self._post, budget)
+        self._owner = self._owner_side(budget)
+        self._courier.connect(self._callers.carriers())
+        self._courier.connect(self._owner.carriers())
         store = HttpStoreClient(Address(settings.store_address))
         self._store = StoreShell(store, self._post)
-        self._server = HttpServer(
-            Address(settings.caller_address),
-            self._exchange.call_arrived,
-            self._exchange.caller_gone,
-        )
+        self._server = StreamingServer(Address(settings.caller_address), self._callers)
         self.runner = WorldRunner(
             self.world.world,
             clock,
             {
-                **self._exchange.handlers(),
+                **self._callers.handlers(),
+                **self._owner.handlers(),
                 PeerSend: self._send,
                 WatchObject: self._store.watch,
                 ReadObject: self._store.read,
@@ -98,15 +91,34 @@
         self.runner.close()
         await self._server.close()
         self._store.close()
-        self._exchange.close()
+        self._owner.close()
         self._transport.close()
         self._log.note_event(Event.NODE_STOPPED)
 
     def _post(self, message: object) -> None:
         self.runner.post(message)
 
+    def _owner_side(self, budget: WindowBudget) -> OwnerSide:
+        backend = self._settings.backend_server
+        pool = BackendPool(
+            Address(backend.address) if backend else None,
+            backend.connections if backend else 0,
+        )
+        tables = self.world.traffic.owner
+        return OwnerSide(
+            self._me.node_id,
+            pool,
+            self._courier,
+            self._post,
+            lambda: tables.free_slots,
+            budget,
+        )
+
     def _send(self, effect: PeerSend) -> None:
-        self._transport.send(effect.address, self._codec.encode(effect.message))
+        self._send_to(effect.address, effect.message)
+
+    def _send_to(self, address: Address, message: object) -> bool:
+        return self._transport.send(address, self._codec.encode(message))
 
     def _on_frame(self, frame: bytes) -> None:
         try:
@@ -114,11 +126,7 @@
         except FrameError as error:
             self._log.note_event(Event.FRAME_REFUSED, str(error))
             return
-        if isinstance(message, OfferCarrier):
-            self._exchange.offer_arrived(message)
-        elif isinstance(message, AnswerCarrier):
-            self._exchange.answer_arrived(message)
-        else:
+        if not self._courier.take(message):
             self._post(message)
 
 
--- /dev/null
+++ b/packages/papayapost-node/src/papayapost_node/exchange/__init__.py
@@ -0,0 +1,8 @@
+"""Carries requests and answers between callers, peers and backend server."""
+
+from papayapost_node.exchange.caller_side import CallerSide
+from papayapost_node.exchange.couriers import Courier, NodeCourier
+from papayapost_node.exchange.owner_side import OwnerSide
+from papayapost_node.exchange.windows import WindowBudget
+
+__all__ = ["CallerSide", "Courier", "NodeCourier", "OwnerSide", "WindowBudget"]
--- /dev/null
+++ b/packages/papayapost-node/src/papayapost_node/exchange/caller_side.py
@@ -0,0 +1,273 @@
+"""The entry node's side: callers' requests out to owners, answers back."""
+
+import itertools
+from collections.abc import Callable
+
+from papayapost.ids import AttemptId, CallId, IdempotencyKey, Micros, NodeId
+from papayapost.kernel import Table
+from papayapost.states import Outcome
+from papayapost.traffic import (
+    CallArrived,
+    CallerGone,
+    CallRefusal,
+    CutAnswer,
+    DropAnswer,
+    ForwardAnswer,
+    OfferSend,
+    OfferUndelivered,
+    RefusalCode,
+)
+from papayapost_node.exchange.answers import AnswerForwarding
+from papayapost_node.exchange.couriers import Courier
+from papayapost_node.exchange.outlet import BodyOutlet
+from papayapost_node.exchange.tables import CallerRow, OfferedRow
+from papayapost_node.exchange.windows import ReceiveWindow, SendWindow, WindowBudget
+from papayapost_node.http import (
+    Headers,
+    HttpRequest,
+    RequestHandler,
+    ServerExchange,
+    content_length,
+    forwardable,
+)
+from papayapost_node.wire import (
+    OfferCarrier,
+    RequestCredit,
+    RequestHead,
+    RequestPart,
+)
+
+__all__ = ["CallerSide"]
+
+_MAX_HELD_BYTES = 16 << 10
+_BAD_GATEWAY = 502
+
+
+class CallerSide(RequestHandler):
+    """Holds callers' requests under their call ids while they are decided on.
+
+    The first bytes of a body travel with the head and are held, so that a
+    refused attempt can be followed by another; the rest is read from the
+    caller only as an owner node grants credit for it.
+
+    Parameters
+    ----------
+    post
+        Hands a message to the next tick.
+    """
+
+    def __init__(
+        self,
+        node_id: NodeId,
+        courier: Courier,
+        post: Callable[[object], None],
+        budget: WindowBudget,
+    ):
+        self._node_id = node_id
+        self._courier = courier
+        self._post = post
+        self._budget = budget
+        self._call_ids = itertools.count(1)
+        self._calls: Table[CallId, CallerRow] = Table("caller exchanges")
+        self._attempts: Table[AttemptId, OfferedRow] = Table("offered attempts")
+        self.answers = AnswerForwarding(
+            node_id, courier, post, self._attempts, self._finish
+        )
+
+    @property
+    def open_calls(self) -> int:
+        """Calls whose answer is not complete."""
+        return len(self._calls)
+
+    def handlers(self) -> dict[type, Callable]:
+        """Return what carries out each effect of the entry side."""
+        return {
+            OfferSend: self._offer,
+            CallRefusal: self._refuse,
+            ForwardAnswer: self._forward,
+            DropAnswer: self._drop,
+            CutAnswer: self._cut,
+        }
+
+    def carriers(self) -> dict[type, Callable]:
+        """Return what takes each carrier that comes to the entry side."""
+        return {RequestCredit: self._credit_arrived, **self.answers.carriers()}
+
+    def request_begun(self, exchange: ServerExchange) -> None:
+        """Take a request's head."""
+        call_id = CallId(next(self._call_ids))
+        request = HttpRequest(exchange.method, exchange.target, exchange.headers)
+        call = CallerRow(call_id, exchange, request)
+        exchange.context = call
+        self._calls.put(call_id, call)
+        if exchange.waits_for_continue:
+            self._dispatch(call)
+            exchange.pause_body()
+
+    def body_received(self, exchange: ServerExchange, data: bytes) -> None:
+        """Hold the first bytes of a body, and stream the others."""
+        call: CallerRow = exchange.context
+        if call.is_streamed:
+            upload = call.attempts[-1].upload
+            if upload is not None:
+                upload.add(data)
+            return
+        call.request.body += data
+        if not call.is_dispatched and len(call.request.body) >= _MAX_HELD_BYTES:
+            self._dispatch(call)
+            exchange.pause_body()
+
+    def body_ended(self, exchange: ServerExchange, trailers: Headers) -> None:
+        """Note that the request's body is whole."""
+        call: CallerRow = exchange.context
+        call.is_body_over = True
+        call.trailers = forwardable(trailers)
+        if not call.is_dispatched:
+            self._dispatch(call)
+        elif call.is_streamed:
+            upload = call.attempts[-1].upload
+            if upload is not None:
+                upload.end(call.trailers)
+
+    def answer_writable(self, exchange: ServerExchange) -> None:
+        """Grant the owner credit for what the caller has taken."""
+        call: CallerRow = exchange.context
+        if call.answering is not None:
+            self.answers.credit_taken(call.answering)
+
+    def caller_gone(self, exchange: ServerExchange) -> None:
+        """Note that a caller closed before its answer."""
+        call: CallerRow = exchange.context
+        self._finish(call)
+        if call.is_dispatched:
+            self._post(CallerGone(call.call_id))
+
+    def _dispatch(self, call: CallerRow) -> None:
+        call.is_dispatched = True
+        request = call.request
+        headers = dict(request.headers)
+        request.headers = forwardable(request.headers)
+        host = headers.get(b"host", b"").decode("latin-1").partition(":")[0].lower()
+        key = headers.get(b"idempotency-key")
+        whole_bytes = len(request.body) if call.is_body_over else None
+        self._post(
+            CallArrived(
+                call.call_id,
+                request.method,
+                host,
+                request.target.partition("?")[0],
+                _budget_us(headers),
+                IdempotencyKey(key.decode("latin-1")) if key else None,
+                content_length(request.headers) if whole_bytes is None else whole_bytes,
+            )
+        )
+
+    def _offer(self, effect: OfferSend) -> None:
+        call = self._calls.get(effect.call_id)
+        if call is None:
+            return
+        if call.is_streamed:
+            self._fail(call)
+            return
+        attempt_id = effect.offer.attempt_id
+        window = ReceiveWindow(self._budget.open())
+        attempt = OfferedRow(attempt_id, effect.address, call, window)
+        is_ended = call.is_body_over and not call.trailers
+        if not is_ended:
+            attempt.upload = self._upload_of(attempt)
+        call.attempts.append(attempt)
+        self._attempts.put(attempt_id, attempt)
+        request = call.request
+        carrier = OfferCarrier(
+            self._node_id,
+            effect.offer,
+            RequestHead(request.method, request.target, request.headers),
+            request.body,
+            is_ended,
+            window.size_bytes,
+        )
+        if not self._courier.deliver(effect.address, carrier):
+            self._forget(attempt)
+            call.attempts.remove(attempt)
+            self._post(OfferUndelivered(attempt_id))
+
+    def _upload_of(self, attempt: OfferedRow) -> BodyOutlet:
+        exchange = attempt.call.exchange
+
+        def send_part(data: bytes, is_last: bool, trailers: Headers) -> None:
+            part = RequestPart(
+                self._node_id, attempt.attempt_id, data, is_last, trailers
+            )
+            self._courier.deliver(attempt.address, part)
+
+        return BodyOutlet(
+            SendWindow(0), send_part, exchange.pause_body, exchange.resume_body
+        )
+
+    def _credit_arrived(self, credit: RequestCredit) -> None:
+        attempt = self._attempts.get(credit.attempt_id)
+        if attempt is None or attempt.upload is None:
+            return
+        call = attempt.call
+        is_first = not call.is_streamed
+        call.is_streamed = True
+        attempt.upload.grant(credit.size_bytes)
+        if not is_first:
+            return
+        if call.is_body_over:
+            attempt.upload.end(call.trailers)
+        else:
+            call.exchange.resume_body()
+
+    def _refuse(self, effect: CallRefusal) -> None:
+        call = self._calls.get(effect.call_id)
+        if call is None:
+            return
+        headers = [
+            (b"papayapost-outcome", effect.outcome.value.encode()),
+            (b"papayapost-code", effect.code.value.encode()),
+            (b"content-length", b"0"),
+        ]
+        if effect.retry_after_ms is not None:
+            headers.append((b"retry-after-ms", b"%d" % effect.retry_after_ms))
+        self._finish(call)
+        call.exchange.begin(effect.status, headers, is_ended=True)
+
+    def _fail(self, call: CallerRow) -> None:
+        """Answer a call whose request cannot be offered a second time."""
+        self._refuse(
+            CallRefusal(call.call_id, _BAD_GATEWAY, RefusalCode.LOST, Outcome.UNKNOWN)
+        )
+        self._post(CallerGone(call.call_id))
+
+    def _forward(self, effect: ForwardAnswer) -> None:
+        attempt = self._attempts.get(effect.attempt_id)
+        if attempt is not None and attempt.call.call_id == effect.call_id:
+            self.answers.forward(attempt)
+
+    def _drop(self, effect: DropAnswer) -> None:
+        attempt = self._attempts.get(effect.attempt_id)
+        if attempt is not None:
+            self._forget(attempt)
+
+    def _cut(self, effect: CutAnswer) -> None:
+        call = self._calls.get(effect.call_id)
+        if call is not None:
+            self._finish(call)
+            call.exchange.cut_short()
+
+    def _finish(self, call: CallerRow) -> None:
+        self._calls.pop(call.call_id)
+        if call.stall is not None:
+            call.stall.close()
+        for attempt in call.attempts:
+            self._forget(attempt)
+
+    def _forget(self, attempt: OfferedRow) -> None:
+        if self._attempts.pop(attempt.attempt_id) is not None:
+            self._budget.close(attempt.window.size_bytes)
+
+
+def _budget_us(headers: dict[bytes, bytes]) -> Micros | None:
+    text = headers.get(b"papayapost-timeout-ms", b"")
+    return Micros(int(text) * 1000) if text.isdigit() and len(text) < 10 else None
--- /dev/null
+++ b/packages/papayapost-node/src/papayapost_node/exchange/owner_side.py
@@ -0,0 +1,125 @@
+"""The owner node's side: offered requests to the own backend server."""
+
+from collections.abc import Callable
+
+from papayapost.ids import Address, AttemptId, NodeId
+from papayapost.kernel import Table
+from papayapost.traffic import (
+    BackendCallCancel,
+    BackendCallEnded,
+    BackendCallStart,
+    DropOffer,
+)
+from papayapost_node.exchange.backend_call import BackendCall, OwnerServices
+from papayapost_node.exchange.couriers import Courier
+from papayapost_node.exchange.tables import OwnedRequest
+from papayapost_node.exchange.windows import WindowBudget
+from papayapost_node.http import BackendPool, HttpRequest
+from papayapost_node.wire import AnswerCredit, OfferCarrier, RequestPart
+
+__all__ = ["OwnerSide"]
+
+
+class OwnerSide:
+    """Holds offered requests, and runs those that are admitted.
+
+    Parameters
+    ----------
+    own_address
+        Where this node's offers come from; they are posted by the decisions
+        themselves.
+    post
+        Hands a message to the next tick.
+    free_slots
+        Says how many slots of the backend server are free.
+    """
+
+    def __init__(
+        self,
+        node_id: NodeId,
+        pool: BackendPool,
+        courier: Courier,
+        post: Callable[[object], None],
+        free_slots: Callable[[], int],
+        budget: WindowBudget,
+    ):
+        self._node_id = node_id
+        self._pool = pool
+        self._post = post
+        self._offered: Table[AttemptId, OwnedRequest] = Table("offered requests")
+        self._running: Table[AttemptId, BackendCall] = Table("backend calls")
+        self._services = OwnerServices(
+            node_id, courier, post, free_slots, budget, self._forget
+        )
+
+    @property
+    def open_calls(self) -> int:
+        """Calls whose answer has not left this node."""
+        return len(self._running)
+
+    def handlers(self) -> dict[type, Callable]:
+        """Return what carries out each effect of the owner side."""
+        return {
+            BackendCallStart: self._start,
+            BackendCallCancel: self._cancel,
+            DropOffer: self._drop,
+        }
+
+    def carriers(self) -> dict[type, Callable]:
+        """Return what takes each carrier that comes to the owner side."""
+        return {
+            OfferCarrier: self._offer_arrived,
+            RequestPart: self._part_arrived,
+            AnswerCredit: self._credit_arrived,
+        }
+
+    def close(self) -> None:
+        """Stop all calls to the backend server."""
+        self._pool.close()
+
+    def _offer_arrived(self, carrier: OfferCarrier) -> None:
+        offer, head = carrier.offer, carrier.head
+        if offer.attempt_id not in self._offered:
+            request = HttpRequest(head.method, head.target, head.headers, carrier.body)
+            self._offered.put(
+                offer.attempt_id,
+                OwnedRequest(
+                    offer.attempt_id,
+                    Address(offer.reply_to),
+                    request,
+                    carrier.is_ended,
+                    carrier.answer_window_bytes,
+                ),
+            )
+        if offer.sender != self._node_id:
+            self._post(offer)
+
+    def _part_arrived(self, part: RequestPart) -> None:
+        call = self._running.get(part.attempt_id)
+        if call is not None:
+            call.body_received(part.data, part.is_ended, part.trailers)
+
+    def _credit_arrived(self, credit: AnswerCredit) -> None:
+        call = self._running.get(credit.attempt_id)
+        if call is not None:
+            call.grant(credit.size_bytes)
+
+    def _start(self, effect: BackendCallStart) -> None:
+        owned = self._offered.pop(effect.attempt_id)
+        if owned is None:
+            self._post(BackendCallEnded(effect.attempt_id, False, False))
+            return
+        call = BackendCall(owned, effect.budget_us, self._services)
+        self._running.put(effect.attempt_id, call)
+        self._pool.acquire(call.connected)
+
+    def _cancel(self, effect: BackendCallCancel) -> None:
+        call = self._running.get(effect.attempt_id)
+        if call is not None:
+            call.cancel()
+
+    def _drop(self, effect: DropOffer) -> None:
+        self._offered.pop(effect.attempt_id)
+
+    def _forget(self, attempt_id: AttemptId) -> None:
+        self._running.pop(attempt_id)
--- /dev/null
+++ b/packages/papayapost-node/src/papayapost_node/exchange/tables.py
@@ -0,0 +1,86 @@
+"""Rows of the calls and attempts that bodies flow through."""
+
+from collections import deque
+from dataclasses import dataclass, field
+
+from papayapost.ids import Address, AttemptId, CallId
+from papayapost_node.exchange.outlet import BodyOutlet
+from papayapost_node.exchange.windows import ReceiveWindow
+from papayapost_node.http import Headers, HttpRequest, ServerExchange
+from papayapost_node.http.deadline import Deadline
+from papayapost_node.wire import AnswerCarrier, AnswerPart
+
+__all__ = ["CallerRow", "OfferedRow", "OwnedRequest"]
+
+
+@dataclass(slots=True, eq=False)
+class CallerRow:
+    """A caller's request at its entry node.
+
+    Parameters
+    ----------
+    request
+        The head, and the body as far as it is held for a further attempt.
+    is_body_over
+        Whether the whole body has arrived.
+    is_streamed
+        Whether body beyond the held part has left, so that the request
+        cannot be offered again.
+    answering
+        The attempt whose answer the caller gets, once there is one.
+    """
+
+    call_id: CallId
+    exchange: ServerExchange
+    request: HttpRequest
+    is_body_over: bool = False
+    is_dispatched: bool = False
+    is_streamed: bool = False
+    trailers: Headers = field(default_factory=list)
+    attempts: list["OfferedRow"] = field(default_factory=list)
+    answering: "OfferedRow | None" = None
+    stall: Deadline | None = None
+
+
+@dataclass(slots=True, eq=False)
+class OfferedRow:
+    """One attempt at its entry node.
+
+    Parameters
+    ----------
+    head
+        The answer's head, once it is here.
+    held
+        Parts of the answer that arrived before it was chosen.
+    body_bytes
+        Body that arrived after the head.
+    unread_bytes
+        Body handed to the connection that the caller has not taken yet.
+    """
+
+    attempt_id: AttemptId
+    address: Address
+    call: CallerRow
+    window: ReceiveWindow
+    upload: BodyOutlet | None = None
+    head: AnswerCarrier | None = None
+    held: deque[AnswerPart] = field(default_factory=deque)
+    unread_bytes: int = 0
+    body_bytes: int = 0
+
+
+@dataclass(slots=True, eq=False)
+class OwnedRequest:
+    """A peer's request at its owner node, until it is started.
+
+    Parameters
+    ----------
+    entry
+        Where its entry node takes the answer.
+    """
+
+    attempt_id: AttemptId
+    entry: Address
+    request: HttpRequest
+    is_ended: bool
+    answer_window_bytes: int
--- a/packages/papayapost-node/src/papayapost_node/http/__init__.py
+++ b/packages/papayapost-node/src/papayapost_node/http/__init__.py
@@ -1,12 +1,29 @@
-"""HTTP by h11: a server for callers and a client for everything else."""
+"""HTTP by h11: a server for callers and clients for everything else."""
 
-from papayapost_node.http.connection import ClientConnection, HttpAnswer, HttpRequest
-from papayapost_node.http.server import HttpServer, ServerCall
+from papayapost_node.http.backend import AnswerSink, BackendConnection
+from papayapost_node.http.connection import ClientConnection
+from papayapost_node.http.headers import content_length, forwardable
+from papayapost_node.http.limits import HttpLimits
+from papayapost_node.http.messages import Headers, HttpAnswer, HttpRequest
+from papayapost_node.http.pool import BackendPool
+from papayapost_node.http.server import StreamingServer
+from papayapost_node.http.server_connection import RequestHandler, ServerExchange
+from papayapost_node.http.whole import HttpServer, ServerCall
 
 __all__ = [
+    "AnswerSink",
+    "BackendConnection",
+    "BackendPool",
     "ClientConnection",
+    "Headers",
     "HttpAnswer",
+    "HttpLimits",
     "HttpRequest",
     "HttpServer",
+    "RequestHandler",
     "ServerCall",
+    "ServerExchange",
+    "StreamingServer",
+    "content_length",
+    "forwardable",
 ]
--- a/packages/papayapost-node/src/papayapost_node/http/connection.py
+++ b/packages/papayapost-node/src/papayapost_node/http/connection.py
@@ -1,48 +1,18 @@
 """HTTP client calls over one connection, by h11."""
 
 import asyncio
-from dataclasses import dataclass, field
 
 import h11
 
 from papayapost.ids import Address
 from papayapost_node.addresses import split_address
+from papayapost_node.http.messages import HttpAnswer, HttpRequest
 
-__all__ = ["ClientConnection", "HttpAnswer", "HttpRequest"]
+__all__ = ["ClientConnection"]
 
 _READ_BYTES = 65_536
 
 
-@dataclass(slots=True)
-class HttpRequest:
-    """A request with its whole body."""
-
-    method: str
-    target: str
-    headers: list[tuple[bytes, bytes]]
-    body: bytes = b""
-
-
-@dataclass(slots=True)
-class HttpAnswer:
-    """An answer with its body.
-
-    Parameters
-    ----------
-    is_whole
-        False when the connection ended before the body did.
-    """
-
-    status: int
-    headers: list[tuple[bytes, bytes]] = field(default_factory=list)
-    body: bytes = b""
-    is_whole: bool = True
-
-    def header(self, name: bytes) -> bytes | None:
-        """Return the first value of a header, its name in lower case."""
-        return next((value for key, value in self.headers if key == name), None)
-
-
 class ClientConnection:
     """One connection that runs one call at a time.
 
--- /dev/null
+++ b/packages/papayapost-node/src/papayapost_node/http/deadline.py
@@ -0,0 +1,60 @@
+"""A deadline that is moved often and reached rarely."""
+
+import asyncio
+from collections.abc import Callable
+
+__all__ = ["Deadline"]
+
+
+class Deadline:
+    """Calls back once its time has come.
+
+    Moving the deadline later only stores a number; the loop's timer is set
+    anew when it fires early. A connection thus costs one timer for its life
+    and not one for each call.
+
+    Parameters
+    ----------
+    on_due
+        Called when the deadline has passed; it may set the next one.
+    """
+
+    __slots__ = ("_due_s", "_handle", "_loop", "_on_due")
+
+    def __init__(self, loop: asyncio.AbstractEventLoop, on_due: Callable[[], None]):
+        self._loop = loop
+        self._on_due = on_due
+        self._due_s: float | None = None
+        self._handle: asyncio.TimerHandle | None = None
+
+    def set_in(self, delay_s: float) -> None:
+        """Move the deadline to `delay_s` from now."""
+        due_s = self._due_s = self._loop.time() + delay_s
+        handle = self._handle
+        if handle is None:
+            self._handle = self._loop.call_at(due_s, self._fire)
+        elif due_s < handle.when():
+            handle.cancel()
+            self._handle = self._loop.call_at(due_s, self._fire)
+
+    def clear(self) -> None:
+        """Have no deadline."""
+        self._due_s = None
+
+    def close(self) -> None:
+        """Never call back again."""
+        self._due_s = None
+        if self._handle is not None:
+            self._handle.cancel()
+            self._handle = None
+
+    def _fire(self) -> None:
+        self._handle = None
+        due_s = self._due_s
+        if due_s is None:
+            return
+        if due_s > self._loop.time():
+            self._handle = self._loop.call_at(due_s, self._fire)
+            return
+        self._due_s = None
+        self._on_due()
--- /dev/null
+++ b/packages/papayapost-node/src/papayapost_node/http/headers.py
@@ -0,0 +1,58 @@
+"""Which headers travel on from one connection to the next."""
+
+from collections.abc import Iterable
+
+from papayapost_node.http.messages import Headers
+
+__all__ = ["content_length", "forwardable"]
+
+_HOP_BY_HOP = frozenset(
+    [
+        b"connection",
+        b"expect",
+        b"keep-alive",
+        b"proxy-authenticate",
+        b"proxy-authorization",
+        b"proxy-connection",
+        b"te",
+        b"trailer",
+        b"transfer-encoding",
+        b"upgrade",
+    ]
+)
+
+
+def forwardable(headers: Iterable[tuple[bytes, bytes]]) -> Headers:
+    """Return the headers that are not about one connection alone.
+
+    Parameters
+    ----------
+    headers
+        Names in lower case.
+
+    Examples
+    --------
+    >>> forwardable([(b"connection", b"x-hop"), (b"x-hop", b"1"), (b"a", b"")])
+    [(b'a', b'')]
+    """
+    kept = []
+    named: set[bytes] = set()
+    for name, value in headers:
+        if name not in _HOP_BY_HOP:
+            kept.append((name, value))
+        elif name == b"connection":
+            named.update(token.strip().lower() for token in value.split(b","))
+    # Content-Length frames the body that follows; a caller that names it as
+    # hop-by-hop must not be able to unframe its request.
+    named -= {b"close", b"keep-alive", b"content-length", b""}
+    if named:
+        return [header for header in kept if header[0] not in named]
+    return kept
+
+
+def content_length(headers: Iterable[tuple[bytes, bytes]]) -> int | None:
+    """Return the promised length of a body in bytes, or None."""
+    for name, value in headers:
+        if name == b"content-length":
+            return int(value)
+    return None
--- /dev/null
+++ b/packages/papayapost-node/src/papayapost_node/http/pool.py
@@ -0,0 +1,96 @@
+"""A bounded pool of connections to the backend server."""
+
+import asyncio
+from collections.abc import Callable
+
+from papayapost.ids import Address
+from papayapost_node.addresses import split_address
+from papayapost_node.http.backend import BackendConnection
+
+__all__ = ["BackendPool"]
+
+_IDLE_TIMEOUT_S = 4.0
+
+ConnectionReady = Callable[[BackendConnection | None], None]
+
+
+class BackendPool:
+    """Connections that are kept for further calls.
+
+    Parameters
+    ----------
+    address
+        The backend server, or None on a VM without one.
+    max_connections
+        Connections that may be open or opening at once.
+
+    Attributes
+    ----------
+    opened
+        Connections opened so far.
+    """
+
+    def __init__(self, address: Address | None, max_connections: int):
+        self._address = address
+        self._max_connections = max_connections
+        self._idle: list[BackendConnection] = []
+        self._open: set[BackendConnection] = set()
+        self._opening: set[asyncio.Task] = set()
+        self.opened = 0
+
+    def acquire(self, on_ready: ConnectionReady) -> None:
+        """Hand over a connection, at once if one is idle.
+
+        Parameters
+        ----------
+        on_ready
+            Called with the connection, or with None if there is none to be
+            had: nothing was sent then.
+        """
+        while self._idle:
+            connection = self._idle.pop()
+            if connection.is_open:
+                on_ready(connection)
+                return
+        if self._address is None or self._count() >= self._max_connections:
+            on_ready(None)
+            return
+        task = asyncio.get_running_loop().create_task(self._connect(on_ready))
+        self._opening.add(task)
+        task.add_done_callback(self._opening.discard)
+
+    def close(self) -> None:
+        """Close every connection at once."""
+        for task in self._opening:
+            task.cancel()
+        for connection in list(self._open):
+            connection.cancel()
+
+    def _count(self) -> int:
+        return len(self._open) + len(self._opening)
+
+    async def _connect(self, on_ready: ConnectionReady) -> None:
+        assert self._address is not None
+        ip, port = split_address(self._address)
+        loop = asyncio.get_running_loop()
+        try:
+            _, connection = await loop.create_connection(
+                lambda: BackendConnection(self._on_free), ip, port
+            )
+        except OSError:
+            on_ready(None)
+            return
+        self.opened += 1
+        self._open.add(connection)
+        on_ready(connection)
+
+    def _on_free(self, connection: BackendConnection) -> None:
+        if connection.is_open:
+            # A server that closes idle connections later than this one never
+            # closes a connection in the face of a request.
+            connection.wait_for(_IDLE_TIMEOUT_S)
+            self._idle.append(connection)
+            return
+        self._open.discard(connection)
+        if connection in self._idle:
+            self._idle.remove(connection)
--- /dev/null
+++ b/packages/papayapost-node/src/papayapost_node/http/server_connection.py
@@ -0,0 +1,439 @@
+"""One caller's connection: requests in, answers out, both streamed."""
+
+from __future__ import annotations
+
+import asyncio
+from abc import ABC, abstractmethod
+from typing import TYPE_CHECKING, Any
+
+import h11
+
+from papayapost_node.http.deadline import Deadline
+from papayapost_node.http.headers import content_length
+from papayapost_node.http.messages import Headers
+
+if TYPE_CHECKING:
+    from papayapost_node.http.server import StreamingServer
+
+__all__ = ["RequestHandler", "ServerConnection", "ServerExchange"]
+
+_WRITE_BUFFER_BYTES = 64 << 10
+_LINGER_S = 1.0
+_NO_HEADERS: Headers = []
+
+
+class RequestHandler(ABC):
+    """Takes requests as they arrive, in pieces."""
+
+    @abstractmethod
+    def request_begun(self, exchange: ServerExchange) -> None:
+        """Take a request's head."""
+
+    @abstractmethod
+    def body_received(self, exchange: ServerExchange, data: bytes) -> None:
+        """Take a piece of the request's body."""
+
+    @abstractmethod
+    def body_ended(self, exchange: ServerExchange, trailers: Headers) -> None:
+        """Note that the request's body is whole."""
+
+    @abstractmethod
+    def answer_writable(self, exchange: ServerExchange) -> None:
+        """Note that a caller who fell behind has caught up."""
+
+    @abstractmethod
+    def caller_gone(self, exchange: ServerExchange) -> None:
+        """Note that the connection ended before the answer did."""
+
+
+class ServerExchange:
+    """One request and its answer on a connection.
+
+    Attributes
+    ----------
+    body_bytes
+        Length of the request's body, or None if it is not known yet.
+    waits_for_continue
+        Whether the caller sends the body only after ``100 Continue``.
+    is_writable
+        False while the caller takes the answer more slowly than it comes.
+    context
+        What the handler keeps with the exchange.
+    """
+
+    __slots__ = (
+        "body_bytes",
+        "connection",
+        "context",
+        "headers",
+        "is_writable",
+        "method",
+        "target",
+        "waits_for_continue",
+    )
+
+    def __init__(self, connection: ServerConnection, head: h11.Request, waits: bool):
+        self.connection = connection
+        self.method = head.method.decode("ascii")
+        self.target = head.target.decode("ascii")
+        self.headers: Headers = list(head.headers)
+        self.body_bytes = _body_bytes(self.headers)
+        self.waits_for_continue = waits
+        self.is_writable = True
+        self.context: Any = None
+
+    def begin(
+        self,
+        status: int,
+        headers: Headers,
+        data: bytes = b"",
+        is_ended: bool = False,
+        trailers: Headers = _NO_HEADERS,
+    ) -> None:
+        """Send the answer's head with what there is of its body."""
+        self.connection.begin(self, status, headers, data, is_ended, trailers)
+
+    def send(
+        self, data: bytes, is_ended: bool = False, trailers: Headers = _NO_HEADERS
+    ) -> None:
+        """Send a further piece of the answer's body."""
+        self.connection.send(self, data, is_ended, trailers)
+
+    def inform(self, status: int, headers: Headers) -> None:
+        """Send an informational answer ahead of the final one."""
+        self.connection.inform(self, status, headers)
+
+    def cut_short(self) -> None:
+        """End an answer that cannot be completed, visibly so."""
+        self.connection.cut_short(self)
+
+    def pause_body(self) -> None:
+        """Take no more of the request's body for now."""
+        self.connection.pause_body(self)
+
+    def resume_body(self) -> None:
+        """Take more of the request's body."""
+        self.connection.resume_body(self)
+
+
+class ServerConnection(asyncio.Protocol):
+    """Parses requests one after the other and writes their answers."""
+
+    def __init__(self, server: StreamingServer):
+        self._server = server
+        self._limits = server.limits
+        self._http = h11.Connection(
+            h11.SERVER, max_incomplete_event_size=server.limits.head_bytes
+        )
+        self._transport: asyncio.Transport | None = None
+        self._exchange: ServerExchange | None = None
+        self._is_paused = False
+        self._is_pumping = False
+        self._is_body_over = True
+        self._is_unframed = False
+        self._is_closing = False
+        self._received_bytes = 0
+        self._sent_bytes = 0
+        self._paced_bytes = 0
+        self._deadline = Deadline(asyncio.get_running_loop(), self._on_deadline)
+
+    def connection_made(self, transport) -> None:
+        """Take the connection, unless there are too many."""
+        self._transport = transport
+        if not self._server.admit(self):
+            transport.abort()
+            return
+        transport.set_write_buffer_limits(high=_WRITE_BUFFER_BYTES)
+        self._deadline.set_in(self._limits.head_timeout_ms / 1000)
+
+    def connection_lost(self, error) -> None:
+        """Tell the handler if its exchange is not over."""
+        self._transport = None
+        self._deadline.close()
+        self._server.forget(self)
+        exchange, self._exchange = self._exchange, None
+        if exchange is not None:
+            self._server.handler.caller_gone(exchange)
+
+    def eof_received(self) -> bool:
+        """Treat a half-closed connection as one whose caller has gone."""
+        return False
+
+    def data_received(self, data: bytes) -> None:
+        """Parse what arrived."""
+        if self._is_closing:
+            return
+        if self._exchange is None:
+            if not self._received_bytes:
+                self._deadline.set_in(self._limits.head_timeout_ms / 1000)
+        elif self._is_body_over and self._http.trailing_data[0]:
+            # A pipelined request waits for this answer; reading further
+            # would let a caller fill this node's memory.
+            self._pause_reading()
+        self._received_bytes += len(data)
+        self._http.receive_data(data)
+        self._pump()
+
+    def pause_writing(self) -> None:
+        """Note that the caller falls behind."""
+        exchange = self._exchange
+        if exchange is not None:
+            exchange.is_writable = False
+        self._set_pace()
+
+    def resume_writing(self) -> None:
+        """Note that the caller has caught up."""
+        exchange = self._exchange
+        if exchange is not None:
+            exchange.is_writable = True
+            self._server.handler.answer_writable(exchange)
+
+    def begin(
+        self,
+        exchange: ServerExchange,
+        status: int,
+        headers: Headers,
+        data: bytes,
+        is_ended: bool,
+        trailers: Headers,
+    ) -> None:
+        """Send an answer's head with what there is of its body."""
+        if exchange is not self._exchange:
+            return
+        if self._server.is_draining:
+            headers = [*headers, (b"connection", b"close")]
+        is_framed = any(name == b"content-length" for name, _ in headers)
+        is_old = self._http.their_http_version == b"1.0"
+        self._is_unframed = is_old and not is_framed
+        try:
+            head = h11.Response(status_code=status, headers=headers)
+            parts = [self._http.send(head)]
+        except h11.LocalProtocolError:
+            self.cut_short(exchange)
+            return
+        self._write(parts, data, is_ended, _NO_HEADERS if is_framed else trailers)
+
+    def send(
+        self, exchange: ServerExchange, data: bytes, is_ended: bool, trailers: Headers
+    ) -> None:
+        """Send a further piece of an answer's body."""
+        if exchange is self._exchange:
+            self._write([], data, is_ended, trailers)
+
+    def inform(self, exchange: ServerExchange, status: int, headers: Headers) -> None:
+        """Send an informational answer, if the caller knows of such."""
+        if exchange is not self._exchange or self._http.their_http_version == b"1.0":
+            return
+        if self._http.our_state is h11.SEND_RESPONSE and self._transport:
+            event = h11.InformationalResponse(status_code=status, headers=headers)
+            self._transport.write(self._http.send(event) or b"")
+
+    def cut_short(self, exchange: ServerExchange) -> None:
+        """Close before the promised length or the last chunk."""
+        if exchange is not self._exchange or self._transport is None:
+            return
+        self._exchange = None
+        if self._is_unframed:
+            # Only a reset tells this caller that more was to come.
+            self._transport.abort()
+        else:
+            self._close_soon()
+
+    def pause_body(self, exchange: ServerExchange) -> None:
+        """Take no more of a request's body for now."""
+        if exchange is self._exchange and not self._is_body_over:
+            self._pause_reading()
+
+    def resume_body(self, exchange: ServerExchange) -> None:
+        """Take more of a request's body, and ask for it if need be."""
+        if exchange is not self._exchange or self._transport is None:
+            return
+        if exchange.waits_for_continue:
+            exchange.waits_for_continue = False
+            self.inform(exchange, 100, _NO_HEADERS)
+        self._set_pace()
+        self._resume_reading()
+
+    def drain(self) -> None:
+        """Close now if idle, else after the current answer."""
+        if self._exchange is None and not self._received_bytes:
+            self.close()
+
+    def close(self) -> None:
+        """Close once what is written has left."""
+        if self._transport is not None:
+            self._transport.close()
+
+    def abort(self) -> None:
+        """Close at once."""
+        if self._transport is not None:
+            self._transport.abort()
+
+    def _write(
+        self, parts: list, data: bytes, is_ended: bool, trailers: Headers
+    ) -> None:
+        try:
+            if data:
+                parts.append(self._http.send(h11.Data(data=data)))
+            if is_ended:
+                parts.append(self._http.send(h11.EndOfMessage(headers=trailers)))
+        except h11.LocalProtocolError:
+            # More or less body than the head promised: the caller must not
+            # take it for whole.
+            if self._exchange is not None:
+                self.cut_short(self._exchange)
+            return
+        out = b"".join([part for part in parts if part])
+        self._sent_bytes += len(out)
+        if self._transport is not None and out:
+            self._transport.write(out)
+        if is_ended:
+            self._end_exchange()
+
+    def _end_exchange(self) -> None:
+        self._exchange = None
+        if self._http.our_state is not h11.DONE or not self._is_body_over:
+            self._close_soon()
+            return
+        if self._server.is_draining:
+            self.close()
+            return
+        self._http.start_next_cycle()
+        # Bytes that already wait are the head of a pipelined request.
+        self._received_bytes = len(self._http.trailing_data[0])
+        is_head_begun = self._received_bytes > 0
+        limits = self._limits
+        timeout_ms = limits.head_timeout_ms if is_head_begun else limits.idle_timeout_ms
+        self._deadline.set_in(timeout_ms / 1000)
+        self._resume_reading()
+
+    def _close_soon(self) -> None:
+        """Close for writing first, so that no reset overtakes the answer."""
+        transport = self._transport
+        if transport is None:
+            return
+        if transport.can_write_eof() and not transport.is_closing():
+            transport.write_eof()
+        self._is_closing = self._is_paused = True
+        if transport.get_write_buffer_size():
+            self._set_pace()
+        else:
+            self._deadline.set_in(_LINGER_S)
+
+    def _pause_reading(self) -> None:
+        if not self._is_paused and self._transport is not None:
+            self._is_paused = True
+            self._transport.pause_reading()
+
+    def _resume_reading(self) -> None:
+        if self._is_paused and self._transport is not None:
+            self._is_paused = False
+            self._transport.resume_reading()
+        if not self._is_pumping:
+            self._pump()
+
+    def _pump(self) -> None:
+        self._is_pumping = True
+        try:
+            while not self._is_paused and self._handle(self._http.next_event()):
+                pass
+        except h11.RemoteProtocolError as error:
+            self._refuse(error.error_status_hint)
+        finally:
+            self._is_pumping = False
+
+    def _handle(self, event) -> bool:
+        handler = self._server.handler
+        if type(event) is h11.Request:
+            return self._begin_request(event)
+        if type(event) is h11.Data:
+            if self._exchange is not None:
+                handler.body_received(self._exchange, bytes(event.data))
+            return True
+        if type(event) is h11.EndOfMessage:
+            self._is_body_over = True
+            self._deadline.clear()
+            if self._exchange is not None:
+                handler.body_ended(self._exchange, list(event.headers))
+            return True
+        if type(event) is h11.ConnectionClosed:
+            self.close()
+        return False
+
+    def _begin_request(self, head: h11.Request) -> bool:
+        status = _refusal_status(head, self._limits.head_bytes)
+        if status is not None:
+            self._refuse(status)
+            return False
+        waits = self._http.they_are_waiting_for_100_continue
+        self._is_body_over = False
+        self._exchange = ServerExchange(self, head, waits)
+        if self._exchange.body_bytes != 0:
+            self._set_pace()
+        self._server.handler.request_begun(self._exchange)
+        return True
+
+    def _refuse(self, status: int) -> None:
+        """Refuse what is no proper request and close."""
+        exchange, self._exchange = self._exchange, None
+        if exchange is not None:
+            self._server.handler.caller_gone(exchange)
+        if self._transport is None:
+            return
+        if self._http.our_state in (h11.IDLE, h11.SEND_RESPONSE):
+            headers = [(b"content-length", b"0"), (b"connection", b"close")]
+            head = h11.Response(status_code=status, headers=headers)
+            self._transport.write(self._http.send(head) or b"")
+        self._close_soon()
+
+    def _set_pace(self) -> None:
+        self._paced_bytes = self._moved_bytes()
+        self._deadline.set_in(self._limits.pace_timeout_ms / 1000)
+
+    def _moved_bytes(self) -> int:
+        waiting = self._transport.get_write_buffer_size() if self._transport else 0
+        return self._received_bytes + self._sent_bytes - waiting
+
+    def _on_deadline(self) -> None:
+        exchange = self._exchange
+        if self._is_closing:
+            self._expire_closing()
+        elif exchange is None:
+            self._expire_idle()
+        elif not exchange.is_writable or self._waits_for_body():
+            if self._moved_bytes() - self._paced_bytes >= self._limits.pace_bytes:
+                self._set_pace()
+            elif exchange.is_writable:
+                self._refuse(408)
+            else:
+                self.abort()
+
+    def _waits_for_body(self) -> bool:
+        return not self._is_body_over and not self._is_paused
+
+    def _expire_closing(self) -> None:
+        if self._moved_bytes() - self._paced_bytes >= self._limits.pace_bytes:
+            self._set_pace()
+        else:
+            self.abort()
+
+    def _expire_idle(self) -> None:
+        is_answered = self._http.our_state is not h11.IDLE
+        if is_answered or not self._received_bytes:
+            self.abort()
+        else:
+            self._refuse(408)
+
+
+def _body_bytes(headers: Headers) -> int | None:
+    if any(name == b"transfer-encoding" for name, _ in headers):
+        return None
+    return content_length(headers) or 0
+
+
+def _refusal_status(head: h11.Request, limit_bytes: int) -> int | None:
+    names = [name for name, _ in head.headers]
+    if b"content-length" in names and b"transfer-encoding" in names:
+        return 400
+    size = len(head.target) + sum(len(n) + len(v) + 4 for n, v in head.headers)
+    return 431 if size > limit_bytes else None
--- a/packages/papayapost-node/src/papayapost_node/transport.py
+++ b/packages/papayapost-node/src/papayapost_node/transport/zmq_transport.py
@@ -1,43 +1,18 @@
-"""Transports that carry frames between nodes."""
+"""The transport by pyzmq."""
 
 import asyncio
-from abc import ABC, abstractmethod
-from collections.abc import Callable
 
 import zmq
 
 from papayapost.ids import Address
+from papayapost_node.transport.base import FrameHandler, PeerTransport
 
-__all__ = ["PeerTransport", "ZmqTransport"]
-
-FrameHandler = Callable[[bytes], None]
+__all__ = ["ZmqTransport"]
 
 _MAX_QUEUED_FRAMES = 1_000
 _MAX_FRAME_BYTES = 4 << 20
 
 
-class PeerTransport(ABC):
-    """Sends frames to peers and hands over those that come in."""
-
-    @abstractmethod
-    def start(self, on_frame: FrameHandler) -> None:
-        """Listen for peers."""
-
-    @abstractmethod
-    def send(self, address: Address, frame: bytes) -> bool:
-        """Hand a frame over for delivery, at most once.
-
-        Returns
-        -------
-        bool
-            False if the frame certainly does not leave this process.
-        """
-
-    @abstractmethod
-    def close(self) -> None:
-        """Drop what is queued and close."""
-
-
 class ZmqTransport(PeerTransport):
     """A ROUTER for what comes in and a DEALER for each peer.
 
--- a/packages/papayapost-node/src/papayapost_node/wire/catalogue.py
+++ b/packages/papayapost-node/src/papayapost_node/wire/catalogue.py
@@ -10,7 +10,15 @@
     AttemptOffer,
     AttemptRefused,
 )
-from papayapost_node.wire.carriers import AnswerCarrier, OfferCarrier
+from papayapost_node.wire.carriers import (
+    AnswerCarrier,
+    AnswerCredit,
+    AnswerPart,
+    InterimAnswer,
+    OfferCarrier,
+    RequestCredit,
+    RequestPart,
+)
 
 __all__ = ["WIRE_NUMBERS"]
 
@@ -27,6 +35,11 @@
 _CARRIERS: dict[type, int] = {
     OfferCarrier: 60,
     AnswerCarrier: 61,
+    RequestPart: 62,
+    RequestCredit: 63,
+    AnswerPart: 64,
+    AnswerCredit: 65,
+    InterimAnswer: 66,
 }
 
 WIRE_NUMBERS: dict[type, int] = _MEMBERSHIP | _DISTRIBUTION | _TRAFFIC | _CARRIERS
--- /dev/null
+++ b/packages/papayapost-node/tests/test_streaming.py
@@ -0,0 +1,231 @@
+import asyncio
+import hashlib
+
+import pytest
+
+from papayapost.ids import Address
+from papayapost_node.addresses import split_address
+from papayapost_testing.node_pair import NodePair, node_pair
+
+PIECE = bytes(range(256)) * 256
+GET = b"GET /scan HTTP/1.1\r\nhost: scans.example\r\n\r\n"
+
+
+async def read_head(reader: asyncio.StreamReader) -> bytes:
+    return await reader.readuntil(b"\r\n\r\n")
+
+
+async def answer_probe(head: bytes, writer: asyncio.StreamWriter) -> bool:
+    if b"/probe" not in head:
+        return False
+    writer.write(b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok")
+    return True
+
+
+def scripted(after_head):
+    async def script(reader, writer):
+        while True:
+            head = await read_head(reader)
+            if not await answer_probe(head, writer):
+                await after_head(head, reader, writer)
+
+    return script
+
+
+async def open_caller(address: Address):
+    ip, port = split_address(address)
+    return await asyncio.open_connection(ip, port)
+
+
+def run(scenario, after_head, slots: int = 4) -> None:
+    async def main():
+        async with asyncio.timeout(15), node_pair(scripted(after_head), slots) as pair:
+            await scenario(pair)
+
+    asyncio.run(main())
+
+
+def addresses_of(pair: NodePair) -> list[Address]:
+    return [pair.entry_address, pair.owner_address]
+
+
+def test_a_large_download_arrives_whole_over_one_and_two_nodes():
+    pieces = 300
+
+    async def backend(head, reader, writer):
+        length = pieces * len(PIECE)
+        writer.write(b"HTTP/1.1 200 OK\r\ncontent-length: %d\r\n\r\n" % length)
+        for _ in range(pieces):
+            writer.write(PIECE)
+            await writer.drain()
+
+    async def scenario(pair):
+        expected = hashlib.sha256(PIECE * pieces).digest()
+        for address in addresses_of(pair):
+            reader, writer = await open_caller(address)
+            writer.write(GET)
+            assert b"content-length: 19660800" in await read_head(reader)
+            body = await reader.readexactly(pieces * len(PIECE))
+            assert hashlib.sha256(body).digest() == expected
+            writer.close()
+
+    run(scenario, backend)
+
+
+def test_a_chunked_upload_arrives_whole_with_its_trailers():
+    pieces = 40
+    seen = []
+
+    async def backend(head, reader, writer):
+        digest, size = hashlib.sha256(), 0
+        while length := int(await reader.readline(), 16):
+            data = await reader.readexactly(length)
+            size += length
+            digest.update(data)
+            await reader.readline()
+        trailers = await reader.readuntil(b"\r\n")
+        await reader.readuntil(b"\r\n")
+        seen.append((size, digest.digest(), trailers))
+        writer.write(b"HTTP/1.1 204 No Content\r\n\r\n")
+
+    async def scenario(pair):
+        for address in addresses_of(pair):
+            reader, writer = await open_caller(address)
+            writer.write(
+                b"POST /scan HTTP/1.1\r\nhost: a\r\ntransfer-encoding: chunked\r\n\r\n"
+            )
+            for _ in range(pieces):
+                writer.write(b"%x\r\n" % len(PIECE) + PIECE + b"\r\n")
+                await writer.drain()
+            writer.write(b"0\r\nx-sum: 7\r\n\r\n")
+            assert (await read_head(reader)).startswith(b"HTTP/1.1 204")
+            writer.close()
+
+    run(scenario, backend)
+    digest = hashlib.sha256(PIECE * pieces).digest()
+    assert seen == [(pieces * len(PIECE), digest, b"x-sum: 7\r\n")] * 2
+
+
+@pytest.mark.parametrize(
+    "framing", [b"content-length: 100000", b"transfer-encoding: chunked"]
+)
+def test_an_answer_that_the_backend_server_cuts_short_is_cut_for_the_caller(framing):
+    async def backend(head, reader, writer):
+        writer.write(b"HTTP/1.1 200 OK\r\n" + framing + b"\r\n\r\n")
+        is_chunked = b"chunked" in framing
+        writer.write(b"3e8\r\n" * is_chunked + PIECE[:1000] + b"\r\n" * is_chunked)
+        await writer.drain()
+        raise ConnectionResetError
+
+    async def scenario(pair):
+        for address in addresses_of(pair):
+            reader, writer = await open_caller(address)
+            writer.write(GET)
+            head = await read_head(reader)
+            body = await reader.read()
+            assert b"200" in head
+            assert PIECE[:1000] in body
+            assert not body.endswith(b"0\r\n\r\n")
+            assert len(body) < 100_000
+            writer.close()
+
+    run(scenario, backend)
+
+
+def test_a_slow_reader_stops_the_backend_server_and_frees_it_when_gone():
+    sent = []
+
+    async def backend(head, reader, writer):
+        sent.append(0)
+        writer.write(b"HTTP/1.1 200 OK\r\ncontent-length: 10000000000\r\n\r\n")
+        while True:
+            writer.write(PIECE)
+            await writer.drain()
+            sent[-1] += len(PIECE)
+
+    async def scenario(pair):
+        for address in addresses_of(pair):
+            pair.backend.ended.clear()
+            reader, writer = await open_caller(address)
+            writer.write(GET)
+            await read_head(reader)
+            before = -1
+            while sent[-1] != before:
+                before = sent[-1]
+                await asyncio.sleep(0.2)
+            assert before < 32 << 20  # kernel buffers of three connections
+            writer.transport.abort()
+            await pair.backend.ended.wait()
+
+    run(scenario, backend)
+
+
+def test_a_caller_who_leaves_cancels_its_call_at_the_backend_server():
+    begun = asyncio.Event()
+
+    async def backend(head, reader, writer):
+        begun.set()
+        assert await reader.read() == b""
+        raise ConnectionResetError
+
+    async def scenario(pair):
+        for address in addresses_of(pair):
+            begun.clear()
+            pair.backend.ended.clear()
+            _, writer = await open_caller(address)
+            writer.write(GET)
+            await begun.wait()
+            writer.close()
+            await pair.backend.ended.wait()
+        assert pair.owner.world.traffic.owner.running == 0
+
+    run(scenario, backend)
+
+
+def test_a_body_is_asked_for_only_once_the_request_has_a_slot():
+    async def backend(head, reader, writer):
+        assert b"expect" not in head.lower()
+        assert await reader.readexactly(5) == b"12345"
+        writer.write(b"HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n")
+
+    async def scenario(pair):
+        for address in addresses_of(pair):
+            reader, writer = await open_caller(address)
+            head = b"POST /%s HTTP/1.1\r\nhost: a\r\ncontent-length: 5\r\n"
+            writer.write(head % b"scan" + b"expect: 100-continue\r\n\r\n")
+            assert await read_head(reader) == b"HTTP/1.1 100 \r\n\r\n"
+            writer.write(b"12345")
+            assert b"200" in await read_head(reader)
+            unrouted = head.replace(b"POST", b"PATCH") % b"scan"
+            writer.write(unrouted + b"expect: 100-continue\r\n\r\n")
+            assert b"404" in await read_head(reader)
+            writer.close()
+
+    run(scenario, backend)
+
+
+def test_answers_without_a_body_keep_the_connection_in_step():
+    async def backend(head, reader, writer):
+        if head.startswith(b"HEAD"):
+            writer.write(b"HTTP/1.1 200 OK\r\ncontent-length: 77\r\n\r\n")
+        elif b"/unchanged" in head:
+            writer.write(b"HTTP/1.1 304 Not Modified\r\netag: 1\r\n\r\n")
+        else:
+            writer.write(b"HTTP/1.1 103 Early Hints\r\nlink: </a>\r\n\r\n")
+            writer.write(b"HTTP/1.1 200 OK\r\nconnection: x-hop\r\nx-hop: 1\r\n")
+            writer.write(b"content-length: 4\r\n\r\nlast")
+
+    async def scenario(pair):
+        for address in addresses_of(pair):
+            reader, writer = await open_caller(address)
+            writer.write(GET.replace(b"GET", b"HEAD"))
+            assert b"content-length: 77" in await read_head(reader)
+            writer.write(GET.replace(b"/scan", b"/unchanged"))
+            assert b"304" in await read_head(reader)
+            writer.write(GET)
+            assert b"103" in await read_head(reader)
+            assert b"x-hop" not in await read_head(reader)
+            assert await reader.readexactly(4) == b"last"
+            writer.close()
+
+    run(scenario, backend)
--- /dev/null
+++ b/packages/papayapost-testing/src/papayapost_testing/node_pair.py
@@ -0,0 +1,98 @@
+"""Two nodes in one process: one that callers enter, one with a service."""
+
+import asyncio
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+from dataclasses import dataclass
+
+from papayapost.ids import Address
+from papayapost_node.composition import Node, build_node
+from papayapost_node.http import ClientConnection, HttpRequest
+from papayapost_node.settings import Settings
+from papayapost_node.store import HttpStoreClient
+from papayapost_testing.ports import free_addresses
+from papayapost_testing.scripted_server import Script, ScriptedServer
+from papayapost_testing.store import ObjectStoreStandIn
+
+__all__ = ["NodePair", "node_pair"]
+
+_RULES = (
+    "route GET /* -> scans rank=normal idempotent=yes timeout_ms=30000 # Ana: scans\n"
+    "route POST /* -> scans rank=normal idempotent=no timeout_ms=30000 # Ana: scans\n"
+    "route HEAD /* -> scans rank=normal idempotent=yes timeout_ms=30000 # Ana: scans\n"
+)
+_READY_S = 10
+
+
+@dataclass(slots=True)
+class NodePair:
+    """An entry node without a backend server, and an owner node.
+
+    Attributes
+    ----------
+    entry_address, owner_address
+        Where each takes callers; the owner's calls need no second node.
+    """
+
+    entry: Node
+    owner: Node
+    entry_address: Address
+    owner_address: Address
+    backend: ScriptedServer
+
+
+@asynccontextmanager
+async def node_pair(script: Script, slots: int = 4) -> AsyncIterator[NodePair]:
+    """Run two nodes, a store and a scripted backend server."""
+    store_address, backend_address, *addresses = free_addresses(6)
+    store = ObjectStoreStandIn(store_address)
+    await store.start()
+    client = HttpStoreClient(store_address)
+    await client.update("config", "rules", _RULES.encode(), 0)
+    backend = ScriptedServer(backend_address, script)
+    await backend.start()
+    callers, peers = addresses[:2], addresses[2:]
+    nodes = []
+    for number in range(2):
+        service = {
+            "service": "scans",
+            "address": backend_address,
+            "slots": slots,
+            "connections": 2 * slots,
+        }
+        settings = {
+            "node_id": f"n{number}",
+            "data_centre": "south-1",
+            "region": "south",
+            "caller_address": callers[number],
+            "peer_address": peers[number],
+            "store_address": store_address,
+            "seeds": [peers[0]],
+            "backend_server": service if number else None,
+        }
+        nodes.append(await build_node(Settings.model_validate(settings)))
+    for node in nodes:
+        await node.start()
+    try:
+        for address in callers:
+            await _until_routed(address)
+        backend.connections = 0
+        backend.ended.clear()
+        yield NodePair(nodes[0], nodes[1], callers[0], callers[1], backend)
+    finally:
+        for node in nodes:
+            await node.close()
+        await backend.close()
+        await store.close()
+
+
+async def _until_routed(address: Address) -> None:
+    """Wait until a probe is no longer refused for want of rules or servers."""
+    request = HttpRequest("GET", "/probe", [(b"host", b"scans.example")])
+    async with asyncio.timeout(_READY_S):
+        while True:
+            connection = await ClientConnection.open(address)
+            answer = await connection.call(request)
+            connection.close()
+            if answer.header(b"papayapost-outcome") is None:
+                return
--- a/packages/papayapost/src/papayapost/errors.py
+++ b/packages/papayapost/src/papayapost/errors.py
@@ -10,6 +10,7 @@
 from papayapost.findings import Finding
 
 __all__ = [
+    "CreditExceeded",
     "ErrorCode",
     "FindingsError",
     "FrameError",
@@ -30,6 +31,7 @@
     STORE_UNAVAILABLE = 301
     STORE_CONFLICT = 302
     FRAME_MALFORMED = 401
+    CREDIT_EXCEEDED = 402
     UNKNOWN_ROW = 901
 
     def __str__(self):
@@ -96,6 +98,18 @@
     code = ErrorCode.FRAME_MALFORMED
 
 
+class CreditExceeded(PapayapostError):
+    """A peer sent more of a body than it was granted."""
+
+    code = ErrorCode.CREDIT_EXCEEDED
+
+    def __init__(self, size_bytes: int, granted_bytes: int):
+        super().__init__(
+            f"{size_bytes} bytes of a body arrived where {granted_bytes} were "
+            "granted; check the versions of the two nodes"
+        )
+
+
 class UnknownRow(PapayapostError):
     """A table holds no row under the key that was asked for."""
 
