--- a/packages/papayapost-node/src/papayapost_node/wire/catalogue.py
+++ b/packages/papayapost-node/src/papayapost_node/wire/catalogue.py
@@ -4,8 +4,21 @@
 """
 
 from papayapost.membership import Announcement
-from papayapost.traffic import AttemptCancel, AttemptOffer, AttemptRefused
-from papayapost_node.wire.carriers import AnswerCarrier, OfferCarrier
+from papayapost.traffic import (
+    AttemptCancel,
+    AttemptFailed,
+    AttemptOffer,
+    AttemptRefused,
+)
+from papayapost_node.wire.carriers import (
+    AnswerCarrier,
+    AnswerCredit,
+    AnswerPart,
+    InterimAnswer,
+    OfferCarrier,
+    RequestCredit,
+    RequestPart,
+)
 
 __all__ = ["WIRE_NUMBERS"]
 
@@ -17,10 +30,16 @@
     AttemptOffer: 40,
     AttemptCancel: 41,
     AttemptRefused: 42,
+    AttemptFailed: 43,
 }
 _CARRIERS: dict[type, int] = {
     OfferCarrier: 60,
     AnswerCarrier: 61,
+    RequestPart: 62,
+    RequestCredit: 63,
+    AnswerPart: 64,
+    AnswerCredit: 65,
+    InterimAnswer: 66,
 }
 
 WIRE_NUMBERS: dict[type, int] = _MEMBERSHIP | _DISTRIBUTION | _TRAFFIC | _CARRIERS
--- a/packages/papayapost/src/papayapost/traffic/__init__.py
+++ b/packages/papayapost/src/papayapost/traffic/__init__.py
@@ -1,29 +1,46 @@
 """Calls: routing at the entry node, admission at the owner node."""
 
-from papayapost.traffic.balancing import BalancingPolicy, NearestLeastOutstanding
-from papayapost.traffic.entry import EndCalls, Offers, RouteCalls, SettleRefusals
+from papayapost.traffic.balancing import BalancingPolicy, NearestOfTwo
+from papayapost.traffic.endings import EndCalls
+from papayapost.traffic.entry import RouteCalls
 from papayapost.traffic.messages import (
     AnswerBegun,
     AnswerEnded,
     AttemptCancel,
-    AttemptExpired,
+    AttemptFailed,
     AttemptOffer,
     AttemptRefused,
-    BackendCallBegun,
-    BackendCallCancel,
-    BackendCallEnded,
-    BackendCallStart,
     CallArrived,
     CallerGone,
     CallExpired,
     CallRefusal,
+    CutAnswer,
+    DropAnswer,
     ForwardAnswer,
+    LossCause,
     OfferSend,
+    OfferUndelivered,
+    OwnerLost,
     RefusalCode,
 )
 from papayapost.traffic.owner import AdmitAttempts
+from papayapost.traffic.owner_messages import (
+    AttemptExpired,
+    BackendCallBegun,
+    BackendCallCancel,
+    BackendCallEnded,
+    BackendCallStart,
+    DrainComplete,
+    DrainRequested,
+    DropOffer,
+    OwnBackendServerSeen,
+)
+from papayapost.traffic.owner_tables import OwnerTables
 from papayapost.traffic.part import TrafficPart, build_traffic
-from papayapost.traffic.tables import OwnerTables, TrafficTables
+from papayapost.traffic.retries import BudgetedRetries, RetryPolicy
+from papayapost.traffic.settle import SettleAttempts
+from papayapost.traffic.tables import TrafficCounters, TrafficTables
+from papayapost.traffic.upstreams import Upstreams
 
 __all__ = [
     "AdmitAttempts",
@@ -31,6 +48,7 @@
     "AnswerEnded",
     "AttemptCancel",
     "AttemptExpired",
+    "AttemptFailed",
     "AttemptOffer",
     "AttemptRefused",
     "BackendCallBegun",
@@ -38,20 +56,32 @@
     "BackendCallEnded",
     "BackendCallStart",
     "BalancingPolicy",
+    "BudgetedRetries",
     "CallArrived",
     "CallExpired",
     "CallRefusal",
     "CallerGone",
+    "CutAnswer",
+    "DrainComplete",
+    "DrainRequested",
+    "DropAnswer",
+    "DropOffer",
     "EndCalls",
     "ForwardAnswer",
-    "NearestLeastOutstanding",
+    "LossCause",
+    "NearestOfTwo",
     "OfferSend",
-    "Offers",
+    "OfferUndelivered",
+    "OwnBackendServerSeen",
+    "OwnerLost",
     "OwnerTables",
     "RefusalCode",
+    "RetryPolicy",
     "RouteCalls",
-    "SettleRefusals",
+    "SettleAttempts",
+    "TrafficCounters",
     "TrafficPart",
     "TrafficTables",
+    "Upstreams",
     "build_traffic",
 ]
--- a/packages/papayapost/src/papayapost/traffic/owner.py
+++ b/packages/papayapost/src/papayapost/traffic/owner.py
@@ -6,15 +6,17 @@
 from papayapost.place import SelfRow
 from papayapost.traffic.messages import (
     AttemptCancel,
-    AttemptExpired,
     AttemptOffer,
     AttemptRefused,
+    RefusalCode,
+)
+from papayapost.traffic.owner_messages import (
+    AttemptExpired,
     BackendCallCancel,
     BackendCallEnded,
     BackendCallStart,
-    RefusalCode,
 )
-from papayapost.traffic.tables import OwnedRow, OwnedState, OwnerTables
+from papayapost.traffic.owner_tables import OwnedRow, OwnedState, OwnerTables
 
 __all__ = ["AdmitAttempts"]
 
