--- a/packages/papayapost-node/src/papayapost_node/wire/catalogue.py
+++ b/packages/papayapost-node/src/papayapost_node/wire/catalogue.py
@@ -3,7 +3,25 @@
 A number is never reused, so that mixed versions on the wire stay apart.
 """
 
-from papayapost.membership import Announcement
+from papayapost.membership import (
+    Announcement,
+    BucketDigests,
+    BucketRows,
+    BucketsWanted,
+    Detach,
+    DigestsOffered,
+    DirectoryDelta,
+    Heartbeat,
+    HeartbeatAnswer,
+    JoinAccepted,
+    JoinRedirected,
+    JoinRequest,
+    Probe,
+    ProbeAnswer,
+    ProbeRequest,
+    ProbeResult,
+    Vouch,
+)
 from papayapost.traffic import AttemptCancel, AttemptOffer, AttemptRefused
 from papayapost_node.wire.carriers import AnswerCarrier, OfferCarrier
 
@@ -11,6 +29,22 @@
 
 _MEMBERSHIP: dict[type, int] = {
     Announcement: 1,
+    JoinRequest: 2,
+    JoinAccepted: 3,
+    JoinRedirected: 4,
+    Heartbeat: 5,
+    HeartbeatAnswer: 6,
+    Detach: 7,
+    DirectoryDelta: 8,
+    DigestsOffered: 9,
+    BucketDigests: 10,
+    BucketsWanted: 11,
+    BucketRows: 12,
+    Vouch: 13,
+    Probe: 14,
+    ProbeAnswer: 15,
+    ProbeRequest: 16,
+    ProbeResult: 17,
 }
 _DISTRIBUTION: dict[type, int] = {}
 _TRAFFIC: dict[type, int] = {
--- /dev/null
+++ b/packages/papayapost/src/papayapost/membership/budget.py
@@ -0,0 +1,48 @@
+"""Budgets that bound what a node sends per second."""
+
+from papayapost.ids import Micros
+
+__all__ = ["Budget"]
+
+_SECOND_US = 1_000_000
+
+
+class Budget:
+    """A token bucket in the tick's time.
+
+    Parameters
+    ----------
+    per_second
+        Units that come free in a second.
+    burst
+        Units that a rested budget holds.
+
+    Examples
+    --------
+    >>> budget = Budget(per_second=2, burst=3)
+    >>> [budget.take(1, Micros(0)) for _ in range(4)]
+    [True, True, True, False]
+    >>> budget.take(1, Micros(500_000))
+    True
+    """
+
+    def __init__(self, per_second: float, burst: float):
+        self._per_second = per_second
+        self._burst = burst
+        self._units = float(burst)
+        self._filled_us = Micros(0)
+
+    def available(self, now_us: Micros) -> int:
+        """Return how many whole units could be taken now."""
+        passed_us = max(0, now_us - self._filled_us)
+        refill = passed_us * self._per_second / _SECOND_US
+        self._units = min(self._burst, self._units + refill)
+        self._filled_us = now_us
+        return int(self._units)
+
+    def take(self, units: float, now_us: Micros) -> bool:
+        """Take units if there are as many, and return whether there were."""
+        if self.available(now_us) < units:
+            return False
+        self._units -= units
+        return True
--- /dev/null
+++ b/packages/papayapost/src/papayapost/membership/children.py
@@ -0,0 +1,284 @@
+"""Admits children, answers their heartbeats, and notices silent ones."""
+
+from dataclasses import dataclass
+
+from papayapost.ids import Micros, NodeId
+from papayapost.kernel import System, Tick
+from papayapost.membership.budget import Budget
+from papayapost.membership.heartbeats import PAUSE_US, SILENCE_US
+from papayapost.membership.members import Members
+from papayapost.membership.messages import (
+    ChildAcknowledged,
+    ChildJoined,
+    ChildLeft,
+    Contact,
+    Detach,
+    DirectoryChanged,
+    Heartbeat,
+    HeartbeatAnswer,
+    JoinAccepted,
+    JoinRedirected,
+    JoinRequest,
+    MemberSuspected,
+    RowsArrived,
+)
+from papayapost.membership.ranking import MAX_CHILDREN, order_of
+from papayapost.membership.tables import BackendServerRow, ChildRow, TreeTables
+from papayapost.observe import Event, Noted
+from papayapost.peering import PeerSend
+from papayapost.states import BackendServerState, MemberState
+
+__all__ = ["AdmitChildren", "WatchChildren"]
+
+_SWEEP_US = 1_000_000
+_GIVE_UP_US = 10_000_000
+_JOINS_PER_SECOND = 40
+_JOINS_BURST = 60
+_ANSWERS_PER_SECOND = 100
+_RETRY_MIN_MS = 500
+_RETRY_MAX_MS = 60_000
+_STALE_RETRY_MS = 200
+_MAX_CONTACTS = 3
+_BACKLOG_WINDOW_US = 5_000_000
+
+
+@dataclass(slots=True)
+class SweepDue:
+    """Timer: look for children that fell silent."""
+
+
+class AdmitChildren(System):
+    """Decides on each request to become a child.
+
+    Requests beyond the budget are answered with a pause that grows with the
+    backlog, and beyond that with nothing, so that a herd costs no more.
+    """
+
+    consumes = (JoinRequest,)
+
+    def __init__(self, members: Members, tree: TreeTables):
+        self._me = members.me
+        self._members = members
+        self._tree = tree
+        self._joins = Budget(_JOINS_PER_SECOND, _JOINS_BURST)
+        self._answers = Budget(_ANSWERS_PER_SECOND, _ANSWERS_PER_SECOND)
+        self._backlog: dict[NodeId, Micros] = {}
+
+    def run(self, tick: Tick) -> None:
+        """Answer the requests."""
+        for request in tick.take(JoinRequest):
+            if request.row.node_id == request.sender != self._me.node_id:
+                self._decide(tick, request)
+
+    def _decide(self, tick: Tick, request: JoinRequest) -> None:
+        row = request.row
+        child = self._tree.children.get(row.node_id)
+        if child is not None and child.incarnation == row.incarnation:
+            self._see_again(tick, child, request)
+        elif not self._joins.take(1, tick.now_us):
+            self._defer(tick, row)
+        elif self._is_superseded(row):
+            self._answer_superseded(tick, request)
+        elif self._may_accept(request):
+            self._accept(tick, request)
+        else:
+            self._redirect(tick, row, 0)
+
+    def _may_accept(self, request: JoinRequest) -> bool:
+        row, me = request.row, self._me
+        is_above = order_of(me.node_id) < order_of(row.node_id)
+        is_leaving = self._members.own.state is BackendServerState.DRAINING
+        has_room = len(self._tree.children) < MAX_CHILDREN
+        if not is_above or is_leaving or not has_room or row.is_gone:
+            return False
+        if row.region != me.place.region:
+            return False
+        ranking = self._members.ranking
+        if request.accepts_any or ranking.is_proper(me.node_id, row.node_id, row.place):
+            return True
+        return not self._contacts(row)
+
+    def _is_superseded(self, row: BackendServerRow) -> bool:
+        known = self._members.known(row.node_id)
+        return known is not None and known.precedence > row.precedence
+
+    def _answer_superseded(self, tick: Tick, request: JoinRequest) -> None:
+        """Let the sender see what is known of it, so that it refutes it."""
+        row = request.row
+        tick.post(RowsArrived(row.node_id, row.peer_address, (row,)))
+        self._redirect(tick, row, _STALE_RETRY_MS)
+
+    def _see_again(self, tick: Tick, child: ChildRow, request: JoinRequest) -> None:
+        child.heard_us = tick.now_us
+        child.state = MemberState.ALIVE
+        self._send_accepted(tick, request.row, child.version)
+
+    def _accept(self, tick: Tick, request: JoinRequest) -> None:
+        row = request.row
+        if not self._members.is_sane(row, tick.now_us):
+            return
+        tick.post(RowsArrived(row.node_id, row.peer_address, (row,)))
+        last_version = self._tree.last_version(row.node_id)
+        if self._tree.children.pop(row.node_id) is not None:
+            tick.post(ChildLeft(row.node_id))
+        child = ChildRow(
+            row.node_id,
+            row.peer_address,
+            row.incarnation,
+            request.version,
+            request.digest,
+            tick.now_us,
+        )
+        self._tree.children.put(row.node_id, child)
+        self._backlog.pop(row.node_id, None)
+        tick.post(ChildJoined(child))
+        tick.emit(Noted(Event.CHILD_ACCEPTED, peer=row.node_id))
+        self._send_accepted(tick, row, last_version)
+        if len(self._tree.children) == 1:
+            tick.set_timer("sweep", Micros(tick.now_us + _SWEEP_US), SweepDue())
+
+    def _send_accepted(self, tick: Tick, row: BackendServerRow, last_version) -> None:
+        tree, me = self._tree, self._me
+        accepted = JoinAccepted(
+            me.node_id,
+            me.peer_address,
+            last_version,
+            tree.own_version,
+            tree.own_digest,
+        )
+        tick.emit(PeerSend(row.peer_address, accepted))
+
+    def _redirect(self, tick: Tick, row: BackendServerRow, retry_after_ms: int) -> None:
+        contacts = () if retry_after_ms else tuple(self._contacts(row))
+        self._send_redirected(tick, row, contacts, retry_after_ms)
+
+    def _defer(self, tick: Tick, row: BackendServerRow) -> None:
+        if not self._answers.take(1, tick.now_us):
+            return
+        backlog = self._backlog
+        if not backlog:
+            tick.emit(Noted(Event.JOINS_DEFERRED))
+        backlog.pop(row.node_id, None)
+        backlog[row.node_id] = tick.now_us
+        self._forget_backlog(tick.now_us)
+        spread_ms = 1_000 * len(backlog) // _JOINS_PER_SECOND
+        latest_ms = min(2 * _RETRY_MIN_MS + spread_ms, _RETRY_MAX_MS)
+        retry_after_ms = tick.random.randrange(_RETRY_MIN_MS, latest_ms)
+        self._send_redirected(tick, row, (), retry_after_ms)
+
+    def _forget_backlog(self, now_us: Micros) -> None:
+        backlog = self._backlog
+        while backlog:
+            oldest = next(iter(backlog))
+            if backlog[oldest] > now_us - _BACKLOG_WINDOW_US:
+                return
+            del backlog[oldest]
+
+    def _send_redirected(
+        self,
+        tick: Tick,
+        row: BackendServerRow,
+        contacts: tuple[Contact, ...],
+        retry_after_ms: int,
+    ) -> None:
+        me = self._me
+        redirected = JoinRedirected(
+            me.node_id,
+            me.peer_address,
+            contacts,
+            self._tree.last_version(row.node_id),
+            retry_after_ms,
+        )
+        tick.emit(PeerSend(row.peer_address, redirected))
+
+    def _contacts(self, row: BackendServerRow) -> list[Contact]:
+        ranked = self._members.ranking.parents_for(row.node_id, row.place)
+        others = [n for n in ranked if n not in (self._me.node_id, row.node_id)]
+        directory = self._members.directory
+        return [
+            Contact(node_id, directory.require(node_id).peer_address)
+            for node_id in others[:_MAX_CONTACTS]
+        ]
+
+
+class WatchChildren(System):
+    """Answers heartbeats and lets go of children that are gone."""
+
+    consumes = (Detach, DirectoryChanged, Heartbeat, SweepDue)
+
+    def __init__(self, members: Members, tree: TreeTables):
+        self._members = members
+        self._tree = tree
+        self._swept_us = Micros(0)
+
+    def run(self, tick: Tick) -> None:
+        """Take heartbeats before silence is judged."""
+        for beat in tick.take(Heartbeat):
+            self._see_beat(tick, beat)
+        for detach in tick.take(Detach):
+            self._drop(tick, detach.sender)
+        for changed in tick.take(DirectoryChanged):
+            self._see_changes(tick, changed)
+        if tick.take(SweepDue):
+            self._sweep(tick)
+
+    def _see_beat(self, tick: Tick, beat: Heartbeat) -> None:
+        tree, me = self._tree, self._members.me
+        child = tree.children.get(beat.sender)
+        is_child = child is not None and child.incarnation == beat.incarnation
+        if child is not None and is_child:
+            self._refresh(tick, child, beat)
+            address = child.address
+        else:
+            row = self._members.directory.get(beat.sender)
+            if row is None:
+                return
+            address = row.peer_address
+        answer = HeartbeatAnswer(
+            me.node_id,
+            is_child,
+            tree.own_version,
+            tree.own_digest,
+            self._members.digests.total,
+        )
+        tick.emit(PeerSend(address, answer))
+
+    def _refresh(self, tick: Tick, child: ChildRow, beat: Heartbeat) -> None:
+        child.heard_us = tick.now_us
+        child.state = MemberState.ALIVE
+        self._tree.suspects.pop(child.node_id)
+        if (child.version, child.digest) != (beat.version, beat.digest):
+            child.version, child.digest = beat.version, beat.digest
+            tick.post(ChildAcknowledged(child))
+
+    def _see_changes(self, tick: Tick, changed: DirectoryChanged) -> None:
+        for row in changed.rows:
+            child = self._tree.children.get(row.node_id)
+            if child is None:
+                continue
+            if row.is_gone or row.incarnation > child.incarnation:
+                self._drop(tick, row.node_id)
+
+    def _drop(self, tick: Tick, node_id: NodeId) -> None:
+        child = self._tree.children.pop(node_id)
+        if child is not None:
+            self._tree.remember_version(node_id, child.version, tick.now_us)
+            tick.post(ChildLeft(node_id))
+            tick.emit(Noted(Event.CHILD_LOST, peer=node_id))
+
+    def _sweep(self, tick: Tick) -> None:
+        now_us, children = tick.now_us, self._tree.children
+        if now_us - self._swept_us > _SWEEP_US + PAUSE_US:
+            # This process was paused: the children's beats still wait.
+            for child in children:
+                child.heard_us = now_us
+        self._swept_us = now_us
+        for child in list(children):
+            silent_us = now_us - child.heard_us
+            if silent_us > _GIVE_UP_US:
+                self._drop(tick, child.node_id)
+            elif silent_us > SILENCE_US and child.state is MemberState.ALIVE:
+                child.state = MemberState.SUSPECT
+                tick.post(MemberSuspected(child.node_id))
+        if children:
+            tick.set_timer("sweep", Micros(now_us + _SWEEP_US), SweepDue())
--- a/packages/papayapost/src/papayapost/membership/directory.py
+++ b/packages/papayapost/src/papayapost/membership/directory.py
@@ -1,73 +1,163 @@
-"""Systems that keep the directory of backend servers."""
+"""Merges rows into the directory and answers those that are out of date."""
 
-from collections.abc import Sequence
+from dataclasses import replace
 
-from papayapost.ids import Address, Micros
+from papayapost.ids import Address, Incarnation, Micros, NodeId
 from papayapost.kernel import System, Tick
+from papayapost.membership.members import Members, Merged
 from papayapost.membership.messages import (
     Announcement,
     DirectoryChanged,
-    RefreshDue,
+    DirectoryDelta,
+    LeaveMesh,
+    OwnRowChanged,
+    RowsArrived,
+    RowsToSpread,
 )
-from papayapost.membership.tables import BackendServerRow, Directory
+from papayapost.membership.tables import BackendServerRow, TreeTables
+from papayapost.observe import Event, Noted
 from papayapost.peering import PeerSend
-from papayapost.place import SelfRow
+from papayapost.states import BackendServerState
 
-__all__ = ["AnnounceToSeeds", "MergeAnnouncements"]
+__all__ = ["AnnounceOwnRow", "MergeRows", "TombstonesDue"]
 
-_REFRESH_US = 1_000_000
+MAX_ROWS_PER_MESSAGE = 1_024
+_TOMBSTONES_EVERY_US = 60 * 1_000_000
 
 
-class AnnounceToSeeds(System):
-    """Tells the seeds of this node's own row and asks for theirs."""
+class TombstonesDue:
+    """Timer: drop the tombstones that are past their life."""
 
-    consumes = (RefreshDue,)
 
-    def __init__(self, me: SelfRow, seeds: Sequence[Address], directory: Directory):
-        self._me = me
-        self._seeds = tuple(seeds)
-        self._directory = directory
+class MergeRows(System):
+    """Keeps the newest row of each member.
+
+    A sender whose row is superseded gets the newer one back. A row about
+    this node that supersedes its own is refuted by a higher revision.
+    """
+
+    consumes = (Announcement, DirectoryDelta, RowsArrived, TombstonesDue)
+
+    def __init__(self, members: Members):
+        self._members = members
 
     def run(self, tick: Tick) -> None:
-        """Announce once per refresh period."""
-        own = self._directory.get(self._me.node_id)
-        rows = () if own is None else (own,)
-        for seed in self._seeds:
-            if seed != self._me.peer_address:
-                message = Announcement(
-                    self._me.node_id, self._me.peer_address, rows, True
-                )
-                tick.emit(PeerSend(seed, message))
-        tick.set_timer("refresh", Micros(tick.now_us + _REFRESH_US), RefreshDue())
+        """Merge all rows that arrived."""
+        for announcement in tick.take(Announcement):
+            self._answer(tick, announcement)
+        for delta in tick.take(DirectoryDelta):
+            self._merge(tick, RowsArrived(delta.sender, delta.reply_to, delta.rows))
+        for arrived in tick.take(RowsArrived):
+            self._merge(tick, arrived)
+        if tick.take(TombstonesDue):
+            self._members.expire_tombstones(tick.now_us)
+            due_us = Micros(tick.now_us + _TOMBSTONES_EVERY_US)
+            tick.set_timer("tombstones", due_us, TombstonesDue())
+
+    def _answer(self, tick: Tick, announcement: Announcement) -> None:
+        sender, reply_to = announcement.sender, announcement.reply_to
+        self._merge(tick, RowsArrived(sender, reply_to, announcement.rows))
+        if announcement.wants_reply:
+            self._send(tick, reply_to, (self._members.own,))
+
+    def _merge(self, tick: Tick, arrived: RowsArrived) -> None:
+        changed: list[BackendServerRow] = []
+        newer: list[BackendServerRow] = []
+        urgent: list[NodeId] = []
+        refused = 0
+        for row in arrived.rows[:MAX_ROWS_PER_MESSAGE]:
+            before = self._members.directory.get(row.node_id)
+            merged = self._members.merge(row, tick.now_us)
+            if merged is Merged.CHANGED:
+                changed.append(row)
+                if _is_urgent(before, row):
+                    urgent.append(row.node_id)
+            elif merged is Merged.STALE:
+                newer.append(self._known(row.node_id))
+            elif merged is Merged.ABOUT_ME:
+                self._refute(tick, row)
+            elif merged is Merged.REFUSED:
+                refused += 1
+        if changed:
+            tick.post(DirectoryChanged(tuple(changed)))
+            self._spread(tick, arrived.source, changed, urgent)
+        if newer and arrived.reply_to is not None:
+            self._send(tick, arrived.reply_to, tuple(newer))
+        if refused or len(arrived.rows) > MAX_ROWS_PER_MESSAGE:
+            detail = f"{refused} of {len(arrived.rows)} rows are out of bounds"
+            tick.emit(Noted(Event.ROWS_REFUSED, peer=arrived.source, detail=detail))
+
+    def _known(self, node_id: NodeId) -> BackendServerRow:
+        known = self._members.known(node_id)
+        assert known is not None
+        return known
 
+    def _spread(
+        self,
+        tick: Tick,
+        source: NodeId | None,
+        changed: list[BackendServerRow],
+        urgent: list[NodeId],
+    ) -> None:
+        if urgent:
+            tick.post(RowsToSpread(source, tuple(urgent), True))
+        waiting = tuple(r.node_id for r in changed if r.node_id not in urgent)
+        if waiting:
+            tick.post(RowsToSpread(source, waiting, False))
 
-class MergeAnnouncements(System):
-    """Merges announced rows and answers with the rows known here."""
+    def _refute(self, tick: Tick, row: BackendServerRow) -> None:
+        own = replace(
+            self._members.own,
+            incarnation=Incarnation(row.incarnation),
+            revision=row.revision + 1,
+        )
+        self._members.put_own(own)
+        tick.emit(Noted(Event.DEATH_REFUTED, detail=f"revision {own.revision}"))
+        tick.post(OwnRowChanged())
 
-    consumes = (Announcement,)
+    def _send(
+        self, tick: Tick, address: Address, rows: tuple[BackendServerRow, ...]
+    ) -> None:
+        me = self._members.me
+        tick.emit(PeerSend(address, DirectoryDelta(me.node_id, me.peer_address, rows)))
 
-    def __init__(self, me: SelfRow, directory: Directory):
-        self._me = me
-        self._directory = directory
+
+class AnnounceOwnRow(System):
+    """Spreads this node's own row when it changed, or its leave."""
+
+    consumes = (LeaveMesh, OwnRowChanged)
+
+    def __init__(self, members: Members, tree: TreeTables):
+        self._members = members
+        self._tree = tree
 
     def run(self, tick: Tick) -> None:
-        """Keep the newest row of each node."""
-        for announcement in tick.take(Announcement):
-            changed = tuple(row for row in announcement.rows if self._merge(row))
-            if changed:
-                tick.post(DirectoryChanged(changed))
-            if announcement.wants_reply:
-                reply = Announcement(
-                    self._me.node_id,
-                    self._me.peer_address,
-                    tuple(self._directory),
-                    False,
-                )
-                tick.emit(PeerSend(announcement.reply_to, reply))
-
-    def _merge(self, row: BackendServerRow) -> bool:
-        known = self._directory.get(row.node_id)
-        if known is not None and row.stamp <= known.stamp:
-            return False
-        self._directory.put(row.node_id, row)
+        """Hand the own row on."""
+        me = self._members.me
+        if tick.take(OwnRowChanged):
+            own = self._members.own
+            self._members.put_own(own)
+            tick.post(DirectoryChanged((own,)))
+            tick.post(RowsToSpread(me.node_id, (me.node_id,), True))
+        if tick.take(LeaveMesh):
+            self._leave(tick)
+
+    def _leave(self, tick: Tick) -> None:
+        """Tell the neighbours at once: this is the process's last tick."""
+        me, own = self._members.me, self._members.own
+        gone = replace(own, revision=own.revision + 1, state=BackendServerState.GONE)
+        delta = DirectoryDelta(me.node_id, me.peer_address, (gone,))
+        for _, address in self._tree.neighbours():
+            tick.emit(PeerSend(address, delta))
+        tick.emit(Noted(Event.MESH_LEFT))
+
+
+def _is_urgent(before: BackendServerRow | None, row: BackendServerRow) -> bool:
+    """Return whether calls are routed differently after the change."""
+    if before is None or row.is_gone:
         return True
+    return (before.service, before.peer_address, before.state) != (
+        row.service,
+        row.peer_address,
+        row.state,
+    )
--- a/packages/papayapost/src/papayapost/membership/messages.py
+++ b/packages/papayapost/src/papayapost/membership/messages.py
@@ -5,24 +5,58 @@
 
 from dataclasses import dataclass
 
-from papayapost.ids import Address, NodeId
+from papayapost.ids import (
+    Address,
+    DataCentreId,
+    Incarnation,
+    NodeId,
+    RegionId,
+    RuleVersion,
+)
 from papayapost.membership.tables import BackendServerRow, ChildRow, ParentRow
 
 __all__ = [
     "Announcement",
+    "BucketDigests",
+    "BucketRows",
+    "BucketsWanted",
+    "ChildAcknowledged",
     "ChildJoined",
     "ChildLeft",
+    "Contact",
+    "DataCentreDigest",
+    "DataCentreImage",
+    "DataCentreName",
+    "Detach",
+    "DigestsOffered",
     "DirectoryChanged",
+    "DirectoryDelta",
+    "Heartbeat",
+    "HeartbeatAnswer",
+    "JoinAccepted",
+    "JoinRedirected",
+    "JoinRequest",
+    "LeaveMesh",
+    "MemberSuspected",
     "OwnRowChanged",
     "ParentChanged",
-    "RefreshDue",
+    "ParentLost",
+    "ParentVersionSeen",
+    "Probe",
+    "ProbeAnswer",
+    "ProbeRequest",
+    "ProbeResult",
     "RoleChanged",
+    "RowsArrived",
+    "RowsToSpread",
+    "Vouch",
+    "Vouched",
 ]
 
 
 @dataclass(slots=True)
 class Announcement:
-    """Rows of the directory, each superseding its older revisions."""
+    """A root to any member: my own row; answer with what supersedes it."""
 
     sender: NodeId
     reply_to: Address
@@ -31,8 +65,257 @@
 
 
 @dataclass(slots=True)
-class RefreshDue:
-    """Timer: announce to the seeds again."""
+class Contact:
+    """A node that may become a parent."""
+
+    node_id: NodeId
+    address: Address
+
+
+@dataclass(slots=True)
+class JoinRequest:
+    """Take me as your child, or tell me whom to ask.
+
+    Parameters
+    ----------
+    row
+        The sender's own row.
+    accepts_any
+        Whether all better parents failed, so that any will do.
+    version, digest
+        The sender's rules version in force and its digest.
+    """
+
+    sender: NodeId
+    row: BackendServerRow
+    accepts_any: bool
+    version: RuleVersion
+    digest: int
+
+
+@dataclass(slots=True)
+class JoinAccepted:
+    """You are my child.
+
+    Parameters
+    ----------
+    last_version
+        The highest rules version that the child's former process is known
+        to have acknowledged, or 0.
+    version, digest
+        The parent's rules version in force and its digest.
+    """
+
+    sender: NodeId
+    reply_to: Address
+    last_version: RuleVersion
+    version: RuleVersion
+    digest: int
+
+
+@dataclass(slots=True)
+class JoinRedirected:
+    """Ask these instead, or ask again later.
+
+    Parameters
+    ----------
+    contacts
+        Better parents, best first; none if the sender knows of none.
+    retry_after_ms
+        Pause before the next request; 0 where none is needed.
+    """
+
+    sender: NodeId
+    reply_to: Address
+    contacts: tuple[Contact, ...]
+    last_version: RuleVersion
+    retry_after_ms: int
+
+
+@dataclass(slots=True)
+class Heartbeat:
+    """Child to parent: alive, with the rules version last acknowledged."""
+
+    sender: NodeId
+    incarnation: Incarnation
+    version: RuleVersion
+    digest: int
+
+
+@dataclass(slots=True)
+class HeartbeatAnswer:
+    """Parent to child: heard you.
+
+    Parameters
+    ----------
+    is_child
+        False if the sender of the heartbeat is no child here.
+    directory_digest
+        Digest of all live rows that the parent knows.
+    """
+
+    sender: NodeId
+    is_child: bool
+    version: RuleVersion
+    digest: int
+    directory_digest: int
+
+
+@dataclass(slots=True)
+class Detach:
+    """Child to former parent: another parent has taken me."""
+
+    sender: NodeId
+
+
+@dataclass(slots=True)
+class DirectoryDelta:
+    """Whole rows that changed; each supersedes its older revisions."""
+
+    sender: NodeId
+    reply_to: Address
+    rows: tuple[BackendServerRow, ...]
+
+
+@dataclass(slots=True)
+class DataCentreDigest:
+    """Digest of the live rows of one data centre."""
+
+    data_centre: DataCentreId
+    digest: int
+
+
+@dataclass(slots=True)
+class DigestsOffered:
+    """Child to parent: this is what my directory amounts to."""
+
+    sender: NodeId
+    reply_to: Address
+    digests: tuple[DataCentreDigest, ...]
+
+
+@dataclass(slots=True)
+class BucketDigests:
+    """Parent to child: the digests of a data centre that differs."""
+
+    sender: NodeId
+    reply_to: Address
+    data_centre: DataCentreId
+    buckets: tuple[int, ...]
+
+
+@dataclass(slots=True)
+class BucketsWanted:
+    """Child to parent: send the rows of these buckets."""
+
+    sender: NodeId
+    reply_to: Address
+    data_centre: DataCentreId
+    buckets: tuple[int, ...]
+
+
+@dataclass(slots=True)
+class BucketRows:
+    """Parent to child: all live rows of these buckets."""
+
+    sender: NodeId
+    reply_to: Address
+    data_centre: DataCentreId
+    buckets: tuple[int, ...]
+    rows: tuple[BackendServerRow, ...]
+
+
+@dataclass(slots=True)
+class Vouched:
+    """A child that is alive, with the version that it acknowledged."""
+
+    node_id: NodeId
+    version: RuleVersion
+
+
+@dataclass(slots=True)
+class Vouch:
+    """Parent to the relays of its data centre: these nodes are alive."""
+
+    sender: NodeId
+    alive: tuple[Vouched, ...]
+
+
+@dataclass(slots=True)
+class Probe:
+    """Ask whether the receiver is alive.
+
+    Parameters
+    ----------
+    on_behalf_of
+        Whom the answer is for, or the sender itself.
+    """
+
+    sender: NodeId
+    reply_to: Address
+    on_behalf_of: NodeId
+
+
+@dataclass(slots=True)
+class ProbeAnswer:
+    """I am here; this is my row."""
+
+    sender: NodeId
+    on_behalf_of: NodeId
+    row: BackendServerRow
+
+
+@dataclass(slots=True)
+class ProbeRequest:
+    """Please probe this member for me."""
+
+    sender: NodeId
+    reply_to: Address
+    target: Contact
+
+
+@dataclass(slots=True)
+class ProbeResult:
+    """What came of a probe on another's behalf.
+
+    Parameters
+    ----------
+    row
+        The target's row if it answered, else None.
+    """
+
+    sender: NodeId
+    target: NodeId
+    row: BackendServerRow | None
+
+
+@dataclass(slots=True)
+class DataCentreName:
+    """A data centre that keeps its directory in the store."""
+
+    data_centre: DataCentreId
+    region: RegionId
+
+
+@dataclass(slots=True)
+class DataCentreImage:
+    """Value of a DIRECTORY object: rows of one data centre, or the index.
+
+    Parameters
+    ----------
+    data_centres
+        In the index, all data centres; else empty.
+    rows
+        Live rows and tombstones.
+    """
+
+    data_centres: tuple[DataCentreName, ...]
+    rows: tuple[BackendServerRow, ...]
+
+
+@dataclass(slots=True)
+class LeaveMesh:
+    """Input: the process is about to exit; tell the others."""
 
 
 @dataclass(slots=True)
@@ -40,9 +323,37 @@
     """Internal: this node's own row has a new revision to announce."""
 
 
+@dataclass(slots=True)
+class RowsArrived:
+    """Internal: rows from another node or from the store.
+
+    Parameters
+    ----------
+    source, reply_to
+        Who sent them, and where rows that supersede them go; None for the
+        store.
+    """
+
+    source: NodeId | None
+    reply_to: Address | None
+    rows: tuple[BackendServerRow, ...]
+
+
+@dataclass(slots=True)
+class RowsToSpread:
+    """Internal: these members' rows changed and go on through the tree."""
+
+    source: NodeId | None
+    node_ids: tuple[NodeId, ...]
+    is_urgent: bool
+
+
 @dataclass(slots=True)
 class DirectoryChanged:
-    """Internal: these rows were inserted, replaced or removed."""
+    """Internal: these rows were inserted, replaced or removed.
+
+    A removed row is reported with the state GONE.
+    """
 
     rows: tuple[BackendServerRow, ...]
 
@@ -54,6 +365,21 @@
     parent: ParentRow | None
 
 
+@dataclass(slots=True)
+class ParentLost:
+    """Internal: the parent is gone or no longer knows this node."""
+
+    reason: str
+
+
+@dataclass(slots=True)
+class ParentVersionSeen:
+    """Internal: the parent shows another rules version than before."""
+
+    version: RuleVersion
+    digest: int
+
+
 @dataclass(slots=True)
 class ChildJoined:
     """Internal: a child was accepted; its version is in its row."""
@@ -61,6 +387,13 @@
     child: ChildRow
 
 
+@dataclass(slots=True)
+class ChildAcknowledged:
+    """Internal: a child's heartbeat shows another version than before."""
+
+    child: ChildRow
+
+
 @dataclass(slots=True)
 class ChildLeft:
     """Internal: a child left or was given up."""
@@ -68,6 +401,13 @@
     node_id: NodeId
 
 
+@dataclass(slots=True)
+class MemberSuspected:
+    """Internal: a member was silent for too long."""
+
+    node_id: NodeId
+
+
 @dataclass(slots=True)
 class RoleChanged:
     """Internal: the node's relay roles changed; see `TreeTables`."""
--- a/packages/papayapost/src/papayapost/membership/part.py
+++ b/packages/papayapost/src/papayapost/membership/part.py
@@ -5,14 +5,17 @@
 
 from papayapost.ids import Address
 from papayapost.kernel import System
-from papayapost.membership.directory import AnnounceToSeeds, MergeAnnouncements
-from papayapost.membership.messages import RefreshDue
-from papayapost.membership.tables import (
-    BackendServerRow,
-    Directory,
-    TreeTables,
-    directory_table,
-)
+from papayapost.membership.children import AdmitChildren, WatchChildren
+from papayapost.membership.directory import AnnounceOwnRow, MergeRows, TombstonesDue
+from papayapost.membership.failures import AnswerProbes, ConfirmFailures
+from papayapost.membership.heartbeats import KeepParent
+from papayapost.membership.members import Members
+from papayapost.membership.repair import RepairDirectory, ServeRepairs
+from papayapost.membership.roles import AssignRoles
+from papayapost.membership.seeking import SeekDue, SeekParent
+from papayapost.membership.spreading import SpreadRows
+from papayapost.membership.tables import BackendServerRow, Directory, TreeTables
+from papayapost.membership.vouching import AuditMembers, VouchDue, VouchForChildren
 from papayapost.place import SelfRow
 
 __all__ = ["MembershipPart", "build_membership"]
@@ -24,6 +27,7 @@
 
     directory: Directory
     tree: TreeTables
+    members: Members
     systems: list[System]
     first_messages: list[object]
 
@@ -36,14 +40,27 @@
     Parameters
     ----------
     seeds
-        Peer addresses to announce to.
+        Peer addresses to ask for a parent first.
     own
         The node's own row.
     """
-    directory = directory_table()
-    directory.put(own.node_id, own)
+    members = Members(me, own)
+    tree = TreeTables()
     systems: list[System] = [
-        MergeAnnouncements(me, directory),
-        AnnounceToSeeds(me, seeds, directory),
+        AdmitChildren(members, tree),
+        MergeRows(members),
+        AnnounceOwnRow(members, tree),
+        WatchChildren(members, tree),
+        SeekParent(members, tree, seeds),
+        KeepParent(members, tree),
+        RepairDirectory(members, tree),
+        ServeRepairs(members),
+        AssignRoles(members, tree),
+        VouchForChildren(members, tree),
+        AuditMembers(members, tree),
+        AnswerProbes(members),
+        ConfirmFailures(members, tree),
+        SpreadRows(members, tree),
     ]
-    return MembershipPart(directory, TreeTables(), systems, [RefreshDue()])
+    first: list[object] = [SeekDue(), VouchDue(), TombstonesDue()]
+    return MembershipPart(members.directory, tree, members, systems, first)
--- /dev/null
+++ b/packages/papayapost/src/papayapost/membership/ranking.py
@@ -0,0 +1,160 @@
+"""The order of nodes from which all roles in the tree follow.
+
+A node's order is a hash of its name, so that it is the same everywhere and
+for ever. A parent always comes before its children in that order; hence no
+loop of parents can arise, however much the views of nodes differ.
+"""
+
+from bisect import bisect_left, insort
+from heapq import nsmallest
+from random import Random
+
+from xxhash import xxh64_intdigest
+
+from papayapost.ids import DataCentreId, NodeId, RegionId
+from papayapost.place import Place
+from papayapost.states import TreeLevel
+
+__all__ = ["Order", "Ranking", "order_of"]
+
+RELAYS_PER_DATA_CENTRE = 3
+TARGET_CHILDREN = 38
+MAX_CHILDREN = 50
+
+_MAX_CANDIDATES = 6
+_FALLBACK_CANDIDATES = 2
+
+Order = tuple[int, NodeId]
+
+
+def order_of(node_id: NodeId) -> Order:
+    """Return a node's place in the order; the lowest ranks first.
+
+    Examples
+    --------
+    >>> order_of(NodeId("a")) < order_of(NodeId("b"))
+    False
+    """
+    return (xxh64_intdigest(node_id.encode(), seed=1), node_id)
+
+
+class Ranking:
+    """The members that may take a role, in order, by data centre."""
+
+    def __init__(self):
+        self._orders: dict[DataCentreId, list[Order]] = {}
+        self._places: dict[NodeId, Place] = {}
+        self._regions: dict[RegionId, dict[DataCentreId, None]] = {}
+
+    def __contains__(self, node_id: NodeId) -> bool:
+        return node_id in self._places
+
+    def add(self, node_id: NodeId, place: Place) -> None:
+        """Let a member take roles at a place."""
+        if self._places.get(node_id) == place:
+            return
+        self.remove(node_id)
+        self._places[node_id] = place
+        self._regions.setdefault(place.region, {})[place.data_centre] = None
+        orders = self._orders.setdefault(place.data_centre, [])
+        insort(orders, order_of(node_id))
+
+    def remove(self, node_id: NodeId) -> None:
+        """Let a member take no role."""
+        place = self._places.pop(node_id, None)
+        if place is not None:
+            orders = self._orders[place.data_centre]
+            del orders[bisect_left(orders, order_of(node_id))]
+
+    def size(self, data_centre: DataCentreId) -> int:
+        """Return how many members may take a role in a data centre."""
+        return len(self._orders.get(data_centre, ()))
+
+    def level_of(self, node_id: NodeId, data_centre: DataCentreId) -> TreeLevel:
+        """Return the level that a node has, or would have as a member."""
+        orders = self._orders.get(data_centre, [])
+        position = bisect_left(orders, order_of(node_id))
+        if position < RELAYS_PER_DATA_CENTRE:
+            return TreeLevel.RELAY
+        if position < RELAYS_PER_DATA_CENTRE + self._count_parents(data_centre):
+            return TreeLevel.PARENT
+        return TreeLevel.LEAF
+
+    def is_top(self, node_id: NodeId, data_centre: DataCentreId) -> bool:
+        """Return whether no member of the data centre ranks higher."""
+        orders = self._orders.get(data_centre, [])
+        return bisect_left(orders, order_of(node_id)) == 0
+
+    def relays(self, data_centre: DataCentreId) -> list[NodeId]:
+        """Return the relays of a data centre, highest first."""
+        orders = self._orders.get(data_centre, [])
+        return [node_id for _, node_id in orders[:RELAYS_PER_DATA_CENTRE]]
+
+    def sample(
+        self, data_centre: DataCentreId, count: int, random: Random
+    ) -> list[NodeId]:
+        """Return up to `count` random members of a data centre."""
+        orders = self._orders.get(data_centre, [])
+        chosen = random.sample(orders, min(count, len(orders)))
+        return [node_id for _, node_id in chosen]
+
+    def parents_for(self, node_id: NodeId, place: Place) -> list[NodeId]:
+        """Return whom a node should ask to be its parent, best first.
+
+        All of them rank higher than the node.
+        """
+        level = self.level_of(node_id, place.data_centre)
+        if level is TreeLevel.RELAY:
+            return self._parents_for_relay(node_id, place)
+        relays = _spread(node_id, self.relays(place.data_centre))
+        parents = self._parents(place.data_centre)
+        if level is TreeLevel.PARENT:
+            own = order_of(node_id)
+            above = [other for other in parents if order_of(other) < own]
+            return relays + _spread(node_id, above)[:_FALLBACK_CANDIDATES]
+        return _spread(node_id, parents)[:_MAX_CANDIDATES] + relays
+
+    def is_proper(self, parent_id: NodeId, node_id: NodeId, place: Place) -> bool:
+        """Return whether a parent is of the level that suits a node."""
+        if order_of(parent_id) >= order_of(node_id):
+            return False
+        level = self.level_of(node_id, place.data_centre)
+        if level is TreeLevel.RELAY:
+            return parent_id in self._parents_for_relay(node_id, place)[:1]
+        if level is TreeLevel.LEAF and self._count_parents(place.data_centre):
+            return parent_id in self._parents(place.data_centre)
+        return parent_id in self.relays(place.data_centre)
+
+    def _parents_for_relay(self, node_id: NodeId, place: Place) -> list[NodeId]:
+        own = order_of(node_id)
+        relays = [
+            order_of(relay)
+            for data_centre in self._regions.get(place.region, {})
+            for relay in self.relays(data_centre)
+        ]
+        above = [relay for _, relay in sorted(o for o in relays if o < own)]
+        near = [
+            r for r in above[1:] if self._places[r].data_centre == place.data_centre
+        ]
+        far = [relay for relay in above[1:] if relay not in near]
+        return [*above[:1], *near, *far]
+
+    def _count_parents(self, data_centre: DataCentreId) -> int:
+        size = self.size(data_centre)
+        if size <= RELAYS_PER_DATA_CENTRE + TARGET_CHILDREN:
+            return 0
+        return -(-size // TARGET_CHILDREN)
+
+    def _parents(self, data_centre: DataCentreId) -> list[NodeId]:
+        last = RELAYS_PER_DATA_CENTRE + self._count_parents(data_centre)
+        orders = self._orders.get(data_centre, [])
+        return [node_id for _, node_id in orders[RELAYS_PER_DATA_CENTRE:last]]
+
+
+def _spread(node_id: NodeId, candidates: list[NodeId]) -> list[NodeId]:
+    """Order candidates by rendezvous hash, differently for each node."""
+    return nsmallest(
+        len(candidates),
+        candidates,
+        key=lambda candidate: xxh64_intdigest(f"{node_id}/{candidate}".encode()),
+    )
--- /dev/null
+++ b/packages/papayapost/src/papayapost/membership/repair.py
@@ -0,0 +1,246 @@
+"""Repairs the directory by digests, and fills an empty one in chunks."""
+
+from collections import deque
+from dataclasses import dataclass
+
+from papayapost.ids import Address, Micros
+from papayapost.kernel import System, Tick
+from papayapost.membership.budget import Budget
+from papayapost.membership.digests import BUCKETS
+from papayapost.membership.members import Members
+from papayapost.membership.messages import (
+    BucketDigests,
+    BucketRows,
+    BucketsWanted,
+    DataCentreDigest,
+    DigestsOffered,
+    DirectoryDelta,
+    HeartbeatAnswer,
+    ParentChanged,
+    RowsArrived,
+)
+from papayapost.membership.tables import BackendServerRow, RepairRow, TreeTables
+from papayapost.observe import Event, Noted
+from papayapost.peering import PeerSend
+
+__all__ = ["RepairDirectory", "ServeRepairs"]
+
+_MISMATCHES_BEFORE_REPAIR = 3
+_REPAIR_TIMEOUT_US = 15_000_000
+_BUCKETS_PER_REQUEST = 4
+_MAX_DATA_CENTRES = 64
+_ROWS_PER_SECOND = 160
+_ROWS_BURST = 15_000
+_MAX_WAITING = 64
+_SERVE_AGAIN_US = 200_000
+
+
+@dataclass(slots=True)
+class RepairTimedOut:
+    """Timer: the parent has not answered a step of the repair."""
+
+
+@dataclass(slots=True)
+class ServeDue:
+    """Timer: serve the requests that the budget held back."""
+
+
+class RepairDirectory(System):
+    """Compares digests with the parent and fetches the buckets that differ.
+
+    A short difference is normal while changes are under way, so that a
+    repair begins only when it lasts; a new process begins at once.
+    """
+
+    consumes = (
+        BucketDigests,
+        BucketRows,
+        HeartbeatAnswer,
+        ParentChanged,
+        RepairTimedOut,
+    )
+
+    def __init__(self, members: Members, tree: TreeTables):
+        self._me = members.me
+        self._members = members
+        self._tree = tree
+        self._mismatches = 0
+
+    def run(self, tick: Tick) -> None:
+        """Take the next step of the repair."""
+        if tick.take(ParentChanged):
+            self._stop(tick)
+        if tick.take(RepairTimedOut):
+            self._stop(tick)
+        for answer in tick.take(HeartbeatAnswer):
+            self._compare(tick, answer)
+        for digests in tick.take(BucketDigests):
+            self._begin(tick, digests)
+        for rows in tick.take(BucketRows):
+            self._take_rows(tick, rows)
+
+    def _compare(self, tick: Tick, answer: HeartbeatAnswer) -> None:
+        tree = self._tree
+        if tree.parent is None or tree.parent.node_id != answer.sender:
+            return
+        if answer.directory_digest == self._members.digests.total:
+            self._mismatches = 0
+            tree.is_synced = True
+            return
+        self._mismatches += 1
+        patience = _MISMATCHES_BEFORE_REPAIR if tree.is_synced else 1
+        if tree.repair is None and self._mismatches >= patience:
+            self._mismatches = 0
+            self._offer(tick, tree.parent.address)
+
+    def _offer(self, tick: Tick, address: Address) -> None:
+        digests = self._members.digests
+        offered = tuple(
+            DataCentreDigest(data_centre, digests.of(data_centre))
+            for data_centre in digests.data_centres()
+        )
+        me = self._me
+        offer = DigestsOffered(me.node_id, me.peer_address, offered)
+        tick.emit(PeerSend(address, offer))
+
+    def _begin(self, tick: Tick, digests: BucketDigests) -> None:
+        parent = self._tree.parent
+        is_expected = parent is not None and parent.node_id == digests.sender
+        if not is_expected or len(digests.buckets) != BUCKETS:
+            return
+        mine = self._members.digests.buckets_of(digests.data_centre)
+        differing = deque(
+            bucket
+            for bucket in range(BUCKETS)
+            if mine[bucket] != digests.buckets[bucket]
+        )
+        self._tree.repair = RepairRow(digests.reply_to, digests.data_centre, differing)
+        self._ask_next(tick, self._tree.repair)
+
+    def _ask_next(self, tick: Tick, repair: RepairRow) -> None:
+        if not repair.buckets:
+            self._stop(tick)
+            detail = f"data centre {repair.data_centre}"
+            tick.emit(Noted(Event.DIRECTORY_REPAIRED, detail=detail))
+            return
+        count = min(_BUCKETS_PER_REQUEST, len(repair.buckets))
+        wanted = tuple(repair.buckets.popleft() for _ in range(count))
+        me = self._me
+        request = BucketsWanted(me.node_id, me.peer_address, repair.data_centre, wanted)
+        tick.emit(PeerSend(repair.source, request))
+        due_us = Micros(tick.now_us + _REPAIR_TIMEOUT_US)
+        tick.set_timer("repair", due_us, RepairTimedOut())
+
+    def _take_rows(self, tick: Tick, answer: BucketRows) -> None:
+        repair = self._tree.repair
+        if repair is None or repair.source != answer.reply_to:
+            return
+        if repair.data_centre != answer.data_centre:
+            return
+        self._send_missing(tick, answer)
+        if answer.rows:
+            tick.post(RowsArrived(answer.sender, answer.reply_to, answer.rows))
+        self._ask_next(tick, repair)
+
+    def _send_missing(self, tick: Tick, answer: BucketRows) -> None:
+        """Send the parent the rows that it does not have."""
+        theirs = {row.node_id for row in answer.rows}
+        mine = rows_of(self._members, answer.data_centre, answer.buckets)
+        missing = tuple(row for row in mine if row.node_id not in theirs)
+        if missing:
+            me = self._me
+            delta = DirectoryDelta(me.node_id, me.peer_address, missing)
+            tick.emit(PeerSend(answer.reply_to, delta))
+
+    def _stop(self, tick: Tick) -> None:
+        self._tree.repair = None
+        tick.cancel_timer("repair")
+
+
+class ServeRepairs(System):
+    """Serves digests and buckets to children, within a budget of rows.
+
+    Each child has at most one request waiting, and they are served in the
+    order in which they came, so that none of them starves.
+    """
+
+    consumes = (BucketsWanted, DigestsOffered, ServeDue)
+
+    def __init__(self, members: Members):
+        self._me = members.me
+        self._members = members
+        self._budget = Budget(_ROWS_PER_SECOND, _ROWS_BURST)
+        self._waiting: dict[Address, BucketsWanted] = {}
+
+    def run(self, tick: Tick) -> None:
+        """Serve what the budget allows."""
+        for offered in tick.take(DigestsOffered):
+            self._compare(tick, offered)
+        for wanted in tick.take(BucketsWanted):
+            is_known = wanted.reply_to in self._waiting
+            if is_known or len(self._waiting) < _MAX_WAITING:
+                self._waiting[wanted.reply_to] = wanted
+        self._serve(tick)
+
+    def _compare(self, tick: Tick, offered: DigestsOffered) -> None:
+        digests = self._members.digests
+        theirs = {
+            item.data_centre: item.digest
+            for item in offered.digests[:_MAX_DATA_CENTRES]
+        }
+        own = self._me.place.data_centre
+        # The own data centre first: it is the one that calls go to.
+        data_centres = sorted(digests.data_centres(), key=lambda dc: (dc != own, dc))
+        for data_centre in data_centres:
+            if digests.of(data_centre) == theirs.get(data_centre, 0):
+                continue
+            answer = BucketDigests(
+                self._me.node_id,
+                self._me.peer_address,
+                data_centre,
+                tuple(digests.buckets_of(data_centre)),
+            )
+            tick.emit(PeerSend(offered.reply_to, answer))
+            return
+        self._ask_for_unknown(tick, offered)
+
+    def _ask_for_unknown(self, tick: Tick, offered: DigestsOffered) -> None:
+        """Let the sender go through a data centre that is unknown here."""
+        known = self._members.digests.data_centres()
+        for item in offered.digests[:_MAX_DATA_CENTRES]:
+            if item.data_centre not in known and item.digest:
+                answer = BucketDigests(
+                    self._me.node_id,
+                    self._me.peer_address,
+                    item.data_centre,
+                    (0,) * BUCKETS,
+                )
+                tick.emit(PeerSend(offered.reply_to, answer))
+                return
+
+    def _serve(self, tick: Tick) -> None:
+        while self._waiting:
+            address = next(iter(self._waiting))
+            wanted = self._waiting[address]
+            buckets = tuple(sorted(set(wanted.buckets[:_BUCKETS_PER_REQUEST])))
+            rows = rows_of(self._members, wanted.data_centre, buckets)
+            if not self._budget.take(min(len(rows), _ROWS_BURST), tick.now_us):
+                due_us = Micros(tick.now_us + _SERVE_AGAIN_US)
+                tick.set_timer("serve repairs", due_us, ServeDue())
+                return
+            del self._waiting[address]
+            me = self._me
+            answer = BucketRows(
+                me.node_id,
+                me.peer_address,
+                wanted.data_centre,
+                buckets,
+                tuple(rows),
+            )
+            tick.emit(PeerSend(address, answer))
+
+
+def rows_of(members: Members, data_centre, buckets) -> list[BackendServerRow]:
+    """Return the live rows of some buckets of a data centre."""
+    find = members.directory.find
+    return [row for b in buckets for row in find("bucket", (data_centre, b))]
--- /dev/null
+++ b/packages/papayapost/src/papayapost/membership/roles.py
@@ -0,0 +1,47 @@
+"""Derives this node's relay roles from the ranking and the tree."""
+
+from papayapost.kernel import System, Tick
+from papayapost.membership.members import Members
+from papayapost.membership.messages import (
+    DirectoryChanged,
+    HeartbeatAnswer,
+    ParentChanged,
+    RoleChanged,
+)
+from papayapost.membership.tables import TreeTables
+from papayapost.observe import Event, Noted
+from papayapost.states import TreeLevel, TreeState
+
+__all__ = ["AssignRoles"]
+
+
+class AssignRoles(System):
+    """Reports when this node takes or gives up a role.
+
+    A node that has not yet compared its directory takes no role, however
+    high it ranks among the few members it knows.
+    """
+
+    consumes = (DirectoryChanged, HeartbeatAnswer, ParentChanged)
+
+    def __init__(self, members: Members, tree: TreeTables):
+        self._members = members
+        self._tree = tree
+
+    def run(self, tick: Tick) -> None:
+        """Compare the roles with those held until now."""
+        tree, ranking, me = self._tree, self._members.ranking, self._members.me
+        data_centre = me.place.data_centre
+        is_root = tree.state is TreeState.ROOT
+        is_informed = is_root or tree.is_synced
+        is_eligible = is_informed and me.node_id in ranking
+        before = (tree.level, tree.is_relay, tree.is_link_relay, tree.is_top_relay)
+        tree.level = ranking.level_of(me.node_id, data_centre)
+        tree.is_link_relay = is_root
+        tree.is_relay = is_root or (is_eligible and tree.level is TreeLevel.RELAY)
+        tree.is_top_relay = is_eligible and ranking.is_top(me.node_id, data_centre)
+        after = (tree.level, tree.is_relay, tree.is_link_relay, tree.is_top_relay)
+        if after != before:
+            tick.post(RoleChanged())
+            detail = f"{tree.level.value}, {tree.state.value}"
+            tick.emit(Noted(Event.ROLE_CHANGED, detail=detail))
--- /dev/null
+++ b/packages/papayapost/src/papayapost/membership/seeking.py
@@ -0,0 +1,300 @@
+"""Finds a parent, and a better one where the present one is not fitting."""
+
+from collections.abc import Iterable, Iterator, Sequence
+from dataclasses import dataclass
+from itertools import chain
+
+from papayapost.ids import Address, Micros, NodeId
+from papayapost.kernel import System, Tick
+from papayapost.membership.members import Members
+from papayapost.membership.messages import (
+    Announcement,
+    Detach,
+    DirectoryChanged,
+    JoinAccepted,
+    JoinRedirected,
+    JoinRequest,
+    ParentChanged,
+    ParentLost,
+)
+from papayapost.membership.ranking import order_of
+from papayapost.membership.tables import ParentRow, SeekRow, TreeTables
+from papayapost.observe import Event, Noted
+from papayapost.peering import PeerSend
+from papayapost.states import TreeState
+from papayapost.storage import ObjectKey, ObjectKind, ObjectSeen, ReadObject, RequestId
+
+__all__ = ["HINTS_REQUEST", "SeekDue", "SeekParent", "own_directory_key"]
+
+HINTS_REQUEST = RequestId("membership/hints")
+
+_ANSWER_TIMEOUT_US = 1_000_000
+_BACKOFF_MIN_US = 500_000
+_BACKOFF_MAX_US = 15_000_000
+_CHECK_US = 10_000_000
+_ALONE_US = 20_000_000
+_MAX_TRIES_PER_ROUND = 8
+_MAX_CONTACTS = 8
+_MAX_HINTS = 32
+_MAX_RETRY_AFTER_US = 60_000_000
+
+
+@dataclass(slots=True)
+class SeekDue:
+    """Timer: begin a round of requests."""
+
+
+@dataclass(slots=True)
+class SeekTimedOut:
+    """Timer: the node that was asked has not answered."""
+
+    target: Address
+
+
+def own_directory_key(members: Members) -> ObjectKey:
+    """Return the key of the directory of this node's data centre."""
+    return ObjectKey(ObjectKind.DIRECTORY, members.me.place.data_centre)
+
+
+class SeekParent(System):
+    """Asks one candidate after another until one accepts.
+
+    A node for which no higher-ranked member answers becomes a root, which
+    is a link relay. It goes on looking, so that several roots merge.
+
+    Parameters
+    ----------
+    seeds
+        Peer addresses from the settings.
+    """
+
+    consumes = (
+        DirectoryChanged,
+        JoinAccepted,
+        JoinRedirected,
+        ObjectSeen,
+        ParentLost,
+        SeekDue,
+        SeekTimedOut,
+    )
+
+    def __init__(self, members: Members, tree: TreeTables, seeds: Sequence[Address]):
+        me = members.me
+        self._me = me
+        self._members = members
+        self._tree = tree
+        self._is_seed = me.peer_address in seeds
+        self._seeds = [seed for seed in seeds if seed != me.peer_address]
+
+    def run(self, tick: Tick) -> None:
+        """Handle answers first, then begin or go on with a round."""
+        for lost in tick.take(ParentLost):
+            self._lose_parent(tick, lost.reason)
+        for changed in tick.take(DirectoryChanged):
+            self._see_changes(tick, changed)
+        for accepted in tick.take(JoinAccepted):
+            self._see_acceptance(tick, accepted)
+        for redirected in tick.take(JoinRedirected):
+            self._see_redirection(tick, redirected)
+        for seen in tick.take(ObjectSeen):
+            if seen.request_id == HINTS_REQUEST:
+                self._see_hints(tick, seen)
+        for timed_out in tick.take(SeekTimedOut):
+            if timed_out.target == self._tree.seek.target:
+                self._ask_next(tick)
+        if tick.take(SeekDue):
+            self._begin_round(tick)
+
+    def _begin_round(self, tick: Tick) -> None:
+        seek = self._tree.seek
+        seek.tried.clear()
+        seek.answers = 0
+        if self._tree.state is TreeState.ROOT:
+            self._greet(tick)
+        if self._is_content():
+            self._schedule(tick, _CHECK_US)
+            return
+        self._ask_next(tick)
+
+    def _is_content(self) -> bool:
+        tree, me = self._tree, self._me
+        if tree.parent is None:
+            return False
+        parent_id = tree.parent.node_id
+        ranking = self._members.ranking
+        return not tree.is_synced or ranking.is_proper(parent_id, me.node_id, me.place)
+
+    def _ask_next(self, tick: Tick) -> None:
+        seek, me = self._tree.seek, self._me
+        seek.target = None
+        if len(seek.tried) < _MAX_TRIES_PER_ROUND:
+            seek.target = next(self._untried(), None)
+        if seek.target is None:
+            self._end_round(tick)
+            return
+        accepts_any = bool(self._tree.parent is None and (seek.tried or seek.rounds))
+        seek.tried.add(seek.target)
+        tree = self._tree
+        request = JoinRequest(
+            me.node_id,
+            self._members.own,
+            accepts_any,
+            tree.own_version,
+            tree.own_digest,
+        )
+        tick.emit(PeerSend(seek.target, request))
+        due_us = Micros(tick.now_us + _ANSWER_TIMEOUT_US)
+        tick.set_timer("seek answer", due_us, SeekTimedOut(seek.target))
+
+    def _untried(self) -> Iterator[Address]:
+        tree, seek = self._tree, self._tree.seek
+        sources: list[Iterable[Address]] = [seek.contacts, self._ranked()]
+        if tree.parent is None and (len(self._members.directory) == 1 or seek.rounds):
+            sources += [self._seeds, seek.hints]
+        for address in chain.from_iterable(sources):
+            if address not in seek.tried and address != self._me.peer_address:
+                yield address
+
+    def _ranked(self) -> list[Address]:
+        me, ranking = self._me, self._members.ranking
+        ranked = ranking.parents_for(me.node_id, me.place)
+        parent = self._tree.parent
+        if parent is not None:
+            ranked = [
+                other
+                for other in ranked
+                if other != parent.node_id
+                and ranking.is_proper(other, me.node_id, me.place)
+            ]
+        directory = self._members.directory
+        return [directory.require(other).peer_address for other in ranked]
+
+    def _end_round(self, tick: Tick) -> None:
+        tree, seek = self._tree, self._tree.seek
+        seek.contacts.clear()
+        if tree.parent is None:
+            if self._may_be_root(tick):
+                self._become_root(tick)
+            elif not seek.answers:
+                key = own_directory_key(self._members)
+                tick.emit(ReadObject(key, HINTS_REQUEST))
+        seek.rounds += 1
+        ceiling_us = _BACKOFF_MIN_US << min(seek.rounds, 6)
+        self._schedule(tick, min(ceiling_us, _BACKOFF_MAX_US))
+
+    def _may_be_root(self, tick: Tick) -> bool:
+        seek = self._tree.seek
+        ranked = self._ranked()
+        if seek.answers:
+            return not ranked
+        is_known = len(self._members.directory) > 1
+        if is_known:
+            me = self._me
+            ranking = self._members.ranking
+            may_lead = me.node_id in ranking.relays(me.place.data_centre)
+        else:
+            may_lead = self._is_seed or not (self._seeds or seek.hints)
+        return may_lead or tick.now_us - seek.since_us > _ALONE_US
+
+    def _become_root(self, tick: Tick) -> None:
+        if self._tree.state is TreeState.ROOT:
+            return
+        self._tree.state = TreeState.ROOT
+        tick.post(ParentChanged(None))
+
+    def _greet(self, tick: Tick) -> None:
+        """Tell a random member of this root, so that split trees meet."""
+        me, members = self._me, self._members
+        known = [*self._seeds, *self._tree.seek.hints]
+        other = members.any_member(tick.random)
+        if other is not None:
+            known.append(other.peer_address)
+        if known:
+            hello = Announcement(me.node_id, me.peer_address, (members.own,), True)
+            tick.emit(PeerSend(tick.random.choice(known), hello))
+
+    def _see_changes(self, tick: Tick, changed: DirectoryChanged) -> None:
+        tree = self._tree
+        if tree.parent is not None:
+            parent_id = tree.parent.node_id
+            if any(row.node_id == parent_id and row.is_gone for row in changed.rows):
+                self._lose_parent(tick, "it is gone")
+        elif tree.state is TreeState.ROOT and self._ranked():
+            tick.set_timer("seek", self._soon(tick), SeekDue())
+
+    def _see_acceptance(self, tick: Tick, accepted: JoinAccepted) -> None:
+        tree, seek, me = self._tree, self._tree.seek, self._me
+        self._raise_floor(accepted.last_version)
+        parent = tree.parent
+        if parent is not None and parent.node_id == accepted.sender:
+            return
+        is_above = order_of(accepted.sender) < order_of(me.node_id)
+        if seek.target != accepted.reply_to or not is_above:
+            tick.emit(PeerSend(accepted.reply_to, Detach(me.node_id)))
+            return
+        if parent is not None:
+            tick.emit(PeerSend(parent.address, Detach(me.node_id)))
+        self._attach(tick, accepted)
+
+    def _attach(self, tick: Tick, accepted: JoinAccepted) -> None:
+        tree = self._tree
+        tree.parent = ParentRow(
+            accepted.sender, accepted.reply_to, accepted.version, accepted.digest
+        )
+        tree.state = TreeState.ATTACHED
+        tree.acknowledged_us = tick.now_us
+        tree.seek = SeekRow(since_us=tick.now_us)
+        tick.cancel_timer("seek answer")
+        tick.post(ParentChanged(tree.parent))
+        tick.emit(Noted(Event.PARENT_FOUND, peer=accepted.sender))
+        self._schedule(tick, _CHECK_US)
+
+    def _see_redirection(self, tick: Tick, redirected: JoinRedirected) -> None:
+        seek = self._tree.seek
+        self._raise_floor(redirected.last_version)
+        if seek.target != redirected.reply_to:
+            return
+        seek.answers += 1
+        for contact in redirected.contacts[:_MAX_CONTACTS]:
+            if self._is_useful(contact.node_id):
+                seek.contacts.append(contact.address)
+        while len(seek.contacts) > _MAX_CONTACTS:
+            seek.contacts.popleft()
+        retry_after_us = redirected.retry_after_ms * 1_000
+        if retry_after_us > 0 and not redirected.contacts:
+            seek.target = None
+            tick.cancel_timer("seek answer")
+            due_us = tick.now_us + min(retry_after_us, _MAX_RETRY_AFTER_US)
+            tick.set_timer("seek", Micros(due_us), SeekDue())
+            return
+        self._ask_next(tick)
+
+    def _is_useful(self, node_id: NodeId) -> bool:
+        return order_of(node_id) < order_of(self._me.node_id)
+
+    def _see_hints(self, tick: Tick, seen: ObjectSeen) -> None:
+        rows = getattr(seen.value, "rows", ())
+        live = [row.peer_address for row in rows if not row.is_gone]
+        count = min(len(live), _MAX_HINTS)
+        self._tree.seek.hints = tuple(tick.random.sample(live, count))
+
+    def _lose_parent(self, tick: Tick, reason: str) -> None:
+        tree = self._tree
+        if tree.parent is None:
+            return
+        tick.emit(Noted(Event.PARENT_LOST, peer=tree.parent.node_id, detail=reason))
+        tree.parent = None
+        tree.state = TreeState.SEEKING
+        tree.seek = SeekRow(since_us=tick.now_us)
+        tick.post(ParentChanged(None))
+        tick.set_timer("seek", self._soon(tick), SeekDue())
+
+    def _raise_floor(self, version) -> None:
+        self._tree.floor_version = max(self._tree.floor_version, version)
+
+    def _schedule(self, tick: Tick, pause_us: int) -> None:
+        jittered_us = tick.random.randrange(pause_us // 2, pause_us)
+        tick.set_timer("seek", Micros(tick.now_us + jittered_us), SeekDue())
+
+    def _soon(self, tick: Tick) -> Micros:
+        return Micros(tick.now_us + tick.random.randrange(_BACKOFF_MIN_US))
--- /dev/null
+++ b/packages/papayapost/src/papayapost/membership/spreading.py
@@ -0,0 +1,83 @@
+"""Passes changed rows on through the tree, in batches and within a budget."""
+
+from dataclasses import dataclass
+
+from papayapost.ids import Micros, NodeId
+from papayapost.kernel import System, Tick
+from papayapost.membership.budget import Budget
+from papayapost.membership.members import Members
+from papayapost.membership.messages import DirectoryDelta, RowsToSpread
+from papayapost.membership.tables import BackendServerRow, TreeTables
+from papayapost.peering import PeerSend
+
+__all__ = ["SpreadRows"]
+
+_GATHER_US = 100_000
+_MAX_ROWS_PER_DELTA = 256
+_ROW_SENDS_PER_SECOND = 160
+_ROW_SENDS_BURST = 15_000
+
+
+@dataclass(slots=True)
+class SpreadDue:
+    """Timer: the rows gathered so far go on."""
+
+
+class SpreadRows(System):
+    """Sends each changed row to all neighbours but the one it came from.
+
+    Rows that change how calls are routed go first. Rows beyond the budget
+    wait; only the newest row of a member is ever sent.
+    """
+
+    consumes = (RowsToSpread, SpreadDue)
+
+    def __init__(self, members: Members, tree: TreeTables):
+        self._members = members
+        self._tree = tree
+        self._urgent: dict[NodeId, NodeId | None] = {}
+        self._waiting: dict[NodeId, NodeId | None] = {}
+        self._budget = Budget(_ROW_SENDS_PER_SECOND, _ROW_SENDS_BURST)
+        self._is_due = False
+
+    def run(self, tick: Tick) -> None:
+        """Gather rows, and send what is due."""
+        for spread in tick.take(RowsToSpread):
+            queue = self._urgent if spread.is_urgent else self._waiting
+            for node_id in spread.node_ids:
+                queue[node_id] = spread.source
+        if tick.take(SpreadDue):
+            self._is_due = False
+            self._flush(tick)
+        if (self._urgent or self._waiting) and not self._is_due:
+            self._is_due = True
+            due_us = Micros(tick.now_us + _GATHER_US)
+            tick.set_timer("spread", due_us, SpreadDue())
+
+    def _flush(self, tick: Tick) -> None:
+        neighbours = self._tree.neighbours()
+        if not neighbours:
+            # Whoever attaches later compares digests and gets them then.
+            self._urgent.clear()
+            self._waiting.clear()
+            return
+        room = self._budget.available(tick.now_us) // len(neighbours)
+        batch = self._pop(min(room, _MAX_ROWS_PER_DELTA))
+        self._budget.take(len(batch) * len(neighbours), tick.now_us)
+        for node_id, address in neighbours:
+            rows = tuple(row for row, source in batch if source != node_id)
+            if rows:
+                me = self._members.me
+                delta = DirectoryDelta(me.node_id, me.peer_address, rows)
+                tick.emit(PeerSend(address, delta))
+
+    def _pop(self, count: int) -> list[tuple[BackendServerRow, NodeId | None]]:
+        batch: list[tuple[BackendServerRow, NodeId | None]] = []
+        while len(batch) < count and (self._urgent or self._waiting):
+            queue = self._urgent or self._waiting
+            node_id = next(iter(queue))
+            source = queue.pop(node_id)
+            row = self._members.known(node_id)
+            if row is not None:
+                batch.append((row, source))
+        return batch
--- a/packages/papayapost/src/papayapost/states.py
+++ b/packages/papayapost/src/papayapost/states.py
@@ -10,6 +10,8 @@
     "Outcome",
     "Rank",
     "StagedState",
+    "TreeLevel",
+    "TreeState",
 ]
 
 
@@ -66,6 +68,22 @@
     REFUSED = "refused"
 
 
+class TreeLevel(Enum):
+    """Level of a node in the tree of its data centre."""
+
+    RELAY = "relay"
+    PARENT = "parent"
+    LEAF = "leaf"
+
+
+class TreeState(Enum):
+    """Whether a node is attached to the tree of relays."""
+
+    SEEKING = "seeking"
+    ATTACHED = "attached"
+    ROOT = "root"
+
+
 class LinkClass(IntEnum):
     """Distance to a peer, nearest first."""
 
