--- a/packages/papayapost-node/src/papayapost_node/wire/catalogue.py
+++ b/packages/papayapost-node/src/papayapost_node/wire/catalogue.py
@@ -3,22 +3,6 @@
 A number is never reused, so that mixed versions on the wire stay apart.
 """
 
-from papayapost.membership import Announcement
-from papayapost.traffic import (
-    AttemptCancel,
-    AttemptFailed,
-    AttemptOffer,
-    AttemptRefused,
-)
-from papayapost_node.wire.carriers import (
-    AnswerCarrier,
-    AnswerCredit,
-    AnswerPart,
-    InterimAnswer,
-    OfferCarrier,
-    RequestCredit,
-    RequestPart,
-)
 from papayapost.membership import (
     Announcement,
     BucketDigests,
@@ -38,8 +22,21 @@
     ProbeResult,
     Vouch,
 )
-from papayapost.traffic import AttemptCancel, AttemptOffer, AttemptRefused
-from papayapost_node.wire.carriers import AnswerCarrier, OfferCarrier
+from papayapost.traffic import (
+    AttemptCancel,
+    AttemptFailed,
+    AttemptOffer,
+    AttemptRefused,
+)
+from papayapost_node.wire.carriers import (
+    AnswerCarrier,
+    AnswerCredit,
+    AnswerPart,
+    InterimAnswer,
+    OfferCarrier,
+    RequestCredit,
+    RequestPart,
+)
 
 __all__ = ["WIRE_NUMBERS"]
 
