Keep a lasting record of changes

Cause: the store promises no history, so who changed which rule was lost with the next version; a crash, a lost reply, a race or an edit straight in the store must not leave the record false.

Nobody replaces a version before it has an entry. Entries stand in pages of 100 at most; only the newest page changes. Changes beyond 16 KB stand in objects named by their content.

--- a/packages/papayapost-node/src/papayapost_node/store/values.py
+++ b/packages/papayapost-node/src/papayapost_node/store/values.py
@@ -9,6 +9,8 @@
 import msgspec
 
 from papayapost.distribution.status import StatusReport
+from papayapost.record import ChangeDetail, RecordPage
+from papayapost.rules import decode_text
 from papayapost.storage import ObjectKind
 
 __all__ = ["VALUE_TYPES", "decode_value", "encode_value"]
@@ -16,6 +18,8 @@
 VALUE_TYPES: Mapping[ObjectKind, type] = {
     ObjectKind.CONFIG: str,
     ObjectKind.STATUS: StatusReport,
+    ObjectKind.RECORD: RecordPage,
+    ObjectKind.RECORD_DETAIL: ChangeDetail,
 }
 
 
@@ -36,5 +40,5 @@
     """
     value_type = VALUE_TYPES[kind]
     if value_type is str:
-        return data.decode()
+        return decode_text(data)
     return msgspec.json.decode(data, type=value_type)
--- a/packages/papayapost/src/papayapost/ids.py
+++ b/packages/papayapost/src/papayapost/ids.py
@@ -3,6 +3,7 @@
 from typing import NewType
 
 __all__ = [
+    "NO_VERSION",
     "Address",
     "AttemptId",
     "CallId",
@@ -34,6 +35,8 @@
 RuleVersion = NewType("RuleVersion", int)
 """Version that the object store gave the rules file; 0 is "none yet"."""
 
+NO_VERSION = RuleVersion(0)
+
 CallId = NewType("CallId", int)
 """A caller's request at its entry node, unique within one process."""
 
--- a/packages/papayapost/src/papayapost/observe/events.py
+++ b/packages/papayapost/src/papayapost/observe/events.py
@@ -56,6 +56,7 @@
     DIRECTORY_STORED = 611
     DIRECTORY_REPAIRED = 612
     JOINS_DEFERRED = 613
+    CHANGE_RECORDED = 700
 
 
 @dataclass(slots=True)
--- /dev/null
+++ b/packages/papayapost/src/papayapost/record/apply/ending.py
@@ -0,0 +1,13 @@
+"""Ends an apply."""
+
+from papayapost.kernel import Tick
+from papayapost.record.apply.messages import ApplyFinished, ApplyReport
+from papayapost.record.apply.tables import ApplyRow, ApplyState
+
+__all__ = ["finish"]
+
+
+def finish(tick: Tick, row: ApplyRow, report: ApplyReport) -> None:
+    """Report how the apply ended."""
+    row.state = ApplyState.FINISHED
+    tick.emit(ApplyFinished(report))
--- /dev/null
+++ b/packages/papayapost/src/papayapost/record/changeset.py
@@ -0,0 +1,127 @@
+"""Turns the differences of two rules texts into a bounded change set."""
+
+import re
+from collections import Counter
+from collections.abc import Iterator
+from dataclasses import dataclass, replace
+
+import xxhash
+
+from papayapost.ids import NO_VERSION, RuleVersion
+from papayapost.record.model import ChangeDetail, ChangeSet, DetailName
+from papayapost.rules import ChangeKind, RuleChange, RuleKey, diff_rules
+
+__all__ = [
+    "UNKNOWN_CHANGES",
+    "RulesText",
+    "SizedChanges",
+    "changes_between",
+    "size_of",
+]
+
+UNKNOWN_CHANGES = ChangeSet(NO_VERSION, is_known=False)
+
+_MAX_INLINE_BYTES = 16_000
+_MAX_DETAIL_BYTES = 200_000
+_MAX_LINE_CHARACTERS = 5_000
+# What JSON adds to a change: names, quotes and the kind.
+_CHANGE_OVERHEAD_BYTES = 150
+_UNPRINTABLE = re.compile("[\x00-\x1f\x7f-\x9f\u2028-\u202e\u2066-\u2069\ud800-\udfff]")
+
+
+@dataclass(frozen=True, slots=True)
+class RulesText:
+    """A rules text with its version."""
+
+    version: RuleVersion
+    text: str
+
+
+@dataclass(frozen=True, slots=True)
+class SizedChanges:
+    """A change set with the details that it names.
+
+    Parameters
+    ----------
+    details
+        To be stored before the change set is, by their names.
+    """
+
+    changes: ChangeSet
+    details: dict[DetailName, ChangeDetail]
+
+
+def changes_between(basis: RulesText | None, text: str) -> SizedChanges:
+    """Return what a text changes against its basis.
+
+    Parameters
+    ----------
+    basis
+        None where it is not at hand.
+    """
+    if basis is None:
+        return SizedChanges(UNKNOWN_CHANGES, {})
+    changes = tuple(_printable(item) for item in diff_rules(basis.text, text))
+    counts = Counter(change.kind for change in changes)
+    summary = ChangeSet(
+        basis.version,
+        is_known=True,
+        added=counts[ChangeKind.ADDED],
+        changed=counts[ChangeKind.CHANGED],
+        moved=counts[ChangeKind.MOVED],
+        removed=counts[ChangeKind.REMOVED],
+    )
+    if size_of(changes) <= _MAX_INLINE_BYTES:
+        return SizedChanges(replace(summary, changes=changes), {})
+    details = {_name_of(part): ChangeDetail(part) for part in _parts_of(changes)}
+    return SizedChanges(replace(summary, details=tuple(details)), details)
+
+
+def size_of(changes: tuple[RuleChange, ...]) -> int:
+    """Return about how many bytes the changes take in the store."""
+    return sum(_size_of(change) for change in changes)
+
+
+def _size_of(change: RuleChange) -> int:
+    texts = (
+        change.rule,
+        change.before,
+        change.after,
+        change.owner_before,
+        change.owner_after,
+    )
+    return _CHANGE_OVERHEAD_BYTES + sum(len(text.encode()) for text in texts)
+
+
+def _parts_of(changes: tuple[RuleChange, ...]) -> Iterator[tuple[RuleChange, ...]]:
+    part: list[RuleChange] = []
+    size_bytes = 0
+    for change in changes:
+        change_bytes = _size_of(change)
+        if part and size_bytes + change_bytes > _MAX_DETAIL_BYTES:
+            yield tuple(part)
+            part, size_bytes = [], 0
+        part.append(change)
+        size_bytes += change_bytes
+    yield tuple(part)
+
+
+def _name_of(changes: tuple[RuleChange, ...]) -> DetailName:
+    """Name a part by its content: writing it twice is harmless."""
+    content = "\n".join(
+        f"{change.kind.value}\t{change.before}\t{change.after}" for change in changes
+    )
+    return DetailName(xxhash.xxh3_128_hexdigest(content.encode()))
+
+
+def _printable(change: RuleChange) -> RuleChange:
+    """Keep what a broken text holds from reaching an operator's terminal."""
+    before, after = _plain(change.before), _plain(change.after)
+    rule = RuleKey(_plain(change.rule))
+    if (rule, before, after) == (change.rule, change.before, change.after):
+        return change
+    return replace(change, rule=rule, before=before, after=after)
+
+
+def _plain(text: str) -> str:
+    return _UNPRINTABLE.sub("\N{REPLACEMENT CHARACTER}", text[:_MAX_LINE_CHARACTERS])
--- /dev/null
+++ b/packages/papayapost/src/papayapost/record/keeper.py
@@ -0,0 +1,201 @@
+"""Systems that bring steps into the record's newest page.
+
+The page is read, the waiting steps are applied to it, what it refers to is
+stored, and it is updated if nobody else has changed it; else all is done
+again. Steps are harmless to repeat, so a lost reply needs no other care.
+"""
+
+from papayapost.ids import Micros
+from papayapost.kernel import System, Tick
+from papayapost.record.messages import PageDue, StepDone, StepFailed, StepWanted
+from papayapost.record.model import RECORD_KEY, RecordPage, detail_key, page_key
+from papayapost.record.steps import PageDraft
+from papayapost.record.tables import PageState, RecordTables, StepRow
+from papayapost.storage import (
+    ObjectKey,
+    ObjectSeen,
+    ObjectUpdated,
+    ReadObject,
+    RequestId,
+    StoreFailed,
+    UpdateConflicted,
+    UpdateObject,
+    UpdateUnknown,
+)
+
+__all__ = ["DraftPage", "QueueSteps", "ReadPage", "StorePage"]
+
+_REQUEST = RequestId("record-page")
+_PAUSE_MIN_US = 100_000
+_PAUSE_MAX_US = 400_000
+# A batch adds far fewer entries than a page holds, and a busy page is read
+# and written once for all that wait.
+_MAX_BATCH = 16
+
+
+class QueueSteps(System):
+    """Queues the steps that are wanted."""
+
+    consumes = (StepWanted,)
+
+    def __init__(self, tables: RecordTables):
+        self._tables = tables
+
+    def run(self, tick: Tick) -> None:
+        """Start to read the page unless that is under way."""
+        for wanted in tick.take(StepWanted):
+            row = StepRow(wanted.step_id, wanted.step)
+            self._tables.steps.put(wanted.step_id, row)
+        if self._tables.page.state is PageState.IDLE:
+            tick.post(PageDue())
+
+
+class ReadPage(System):
+    """Reads the newest page while steps wait."""
+
+    consumes = (PageDue, StoreFailed)
+
+    def __init__(self, tables: RecordTables):
+        self._tables = tables
+
+    def run(self, tick: Tick) -> None:
+        """Read now, or after a pause where the store failed."""
+        for failed in tick.take(StoreFailed):
+            if failed.key == RECORD_KEY and failed.request_id == _REQUEST:
+                _pause(tick, self._tables, failed.reason)
+        page = self._tables.page
+        if tick.take(PageDue) and page.state in (PageState.IDLE, PageState.PAUSED):
+            _read(tick, self._tables)
+
+
+class DraftPage(System):
+    """Applies the waiting steps to the page that was read."""
+
+    consumes = (ObjectSeen,)
+
+    def __init__(self, tables: RecordTables):
+        self._tables = tables
+
+    def run(self, tick: Tick) -> None:
+        """Draft the page, and store what the draft refers to."""
+        for seen in tick.take(ObjectSeen):
+            if seen.key == RECORD_KEY and seen.request_id == _REQUEST:
+                self._draft(tick, seen)
+
+    def _draft(self, tick: Tick, seen: ObjectSeen) -> None:
+        page = seen.value if isinstance(seen.value, RecordPage) else RecordPage()
+        draft = PageDraft(page)
+        rows = list(self._tables.steps)[:_MAX_BATCH]
+        for row in rows:
+            row.step.apply(draft)
+        state = self._tables.page
+        state.version, state.draft = seen.version, draft
+        state.taken = tuple(row.step_id for row in rows)
+        state.parts = _parts_of(draft)
+        if draft.page == page:
+            _finish(tick, self._tables, has_changed=False)
+        elif state.parts:
+            state.state = PageState.STORING_PARTS
+            for key, value in state.parts.items():
+                tick.emit(UpdateObject(key, _REQUEST, 0, value))
+        else:
+            _update(tick, self._tables)
+
+
+class StorePage(System):
+    """Follows the updates of the page and of what it refers to."""
+
+    consumes = (ObjectUpdated, UpdateConflicted, UpdateUnknown)
+
+    def __init__(self, tables: RecordTables):
+        self._tables = tables
+
+    def run(self, tick: Tick) -> None:
+        """Go on once all parts are stored; start again after a lost race."""
+        for updated in tick.take(ObjectUpdated):
+            if updated.request_id == _REQUEST:
+                self._updated(tick, updated.key)
+        for conflicted in tick.take(UpdateConflicted):
+            if conflicted.request_id == _REQUEST:
+                self._conflicted(tick, conflicted.key)
+        for unknown in tick.take(UpdateUnknown):
+            if unknown.request_id == _REQUEST and self._is_current(unknown.key):
+                _pause(tick, self._tables, unknown.reason)
+
+    def _updated(self, tick: Tick, key: ObjectKey) -> None:
+        state = self._tables.page.state
+        if key != RECORD_KEY:
+            self._part_stored(tick, key)
+        elif state is PageState.UPDATING:
+            _finish(tick, self._tables, has_changed=True)
+
+    def _conflicted(self, tick: Tick, key: ObjectKey) -> None:
+        if key != RECORD_KEY:
+            # Whoever stored it before stored the same: a detail is named by
+            # its content, and a full page never changes.
+            self._part_stored(tick, key)
+        elif self._tables.page.state is PageState.UPDATING:
+            # Not at once: a store that reads from the past would be asked in
+            # a circle.
+            _pause(tick, self._tables, "another update of the record came first")
+
+    def _part_stored(self, tick: Tick, key: ObjectKey) -> None:
+        page = self._tables.page
+        if page.state is not PageState.STORING_PARTS:
+            return
+        page.parts.pop(key, None)
+        if not page.parts:
+            _update(tick, self._tables)
+
+    def _is_current(self, key: ObjectKey) -> bool:
+        page = self._tables.page
+        if page.state is PageState.UPDATING:
+            return key == RECORD_KEY
+        return page.state is PageState.STORING_PARTS and key in page.parts
+
+
+def _parts_of(draft: PageDraft) -> dict[ObjectKey, object]:
+    parts: dict[ObjectKey, object] = {
+        page_key(page.number): page for page in draft.archived
+    }
+    for sized in draft.sized:
+        for name, detail in sized.details.items():
+            parts[detail_key(name)] = detail
+    return parts
+
+
+def _read(tick: Tick, tables: RecordTables) -> None:
+    tables.page.state = PageState.READING
+    tick.emit(ReadObject(RECORD_KEY, _REQUEST))
+
+
+def _update(tick: Tick, tables: RecordTables) -> None:
+    page = tables.page
+    page.state = PageState.UPDATING
+    tick.emit(UpdateObject(RECORD_KEY, _REQUEST, page.version, page.draft.page))
+
+
+def _finish(tick: Tick, tables: RecordTables, has_changed: bool) -> None:
+    page = tables.page
+    for step_id in page.taken:
+        tables.steps.pop(step_id)
+        tick.post(StepDone(step_id, page.draft.page, has_changed))
+    tables.page = type(page)()
+    if len(tables.steps):
+        tick.post(PageDue())
+
+
+def _pause(tick: Tick, tables: RecordTables, reason: str) -> None:
+    """Read again after a pause, or give up after too many failures."""
+    page = tables.page
+    page.failures += 1
+    page.last_reason = reason
+    if tables.max_failures is not None and page.failures >= tables.max_failures:
+        for row in list(tables.steps):
+            tables.steps.pop(row.step_id)
+            tick.post(StepFailed(row.step_id, reason))
+        tables.page = type(page)()
+        return
+    page.state = PageState.PAUSED
+    pause_us = tick.random.randint(_PAUSE_MIN_US, _PAUSE_MAX_US)
+    tick.set_timer("record page", Micros(tick.now_us + pause_us), PageDue())
--- /dev/null
+++ b/packages/papayapost/src/papayapost/record/steps.py
@@ -0,0 +1,251 @@
+"""Changes of the record's newest page, each pure and harmless to repeat."""
+
+from abc import ABC, abstractmethod
+from dataclasses import dataclass, replace
+
+from papayapost.errors import RulesRefused
+from papayapost.ids import NO_VERSION, Micros, RuleVersion
+from papayapost.record.changeset import (
+    UNKNOWN_CHANGES,
+    RulesText,
+    SizedChanges,
+    changes_between,
+    size_of,
+)
+from papayapost.record.model import (
+    Attribution,
+    ChangeEntry,
+    Operator,
+    Proposal,
+    ProposalId,
+    RecordPage,
+)
+from papayapost.rules import compile_rules, digest_of
+
+__all__ = ["PageDraft", "PageStep", "ProposeVersion", "RecordVersion", "SeenVersion"]
+
+_MAX_PAGE_ENTRIES = 100
+_MAX_PAGE_BYTES = 200_000
+_MAX_PROPOSALS = 16
+# What JSON adds to an entry without changes.
+_ENTRY_OVERHEAD_BYTES = 600
+
+
+class PageDraft:
+    """A page being changed, with what has to be stored before it.
+
+    Attributes
+    ----------
+    archived
+        Pages that became full, to be stored under their own keys.
+    sized
+        Change sets that entries or proposals of the draft hold.
+    """
+
+    def __init__(self, page: RecordPage):
+        self.page = page
+        self.archived: list[RecordPage] = []
+        self.sized: list[SizedChanges] = []
+
+    def append(self, entry: ChangeEntry) -> None:
+        """Add the entry of the highest version, on a new page if need be."""
+        page = self.page
+        if _is_full(page):
+            self.archived.append(replace(page, proposals=()))
+            page = RecordPage(page.number + 1, (), page.proposals)
+        self.page = replace(page, entries=(*page.entries, entry))
+
+    def insert(self, entry: ChangeEntry) -> None:
+        """Add an entry below the highest; a full page stays as it is.
+
+        Two nodes that archive the same page have to write the same content.
+        """
+        if not _is_full(self.page):
+            entries = sorted((*self.page.entries, entry), key=lambda e: e.version)
+            self.page = replace(self.page, entries=tuple(entries))
+
+
+class PageStep(ABC):
+    """One change of the page, applied again after each lost race for it."""
+
+    @abstractmethod
+    def apply(self, draft: PageDraft) -> None:
+        """Change the draft unless it holds the change already."""
+
+
+@dataclass(frozen=True, slots=True)
+class SeenVersion:
+    """A version of the rules object as somebody saw it in the store.
+
+    Parameters
+    ----------
+    seen_at_us
+        Wall-clock time in µs since the Unix epoch.
+    seen_by
+        The operator or node.
+    bases
+        Valid texts that were at hand for a comparison.
+    """
+
+    version: RuleVersion
+    text: str
+    seen_at_us: Micros
+    seen_by: str
+    bases: tuple[RulesText, ...] = ()
+
+
+@dataclass(frozen=True, slots=True)
+class RecordVersion(PageStep):
+    """Adds the entry of a version that was seen in the store.
+
+    Parameters
+    ----------
+    claimed
+        The proposal that became the version, where that is known for sure.
+    lost
+        A proposal that is known not to have taken effect.
+    """
+
+    seen: SeenVersion
+    claimed: Proposal | None = None
+    lost: ProposalId | None = None
+
+    def apply(self, draft: PageDraft) -> None:
+        """Add the entry, and drop the proposals that it decides."""
+        self._drop_lost(draft)
+        page, version = draft.page, self.seen.version
+        if version == 0 or page.entry_of(version) is not None:
+            return
+        if page.entries and version < page.entries[0].version:
+            return
+        entry = self._entry(draft)
+        left = tuple(p for p in page.proposals if p.base_version >= version)
+        draft.page = replace(page, proposals=left)
+        if page.newest is None or version > page.newest.version:
+            draft.append(entry)
+        else:
+            draft.insert(entry)
+
+    def _drop_lost(self, draft: PageDraft) -> None:
+        page = draft.page
+        left = tuple(p for p in page.proposals if p.proposal_id != self.lost)
+        if left != page.proposals:
+            draft.page = replace(page, proposals=left)
+
+    def _entry(self, draft: PageDraft) -> ChangeEntry:
+        page, seen = draft.page, self.seen
+        digest = digest_of(seen.text)
+        proposal = self._proposal_of(page, digest)
+        if proposal is not None:
+            return ChangeEntry(
+                seen.version,
+                proposal.base_version,
+                digest,
+                Attribution.APPLIED,
+                proposal.proposal_id,
+                proposal.operator,
+                proposal.message,
+                proposal.proposed_at_us,
+                seen.seen_by,
+                proposal.changes,
+                _others(page, digest, proposal),
+            )
+        is_valid = _compiles(seen.text)
+        sized = self._changes(page) if is_valid else SizedChanges(UNKNOWN_CHANGES, {})
+        draft.sized.append(sized)
+        return ChangeEntry(
+            seen.version,
+            NO_VERSION,
+            digest,
+            Attribution.EDITED if is_valid else Attribution.REFUSED,
+            ProposalId(""),
+            Operator(""),
+            "",
+            seen.seen_at_us,
+            seen.seen_by,
+            sized.changes,
+            _bases_passed(page, seen.version),
+        )
+
+    def _proposal_of(self, page: RecordPage, digest: str) -> Proposal | None:
+        """Return the proposal that became this version.
+
+        One whose base was replaced by a recorded version can no longer have
+        taken effect: the update is conditional on the base.
+        """
+        if self.claimed is not None:
+            return self.claimed
+        newest_version = page.newest.version if page.newest else 0
+        for proposal in page.proposals:
+            is_open = newest_version <= proposal.base_version < self.seen.version
+            if is_open and proposal.digest == digest:
+                return proposal
+        return None
+
+    def _changes(self, page: RecordPage) -> SizedChanges:
+        valid = [e for e in page.entries if e.attribution is not Attribution.REFUSED]
+        earlier = [e.version for e in valid if e.version < self.seen.version]
+        if not page.entries and page.number == 1:
+            basis: RulesText | None = RulesText(NO_VERSION, "")
+        else:
+            wanted = earlier[-1] if earlier else None
+            basis = next((b for b in self.seen.bases if b.version == wanted), None)
+        return changes_between(basis, self.seen.text)
+
+
+@dataclass(frozen=True, slots=True)
+class ProposeVersion(PageStep):
+    """Adds a proposal, after the entry of the version that it replaces.
+
+    Parameters
+    ----------
+    current
+        The version that the proposal is based on, None where the rules
+        object does not exist.
+    """
+
+    proposal: Proposal
+    sized: SizedChanges
+    current: SeenVersion | None
+
+    def apply(self, draft: PageDraft) -> None:
+        """Add the proposal; nobody overwrites a version without an entry."""
+        if self.current is not None:
+            RecordVersion(self.current).apply(draft)
+        page, proposal = draft.page, self.proposal
+        if any(p.proposal_id == proposal.proposal_id for p in page.proposals):
+            return
+        draft.sized.append(self.sized)
+        kept = (*page.proposals, proposal)[-_MAX_PROPOSALS:]
+        draft.page = replace(page, proposals=kept)
+
+
+def _is_full(page: RecordPage) -> bool:
+    if len(page.entries) >= _MAX_PAGE_ENTRIES:
+        return True
+    changes = sum(size_of(entry.changes.changes) for entry in page.entries)
+    return changes + len(page.entries) * _ENTRY_OVERHEAD_BYTES >= _MAX_PAGE_BYTES
+
+
+def _others(page: RecordPage, digest: str, chosen: Proposal) -> tuple[Operator, ...]:
+    """Return who proposed the very same text on the same base."""
+    return tuple(
+        proposal.operator
+        for proposal in page.proposals
+        if proposal is not chosen
+        and proposal.digest == digest
+        and proposal.base_version == chosen.base_version
+    )
+
+
+def _bases_passed(page: RecordPage, version: RuleVersion) -> tuple[Operator, ...]:
+    """Return whose proposals may have been in force before the version."""
+    return tuple(p.operator for p in page.proposals if p.base_version < version)
+
+
+def _compiles(text: str) -> bool:
+    try:
+        compile_rules(text)
+    except RulesRefused:
+        return False
+    return True
--- /dev/null
+++ b/packages/papayapost/src/papayapost/record/tables.py
@@ -0,0 +1,92 @@
+"""Tables of the record of changes."""
+
+from dataclasses import dataclass, field
+from enum import Enum
+
+from papayapost.ids import NO_VERSION, RuleVersion
+from papayapost.kernel import Table
+from papayapost.record.changeset import RulesText
+from papayapost.record.messages import StepId
+from papayapost.record.model import RecordPage
+from papayapost.record.steps import PageDraft, PageStep, SeenVersion
+from papayapost.storage import ObjectKey
+
+__all__ = ["PageRow", "PageState", "RecordTables", "StepRow", "VersionsSeen"]
+
+
+class PageState(Enum):
+    """Where a change of the newest page stands."""
+
+    IDLE = "idle"
+    READING = "reading"
+    STORING_PARTS = "storing-parts"
+    UPDATING = "updating"
+    PAUSED = "paused"
+
+
+@dataclass(slots=True)
+class PageRow:
+    """The newest page, while steps are brought into it.
+
+    Parameters
+    ----------
+    version
+        The store's version of the page that `draft` was made from.
+    taken
+        Steps that the draft holds.
+    parts
+        Details and archived pages that have to be stored before the draft.
+    failures
+        Failures of the store since it last answered.
+    last_reason
+        What the store's last failure said.
+    """
+
+    state: PageState = PageState.IDLE
+    version: int = 0
+    draft: PageDraft = field(default_factory=lambda: PageDraft(RecordPage()))
+    taken: tuple[StepId, ...] = ()
+    parts: dict[ObjectKey, object] = field(default_factory=dict)
+    failures: int = 0
+    last_reason: str = ""
+
+
+@dataclass(slots=True)
+class StepRow:
+    """A step that waits to be brought into the record."""
+
+    step_id: StepId
+    step: PageStep
+
+
+class RecordTables:
+    """What the keeper of the record works on.
+
+    Attributes
+    ----------
+    max_failures
+        Failures of the store in a row after which the steps are given up,
+        or None to go on for ever.
+    """
+
+    def __init__(self, max_failures: int | None):
+        self.steps: Table[StepId, StepRow] = Table("steps")
+        self.page = PageRow()
+        self.max_failures = max_failures
+
+
+class VersionsSeen:
+    """Versions of the rules object that a link relay has seen.
+
+    Attributes
+    ----------
+    unrecorded
+        Those that may still lack their entry.
+    texts
+        The newest valid texts, to compare later versions with.
+    """
+
+    def __init__(self):
+        self.unrecorded: Table[RuleVersion, SeenVersion] = Table("unrecorded")
+        self.texts: tuple[RulesText, ...] = ()
+        self.newest = NO_VERSION
--- a/packages/papayapost/src/papayapost/storage/messages.py
+++ b/packages/papayapost/src/papayapost/storage/messages.py
@@ -34,6 +34,7 @@
     DIRECTORY = "directory"
     STATUS = "status"
     RECORD = "record"
+    RECORD_DETAIL = "record-detail"
     CLAIMS = "claims"
 
 
