--- a/packages/papayapost-node/src/papayapost_node/composition.py
+++ b/packages/papayapost-node/src/papayapost_node/composition.py
@@ -17,7 +17,7 @@
 from papayapost.peering import PeerSend
 from papayapost.place import Place, SelfRow
 from papayapost.states import BackendServerState
-from papayapost.storage import ReadObject, UpdateObject, WatchObject
+from papayapost.storage import ReadObject, UnwatchObject, UpdateObject, WatchObject
 from papayapost_node.clock import Clock, SystemClock
 from papayapost_node.events import EventLog
 from papayapost_node.exchange import Exchange
@@ -27,8 +27,10 @@
 from papayapost_node.store import HttpStoreClient, StoreShell
 from papayapost_node.transport import ZmqTransport
 from papayapost_node.wire import (
+    CONTROL_TYPES,
     WIRE_NUMBERS,
     AnswerCarrier,
+    CompressingCodec,
     MessagePackCodec,
     OfferCarrier,
 )
@@ -50,7 +52,7 @@
             Random(self._me.incarnation),
         )
         self._log = EventLog(self._me.node_id)
-        self._codec = MessagePackCodec(WIRE_NUMBERS)
+        self._codec = CompressingCodec(MessagePackCodec(WIRE_NUMBERS), CONTROL_TYPES)
         self._transport = ZmqTransport(self._me.peer_address)
         backend = settings.backend_server
         self._exchange = Exchange(
@@ -73,6 +75,7 @@
                 **self._exchange.handlers(),
                 PeerSend: self._send,
                 WatchObject: self._store.watch,
+                UnwatchObject: self._store.unwatch,
                 ReadObject: self._store.read,
                 UpdateObject: self._store.update,
                 Noted: self._log.note,
--- a/packages/papayapost-node/src/papayapost_node/store/client.py
+++ b/packages/papayapost-node/src/papayapost_node/store/client.py
@@ -10,6 +10,7 @@
   conditional update: 200 with the new ``ETag``, or 412 with the current one.
 """
 
+import asyncio
 from abc import ABC, abstractmethod
 from dataclasses import dataclass
 
@@ -22,6 +23,10 @@
 __all__ = ["HttpStoreClient", "StoreClient", "StoredObject"]
 
 
+_TIMEOUT_S = 5.0
+_MAX_IDLE = 4
+
+
 @dataclass(slots=True)
 class StoredObject:
     """An object's value at a version; version 0 means it does not exist."""
@@ -40,7 +45,7 @@
         Raises
         ------
         StoreUnavailable
-            If the store gives no answer.
+            If the store gives no answer in time.
         """
 
     @abstractmethod
@@ -74,17 +79,28 @@
             If the store gives no answer; the update may have taken effect.
         """
 
+    @abstractmethod
+    def close(self) -> None:
+        """Close the connections that wait for a further call."""
+
 
 class HttpStoreClient(StoreClient):
-    """The object API over HTTP, one connection per request."""
+    """The object API over HTTP; connections are kept for further calls.
 
-    def __init__(self, address: Address):
+    Parameters
+    ----------
+    timeout_s
+        Time for a call, beyond what a watch asks the store to wait.
+    """
+
+    def __init__(self, address: Address, timeout_s: float = _TIMEOUT_S):
         self._address = address
+        self._timeout_s = timeout_s
+        self._idle: list[ClientConnection] = []
 
     async def read(self, kind: str, name: str) -> StoredObject:
         """Return the object."""
-        answer = await self._call("GET", kind, name, [])
-        return _object_of(answer)
+        return _object_of(await self._call("GET", kind, name, []))
 
     async def watch(
         self, kind: str, name: str, after_version: int, wait_s: int
@@ -94,7 +110,7 @@
             (b"if-none-match", _tag(after_version)),
             (b"prefer", b"wait=%d" % wait_s),
         ]
-        answer = await self._call("GET", kind, name, headers)
+        answer = await self._call("GET", kind, name, headers, wait_s=wait_s)
         if answer.status == 304:
             return None
         return _object_of(answer)
@@ -118,6 +134,11 @@
             )
         return _version_of(answer)
 
+    def close(self) -> None:
+        """Close the connections that wait for a further call."""
+        while self._idle:
+            self._idle.pop().close()
+
     async def _call(
         self,
         method: str,
@@ -125,6 +146,7 @@
         name: str,
         headers: list[tuple[bytes, bytes]],
         body: bytes = b"",
+        wait_s: int = 0,
     ) -> HttpAnswer:
         base = [
             (b"host", self._address.encode()),
@@ -132,14 +154,12 @@
         ]
         request = HttpRequest(method, f"/objects/{kind}/{name}", base + headers, body)
         try:
-            connection = await ClientConnection.open(self._address)
-            try:
-                answer = await connection.call(request)
-            finally:
-                connection.close()
+            async with asyncio.timeout(self._timeout_s + wait_s):
+                answer = await self._exchange(request)
         except (OSError, h11.RemoteProtocolError) as error:
+            reason = str(error) or "the time for an answer is over"
             raise StoreUnavailable(
-                f"no answer from the store at {self._address}: {error}; check that "
+                f"no answer from the store at {self._address}: {reason}; check that "
                 "it runs and is reachable"
             ) from error
         if answer.status >= 500 or not answer.is_whole:
@@ -148,6 +168,43 @@
             )
         return answer
 
+    async def _exchange(self, request: HttpRequest) -> HttpAnswer:
+        """Call on a kept connection or a new one.
+
+        A kept connection may have been closed by the store meanwhile: reads
+        are then sent again, updates never, for they may have taken effect.
+        """
+        kept = self._take_idle()
+        if kept is not None:
+            try:
+                return await self._call_on(kept, request)
+            except (ConnectionError, h11.RemoteProtocolError):
+                if request.method != "GET":
+                    raise
+        return await self._call_on(await ClientConnection.open(self._address), request)
+
+    async def _call_on(
+        self, connection: ClientConnection, request: HttpRequest
+    ) -> HttpAnswer:
+        try:
+            answer = await connection.call(request)
+        except BaseException:
+            connection.close()
+            raise
+        if connection.is_reusable and len(self._idle) < _MAX_IDLE:
+            self._idle.append(connection)
+        else:
+            connection.close()
+        return answer
+
+    def _take_idle(self) -> ClientConnection | None:
+        while self._idle:
+            connection = self._idle.pop()
+            if connection.is_reusable:
+                return connection
+            connection.close()
+        return None
+
 
 def _tag(version: int) -> bytes:
     return b'"%d"' % version
--- a/packages/papayapost-node/src/papayapost_node/store/shell.py
+++ b/packages/papayapost-node/src/papayapost_node/store/shell.py
@@ -11,6 +11,7 @@
     ReadObject,
     RequestId,
     StoreFailed,
+    UnwatchObject,
     UpdateConflicted,
     UpdateObject,
     UpdateUnknown,
@@ -22,6 +23,7 @@
 __all__ = ["StoreShell"]
 
 _WAIT_S = 30
+_MIN_WAIT_S = 5
 
 
 class StoreShell:
@@ -41,10 +43,14 @@
 
     def watch(self, request: WatchObject) -> None:
         """Watch the object, in place of an earlier watch of it."""
-        earlier = self._watches.get(request.key)
+        self.unwatch(UnwatchObject(request.key))
+        self._watches[request.key] = self._start(self._watch(request))
+
+    def unwatch(self, request: UnwatchObject) -> None:
+        """End the watch of the object, if there is one."""
+        earlier = self._watches.pop(request.key, None)
         if earlier is not None:
             earlier.cancel()
-        self._watches[request.key] = self._start(self._watch(request))
 
     def read(self, request: ReadObject) -> None:
         """Read the object once."""
@@ -58,6 +64,7 @@
         """Cancel everything."""
         for task in self._requests:
             task.cancel()
+        self._client.close()
 
     def _start(self, work: Coroutine) -> asyncio.Task:
         task = asyncio.get_running_loop().create_task(work)
@@ -68,24 +75,41 @@
     async def _watch(self, request: WatchObject) -> None:
         key = request.key
         try:
-            seen = None
-            while seen is None:
-                seen = await self._client.watch(
-                    key.kind.value, key.name, request.after_version, _WAIT_S
-                )
+            seen = await self._wait_for_change(key, request.after_version)
         except StoreUnavailable as error:
             self._post(StoreFailed(key, str(error)))
             return
         self._post_seen(key, seen, None)
 
+    async def _wait_for_change(self, key: ObjectKey, version: int) -> StoredObject:
+        loop = asyncio.get_running_loop()
+        while True:
+            begun_s = loop.time()
+            seen = await self._client.watch(key.kind.value, key.name, version, _WAIT_S)
+            if seen is not None:
+                return seen
+            if loop.time() - begun_s < _MIN_WAIT_S:
+                # To ask again at once would load the store in a circle.
+                raise StoreUnavailable(
+                    f"the watch of {key.kind.value}/{key.name} ended before its "
+                    "time; it is set up again after a pause"
+                )
+
     async def _read(self, request: ReadObject) -> None:
-        key = request.key
+        key, known = request.key, request.unless_version
+        seen: StoredObject | None
         try:
-            seen = await self._client.read(key.kind.value, key.name)
+            if known:
+                seen = await self._client.watch(key.kind.value, key.name, known, 0)
+            else:
+                seen = await self._client.read(key.kind.value, key.name)
         except StoreUnavailable as error:
             self._post(StoreFailed(key, str(error), request.request_id))
             return
-        self._post_seen(key, seen, request.request_id)
+        if seen is None:
+            self._post(ObjectSeen(key, known, None, request.request_id))
+        else:
+            self._post_seen(key, seen, request.request_id)
 
     async def _update(self, request: UpdateObject) -> None:
         key, request_id = request.key, request.request_id
--- a/packages/papayapost/src/papayapost/distribution/__init__.py
+++ b/packages/papayapost/src/papayapost/distribution/__init__.py
@@ -1,34 +1,68 @@
 """Distribution of rules versions to every node."""
 
-from papayapost.distribution.messages import RulesInForce, RulesRejected
+from papayapost.distribution.held import RulesTable, VersionRow
+from papayapost.distribution.lines import (
+    MAX_RULES_BYTES,
+    LineEdit,
+    apply_edits,
+    diff_lines,
+)
+from papayapost.distribution.messages import (
+    AcceptedRules,
+    ChunkRequest,
+    PartProgress,
+    RulesBusy,
+    RulesChunk,
+    RulesDelta,
+    RulesGone,
+    RulesHeld,
+    RulesInForce,
+    RulesNotice,
+    RulesProgress,
+    RulesRejected,
+    RulesRequest,
+    StoreBehind,
+    TextOffered,
+)
 from papayapost.distribution.part import DistributionPart, build_distribution
+from papayapost.distribution.source import ACCEPTED_KEY, RULES_KEY
 from papayapost.distribution.status import (
+    MAX_REPORTED_LAGGARDS,
     Laggard,
     RefusedVersion,
     StatusReport,
     status_key,
 )
-from papayapost.distribution.tables import RulesTable, VersionRow
-from papayapost.distribution.versions import (
-    RULES_KEY,
-    StageRules,
-    SwapRules,
-    WatchRules,
-)
 
 __all__ = [
+    "ACCEPTED_KEY",
+    "MAX_REPORTED_LAGGARDS",
+    "MAX_RULES_BYTES",
     "RULES_KEY",
+    "AcceptedRules",
+    "ChunkRequest",
     "DistributionPart",
     "Laggard",
+    "LineEdit",
+    "PartProgress",
     "RefusedVersion",
+    "RulesBusy",
+    "RulesChunk",
+    "RulesDelta",
+    "RulesGone",
+    "RulesHeld",
     "RulesInForce",
+    "RulesNotice",
+    "RulesProgress",
     "RulesRejected",
+    "RulesRequest",
     "RulesTable",
-    "StageRules",
     "StatusReport",
-    "SwapRules",
+    "StoreBehind",
+    "TextOffered",
     "VersionRow",
-    "WatchRules",
+    "apply_edits",
     "build_distribution",
+    "diff_lines",
     "status_key",
 ]
--- /dev/null
+++ b/packages/papayapost/src/papayapost/distribution/follow.py
@@ -0,0 +1,233 @@
+"""Systems that ask the parent for rules and fetch them whole."""
+
+from papayapost.distribution.backoff import jittered_backoff_us
+from papayapost.distribution.held import RulesTable
+from papayapost.distribution.lines import MAX_RULES_BYTES
+from papayapost.distribution.messages import (
+    ChunkRequest,
+    FetchDue,
+    RequestDue,
+    RulesBusy,
+    RulesChunk,
+    RulesDelta,
+    RulesGone,
+    RulesNotice,
+    RulesRequest,
+    TextOffered,
+)
+from papayapost.distribution.tables import FetchRow, FollowTable
+from papayapost.errors import SnapshotRefused
+from papayapost.ids import Micros
+from papayapost.kernel import System, Tick
+from papayapost.membership import ParentChanged, TreeTables
+from papayapost.observe import Event, Noted
+from papayapost.peering import PeerSend
+from papayapost.place import SelfRow
+from papayapost.rules import digest_of
+
+__all__ = ["FetchSnapshots", "FollowParent"]
+
+_REQUEST_RETRY_US = 1_000_000
+_REQUEST_RETRY_MAX_US = 8_000_000
+_RECHECK_US = 40_000_000
+_CHUNK_RETRY_US = 2_000_000
+_CHUNK_RETRY_MAX_US = 16_000_000
+_MAX_CHUNK_FAILURES = 4
+_MAX_RETRY_AFTER_US = 600_000_000
+
+
+_ANSWERS: tuple[type, ...] = (RulesNotice, RulesDelta)
+
+
+class FollowParent(System):
+    """Asks the parent for what is newer than the held version.
+
+    It asks on every change of parent, again until an answer comes, and now
+    and then afterwards, so that no lost message leaves it behind for long.
+    """
+
+    consumes = (ParentChanged, RequestDue, RulesNotice, RulesDelta)
+
+    def __init__(
+        self, me: SelfRow, rules: RulesTable, follow: FollowTable, tree: TreeTables
+    ):
+        self._me = me
+        self._rules = rules
+        self._follow = follow
+        self._tree = tree
+
+    def run(self, tick: Tick) -> None:
+        """Ask, and settle once an answer has come."""
+        if any(tick.take(kind) for kind in _ANSWERS):
+            self._follow.failures = 0
+            self._schedule(tick, _RECHECK_US, _RECHECK_US)
+        if tick.take(ParentChanged):
+            self._follow.failures = 0
+            self._ask(tick)
+        elif tick.take(RequestDue):
+            self._ask(tick)
+
+    def _ask(self, tick: Tick) -> None:
+        parent = self._tree.parent
+        if parent is None:
+            tick.cancel_timer(RequestDue)
+            return
+        rules = self._rules
+        request = RulesRequest(
+            self._me.node_id,
+            self._me.peer_address,
+            rules.held_version,
+            rules.held_digest,
+        )
+        tick.emit(PeerSend(parent.address, request))
+        self._schedule(tick, _REQUEST_RETRY_US, _REQUEST_RETRY_MAX_US)
+        self._follow.failures += 1
+
+    def _schedule(self, tick: Tick, least_us: int, most_us: int) -> None:
+        pause_us = jittered_backoff_us(
+            tick.random, self._follow.failures, least_us, most_us
+        )
+        tick.set_timer(RequestDue, Micros(tick.now_us + pause_us), RequestDue())
+
+
+class FetchSnapshots(System):
+    """Fetches a whole text in chunks, each on request."""
+
+    consumes = (RulesNotice, RulesChunk, RulesBusy, RulesGone, FetchDue)
+
+    def __init__(
+        self, me: SelfRow, rules: RulesTable, follow: FollowTable, tree: TreeTables
+    ):
+        self._me = me
+        self._rules = rules
+        self._follow = follow
+        self._tree = tree
+
+    def run(self, tick: Tick) -> None:
+        """Begin, continue or give up the fetch."""
+        for notice in tick.take(RulesNotice):
+            self._begin(tick, notice)
+        for chunk in tick.take(RulesChunk):
+            self._receive(tick, chunk)
+        for busy in tick.take(RulesBusy):
+            pause_us = min(max(busy.retry_after_us, 0), _MAX_RETRY_AFTER_US)
+            self._schedule(tick, pause_us)
+        for gone in tick.take(RulesGone):
+            self._give_up(tick, gone)
+        if tick.take(FetchDue):
+            self._retry(tick)
+
+    def _give_up(self, tick: Tick, gone: RulesGone) -> None:
+        fetch = self._follow.fetch
+        if fetch is not None and fetch.version == gone.version:
+            self._drop(tick)
+            tick.post(RequestDue())
+
+    def _begin(self, tick: Tick, notice: RulesNotice) -> None:
+        if not self._is_wanted(notice):
+            return
+        if notice.size_bytes > MAX_RULES_BYTES:
+            self._refuse(
+                tick,
+                notice,
+                f"version {notice.version} is announced with {notice.size_bytes} "
+                f"bytes of at most {MAX_RULES_BYTES}; split the rules file",
+            )
+            return
+        fetch = self._follow.fetch
+        if fetch is None or fetch.digest != notice.digest:
+            if fetch is not None and fetch.received:
+                # A transfer that moves is finished first: the steps since its
+                # version follow as one delta.
+                return
+            self._follow.fetch = FetchRow(
+                notice.version, notice.digest, notice.size_bytes
+            )
+        self._ask(tick)
+
+    def _is_wanted(self, notice: RulesNotice) -> bool:
+        refused = self._rules.refused
+        is_refused = refused is not None and refused.version == notice.version
+        return notice.version > self._rules.held_version and not is_refused
+
+    def _receive(self, tick: Tick, chunk: RulesChunk) -> None:
+        fetch = self._follow.fetch
+        if fetch is None or (chunk.version, chunk.digest) != (
+            fetch.version,
+            fetch.digest,
+        ):
+            return
+        if chunk.offset_bytes != len(fetch.received):
+            return
+        fetch.failures = 0
+        fetch.received += chunk.data
+        if not chunk.data or len(fetch.received) > fetch.size_bytes:
+            self._drop(tick)
+            self._refuse(
+                tick,
+                chunk,
+                f"a chunk of {len(chunk.data)} bytes at {chunk.offset_bytes} does "
+                f"not fit into {fetch.size_bytes}; the text is asked for again",
+            )
+        elif len(fetch.received) == fetch.size_bytes:
+            self._complete(tick, fetch, chunk)
+        else:
+            self._ask(tick)
+
+    def _complete(self, tick: Tick, fetch: FetchRow, chunk: RulesChunk) -> None:
+        self._drop(tick)
+        try:
+            text = fetch.received.decode()
+        except UnicodeDecodeError:
+            text = ""
+        if digest_of(text) != fetch.digest:
+            reason = f"the text of version {fetch.version} has another digest"
+            self._refuse(tick, chunk, f"{reason}; it is asked for again")
+            return
+        tick.post(TextOffered(fetch.version, text))
+        tick.post(RequestDue())
+
+    def _retry(self, tick: Tick) -> None:
+        fetch = self._follow.fetch
+        if fetch is None:
+            return
+        if fetch.failures >= _MAX_CHUNK_FAILURES or self._tree.parent is None:
+            self._drop(tick)
+            tick.post(RequestDue())
+            return
+        fetch.failures += 1
+        self._ask(tick)
+
+    def _ask(self, tick: Tick) -> None:
+        fetch, parent = self._follow.fetch, self._tree.parent
+        if fetch is None or parent is None:
+            return
+        request = ChunkRequest(
+            self._me.node_id,
+            self._me.peer_address,
+            fetch.version,
+            fetch.digest,
+            len(fetch.received),
+        )
+        tick.emit(PeerSend(parent.address, request))
+        pause_us = jittered_backoff_us(
+            tick.random, fetch.failures, _CHUNK_RETRY_US, _CHUNK_RETRY_MAX_US
+        )
+        self._schedule(tick, pause_us)
+
+    def _schedule(self, tick: Tick, pause_us: int) -> None:
+        tick.set_timer(FetchDue, Micros(tick.now_us + pause_us), FetchDue())
+
+    def _drop(self, tick: Tick) -> None:
+        self._follow.fetch = None
+        tick.cancel_timer(FetchDue)
+
+    def _refuse(
+        self, tick: Tick, message: RulesNotice | RulesChunk, reason: str
+    ) -> None:
+        error = SnapshotRefused(reason)
+        event = Event.RULES_SNAPSHOT_REFUSED
+        peer = message.sender
+        tick.emit(Noted(event, version=message.version, peer=peer, detail=str(error)))
+        again_us = Micros(tick.now_us + _CHUNK_RETRY_US)
+        tick.set_timer(RequestDue, again_us, RequestDue())
--- a/packages/papayapost/src/papayapost/distribution/part.py
+++ b/packages/papayapost/src/papayapost/distribution/part.py
@@ -2,16 +2,26 @@
 
 from dataclasses import dataclass
 
-from papayapost.distribution.tables import RulesTable
-from papayapost.distribution.versions import (
-    RULES_KEY,
-    StageRules,
-    SwapRules,
+from papayapost.distribution.deltas import ApplyDeltas
+from papayapost.distribution.feed import FeedChildren, KeepHistory
+from papayapost.distribution.follow import FetchSnapshots, FollowParent
+from papayapost.distribution.held import RulesTable
+from papayapost.distribution.keeping import KeepObjects, kept_objects
+from papayapost.distribution.progress import ReportProgress
+from papayapost.distribution.reports import PublishAccepted, PublishStatus
+from papayapost.distribution.snapshots import SendSnapshots
+from papayapost.distribution.source import (
+    OfferStoredRules,
+    ReadAccepted,
+    ReadWithoutParent,
     WatchRules,
 )
+from papayapost.distribution.start import LearnFloor, StartDistribution, StartDue
+from papayapost.distribution.tables import FollowTable, RelayTables, StoreRow
+from papayapost.distribution.versions import StageRules, SwapRules
 from papayapost.kernel import System
-from papayapost.membership import MembershipPart
-from papayapost.storage import WatchObject
+from papayapost.membership import Directory, TreeTables
+from papayapost.place import SelfRow
 
 __all__ = ["DistributionPart", "build_distribution"]
 
@@ -21,16 +31,40 @@
     """Tables and systems of the rules, and what its first tick takes."""
 
     rules: RulesTable
+    follow: FollowTable
+    relay: RelayTables
     systems: list[System]
     first_messages: list[object]
 
 
-def build_distribution(membership: MembershipPart) -> DistributionPart:
-    """Return the distribution part of a node without any rules."""
-    rules = RulesTable()
+def build_distribution(
+    me: SelfRow, directory: Directory, tree: TreeTables
+) -> DistributionPart:
+    """Return the distribution part of a node without any rules.
+
+    Systems run from the sources of texts over staging and swapping to the
+    children and the reports, so that a change passes a node in one tick.
+    """
+    rules, follow, relay = RulesTable(), FollowTable(), RelayTables.empty()
+    store, kept = StoreRow(), kept_objects()
     systems: list[System] = [
-        WatchRules(rules),
+        StartDistribution(tree),
+        WatchRules(rules, store, tree),
+        OfferStoredRules(rules, store),
+        ReadWithoutParent(rules, tree),
+        FollowParent(me, rules, follow, tree),
+        ApplyDeltas(rules, follow),
+        FetchSnapshots(me, rules, follow, tree),
+        LearnFloor(rules, tree),
         StageRules(rules),
-        SwapRules(rules, membership.directory),
+        ReadAccepted(rules, tree),
+        SwapRules(rules, directory, tree),
+        KeepHistory(rules, relay, tree),
+        FeedChildren(me, rules, relay),
+        SendSnapshots(me, rules, relay),
+        ReportProgress(me, rules, relay, tree),
+        PublishAccepted(rules, tree),
+        PublishStatus(me, directory, tree),
+        KeepObjects(kept, tree),
     ]
-    return DistributionPart(rules, systems, [WatchObject(RULES_KEY, 0)])
+    return DistributionPart(rules, follow, relay, systems, [StartDue()])
--- /dev/null
+++ b/packages/papayapost/src/papayapost/distribution/reports.py
@@ -0,0 +1,94 @@
+"""Systems that say what the store's objects of this part should hold."""
+
+from papayapost.distribution.held import RulesTable
+from papayapost.distribution.messages import (
+    AcceptedRules,
+    KeepObject,
+    PartProgress,
+    ProgressCollected,
+    RulesHeld,
+    StoreBehind,
+)
+from papayapost.distribution.source import ACCEPTED_KEY
+from papayapost.distribution.status import (
+    MAX_REPORTED_LAGGARDS,
+    RefusedVersion,
+    StatusReport,
+    status_key,
+)
+from papayapost.findings import Finding
+from papayapost.kernel import System, Tick
+from papayapost.membership import Directory, TreeTables
+from papayapost.place import SelfRow
+
+__all__ = ["PublishAccepted", "PublishStatus"]
+
+_STORE_CODE = "D001"
+_STORE_REMEDY = (
+    "the rules in force stay; apply the rules file again until the store's "
+    "version is above the one held"
+)
+
+
+class PublishAccepted(System):
+    """Keeps the last version that compiled for nodes that start with none."""
+
+    consumes = (RulesHeld,)
+
+    def __init__(self, rules: RulesTable, tree: TreeTables):
+        self._rules = rules
+        self._tree = tree
+
+    def run(self, tick: Tick) -> None:
+        """Publish on a link relay; the others have it from there."""
+        held = self._rules.held
+        if held is not None and self._tree.is_link_relay:
+            accepted = AcceptedRules(held.version, held.rules.text)
+            tick.post(KeepObject(ACCEPTED_KEY, accepted))
+
+
+class PublishStatus(System):
+    """Turns collected progress into one report per data centre."""
+
+    consumes = (ProgressCollected, StoreBehind, RulesHeld)
+
+    def __init__(self, me: SelfRow, directory: Directory, tree: TreeTables):
+        self._me = me
+        self._directory = directory
+        self._tree = tree
+        self._store_fault: RefusedVersion | None = None
+        self._parts: dict[str, PartProgress] = {}
+
+    def run(self, tick: Tick) -> None:
+        """Report what was collected, and a store that fell behind."""
+        if tick.take(RulesHeld):
+            self._store_fault = None
+        for behind in tick.take(StoreBehind):
+            finding = Finding(_STORE_CODE, "store", behind.reason, _STORE_REMEDY)
+            self._store_fault = RefusedVersion(behind.version, (finding,))
+        for collected in tick.take(ProgressCollected):
+            self._parts = {part.data_centre: part for part in collected.parts}
+        if self._tree.is_link_relay and self._has_children():
+            for part in self._parts.values():
+                key = status_key(part.data_centre)
+                tick.post(KeepObject(key, self._report(part)))
+
+    def _has_children(self) -> bool:
+        # A stand-by link relay that no relay has chosen sees itself alone and
+        # leaves the report to the one that is chosen.
+        nodes = sum(part.nodes_total for part in self._parts.values())
+        return nodes > 1 or len(self._directory) <= 1
+
+    def _report(self, part: PartProgress) -> StatusReport:
+        known = self._directory.count("data_centre", part.data_centre)
+        refused = self._store_fault or (part.refused[0] if part.refused else None)
+        laggards = sorted(part.laggards, key=lambda laggard: laggard.node_id)
+        return StatusReport(
+            part.data_centre,
+            self._me.node_id,
+            part.version,
+            part.nodes_in_force,
+            max(known, part.nodes_total),
+            tuple(laggards[:MAX_REPORTED_LAGGARDS]),
+            refused,
+        )
--- a/packages/papayapost/src/papayapost/distribution/tables.py
+++ b/packages/papayapost/src/papayapost/distribution/tables.py
@@ -1,42 +1,165 @@
-"""Tables of the rules versions."""
+"""Tables of the ways that rules versions take."""
 
-from dataclasses import dataclass
+from collections import deque
+from dataclasses import dataclass, field
 
-from papayapost.ids import RuleVersion
-from papayapost.rules import RuleSet
-from papayapost.states import StagedState
+from papayapost.distribution.lines import LineEdit
+from papayapost.distribution.messages import RulesProgress
+from papayapost.ids import Address, Micros, NodeId, RuleVersion
+from papayapost.kernel import Table
+from papayapost.storage import ObjectKey
 
-__all__ = ["RulesTable", "VersionRow"]
+__all__ = [
+    "FeedRow",
+    "FetchRow",
+    "FollowTable",
+    "HistoryRow",
+    "KeptRow",
+    "RelayTables",
+    "StoreRow",
+    "TransferRow",
+]
 
 
 @dataclass(slots=True)
-class VersionRow:
-    """A rules version on its way into force."""
+class StoreRow:
+    """What a node knows of the store's rules object.
 
+    Parameters
+    ----------
+    watched_after
+        Version that the watch waits to change from.
+    failures
+        Answers in a row that failed.
+    refused_version
+        Lower version that was reported last, to report it once.
+    """
+
+    watched_after: int = 0
+    failures: int = 0
+    refused_version: int | None = None
+    is_watching: bool = False
+
+
+@dataclass(slots=True)
+class FetchRow:
+    """A snapshot on its way from the parent."""
+
+    version: RuleVersion
+    digest: str
+    size_bytes: int
+    received: bytearray = field(default_factory=bytearray)
+    failures: int = 0
+
+
+@dataclass(slots=True)
+class FollowTable:
+    """How this node follows its parent.
+
+    Parameters
+    ----------
+    failures
+        Requests in a row without an answer.
+    """
+
+    fetch: FetchRow | None = None
+    failures: int = 0
+
+
+@dataclass(slots=True)
+class HistoryRow:
+    """One step from a version to the next that was held here."""
+
+    base_version: RuleVersion
+    base_digest: str
     version: RuleVersion
-    rules: RuleSet
-    state: StagedState
+    edits: tuple[LineEdit, ...]
+    size_bytes: int
 
 
-class RulesTable:
-    """The version in force and the one that is staged.
+@dataclass(slots=True)
+class FeedRow:
+    """What a child has acknowledged and been sent.
 
-    Attributes
+    Parameters
     ----------
-    in_force
-        What calls are decided by; None before the first version.
-    staged
-        A complete version that waits for services to become known.
-    newest_seen
-        The highest version that any source has shown, refused ones included.
+    acked
+        Newest version that the child said it holds.
+    pushes
+        Times that the newest version was sent without acknowledgement.
+    is_fetching
+        Whether the last message told the child to fetch the whole text.
+    progress
+        The child's last report, or None before the first.
     """
 
-    def __init__(self):
-        self.in_force: VersionRow | None = None
-        self.staged: VersionRow | None = None
-        self.newest_seen = RuleVersion(0)
+    node_id: NodeId
+    address: Address
+    acked: RuleVersion
+    pushes: int = 0
+    is_fetching: bool = False
+    progress: RulesProgress | None = None
+
+
+@dataclass(slots=True)
+class TransferRow:
+    """A snapshot on its way to a child."""
+
+    node_id: NodeId
+    version: RuleVersion
+    data: bytes
+    last_request_us: Micros
+
+
+@dataclass(slots=True)
+class RelayTables:
+    """What a node keeps for its children.
+
+    Parameters
+    ----------
+    history
+        Steps between the last held versions, oldest first.
+    behind
+        Children that have not acknowledged the newest held version.
+    next_chunk_us
+        When the next chunk may leave at the bounded rate.
+    next_transfer_us
+        Until when the coming transfers are given away.
+    """
+
+    feeds: Table[NodeId, FeedRow]
+    transfers: Table[NodeId, TransferRow]
+    history: deque[HistoryRow] = field(default_factory=deque)
+    behind: dict[NodeId, None] = field(default_factory=dict)
+    next_chunk_us: int = 0
+    next_transfer_us: int = 0
+
+    @classmethod
+    def empty(cls) -> "RelayTables":
+        """Return the tables of a node without children."""
+        return cls(Table("feeds"), Table("transfers"))
+
+
+@dataclass(slots=True)
+class KeptRow:
+    """An object that this node brings to a wanted value.
+
+    Parameters
+    ----------
+    known_version
+        Store version to replace, or None to read it first.
+    is_asked
+        Whether a request is under way.
+    ceded_at
+        Store version that was left in place for another writer.
+    """
 
-    @property
-    def version(self) -> RuleVersion:
-        """The version in force, 0 before the first."""
-        return self.in_force.version if self.in_force else RuleVersion(0)
+    key: ObjectKey
+    wanted: object
+    written: object = None
+    known_version: int | None = None
+    is_asked: bool = False
+    is_scheduled: bool = False
+    failures: int = 0
+    earliest_us: int = 0
+    ceded_at: int | None = None
--- a/packages/papayapost/src/papayapost/distribution/versions.py
+++ b/packages/papayapost/src/papayapost/distribution/versions.py
@@ -1,109 +1,144 @@
 """Systems that bring rules versions into force."""
 
-from papayapost.distribution.messages import RulesInForce, RulesRejected
-from papayapost.distribution.tables import RulesTable, VersionRow
+from papayapost.distribution.held import RulesTable, VersionRow
+from papayapost.distribution.messages import (
+    FloorWaitOver,
+    RulesHeld,
+    RulesInForce,
+    RulesRejected,
+    TextOffered,
+)
+from papayapost.distribution.status import RefusedVersion
 from papayapost.errors import RulesRefused
-from papayapost.ids import Micros, RuleVersion
+from papayapost.ids import RuleVersion
 from papayapost.kernel import System, Tick
-from papayapost.membership import Directory, DirectoryChanged
+from papayapost.membership import (
+    Directory,
+    DirectoryChanged,
+    ParentChanged,
+    RoleChanged,
+    TreeTables,
+)
 from papayapost.observe import Event, Noted
 from papayapost.rules import compile_rules
 from papayapost.states import StagedState
-from papayapost.storage import (
-    ObjectKey,
-    ObjectKind,
-    ObjectSeen,
-    StoreFailed,
-    WatchObject,
-)
-
-__all__ = ["RULES_KEY", "StageRules", "SwapRules", "WatchRules"]
-
-RULES_KEY = ObjectKey(ObjectKind.CONFIG, "rules")
 
-_RETRY_MIN_US = 200_000
-_RETRY_MAX_US = 2_000_000
-
-
-class WatchRules(System):
-    """Keeps a watch on the rules object."""
-
-    consumes = (ObjectSeen, StoreFailed, WatchObject)
-
-    def __init__(self, rules: RulesTable):
-        self._rules = rules
-
-    def run(self, tick: Tick) -> None:
-        """Watch again after every answer, after a pause where it failed."""
-        for request in tick.take(WatchObject):
-            tick.emit(request)
-        for seen in tick.take(ObjectSeen):
-            if seen.key == RULES_KEY:
-                after = max(seen.version, self._rules.newest_seen)
-                tick.emit(WatchObject(RULES_KEY, after))
-        for failed in tick.take(StoreFailed):
-            if failed.key == RULES_KEY:
-                self._retry_later(tick, failed.reason)
-
-    def _retry_later(self, tick: Tick, reason: str) -> None:
-        tick.emit(Noted(Event.STORE_FAILED, detail=reason))
-        pause_us = tick.random.randrange(_RETRY_MIN_US, _RETRY_MAX_US)
-        again = WatchObject(RULES_KEY, self._rules.newest_seen)
-        tick.set_timer("watch rules", Micros(tick.now_us + pause_us), again)
+__all__ = ["StageRules", "SwapRules"]
 
 
 class StageRules(System):
     """Compiles each newer version, whole or not at all."""
 
-    consumes = (ObjectSeen,)
+    consumes = (TextOffered,)
 
     def __init__(self, rules: RulesTable):
         self._rules = rules
 
     def run(self, tick: Tick) -> None:
-        """Stage the versions that are newer than all seen before."""
-        for seen in tick.take(ObjectSeen):
-            if seen.key != RULES_KEY or not isinstance(seen.value, str):
-                continue
-            if seen.version > self._rules.newest_seen:
-                self._rules.newest_seen = RuleVersion(seen.version)
-                self._stage(tick, RuleVersion(seen.version), seen.value)
-
-    def _stage(self, tick: Tick, version: RuleVersion, text: str) -> None:
+        """Stage the newest of the offered versions that compiles."""
+        offers = tick.take(TextOffered)
+        for offered in sorted(offers, key=lambda item: -item.version):
+            if self._is_news(offered.version) and self._stage(tick, offered):
+                return
+
+    def _is_news(self, version: RuleVersion) -> bool:
+        refused = self._rules.refused
+        if refused is not None and refused.version == version:
+            return False
+        return version > self._rules.held_version
+
+    def _stage(self, tick: Tick, offered: TextOffered) -> bool:
+        rules = self._rules
+        version = offered.version
+        rules.newest_seen = max(rules.newest_seen, version)
         try:
-            rules = compile_rules(text)
+            compiled = compile_rules(offered.text)
         except RulesRefused as refused:
-            tick.post(RulesRejected(version, refused.findings))
-            detail = "; ".join(str(finding) for finding in refused.findings)
-            tick.emit(Noted(Event.RULES_REJECTED, version=version, detail=detail))
-            return
-        self._rules.staged = VersionRow(
-            version, rules, StagedState.WAITING_FOR_SERVICES
+            self._refuse(tick, version, refused)
+            return False
+        state = StagedState.WAITING_FOR_SERVICES
+        before = rules.held
+        rules.staged = VersionRow(
+            version, compiled, state, missing=set(compiled.services)
         )
+        if rules.refused is not None and rules.refused.version < version:
+            rules.refused = None
+        is_next = before is not None and before.version == offered.base_version
+        tick.post(RulesHeld(version, before, offered.edits if is_next else None))
+        return True
+
+    def _refuse(self, tick: Tick, version: RuleVersion, error: RulesRefused) -> None:
+        known = self._rules.refused
+        if known is None or known.version < version:
+            self._rules.refused = RefusedVersion(version, error.findings)
+        tick.post(RulesRejected(version, error.findings))
+        detail = "; ".join(str(finding) for finding in error.findings)
+        tick.emit(Noted(Event.RULES_REJECTED, version=version, detail=detail))
 
 
 class SwapRules(System):
-    """Swaps a staged version in once all its services are known."""
+    """Swaps a staged version in once all its services are known.
 
-    consumes = (ObjectSeen, DirectoryChanged)
+    A version below the floor that others remember for this node stays out of
+    force. Before its first swap the node waits a bounded time for a parent or
+    for children, who tell it the floor.
+    """
 
-    def __init__(self, rules: RulesTable, directory: Directory):
+    consumes = (RulesHeld, DirectoryChanged, ParentChanged, RoleChanged, FloorWaitOver)
+
+    def __init__(self, rules: RulesTable, directory: Directory, tree: TreeTables):
         self._rules = rules
         self._directory = directory
+        self._tree = tree
+        self._is_wait_over = False
+        self._noted = RuleVersion(0)
 
     def run(self, tick: Tick) -> None:
         """Swap between two calls: no other system sees half a version."""
+        if tick.take(FloorWaitOver):
+            self._is_wait_over = True
         staged = self._rules.staged
-        if staged is None or not self._knows_services(staged):
+        if staged is None:
             return
+        if not self._knows_services(staged):
+            detail = "waits for " + ", ".join(sorted(staged.missing))
+            self._note_once(tick, Event.RULES_WAITING, staged.version, detail)
+        elif staged.version < self._tree.floor_version:
+            detail = f"the floor is {self._tree.floor_version}"
+            self._note_once(tick, Event.RULES_BELOW_FLOOR, staged.version, detail)
+        elif self._knows_floor():
+            self._swap(tick, staged)
+
+    def _swap(self, tick: Tick, staged: VersionRow) -> None:
         staged.state = StagedState.IN_FORCE
         self._rules.in_force = staged
         self._rules.staged = None
         tick.post(RulesInForce(staged.version))
         tick.emit(Noted(Event.RULES_IN_FORCE, version=staged.version))
 
-    def _knows_services(self, staged: VersionRow) -> bool:
-        return all(
-            self._directory.count("service", service)
-            for service in staged.rules.services
+    def _knows_floor(self) -> bool:
+        return (
+            self._is_wait_over
+            or self._rules.in_force is not None
+            or self._tree.parent is not None
         )
+
+    def _knows_services(self, staged: VersionRow) -> bool:
+        if staged.missing:
+            staged.missing = self._unknown_of(staged.missing)
+        if staged.missing:
+            return False
+        # A service found earlier may have left while others were missing.
+        staged.missing = self._unknown_of(staged.rules.services)
+        return not staged.missing
+
+    def _unknown_of(self, services) -> set:
+        count = self._directory.count
+        return {service for service in services if not count("service", service)}
+
+    def _note_once(
+        self, tick: Tick, event: Event, version: RuleVersion, detail: str
+    ) -> None:
+        if version != self._noted:
+            self._noted = version
+            tick.emit(Noted(event, version=version, detail=detail))
--- a/packages/papayapost/src/papayapost/errors.py
+++ b/packages/papayapost/src/papayapost/errors.py
@@ -10,12 +10,14 @@
 from papayapost.findings import Finding
 
 __all__ = [
+    "DeltaRefused",
     "ErrorCode",
     "FindingsError",
     "FrameError",
     "PapayapostError",
     "RulesRefused",
     "SettingsRefused",
+    "SnapshotRefused",
     "StoreConflict",
     "StoreUnavailable",
     "UnknownRow",
@@ -29,6 +31,8 @@
     SETTINGS_REFUSED = 201
     STORE_UNAVAILABLE = 301
     STORE_CONFLICT = 302
+    DELTA_REFUSED = 310
+    SNAPSHOT_REFUSED = 311
     FRAME_MALFORMED = 401
     UNKNOWN_ROW = 901
 
@@ -90,6 +94,18 @@
         )
 
 
+class DeltaRefused(PapayapostError):
+    """A delta of the rules does not lead from the held text to its result."""
+
+    code = ErrorCode.DELTA_REFUSED
+
+
+class SnapshotRefused(PapayapostError):
+    """A snapshot of the rules is too large or not what was announced."""
+
+    code = ErrorCode.SNAPSHOT_REFUSED
+
+
 class FrameError(PapayapostError):
     """A frame from a peer does not decode to a known message."""
 
--- a/packages/papayapost/src/papayapost/membership/tables.py
+++ b/packages/papayapost/src/papayapost/membership/tables.py
@@ -111,10 +111,14 @@
         Whether the node watches the store for its region.
     parent
         None on a link relay, and while no parent has accepted this node.
+    floor_version
+        The highest version that others saw this node reach before its
+        restart; it must not serve an older one.
     """
 
     def __init__(self):
         self.is_relay = False
         self.is_link_relay = False
         self.parent: ParentRow | None = None
+        self.floor_version = RuleVersion(0)
         self.children: Table[NodeId, ChildRow] = Table("children")
--- a/packages/papayapost/src/papayapost/node.py
+++ b/packages/papayapost/src/papayapost/node.py
@@ -48,7 +48,7 @@
         The node's own row.
     """
     membership = build_membership(me, seeds, own)
-    distribution = build_distribution(membership)
+    distribution = build_distribution(me, membership.directory, membership.tree)
     traffic = build_traffic(me, membership, distribution, own.slots)
     systems = [*membership.systems, *distribution.systems, *traffic.systems]
     return NodeWorld(World(systems, random), membership, distribution, traffic)
--- a/packages/papayapost/src/papayapost/storage/messages.py
+++ b/packages/papayapost/src/papayapost/storage/messages.py
@@ -16,6 +16,7 @@
     "ReadObject",
     "RequestId",
     "StoreFailed",
+    "UnwatchObject",
     "UpdateConflicted",
     "UpdateObject",
     "UpdateUnknown",
@@ -56,12 +57,27 @@
     after_version: int
 
 
+@dataclass(slots=True)
+class UnwatchObject:
+    """Effect: end the watch of the object, if there is one."""
+
+    key: ObjectKey
+
+
 @dataclass(slots=True)
 class ReadObject:
-    """Effect: read the object once."""
+    """Effect: read the object once.
+
+    Parameters
+    ----------
+    unless_version
+        Version that is known already: if it is still current, the store
+        sends no value and the answer holds None; 0 for always.
+    """
 
     key: ObjectKey
     request_id: RequestId
+    unless_version: int = 0
 
 
 @dataclass(slots=True)
