Record a version as accepted before any node holds it

Cause: a link relay that put a version in force and died before its record was written left no trace; with a bad text on top of it, or a store that answers from the past, its successor served less than the fleet.

Change: a link relay records a compiled version in the accepted object, on condition of the record's version, and stages it only then. The first record of a process is always an update, for a read can show the past. A stateful test drives four nodes through lost, repeated and reordered messages, restarts, changes of parent, a paused relay and a store that is down, stale or loses replies.

Found by the test and mended: an empty rules text was refused as an empty chunk, and a child that left and came back within one tick was forgotten.

--- a/packages/papayapost/src/papayapost/distribution/feed.py
+++ b/packages/papayapost/src/papayapost/distribution/feed.py
@@ -85,10 +85,13 @@
         RepushDue,
     )
 
-    def __init__(self, me: SelfRow, rules: RulesTable, relay: RelayTables):
+    def __init__(
+        self, me: SelfRow, rules: RulesTable, relay: RelayTables, tree: TreeTables
+    ):
         self._me = me
         self._rules = rules
         self._relay = relay
+        self._tree = tree
         self._is_repush_set = False
 
     def run(self, tick: Tick) -> None:
@@ -99,8 +102,10 @@
             self._relay.feeds.put(child.node_id, row)
             self._note_acked(row, child.version)
         for left in tick.take(ChildLeft):
-            self._relay.feeds.pop(left.node_id)
-            self._relay.behind.pop(left.node_id, None)
+            # A child that left and came back within one tick is still there.
+            if left.node_id not in self._tree.children:
+                self._relay.feeds.pop(left.node_id)
+                self._relay.behind.pop(left.node_id, None)
         for progress in tick.take(RulesProgress):
             child_row = self._relay.feeds.get(progress.sender)
             if child_row is not None:
--- a/packages/papayapost/src/papayapost/distribution/follow.py
+++ b/packages/papayapost/src/papayapost/distribution/follow.py
@@ -161,7 +161,10 @@
             return
         fetch.failures = 0
         fetch.received += chunk.data
-        if not chunk.data or len(fetch.received) > fetch.size_bytes:
+        received_bytes = len(fetch.received)
+        if received_bytes > fetch.size_bytes or (
+            not chunk.data and received_bytes < fetch.size_bytes
+        ):
             self._drop(tick)
             self._refuse(
                 tick,
@@ -169,7 +172,7 @@
                 f"a chunk of {len(chunk.data)} bytes at {chunk.offset_bytes} does "
                 f"not fit into {fetch.size_bytes}; the text is asked for again",
             )
-        elif len(fetch.received) == fetch.size_bytes:
+        elif received_bytes == fetch.size_bytes:
             self._complete(tick, fetch, chunk)
         else:
             self._ask(tick)
--- a/packages/papayapost/src/papayapost/distribution/held.py
+++ b/packages/papayapost/src/papayapost/distribution/held.py
@@ -31,6 +31,9 @@
 
     Attributes
     ----------
+    candidate
+        On a link relay, a version that compiled and is not yet known to be
+        recorded as accepted in the store; nobody else sees it.
     in_force
         What calls are decided by; None before the first version.
     staged
@@ -42,6 +45,7 @@
     """
 
     def __init__(self):
+        self.candidate: VersionRow | None = None
         self.in_force: VersionRow | None = None
         self.staged: VersionRow | None = None
         self.refused: RefusedVersion | None = None
@@ -54,7 +58,7 @@
 
     @property
     def held(self) -> VersionRow | None:
-        """The newest version that compiled, in force or staged."""
+        """The newest accepted version, in force or staged."""
         return self.staged or self.in_force
 
     @property
--- a/packages/papayapost/src/papayapost/distribution/keeping.py
+++ b/packages/papayapost/src/papayapost/distribution/keeping.py
@@ -4,7 +4,12 @@
 from collections.abc import Mapping
 
 from papayapost.distribution.backoff import jittered_backoff_us
-from papayapost.distribution.messages import AcceptedRules, KeepDue, KeepObject
+from papayapost.distribution.messages import (
+    AcceptedRules,
+    KeepDue,
+    KeepObject,
+    ObjectKept,
+)
 from papayapost.distribution.status import StatusReport
 from papayapost.distribution.tables import KeptRow
 from papayapost.ids import Micros
@@ -32,7 +37,8 @@
     "kept_objects",
 ]
 
-_WINDOW_US = 2_000_000
+_ACCEPTED_WINDOW_US = 200_000
+_STATUS_WINDOW_US = 2_000_000
 _CEDE_US = 6_000_000
 _RETRY_MIN_US = 500_000
 _RETRY_MAX_US = 30_000_000
@@ -46,9 +52,19 @@
     def keeps_stored(self, stored: object, wanted: object) -> bool:
         """Return whether the stored value goes before the wanted one."""
 
+    @property
     @abstractmethod
     def is_final(self) -> bool:
-        """Return whether a value once preferred is never overwritten."""
+        """Whether a value once preferred is never overwritten.
+
+        The first value of such an object is written in any case, for a read
+        can show the past and only an update on condition cannot.
+        """
+
+    @property
+    @abstractmethod
+    def window_us(self) -> int:
+        """Least time between two updates in µs."""
 
 
 class AcceptedPrecedence(Precedence):
@@ -62,10 +78,16 @@
             and stored.version >= wanted.version
         )
 
+    @property
     def is_final(self) -> bool:
-        """Return True: versions only rise."""
+        """True: versions only rise."""
         return True
 
+    @property
+    def window_us(self) -> int:
+        """Least time between two updates in µs."""
+        return _ACCEPTED_WINDOW_US
+
 
 class StatusPrecedence(Precedence):
     """The report of the writer that sees more nodes in force stays.
@@ -82,10 +104,16 @@
             return stored == wanted
         return _rank(stored) > _rank(wanted)
 
+    @property
     def is_final(self) -> bool:
-        """Return False: a writer that fell silent is followed by another."""
+        """False: a writer that fell silent is followed by another."""
         return False
 
+    @property
+    def window_us(self) -> int:
+        """Least time between two updates in µs."""
+        return _STATUS_WINDOW_US
+
 
 def _rank(report: StatusReport) -> tuple[int, int]:
     return report.version, report.nodes_in_force
@@ -146,7 +174,10 @@
             row = KeptRow(wanted.key, wanted.value)
             self._kept.put(wanted.key, row)
         row.wanted = wanted.value
-        self._schedule(tick, row, row.earliest_us)
+        if row.is_confirmed and row.wanted == row.written and not row.is_asked:
+            tick.post(ObjectKept(row.key, row.wanted))
+        else:
+            self._schedule(tick, row, row.earliest_us)
 
     def _schedule(self, tick: Tick, row: KeptRow, earliest_us: int) -> None:
         if row.is_scheduled or row.is_asked or row.wanted == row.written:
@@ -168,7 +199,7 @@
     def _update(self, tick: Tick, row: KeptRow, version: int) -> None:
         row.is_asked = True
         row.written = row.wanted
-        row.earliest_us = tick.now_us + _WINDOW_US
+        row.earliest_us = tick.now_us + PRECEDENCES[row.key.kind].window_us
         tick.emit(UpdateObject(row.key, _KEEP_ID, version, row.wanted))
 
     def _note_updated(self, tick: Tick, updated: ObjectUpdated) -> None:
@@ -176,6 +207,8 @@
         if row is not None:
             row.known_version = updated.version
             row.failures = 0
+            row.is_confirmed = True
+            tick.post(ObjectKept(row.key, row.written))
             self._schedule(tick, row, row.earliest_us)
 
     def _note_seen(self, tick: Tick, seen: ObjectSeen) -> None:
@@ -187,8 +220,12 @@
         precedence = PRECEDENCES[row.key.kind]
         if not precedence.keeps_stored(seen.value, row.wanted):
             self._update(tick, row, seen.version)
-        elif precedence.is_final() or seen.value == row.wanted:
-            row.written = row.wanted
+        elif precedence.is_final and not row.is_confirmed:
+            row.wanted = seen.value
+            self._update(tick, row, seen.version)
+        elif precedence.is_final or seen.value == row.wanted:
+            row.written = row.wanted = seen.value
+            tick.post(ObjectKept(row.key, seen.value))
         elif row.ceded_at == seen.version:
             self._update(tick, row, seen.version)
         else:
--- a/packages/papayapost/src/papayapost/distribution/messages.py
+++ b/packages/papayapost/src/papayapost/distribution/messages.py
@@ -21,6 +21,7 @@
     "FloorWaitOver",
     "KeepDue",
     "KeepObject",
+    "ObjectKept",
     "PartProgress",
     "ProgressCollected",
     "ProgressDue",
@@ -28,6 +29,7 @@
     "RequestDue",
     "RulesBusy",
     "RulesChunk",
+    "RulesCompiled",
     "RulesDelta",
     "RulesGone",
     "RulesHeld",
@@ -73,9 +75,23 @@
     edits: tuple[LineEdit, ...] | None = None
 
 
+@dataclass(slots=True)
+class RulesCompiled:
+    """Internal: an offered text compiled.
+
+    Parameters
+    ----------
+    edits
+        How it differs from the held text, or None where that is unknown.
+    """
+
+    row: VersionRow
+    edits: tuple[LineEdit, ...] | None
+
+
 @dataclass(slots=True)
 class RulesHeld:
-    """Internal: a version compiled and is staged; children may have it.
+    """Internal: a version is accepted and staged; children may have it.
 
     Parameters
     ----------
@@ -106,6 +122,14 @@
     value: object
 
 
+@dataclass(slots=True)
+class ObjectKept:
+    """Internal: the object holds this value, as wanted or preferred to it."""
+
+    key: ObjectKey
+    value: object
+
+
 @dataclass(frozen=True, slots=True)
 class AcceptedRules:
     """Value of the accepted object: the last version that compiled."""
--- a/packages/papayapost/src/papayapost/distribution/part.py
+++ b/packages/papayapost/src/papayapost/distribution/part.py
@@ -2,13 +2,14 @@
 
 from dataclasses import dataclass
 
+from papayapost.distribution.accept import AcceptRules
 from papayapost.distribution.deltas import ApplyDeltas
 from papayapost.distribution.feed import FeedChildren, KeepHistory
 from papayapost.distribution.follow import FetchSnapshots, FollowParent
 from papayapost.distribution.held import RulesTable
 from papayapost.distribution.keeping import KeepObjects, kept_objects
 from papayapost.distribution.progress import ReportProgress
-from papayapost.distribution.reports import PublishAccepted, PublishStatus
+from papayapost.distribution.reports import PublishStatus
 from papayapost.distribution.snapshots import SendSnapshots
 from papayapost.distribution.source import (
     OfferStoredRules,
@@ -18,7 +19,7 @@
 )
 from papayapost.distribution.start import LearnFloor, StartDistribution, StartDue
 from papayapost.distribution.tables import FollowTable, RelayTables, StoreRow
-from papayapost.distribution.versions import StageRules, SwapRules
+from papayapost.distribution.versions import CompileRules, SwapRules
 from papayapost.kernel import System
 from papayapost.membership import Directory, TreeTables
 from papayapost.place import SelfRow
@@ -56,14 +57,14 @@
         ApplyDeltas(rules, follow),
         FetchSnapshots(me, rules, follow, tree),
         LearnFloor(rules, tree),
-        StageRules(rules),
+        CompileRules(rules),
+        AcceptRules(rules, tree),
         ReadAccepted(rules, tree),
         SwapRules(rules, directory, tree),
         KeepHistory(rules, relay, tree),
-        FeedChildren(me, rules, relay),
+        FeedChildren(me, rules, relay, tree),
         SendSnapshots(me, rules, relay),
         ReportProgress(me, rules, relay, tree),
-        PublishAccepted(rules, tree),
         PublishStatus(me, directory, tree),
         KeepObjects(kept, tree),
     ]
--- a/packages/papayapost/src/papayapost/distribution/reports.py
+++ b/packages/papayapost/src/papayapost/distribution/reports.py
@@ -1,15 +1,12 @@
-"""Systems that say what the store's objects of this part should hold."""
+"""The system that reports to the operators."""
 
-from papayapost.distribution.held import RulesTable
 from papayapost.distribution.messages import (
-    AcceptedRules,
     KeepObject,
     PartProgress,
     ProgressCollected,
     RulesHeld,
     StoreBehind,
 )
-from papayapost.distribution.source import ACCEPTED_KEY
 from papayapost.distribution.status import (
     MAX_REPORTED_LAGGARDS,
     RefusedVersion,
@@ -21,7 +18,7 @@
 from papayapost.membership import Directory, TreeTables
 from papayapost.place import SelfRow
 
-__all__ = ["PublishAccepted", "PublishStatus"]
+__all__ = ["PublishStatus"]
 
 _STORE_CODE = "D001"
 _STORE_REMEDY = (
@@ -30,23 +27,6 @@
 )
 
 
-class PublishAccepted(System):
-    """Keeps the last version that compiled for nodes that start with none."""
-
-    consumes = (RulesHeld,)
-
-    def __init__(self, rules: RulesTable, tree: TreeTables):
-        self._rules = rules
-        self._tree = tree
-
-    def run(self, tick: Tick) -> None:
-        """Publish on a link relay; the others have it from there."""
-        held = self._rules.held
-        if held is not None and self._tree.is_link_relay:
-            accepted = AcceptedRules(held.version, held.rules.text)
-            tick.post(KeepObject(ACCEPTED_KEY, accepted))
-
-
 class PublishStatus(System):
     """Turns collected progress into one report per data centre."""
 
--- a/packages/papayapost/src/papayapost/distribution/source.py
+++ b/packages/papayapost/src/papayapost/distribution/source.py
@@ -215,7 +215,9 @@
             tick.emit(ReadObject(ACCEPTED_KEY, _ACCEPTED_ID))
 
     def _is_needed(self) -> bool:
-        return self._rules.held is None and self._tree.parent is None
+        rules = self._rules
+        is_empty = rules.held is None and rules.candidate is None
+        return is_empty and self._tree.parent is None
 
     def _retry_later(self, tick: Tick) -> None:
         pause_us = jittered_backoff_us(
--- a/packages/papayapost/src/papayapost/distribution/tables.py
+++ b/packages/papayapost/src/papayapost/distribution/tables.py
@@ -150,6 +150,8 @@
         Store version to replace, or None to read it first.
     is_asked
         Whether a request is under way.
+    is_confirmed
+        Whether an update of this process has succeeded.
     ceded_at
         Store version that was left in place for another writer.
     """
@@ -160,6 +162,7 @@
     known_version: int | None = None
     is_asked: bool = False
     is_scheduled: bool = False
+    is_confirmed: bool = False
     failures: int = 0
     earliest_us: int = 0
     ceded_at: int | None = None
--- a/packages/papayapost/src/papayapost/distribution/versions.py
+++ b/packages/papayapost/src/papayapost/distribution/versions.py
@@ -3,6 +3,7 @@
 from papayapost.distribution.held import RulesTable, VersionRow
 from papayapost.distribution.messages import (
     FloorWaitOver,
+    RulesCompiled,
     RulesHeld,
     RulesInForce,
     RulesRejected,
@@ -23,10 +24,10 @@
 from papayapost.rules import compile_rules
 from papayapost.states import StagedState
 
-__all__ = ["StageRules", "SwapRules"]
+__all__ = ["CompileRules", "SwapRules"]
 
 
-class StageRules(System):
+class CompileRules(System):
     """Compiles each newer version, whole or not at all."""
 
     consumes = (TextOffered,)
@@ -35,19 +36,22 @@
         self._rules = rules
 
     def run(self, tick: Tick) -> None:
-        """Stage the newest of the offered versions that compiles."""
+        """Pass on the newest of the offered versions that compiles."""
         offers = tick.take(TextOffered)
         for offered in sorted(offers, key=lambda item: -item.version):
-            if self._is_news(offered.version) and self._stage(tick, offered):
+            if self._is_news(offered.version) and self._compile(tick, offered):
                 return
 
     def _is_news(self, version: RuleVersion) -> bool:
         refused = self._rules.refused
         if refused is not None and refused.version == version:
             return False
+        candidate = self._rules.candidate
+        if candidate is not None and candidate.version >= version:
+            return False
         return version > self._rules.held_version
 
-    def _stage(self, tick: Tick, offered: TextOffered) -> bool:
+    def _compile(self, tick: Tick, offered: TextOffered) -> bool:
         rules = self._rules
         version = offered.version
         rules.newest_seen = max(rules.newest_seen, version)
@@ -57,14 +61,9 @@
             self._refuse(tick, version, refused)
             return False
         state = StagedState.WAITING_FOR_SERVICES
-        before = rules.held
-        rules.staged = VersionRow(
-            version, compiled, state, missing=set(compiled.services)
-        )
-        if rules.refused is not None and rules.refused.version < version:
-            rules.refused = None
-        is_next = before is not None and before.version == offered.base_version
-        tick.post(RulesHeld(version, before, offered.edits if is_next else None))
+        row = VersionRow(version, compiled, state, missing=set(compiled.services))
+        is_next = rules.held_version == offered.base_version
+        tick.post(RulesCompiled(row, offered.edits if is_next else None))
         return True
 
     def _refuse(self, tick: Tick, version: RuleVersion, error: RulesRefused) -> None:
