Measure the time and processor time that nodes add to a call

Cause: nothing showed what a hop costs. Change: bench latency runs papayad, a bare backend server and a caller as processes; calls alternate between direct, one node and two nodes.

--- a/packages/papayapost-testing/src/papayapost_testing/bench/__main__.py
+++ b/packages/papayapost-testing/src/papayapost_testing/bench/__main__.py
@@ -12,7 +12,7 @@
 
 __all__ = ["main"]
 
-BENCHMARKS = ("kernel",)
+BENCHMARKS = ("kernel", "latency")
 
 
 def run(*names: str, long: bool = False, output: str = "") -> None:
--- /dev/null
+++ b/packages/papayapost-testing/src/papayapost_testing/bench/latency_parts/__init__.py
@@ -0,0 +1,1 @@
+"""Processes of the latency benchmark."""
--- /dev/null
+++ b/packages/papayapost-testing/src/papayapost_testing/bench/latency_parts/processes.py
@@ -0,0 +1,139 @@
+"""Starts and stops the processes that the benchmark measures."""
+
+import asyncio
+import subprocess
+import sys
+from dataclasses import dataclass, field
+from pathlib import Path
+
+import msgspec
+
+from papayapost.ids import Address
+from papayapost_node.http import ClientConnection, HttpRequest
+from papayapost_node.store import HttpStoreClient
+from papayapost_testing.ports import free_addresses
+from papayapost_testing.store import ObjectStoreStandIn
+
+__all__ = ["BenchMesh", "cpu_us", "measure_calls"]
+
+_RULES = b"route GET /* -> gusts rank=urgent idempotent=yes # Mei: wind desk\n"
+_READY_S = 20
+_POLL_S = 0.05
+_PACKAGE = "papayapost_testing.bench.latency_parts"
+
+
+@dataclass(slots=True)
+class BenchMesh:
+    """An entry node, an owner node, a backend server and a store.
+
+    Attributes
+    ----------
+    backend_address, owner_address, entry_address
+        Where the same request takes no node, one node and two nodes.
+    """
+
+    folder: Path
+    store: ObjectStoreStandIn
+    store_address: Address
+    backend_address: Address
+    owner_address: Address
+    entry_address: Address
+    peers: list[Address]
+    processes: list[subprocess.Popen] = field(default_factory=list)
+
+    @classmethod
+    async def start(cls, folder: Path) -> "BenchMesh":
+        """Start everything and wait until both paths answer."""
+        store_address, backend, owner, entry, *peers = free_addresses(6)
+        store = ObjectStoreStandIn(store_address)
+        await store.start()
+        await HttpStoreClient(store_address).update("config", "rules", _RULES, 0)
+        mesh = cls(folder, store, store_address, backend, owner, entry, peers)
+        mesh._spawn("-m", f"{_PACKAGE}.backend", backend)
+        for number in range(2):
+            settings = mesh._write_settings(number)
+            mesh._spawn("-m", "papayapost_node.main", "--settings", str(settings))
+        for address in (owner, entry):
+            await _until_answered(address)
+        return mesh
+
+    @property
+    def node_pids(self) -> list[int]:
+        """Processes of the owner node and of the entry node."""
+        return [process.pid for process in self.processes[1:]]
+
+    async def close(self) -> None:
+        """Stop everything."""
+        for process in self.processes:
+            process.terminate()
+        for process in self.processes:
+            await asyncio.to_thread(process.wait)
+        await self.store.close()
+
+    def _spawn(self, *arguments: str) -> None:
+        process = subprocess.Popen(
+            [sys.executable, *arguments],
+            stdout=subprocess.DEVNULL,
+            stderr=subprocess.DEVNULL,
+        )
+        self.processes.append(process)
+
+    def _write_settings(self, number: int) -> Path:
+        is_owner = number == 0
+        backend = {
+            "service": "gusts",
+            "address": self.backend_address,
+            "slots": 64,
+            "connections": 110,
+        }
+        settings = {
+            "node_id": f"n{number}",
+            "data_centre": "north-1",
+            "region": "north",
+            "caller_address": self.owner_address if is_owner else self.entry_address,
+            "peer_address": self.peers[number],
+            "store_address": self.store_address,
+            "seeds": [self.peers[0]],
+            "backend_server": backend if is_owner else None,
+        }
+        path = self.folder / f"node-{number}.json"
+        path.write_bytes(msgspec.json.encode(settings))
+        return path
+
+
+async def measure_calls(
+    calls: int, rate_per_s: float, addresses: list[Address]
+) -> list[list[float]]:
+    """Return the µs of each call, by address, from a caller process."""
+    process = await asyncio.create_subprocess_exec(
+        sys.executable,
+        "-m",
+        f"{_PACKAGE}.caller",
+        str(calls),
+        str(rate_per_s),
+        *addresses,
+        stdout=asyncio.subprocess.PIPE,
+    )
+    output, _ = await process.communicate()
+    return msgspec.json.decode(output, type=list[list[float]])
+
+
+def cpu_us(pid: int) -> float:
+    """Return the processor time that a process has used."""
+    # The scheduler's own count is in ns; the usual ones are in 10 ms.
+    return int(Path(f"/proc/{pid}/schedstat").read_text().split()[0]) / 1_000
+
+
+async def _until_answered(address: Address) -> None:
+    request = HttpRequest("GET", "/ready", [(b"host", b"wind.example")])
+    async with asyncio.timeout(_READY_S):
+        while True:
+            try:
+                connection = await ClientConnection.open(address)
+                answer = await connection.call(request)
+                connection.close()
+                if answer.status == 200:
+                    return
+            except OSError:
+                pass
+            await asyncio.sleep(_POLL_S)
