--- a/packages/papayapost-testing/src/papayapost_testing/bench/latency.py
+++ b/packages/papayapost-testing/src/papayapost_testing/bench/latency.py
@@ -8,13 +8,13 @@
 import tempfile
 from pathlib import Path
 
-from papayapost_testing.bench.latency_parts.caller import WARM_UP_CALLS
-from papayapost_testing.bench.latency_parts.processes import (
+from papayapost_testing.bench.rows import BenchRow
+from papayapost_testing.latency_mesh.caller import WARM_UP_CALLS
+from papayapost_testing.latency_mesh.processes import (
     BenchMesh,
     cpu_us,
     measure_calls,
 )
-from papayapost_testing.bench.rows import BenchRow
 
 __all__ = ["run"]
 
--- a/packages/papayapost-testing/src/papayapost_testing/bench/latency_parts/processes.py
+++ b/packages/papayapost-testing/src/papayapost_testing/latency_mesh/processes.py
@@ -19,7 +19,7 @@
 _RULES = b"route GET /* -> gusts rank=urgent idempotent=yes # Mei: wind desk\n"
 _READY_S = 20
 _POLL_S = 0.05
-_PACKAGE = "papayapost_testing.bench.latency_parts"
+_PACKAGE = "papayapost_testing.latency_mesh"
 
 
 @dataclass(slots=True)
