--- a/packages/papayapost-node/src/papayapost_node/wire/__init__.py
+++ b/packages/papayapost-node/src/papayapost_node/wire/__init__.py
@@ -10,15 +10,18 @@
     RequestHead,
     RequestPart,
 )
-from papayapost_node.wire.catalogue import WIRE_NUMBERS
+from papayapost_node.wire.catalogue import CONTROL_TYPES, WIRE_NUMBERS
 from papayapost_node.wire.codec import Codec, MessagePackCodec
+from papayapost_node.wire.compression import CompressingCodec
 
 __all__ = [
+    "CONTROL_TYPES",
     "WIRE_NUMBERS",
     "AnswerCarrier",
     "AnswerCredit",
     "AnswerPart",
     "Codec",
+    "CompressingCodec",
     "InterimAnswer",
     "MessagePackCodec",
     "OfferCarrier",
