Answer operators' questions from the record

Change: a Question names what it reads next and reports in the end; one system drives any of them. The record part runs in every node and works on link relays. A node's compilation reuses the lines of the text it holds.

--- a/packages/papayapost-node/src/papayapost_node/store/values.py
+++ b/packages/papayapost-node/src/papayapost_node/store/values.py
@@ -10,11 +10,10 @@
 
 import msgspec
 
-from papayapost.distribution.status import StatusReport
-from papayapost.record import ChangeDetail, RecordPage
-from papayapost.rules import decode_text
 from papayapost.distribution import AcceptedRules, StatusReport
 from papayapost.ids import RuleVersion
+from papayapost.record import ChangeDetail, RecordPage
+from papayapost.rules import decode_text
 from papayapost.storage import ObjectKind
 
 __all__ = ["VALUE_TYPES", "decode_value", "encode_value"]
@@ -50,7 +49,6 @@
     value_type = VALUE_TYPES[kind]
     if value_type is str:
         return decode_text(data)
-        return data.decode()
     if value_type is AcceptedRules:
         return _decode_accepted(data.decode())
     return msgspec.json.decode(data, type=value_type)
--- a/packages/papayapost/src/papayapost/distribution/versions.py
+++ b/packages/papayapost/src/papayapost/distribution/versions.py
@@ -55,8 +55,9 @@
         rules = self._rules
         version = offered.version
         rules.newest_seen = max(rules.newest_seen, version)
+        held = rules.held
         try:
-            compiled = compile_rules(offered.text)
+            compiled = compile_rules(offered.text, held.rules if held else None)
         except RulesRefused as refused:
             self._refuse(tick, version, refused)
             return False
--- a/packages/papayapost/src/papayapost/node.py
+++ b/packages/papayapost/src/papayapost/node.py
@@ -13,6 +13,7 @@
     build_membership,
 )
 from papayapost.place import SelfRow
+from papayapost.record import RecordPart, build_record
 from papayapost.traffic import TrafficPart, build_traffic
 
 __all__ = ["NodeWorld", "build_node_world"]
@@ -26,6 +27,7 @@
     membership: MembershipPart
     distribution: DistributionPart
     traffic: TrafficPart
+    record: RecordPart
 
     def first_messages(self) -> list:
         """Return what the first tick takes."""
@@ -50,5 +52,12 @@
     membership = build_membership(me, seeds, own)
     distribution = build_distribution(me, membership.directory, membership.tree)
     traffic = build_traffic(me, membership, distribution, own.slots)
-    systems = [*membership.systems, *distribution.systems, *traffic.systems]
-    return NodeWorld(World(systems, random), membership, distribution, traffic)
+    record = build_record(me, membership.tree, distribution.rules)
+    systems = [
+        *membership.systems,
+        *distribution.systems,
+        *traffic.systems,
+        *record.systems,
+    ]
+    world = World(systems, random)
+    return NodeWorld(world, membership, distribution, traffic, record)
--- a/packages/papayapost/src/papayapost/record/apply/part.py
+++ b/packages/papayapost/src/papayapost/record/apply/part.py
@@ -17,7 +17,7 @@
 
 __all__ = ["build_apply"]
 
-_MAX_RECORD_FAILURES = 8
+_MAX_RECORD_FAILURES = 10
 
 
 def build_apply(random: Random) -> World:
--- a/packages/papayapost/src/papayapost/record/apply/starting.py
+++ b/packages/papayapost/src/papayapost/record/apply/starting.py
@@ -1,6 +1,6 @@
 """Systems that lead an apply up to its update."""
 
-from papayapost.distribution import RULES_KEY
+from papayapost.distribution import ACCEPTED_KEY, RULES_KEY, AcceptedRules
 from papayapost.errors import RulesRefused
 from papayapost.ids import NO_VERSION, RuleVersion
 from papayapost.kernel import System, Tick
@@ -44,7 +44,8 @@
                 )
                 finish(tick, self._applies.row, report)
                 continue
-            tick.post(GatherAsked(_GATHER, (RULES_KEY, RECORD_KEY)))
+            keys = (RULES_KEY, RECORD_KEY, ACCEPTED_KEY)
+            tick.post(GatherAsked(_GATHER, keys))
 
 
 class ProposeApply(System):
@@ -63,7 +64,12 @@
                 self._decide(tick, row, *gathered.objects)
 
     def _decide(
-        self, tick: Tick, row: ApplyRow, rules: GatheredObject, record: GatheredObject
+        self,
+        tick: Tick,
+        row: ApplyRow,
+        rules: GatheredObject,
+        record: GatheredObject,
+        accepted: GatheredObject,
     ) -> None:
         failure = rules.failure or record.failure
         if failure:
@@ -76,7 +82,7 @@
         page = record.value if isinstance(record.value, RecordPage) else RecordPage()
         early = _early_outcome(row)
         if early is None:
-            _propose(tick, row)
+            _propose(tick, row, _basis_of(row, accepted.value))
             return
         if early is ApplyOutcome.OVERTAKEN:
             row.rival = row.base
@@ -95,9 +101,9 @@
     return ApplyOutcome.PREVIEWED if row.asked.is_preview else None
 
 
-def _propose(tick: Tick, row: ApplyRow) -> None:
+def _propose(tick: Tick, row: ApplyRow, basis: RulesText | None) -> None:
     asked = row.asked
-    sized = changes_between(_basis_of(row), asked.text)
+    sized = changes_between(basis, asked.text)
     row.proposal = Proposal(
         asked.proposal_id,
         asked.operator,
@@ -112,13 +118,15 @@
     tick.post(StepWanted(_STEP, ProposeVersion(row.proposal, sized, current)))
 
 
-def _basis_of(row: ApplyRow) -> RulesText | None:
+def _basis_of(row: ApplyRow, accepted: object) -> RulesText | None:
     """Return the text that the record compares with: the last valid one."""
     if row.base is None:
         return RulesText(NO_VERSION, "")
     try:
         compile_rules(row.base.text)
     except RulesRefused:
+        if isinstance(accepted, AcceptedRules):
+            return RulesText(accepted.version, accepted.text)
         return None
     return row.base
 
--- a/packages/papayapost/src/papayapost/record/keeper.py
+++ b/packages/papayapost/src/papayapost/record/keeper.py
@@ -5,6 +5,7 @@
 again. Steps are harmless to repeat, so a lost reply needs no other care.
 """
 
+from papayapost.distribution.backoff import jittered_backoff_us
 from papayapost.ids import Micros
 from papayapost.kernel import System, Tick
 from papayapost.record.messages import PageDue, StepDone, StepFailed, StepWanted
@@ -27,7 +28,7 @@
 
 _REQUEST = RequestId("record-page")
 _PAUSE_MIN_US = 100_000
-_PAUSE_MAX_US = 400_000
+_PAUSE_MAX_US = 2_000_000
 # A batch adds far fewer entries than a page holds, and a busy page is read
 # and written once for all that wait.
 _MAX_BATCH = 16
@@ -197,5 +198,7 @@
         tables.page = type(page)()
         return
     page.state = PageState.PAUSED
-    pause_us = tick.random.randint(_PAUSE_MIN_US, _PAUSE_MAX_US)
+    pause_us = jittered_backoff_us(
+        tick.random, page.failures - 1, _PAUSE_MIN_US, _PAUSE_MAX_US
+    )
     tick.set_timer("record page", Micros(tick.now_us + pause_us), PageDue())
--- /dev/null
+++ b/packages/papayapost/src/papayapost/record/questions/__init__.py
@@ -0,0 +1,30 @@
+"""Questions of an operator that are answered by reading objects."""
+
+from papayapost.record.questions.log import LogFilter, LogReport, ReadLog
+from papayapost.record.questions.question import (
+    Question,
+    QuestionAnswered,
+    QuestionAsked,
+    build_question,
+)
+from papayapost.record.questions.rules import CurrentRules, ReadRules
+from papayapost.record.questions.status import (
+    DataCentreStatus,
+    ReadStatus,
+    StatusOverview,
+)
+
+__all__ = [
+    "CurrentRules",
+    "DataCentreStatus",
+    "LogFilter",
+    "LogReport",
+    "Question",
+    "QuestionAnswered",
+    "QuestionAsked",
+    "ReadLog",
+    "ReadRules",
+    "ReadStatus",
+    "StatusOverview",
+    "build_question",
+]
--- /dev/null
+++ b/packages/papayapost/src/papayapost/record/questions/log.py
@@ -0,0 +1,145 @@
+"""Who changed which rule when."""
+
+from dataclasses import dataclass, replace
+
+from papayapost.record.gather import GatheredObject
+from papayapost.record.model import (
+    RECORD_KEY,
+    ChangeDetail,
+    ChangeEntry,
+    RecordPage,
+    detail_key,
+    page_key,
+)
+from papayapost.record.questions.question import Question
+from papayapost.rules import RuleChange
+from papayapost.storage import ObjectKey, ObjectKind
+
+__all__ = ["LogFilter", "LogReport", "ReadLog"]
+
+_MAX_PAGES = 500
+
+
+@dataclass(frozen=True, slots=True)
+class LogFilter:
+    """Which changes to report.
+
+    Parameters
+    ----------
+    rule
+        Text that the rule's key contains, such as a path; empty for any.
+    owner
+        Whom the rule's comment names before or after; empty for any.
+    limit
+        Entries at most, the newest ones.
+    """
+
+    rule: str = ""
+    owner: str = ""
+    limit: int = 20
+
+    @property
+    def is_open(self) -> bool:
+        """Whether every change passes."""
+        return not self.rule and not self.owner
+
+    def passes(self, change: RuleChange) -> bool:
+        """Return whether a change is asked for."""
+        if self.rule and self.rule not in change.rule:
+            return False
+        return not self.owner or self.owner in (
+            change.owner_before,
+            change.owner_after,
+        )
+
+
+@dataclass(frozen=True, slots=True)
+class LogReport:
+    """Entries of the record, newest first.
+
+    Parameters
+    ----------
+    entries
+        Each with the changes that pass the filter.
+    is_whole
+        Whether nothing older was left out or unreadable.
+    failure
+        Why the record could not be read further; empty if it could.
+    """
+
+    entries: tuple[ChangeEntry, ...]
+    is_whole: bool
+    failure: str
+
+
+class ReadLog(Question):
+    """Reads the record backwards, page by page."""
+
+    def __init__(self, wanted: LogFilter):
+        self._wanted = wanted
+        self._entries: list[ChangeEntry] = []
+        self._page: RecordPage | None = None
+        self._pages_read = 0
+        self._next: tuple[ObjectKey, ...] = (RECORD_KEY,)
+        self._failure = ""
+
+    def next_keys(self) -> tuple[ObjectKey, ...]:
+        """Return the next page, or the details that the page names."""
+        return self._next
+
+    def take(self, objects: tuple[GatheredObject, ...]) -> None:
+        """Take a page or its details."""
+        failures = [found.failure for found in objects if found.failure]
+        if failures:
+            self._failure = failures[0]
+        if objects[0].key.kind is ObjectKind.RECORD:
+            self._take_page(objects[0])
+        else:
+            self._take_details(objects)
+
+    def report(self) -> LogReport:
+        """Return the entries that were found."""
+        limit = self._wanted.limit
+        is_whole = not self._failure and len(self._entries) <= limit
+        is_whole = is_whole and (self._page is None or self._page.number == 1)
+        return LogReport(tuple(self._entries[:limit]), is_whole, self._failure)
+
+    def _take_page(self, found: GatheredObject) -> None:
+        if not isinstance(found.value, RecordPage):
+            if found.key != RECORD_KEY and not found.failure:
+                self._failure = f"page {found.key.name} of the record is missing"
+            self._next = ()
+            return
+        self._page = found.value
+        self._pages_read += 1
+        names = [name for e in found.value.entries for name in e.changes.details]
+        self._next = tuple(detail_key(name) for name in dict.fromkeys(names))
+        if not names:
+            self._add_entries({})
+
+    def _take_details(self, objects: tuple[GatheredObject, ...]) -> None:
+        details = {
+            found.key: found.value.changes
+            for found in objects
+            if isinstance(found.value, ChangeDetail)
+        }
+        self._add_entries(details)
+
+    def _add_entries(self, details: dict[ObjectKey, tuple[RuleChange, ...]]) -> None:
+        assert self._page is not None
+        for entry in reversed(self._page.entries):
+            changes = list(entry.changes.changes)
+            for name in entry.changes.details:
+                changes += details.get(detail_key(name), ())
+            passed = tuple(change for change in changes if self._wanted.passes(change))
+            if passed or self._wanted.is_open:
+                filtered = replace(entry.changes, changes=passed, details=())
+                self._entries.append(replace(entry, changes=filtered))
+        self._next = self._older_page()
+
+    def _older_page(self) -> tuple[ObjectKey, ...]:
+        assert self._page is not None
+        is_enough = len(self._entries) > self._wanted.limit
+        if is_enough or self._page.number == 1 or self._pages_read >= _MAX_PAGES:
+            return ()
+        return (page_key(self._page.number - 1),)
--- a/packages/papayapost/src/papayapost/record/relay.py
+++ b/packages/papayapost/src/papayapost/record/relay.py
@@ -83,7 +83,7 @@
         tick.set_timer(("record", version), due_us, RecordDue(version))
 
     def _bases(self) -> tuple[RulesText, ...]:
-        held = self._rules.in_force
+        held = self._rules.held
         texts = {item.version: item for item in self._seen.texts}
         if held is not None:
             texts[held.version] = RulesText(held.version, held.rules.text)
