Keep, stamp and serve each node's events and figures

Cause: the time line and the metrics need a place in the node. Change: observers look on at the inputs and effects of the world; a recorder stamps events by the hybrid clock and keeps 4,096 of them, a meter times calls by hop, rank and service. An admin listener serves /timeline, /metrics and /status. Conclusion: a call is followed over two real nodes in a test.

--- /dev/null
+++ b/packages/papayapost-node/src/papayapost_node/admin/pages.py
@@ -0,0 +1,141 @@
+"""Pages that a node serves to operators; all read, none changes anything."""
+
+from abc import ABC, abstractmethod
+from dataclasses import dataclass
+
+import msgspec
+
+from papayapost.ids import DataCentreId, NodeId, RuleVersion
+from papayapost.node import NodeWorld
+from papayapost.place import SelfRow
+from papayapost.timeline import EventRow
+from papayapost_node.http import HttpAnswer
+from papayapost_node.observe import CallMeter, EventRecorder, expose
+
+__all__ = [
+    "AdminPage",
+    "MetricsPage",
+    "NodeStatus",
+    "StatusPage",
+    "TimelinePage",
+    "TimelineReport",
+]
+
+_JSON = [(b"content-type", b"application/json")]
+_TEXT = [(b"content-type", b"text/plain; version=0.0.4; charset=utf-8")]
+
+
+class AdminPage(ABC):
+    """One path of the admin listener.
+
+    Attributes
+    ----------
+    path
+        The path that the page answers to.
+    """
+
+    path: str
+
+    @abstractmethod
+    def render(self) -> HttpAnswer:
+        """Return the page as it is now."""
+
+
+@dataclass(slots=True)
+class TimelineReport:
+    """The events that a node keeps, oldest first.
+
+    Parameters
+    ----------
+    dropped
+        Number of older events that gave way.
+    """
+
+    node_id: NodeId
+    data_centre: DataCentreId
+    dropped: int
+    rows: list[EventRow]
+
+
+@dataclass(slots=True)
+class NodeStatus:
+    """What a node tells of itself.
+
+    Parameters
+    ----------
+    version
+        The rules version in force; 0 before the first.
+    staged_version
+        A version that waits for services, or None.
+    """
+
+    node_id: NodeId
+    data_centre: DataCentreId
+    version: RuleVersion
+    staged_version: RuleVersion | None
+    is_relay: bool
+    is_link_relay: bool
+    parent: NodeId | None
+    children: int
+    directory_rows: int
+    free_slots: int
+
+
+class TimelinePage(AdminPage):
+    """``/timeline``: the node's events as JSON."""
+
+    path = "/timeline"
+
+    def __init__(self, me: SelfRow, recorder: EventRecorder):
+        self._me = me
+        self._recorder = recorder
+
+    def render(self) -> HttpAnswer:
+        """Return the page as it is now."""
+        ring = self._recorder.ring
+        report = TimelineReport(
+            self._me.node_id, self._me.place.data_centre, ring.dropped, list(ring)
+        )
+        return HttpAnswer(200, _JSON, msgspec.json.encode(report))
+
+
+class MetricsPage(AdminPage):
+    """``/metrics``: figures in the Prometheus text format."""
+
+    path = "/metrics"
+
+    def __init__(self, meter: CallMeter, world: NodeWorld):
+        self._meter = meter
+        self._world = world
+
+    def render(self) -> HttpAnswer:
+        """Return the page as it is now."""
+        return HttpAnswer(200, _TEXT, expose(self._meter, self._world))
+
+
+class StatusPage(AdminPage):
+    """``/status``: what the node is and holds, as JSON."""
+
+    path = "/status"
+
+    def __init__(self, me: SelfRow, world: NodeWorld):
+        self._me = me
+        self._world = world
+
+    def render(self) -> HttpAnswer:
+        """Return the page as it is now."""
+        rules = self._world.distribution.rules
+        tree = self._world.membership.tree
+        status = NodeStatus(
+            node_id=self._me.node_id,
+            data_centre=self._me.place.data_centre,
+            version=rules.version,
+            staged_version=rules.staged.version if rules.staged else None,
+            is_relay=tree.is_relay,
+            is_link_relay=tree.is_link_relay,
+            parent=tree.parent.node_id if tree.parent else None,
+            children=len(tree.children),
+            directory_rows=len(self._world.membership.directory),
+            free_slots=self._world.traffic.owner.free_slots,
+        )
+        return HttpAnswer(200, _JSON, msgspec.json.encode(status))
--- a/packages/papayapost-node/src/papayapost_node/composition.py
+++ b/packages/papayapost-node/src/papayapost_node/composition.py
@@ -18,10 +18,16 @@
 from papayapost.place import Place, SelfRow
 from papayapost.states import BackendServerState
 from papayapost.storage import ReadObject, UnwatchObject, UpdateObject, WatchObject
+from papayapost_node.admin import (
+    AdminServer,
+    MetricsPage,
+    StatusPage,
+    TimelinePage,
+)
 from papayapost_node.clock import Clock, SystemClock
-from papayapost_node.events import EventLog
 from papayapost_node.exchange import CallerSide, NodeCourier, OwnerSide, WindowBudget
 from papayapost_node.http import BackendPool, StreamingServer
+from papayapost_node.observe import CallMeter, EventRecorder
 from papayapost_node.runner import WorldRunner
 from papayapost_node.settings import Settings
 from papayapost_node.store import HttpStoreClient, StoreShell
@@ -31,6 +37,7 @@
     WIRE_NUMBERS,
     CompressingCodec,
     MessagePackCodec,
+    StampingCodec,
 )
 
 __all__ = ["Node", "build_node"]
@@ -51,8 +58,10 @@
             _own_row(settings, self._me),
             Random(self._me.incarnation),
         )
-        self._log = EventLog(self._me.node_id)
-        self._codec = CompressingCodec(MessagePackCodec(WIRE_NUMBERS), CONTROL_TYPES)
+        self._log = EventRecorder(self._me.node_id, self._me.place.data_centre, clock)
+        self._meter = CallMeter(clock)
+        messages = CompressingCodec(MessagePackCodec(WIRE_NUMBERS), CONTROL_TYPES)
+        self._codec = StampingCodec(messages, self._log.hybrid_clock, clock)
         self._transport = ZmqTransport(self._me.peer_address)
         self._courier = NodeCourier(self._me.peer_address, self._send_to)
         budget = WindowBudget(_BODY_MEMORY_BYTES)
@@ -76,7 +85,9 @@
                 UpdateObject: self._store.update,
                 Noted: self._log.note,
             },
+            [self._log, self._meter],
         )
+        self._admin = self._admin_server()
 
     async def start(self) -> None:
         """Listen for callers and peers and begin to watch the rules.
@@ -88,6 +99,8 @@
         """
         self._transport.start(self._on_frame)
         await self._server.start()
+        if self._admin is not None:
+            await self._admin.start()
         for message in self.world.first_messages():
             self._post(message)
         self._log.note_event(Event.NODE_STARTED)
@@ -96,6 +109,8 @@
         """Close everything at once."""
         self.runner.close()
         await self._server.close()
+        if self._admin is not None:
+            await self._admin.close()
         self._store.close()
         self._owner.close()
         self._transport.close()
@@ -104,6 +119,16 @@
     def _post(self, message: object) -> None:
         self.runner.post(message)
 
+    def _admin_server(self) -> AdminServer | None:
+        if self._settings.admin_address is None:
+            return None
+        pages = [
+            TimelinePage(self._me, self._log),
+            MetricsPage(self._meter, self.world),
+            StatusPage(self._me, self.world),
+        ]
+        return AdminServer(Address(self._settings.admin_address), pages)
+
     def _owner_side(self, budget: WindowBudget) -> OwnerSide:
         backend = self._settings.backend_server
         pool = BackendPool(
--- /dev/null
+++ b/packages/papayapost-node/src/papayapost_node/observe/__init__.py
@@ -0,0 +1,17 @@
+"""Observation of a node: events, calls, and their exposition."""
+
+from papayapost_node.observe.exposition import expose
+from papayapost_node.observe.meter import CallMeter, Count, Hop
+from papayapost_node.observe.observer import RunnerObserver, Watcher
+from papayapost_node.observe.recorder import RING_ROWS, EventRecorder
+
+__all__ = [
+    "RING_ROWS",
+    "CallMeter",
+    "Count",
+    "EventRecorder",
+    "Hop",
+    "RunnerObserver",
+    "Watcher",
+    "expose",
+]
--- /dev/null
+++ b/packages/papayapost-node/src/papayapost_node/observe/exposition.py
@@ -0,0 +1,87 @@
+"""Exposes a node's figures in the Prometheus text format."""
+
+from collections.abc import Iterator
+
+import psutil
+from prometheus_client import CollectorRegistry, generate_latest
+from prometheus_client.core import (
+    CounterMetricFamily,
+    GaugeMetricFamily,
+    Metric,
+    SummaryMetricFamily,
+)
+from prometheus_client.registry import Collector
+
+from papayapost.node import NodeWorld
+from papayapost_node.observe.meter import CallMeter, Count
+
+__all__ = ["expose"]
+
+_PERCENTILES = (50, 90, 99, 99.9)
+
+
+class _NodeCollector(Collector):
+    def __init__(self, meter: CallMeter, world: NodeWorld):
+        self._meter = meter
+        self._world = world
+        self._process = psutil.Process()
+
+    def collect(self) -> Iterator[Metric]:
+        """Yield all metrics."""
+        yield from self._counters()
+        yield from self._latencies()
+        yield from self._gauges()
+
+    def _counters(self) -> Iterator[Metric]:
+        for count in Count:
+            family = CounterMetricFamily(
+                f"papayapost_{count.value}", count.name.lower(), labels=["label"]
+            )
+            for (other, label), value in self._meter.counts.items():
+                if other is count:
+                    family.add_metric([label], value)
+            yield family
+
+    def _latencies(self) -> Iterator[Metric]:
+        by_hop = GaugeMetricFamily(
+            "papayapost_latency_seconds",
+            "Latency by hop and rank",
+            labels=["hop", "rank", "quantile"],
+        )
+        totals = SummaryMetricFamily(
+            "papayapost_calls_by_service",
+            "Latency of answered calls by service",
+            labels=["service"],
+        )
+        for (hop, rank), histogram in self._meter.by_hop.items():
+            for percentile in _PERCENTILES:
+                value_s = histogram.get_value_at_percentile(percentile) / 1e6
+                labels = [hop.value, rank.name.lower(), f"{percentile / 100:g}"]
+                by_hop.add_metric(labels, value_s)
+        for service, histogram in self._meter.by_service.items():
+            count = histogram.get_total_count()
+            sum_s = histogram.get_mean_value() * count / 1e6
+            totals.add_metric([service], count, sum_s)
+        yield by_hop
+        yield totals
+
+    def _gauges(self) -> Iterator[Metric]:
+        world = self._world
+        times = self._process.cpu_times()
+        values = {
+            "rules_version": world.distribution.rules.version,
+            "directory_rows": len(world.membership.directory),
+            "children": len(world.membership.tree.children),
+            "free_slots": world.traffic.owner.free_slots,
+            "memory_bytes": self._process.memory_info().rss,
+            "cpu_seconds": times.user + times.system,
+        }
+        for name, value in values.items():
+            yield GaugeMetricFamily(f"papayapost_{name}", name, value=value)
+
+
+def expose(meter: CallMeter, world: NodeWorld) -> bytes:
+    """Return a node's figures as text."""
+    registry = CollectorRegistry()
+    registry.register(_NodeCollector(meter, world))
+    return generate_latest(registry)
--- /dev/null
+++ b/packages/papayapost-node/src/papayapost_node/observe/meter.py
@@ -0,0 +1,191 @@
+"""Measures calls by rank, service and hop from the messages themselves."""
+
+from collections import Counter
+from collections.abc import Hashable, Mapping
+from dataclasses import dataclass
+from enum import Enum
+
+from hdrh.histogram import HdrHistogram
+
+from papayapost.ids import AttemptId, CallId, Micros, ServiceName
+from papayapost.states import Rank
+from papayapost.traffic import (
+    AnswerEnded,
+    AttemptOffer,
+    AttemptRefused,
+    BackendCallEnded,
+    BackendCallStart,
+    CallArrived,
+    CallerGone,
+    CallRefusal,
+    ForwardAnswer,
+    OfferSend,
+)
+from papayapost_node.clock import Clock
+from papayapost_node.observe.observer import RunnerObserver, Watcher
+
+__all__ = ["CallMeter", "Count", "Hop"]
+
+_HIGHEST_US = 60_000_000
+_DIGITS = 2
+_MAX_ROWS = 4_096
+
+
+class Hop(Enum):
+    """The stretches of a call that are timed."""
+
+    ENTRY = "entry"
+    OWNER_QUEUE = "owner-queue"
+    BACKEND = "backend-server"
+
+
+class Count(Enum):
+    """What is counted; the value is the name of the exposed counter."""
+
+    CALLS = "calls"
+    CALL_REFUSALS = "call_refusals"
+    CALLERS_GONE = "callers_gone"
+    ATTEMPTS_OFFERED = "attempts_offered"
+    ATTEMPTS_TAKEN = "attempts_taken"
+    ATTEMPT_REFUSALS = "attempt_refusals"
+    ANSWERS_CUT = "answers_cut"
+    BACKEND_CALLS = "backend_calls"
+
+
+@dataclass(slots=True)
+class _EntryRow:
+    arrived_us: Micros
+    offers: int = 0
+    rank: Rank = Rank.NORMAL
+    service: ServiceName | None = None
+
+
+@dataclass(slots=True)
+class _OwnedRow:
+    taken_us: Micros
+    rank: Rank
+    started_us: Micros | None = None
+
+
+class CallMeter(RunnerObserver):
+    """Histograms and counters of one node.
+
+    Attributes
+    ----------
+    by_hop
+        Latency in µs by hop and rank.
+    by_service
+        Latency in µs at the entry node, by service.
+    counts
+        By counter and label; the label is a code, a rank or empty.
+    """
+
+    def __init__(self, clock: Clock):
+        self._clock = clock
+        self.by_hop: dict[tuple[Hop, Rank], HdrHistogram] = {}
+        self.by_service: dict[ServiceName, HdrHistogram] = {}
+        self.counts: Counter[tuple[Count, str]] = Counter()
+        self._entries: dict[CallId, _EntryRow] = {}
+        self._owned: dict[AttemptId, _OwnedRow] = {}
+
+    def input_watchers(self) -> Mapping[type, Watcher]:
+        """Return what times and counts the inputs."""
+        return {
+            CallArrived: self._call_arrived,
+            CallerGone: self._caller_gone,
+            AttemptOffer: self._offer_taken,
+            AttemptRefused: self._attempt_refused,
+            BackendCallEnded: self._backend_call_ended,
+            AnswerEnded: self._answer_ended,
+        }
+
+    def effect_watchers(self) -> Mapping[type, Watcher]:
+        """Return what times and counts the effects."""
+        return {
+            OfferSend: self._offer_sent,
+            BackendCallStart: self._backend_call_started,
+            ForwardAnswer: self._answer_forwarded,
+            CallRefusal: self._call_refused,
+        }
+
+    def _call_arrived(self, message: CallArrived) -> None:
+        self.counts[Count.CALLS, ""] += 1
+        _keep(self._entries, message.call_id, _EntryRow(self._clock.now_us()))
+
+    def _caller_gone(self, message: CallerGone) -> None:
+        self.counts[Count.CALLERS_GONE, ""] += 1
+        self._entries.pop(message.call_id, None)
+
+    def _offer_sent(self, effect: OfferSend) -> None:
+        row = self._entries.get(effect.call_id)
+        kind = "first" if row is None or row.offers == 0 else "further"
+        self.counts[Count.ATTEMPTS_OFFERED, kind] += 1
+        if row is not None:
+            row.offers += 1
+            row.rank = effect.offer.rank
+            row.service = effect.offer.service
+        if effect.is_local:
+            self._offer_taken(effect.offer)
+
+    def _offer_taken(self, offer: AttemptOffer) -> None:
+        self.counts[Count.ATTEMPTS_TAKEN, offer.rank.name.lower()] += 1
+        row = _OwnedRow(self._clock.now_us(), offer.rank)
+        _keep(self._owned, offer.attempt_id, row)
+
+    def _backend_call_started(self, effect: BackendCallStart) -> None:
+        row = self._owned.get(effect.attempt_id)
+        if row is not None:
+            now_us = self._clock.now_us()
+            row.started_us = now_us
+            self._record(Hop.OWNER_QUEUE, row.rank, now_us - row.taken_us)
+
+    def _backend_call_ended(self, message: BackendCallEnded) -> None:
+        row = self._owned.pop(message.attempt_id, None)
+        if row is not None and row.started_us is not None:
+            self.counts[Count.BACKEND_CALLS, row.rank.name.lower()] += 1
+            took_us = self._clock.now_us() - row.started_us
+            self._record(Hop.BACKEND, row.rank, took_us)
+
+    def _attempt_refused(self, message: AttemptRefused) -> None:
+        self.counts[Count.ATTEMPT_REFUSALS, message.code.value] += 1
+
+    def _answer_ended(self, message: AnswerEnded) -> None:
+        if not message.is_whole:
+            self.counts[Count.ANSWERS_CUT, ""] += 1
+
+    def _answer_forwarded(self, effect: ForwardAnswer) -> None:
+        row = self._entries.pop(effect.call_id, None)
+        if row is None or row.service is None:
+            return
+        took_us = self._clock.now_us() - row.arrived_us
+        self._record(Hop.ENTRY, row.rank, took_us)
+        histogram = self.by_service.get(row.service)
+        if histogram is None:
+            histogram = self.by_service[row.service] = _new_histogram()
+        histogram.record_value(_within(took_us))
+
+    def _call_refused(self, effect: CallRefusal) -> None:
+        self.counts[Count.CALL_REFUSALS, effect.code.value] += 1
+        self._entries.pop(effect.call_id, None)
+
+    def _record(self, hop: Hop, rank: Rank, took_us: int) -> None:
+        histogram = self.by_hop.get((hop, rank))
+        if histogram is None:
+            histogram = self.by_hop[hop, rank] = _new_histogram()
+        histogram.record_value(_within(took_us))
+
+
+def _keep(rows: dict, key: Hashable, row: object) -> None:
+    # Attempts that are refused or cancelled in the queue leave no message to
+    # end their row by, so the oldest rows give way.
+    if len(rows) >= _MAX_ROWS:
+        del rows[next(iter(rows))]
+    rows[key] = row
+
+
+def _new_histogram() -> HdrHistogram:
+    return HdrHistogram(1, _HIGHEST_US, _DIGITS)
+
+
+def _within(took_us: int) -> int:
+    return min(max(took_us, 1), _HIGHEST_US)
--- /dev/null
+++ b/packages/papayapost-node/src/papayapost_node/observe/recorder.py
@@ -0,0 +1,70 @@
+"""Keeps and logs the events of one node."""
+
+from collections.abc import Mapping
+
+from papayapost.ids import DataCentreId, NodeId
+from papayapost.observe import Event, Noted
+from papayapost.timeline import (
+    TRACE_EVENTS,
+    TRACED_EFFECTS,
+    TRACED_INPUTS,
+    EventRing,
+    HybridClock,
+    Tracer,
+)
+from papayapost_node.clock import Clock
+from papayapost_node.events import EventLog
+from papayapost_node.observe.observer import RunnerObserver, Watcher
+
+__all__ = ["RING_ROWS", "EventRecorder"]
+
+RING_ROWS = 4_096
+
+
+class EventRecorder(RunnerObserver):
+    """Stamps events, keeps them in the ring, and logs all but traces.
+
+    Parameters
+    ----------
+    clock
+        Read for the wall time of each event.
+
+    Attributes
+    ----------
+    hybrid_clock
+        Shared with the codec, so that messages carry stamps.
+    """
+
+    def __init__(self, node_id: NodeId, data_centre: DataCentreId, clock: Clock):
+        self._clock = clock
+        self._log = EventLog(node_id)
+        self.hybrid_clock = HybridClock(node_id)
+        self.ring = EventRing(data_centre, RING_ROWS)
+
+    def note(self, noted: Noted) -> None:
+        """Keep an event."""
+        stamp = self.hybrid_clock.tick(self._clock.wall_us())
+        self.ring.record(stamp, noted)
+        if noted.event not in TRACE_EVENTS:
+            self._log.note(noted)
+
+    def note_event(self, event: Event, detail: str = "") -> None:
+        """Keep an event of the shell itself."""
+        self.note(Noted(event, detail=detail))
+
+    def input_watchers(self) -> Mapping[type, Watcher]:
+        """Return what traces the ordinary steps of a call."""
+        return self._watchers(TRACED_INPUTS)
+
+    def effect_watchers(self) -> Mapping[type, Watcher]:
+        """Return what traces the ordinary steps of a call."""
+        return self._watchers(TRACED_EFFECTS)
+
+    def _watchers(self, tracers: Mapping[type, Tracer]) -> dict[type, Watcher]:
+        return {kind: self._watcher_of(tracer) for kind, tracer in tracers.items()}
+
+    def _watcher_of(self, tracer: Tracer) -> Watcher:
+        def watch(message: object) -> None:
+            self.note(tracer(message))
+
+        return watch
--- a/packages/papayapost-node/src/papayapost_node/runner.py
+++ b/packages/papayapost-node/src/papayapost_node/runner.py
@@ -1,11 +1,12 @@
 """Runs a world: gathers messages, ticks, and carries out the effects."""
 
 import asyncio
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Mapping, Sequence
 from typing import Any
 
 from papayapost.kernel import World
 from papayapost_node.clock import Clock
+from papayapost_node.observe.observer import RunnerObserver, join_watchers
 
 __all__ = ["EffectHandler", "WorldRunner"]
 
@@ -19,6 +20,8 @@
     ----------
     handlers
         What carries out each type of effect.
+    observers
+        Look on at inputs and effects.
     """
 
     def __init__(
@@ -26,10 +29,13 @@
         world: World,
         clock: Clock,
         handlers: Mapping[type, EffectHandler],
+        observers: Sequence[RunnerObserver] = (),
     ):
         self._world = world
         self._clock = clock
         self._handlers = dict(handlers)
+        self._input_watchers = join_watchers(o.input_watchers() for o in observers)
+        self._effect_watchers = join_watchers(o.effect_watchers() for o in observers)
         self._inbox: list[object] = []
         self._is_scheduled = False
         self._wake: asyncio.TimerHandle | None = None
@@ -53,7 +59,12 @@
         self._is_scheduled = False
         messages, self._inbox = self._inbox, []
         self.ticks += 1
+        for message in messages:
+            for watch in self._input_watchers.get(type(message), ()):
+                watch(message)
         for effect in self._world.tick(self._clock.now_us(), messages):
+            for watch in self._effect_watchers.get(type(effect), ()):
+                watch(effect)
             handler = self._handlers.get(type(effect))
             if handler is not None:
                 handler(effect)
--- a/packages/papayapost-node/src/papayapost_node/settings.py
+++ b/packages/papayapost-node/src/papayapost_node/settings.py
@@ -71,6 +71,8 @@
         Peer addresses of nodes to announce to.
     backend_server
         The backend server on this VM, or null on a VM without one.
+    admin_address
+        Where operators read status, metrics and events, or null for nowhere.
     """
 
     node_id: Name
@@ -81,6 +83,7 @@
     store_address: AddressText
     seeds: list[AddressText] = []
     backend_server: BackendServerSettings | None = None
+    admin_address: AddressText | None = None
 
 
 def load_settings(path: Path) -> Settings:
--- a/packages/papayapost-testing/src/papayapost_testing/demo/files.py
+++ b/packages/papayapost-testing/src/papayapost_testing/demo/files.py
@@ -1,6 +1,7 @@
 """Writes the settings files of a deployment."""
 
 from dataclasses import dataclass
+from itertools import islice
 from pathlib import Path
 
 import msgspec
@@ -20,6 +21,7 @@
     caller: Address
     peer: Address
     backend: Address
+    admin: Address
 
 
 @dataclass(frozen=True, slots=True)
@@ -51,11 +53,8 @@
 def write_files(deployment: Deployment, folder: Path) -> DeploymentFiles:
     """Write all settings files and the first rules file."""
     plans = tuple(plan_nodes(deployment))
-    free = iter(free_addresses(3 * len(plans) + len(deployment.places)))
-    addresses = {
-        plan.node_id: NodeAddresses(next(free), next(free), next(free))
-        for plan in plans
-    }
+    free = iter(free_addresses(4 * len(plans) + len(deployment.places)))
+    addresses = {plan.node_id: NodeAddresses(*islice(free, 4)) for plan in plans}
     stores = {place.data_centre: next(free) for place in deployment.places}
     files = DeploymentFiles(folder, plans, addresses, stores)
     _write_platform(files)
@@ -93,6 +92,7 @@
         "caller_address": addresses.caller,
         "peer_address": addresses.peer,
         "store_address": files.store_addresses[plan.place.data_centre],
+        "admin_address": addresses.admin,
         "seeds": seeds,
         "backend_server": {
             "service": plan.service.name,
--- a/packages/papayapost-testing/tests/test_whole_path.py
+++ b/packages/papayapost-testing/tests/test_whole_path.py
@@ -1,7 +1,13 @@
 import asyncio
+from dataclasses import dataclass
 
-from papayapost.ids import Address
+import msgspec
+
+from papayapost.ids import Address, NodeId
+from papayapost.observe import Event
+from papayapost.timeline import follow_call, merge_rows
 from papayapost_node import Settings, build_node
+from papayapost_node.admin import TimelineReport
 from papayapost_node.http import ClientConnection, HttpAnswer, HttpRequest
 from papayapost_node.store import HttpStoreClient
 from papayapost_testing import BackendServerStandIn, ObjectStoreStandIn
@@ -28,7 +34,7 @@
 
 
 def node_settings(addresses: list[Address], store: Address, number: int) -> Settings:
-    caller, peer, backend = addresses[number * 3 : number * 3 + 3]
+    caller, peer, backend, admin = addresses[number * 4 : number * 4 + 4]
     return Settings.model_validate(
         {
             "node_id": f"n{number}",
@@ -37,6 +43,7 @@
             "caller_address": caller,
             "peer_address": peer,
             "store_address": store,
+            "admin_address": admin,
             "seeds": [addresses[1]],
             "backend_server": {
                 "service": "gusts" if number else "archive",
@@ -48,8 +55,16 @@
     )
 
 
-async def serve_one_rule() -> tuple[HttpAnswer, HttpAnswer]:
-    store_address, *addresses = free_addresses(7)
+@dataclass(slots=True)
+class Served:
+    answer: HttpAnswer
+    unknown: HttpAnswer
+    metrics: str
+    timelines: list[TimelineReport]
+
+
+async def serve_one_rule() -> Served:
+    store_address, *addresses = free_addresses(9)
     store = ObjectStoreStandIn(store_address)
     await store.start()
     settings = [node_settings(addresses, store_address, number) for number in (0, 1)]
@@ -68,13 +83,36 @@
     entry = Address(settings[0].caller_address)
     answer = await until_answered(entry, "/gusts/wanli?now")
     unknown = await get(entry, "/bookings")
+    admins = [Address(item.admin_address or "") for item in settings]
+    metrics = await get(admins[0], "/metrics")
+    pages = [await get(admin, "/timeline") for admin in admins]
     for item in (*nodes, *backends, store):
         await item.close()
-    return answer, unknown
+    reports = [msgspec.json.decode(page.body, type=TimelineReport) for page in pages]
+    return Served(answer, unknown, metrics.body.decode(), reports)
 
 
 def test_an_edited_rule_is_served_through_another_node():
-    answer, unknown = asyncio.run(serve_one_rule())
-    assert answer.body == b"GET /gusts/wanli?now"
-    assert unknown.status == 404
-    assert unknown.header(b"papayapost-outcome") == b"refused-not-run"
+    served = asyncio.run(serve_one_rule())
+    assert served.answer.body == b"GET /gusts/wanli?now"
+    assert served.unknown.status == 404
+    assert served.unknown.header(b"papayapost-outcome") == b"refused-not-run"
+
+
+def test_the_nodes_tell_a_call_from_its_arrival_to_its_answer():
+    served = asyncio.run(serve_one_rule())
+    rows = merge_rows(report.rows for report in served.timelines)
+    forwarded = next(row for row in rows if row.event is Event.ANSWER_FORWARDED)
+    call = follow_call(rows, NodeId("n0"), forwarded.call_id)
+    hops = [(row.event, row.stamp.node_id) for row in call]
+    for step in (
+        (Event.CALL_ARRIVED, "n0"),
+        (Event.ATTEMPT_OFFERED, "n0"),
+        (Event.ATTEMPT_TAKEN, "n1"),
+        (Event.BACKEND_CALL_STARTED, "n1"),
+        (Event.ANSWER_BEGUN, "n0"),
+    ):
+        assert step in hops
+        hops = hops[hops.index(step) + 1 :]
+    assert "papayapost_rules_version 1.0" in served.metrics
+    assert 'papayapost_calls_by_service_count{service="gusts"} 1.0' in served.metrics
--- a/packages/papayapost/src/papayapost/timeline/stamp.py
+++ b/packages/papayapost/src/papayapost/timeline/stamp.py
@@ -12,11 +12,14 @@
 
 from papayapost.ids import Micros, NodeId
 
-__all__ = ["MAX_AHEAD_US", "HybridClock", "Stamp"]
+__all__ = ["MAX_AHEAD_US", "MAX_COUNTER", "HybridClock", "Stamp"]
 
 MAX_AHEAD_US = Micros(60_000_000)
 """A stamp this far ahead of the own wall clock is not taken over."""
 
+MAX_COUNTER = 65_535
+"""A stamp's counter fits two bytes; beyond it the wall time moves on."""
+
 
 @dataclass(frozen=True, slots=True, order=True)
 class Stamp:
@@ -66,8 +69,11 @@
         if wall_us > self._wall_us:
             self._wall_us = wall_us
             self._counter = 0
-        else:
+        elif self._counter < MAX_COUNTER:
             self._counter += 1
+        else:
+            self._wall_us = Micros(self._wall_us + 1)
+            self._counter = 0
         return Stamp(self._wall_us, self._counter, self._node_id)
 
     def receive(self, wall_us: Micros, sent_wall_us: Micros, counter: int) -> bool:
@@ -79,7 +85,7 @@
             False if the stamp is further ahead than `MAX_AHEAD_US`: one bad
             wall clock must not carry the whole mesh into the future.
         """
-        if sent_wall_us > wall_us + MAX_AHEAD_US:
+        if sent_wall_us > wall_us + MAX_AHEAD_US or counter > MAX_COUNTER:
             return False
         if (sent_wall_us, counter) > (self._wall_us, self._counter):
             self._wall_us = sent_wall_us
