--- a/packages/papayapost-testing/src/papayapost_testing/worlds.py
+++ b/packages/papayapost-testing/src/papayapost_testing/worlds.py
@@ -1,89 +1,76 @@
-"""Worlds of the distribution part alone, for tests and benchmarks."""
+"""Worlds of single nodes, driven by ticks alone."""
 
-from dataclasses import dataclass
+from collections.abc import Sequence
 from random import Random
 
-from papayapost.distribution import DistributionPart, build_distribution
+from papayapost.distribution import VersionRow
 from papayapost.ids import (
     Address,
     DataCentreId,
     Incarnation,
-    Micros,
     NodeId,
     RegionId,
     RuleVersion,
     ServiceName,
 )
-from papayapost.kernel import World
-from papayapost.membership import (
-    BackendServerRow,
-    ChildRow,
-    Directory,
-    ParentRow,
-    TreeTables,
-    directory_table,
-)
+from papayapost.membership import BackendServerRow
+from papayapost.node import NodeWorld, build_node_world
 from papayapost.place import Place, SelfRow
-from papayapost.states import BackendServerState
-
-__all__ = [
-    "DistributionWorld",
-    "backend_server",
-    "child_row",
-    "distribution_world",
-    "parent_row",
-]
+from papayapost.rules import compile_rules
+from papayapost.states import BackendServerState, StagedState
 
-_PLACE = Place(DataCentreId("north-1"), RegionId("north"))
+__all__ = ["NORTH_1", "NORTH_2", "SOUTH_1", "backend_row", "node_world"]
 
+NORTH_1 = Place(DataCentreId("north-1"), RegionId("north"))
+NORTH_2 = Place(DataCentreId("north-2"), RegionId("north"))
+SOUTH_1 = Place(DataCentreId("south-1"), RegionId("south"))
 
-@dataclass(slots=True)
-class DistributionWorld:
-    """The distribution part of one node, with tables that stand still."""
+_INCARNATION = Incarnation(1_000_000)
 
-    me: SelfRow
-    world: World
-    part: DistributionPart
-    directory: Directory
-    tree: TreeTables
 
-    def tick(self, now_us: int, *messages: object) -> list:
-        """Run one tick and return its effects."""
-        return self.world.tick(Micros(now_us), messages)
+def backend_row(
+    node_id: str,
+    service: str | None,
+    place: Place = NORTH_1,
+    slots: int = 9,
+    state: BackendServerState = BackendServerState.READY,
+) -> BackendServerRow:
+    """Return a node's row as it announces itself first."""
+    return BackendServerRow(
+        node_id=NodeId(node_id),
+        incarnation=_INCARNATION,
+        revision=1,
+        service=ServiceName(service) if service else None,
+        data_centre=place.data_centre,
+        region=place.region,
+        peer_address=Address(f"{node_id}:1"),
+        slots=slots,
+        state=state,
+    )
 
 
-def distribution_world(name: str, seed: int = 1) -> DistributionWorld:
-    """Return the world of a node with neither parent nor children.
+def node_world(
+    own: BackendServerRow,
+    others: Sequence[BackendServerRow] = (),
+    rules: str = "",
+    seed: int = 1,
+    incarnation: int = _INCARNATION,
+) -> NodeWorld:
+    """Return a node's world that knows other nodes and has rules in force.
 
-    The node is reached at its own name in place of an address.
+    Parameters
+    ----------
+    rules
+        Text of the rules; empty for none in force.
     """
-    me = SelfRow(NodeId(name), Incarnation(seed), _PLACE, Address(name))
-    directory, tree = directory_table(), TreeTables()
-    part = build_distribution(me, directory, tree)
-    world = World(part.systems, Random(seed))
-    return DistributionWorld(me, world, part, directory, tree)
-
-
-def parent_row(name: str) -> ParentRow:
-    """Return the row of a parent reached at its own name."""
-    return ParentRow(NodeId(name), Address(name))
-
-
-def child_row(name: str, version: int = 0) -> ChildRow:
-    """Return the row of a child reached at its own name."""
-    return ChildRow(NodeId(name), Address(name), Incarnation(1), RuleVersion(version))
-
-
-def backend_server(name: str, service: str) -> BackendServerRow:
-    """Return a ready backend server with one slot."""
-    return BackendServerRow(
-        node_id=NodeId(name),
-        incarnation=Incarnation(1),
-        revision=1,
-        service=ServiceName(service),
-        data_centre=_PLACE.data_centre,
-        region=_PLACE.region,
-        peer_address=Address(name),
-        slots=1,
-        state=BackendServerState.READY,
-    )
+    own.incarnation = Incarnation(incarnation)
+    me = SelfRow(own.node_id, own.incarnation, own.place, own.peer_address)
+    node = build_node_world(me, [], own, Random(seed))
+    for row in others:
+        node.membership.directory.put(row.node_id, row)
+    if rules:
+        compiled = compile_rules(rules)
+        node.distribution.rules.in_force = VersionRow(
+            RuleVersion(1), compiled, StagedState.IN_FORCE
+        )
+    return node
