Report held versions by heartbeat and remember what was sent

Cause: a lost delta was only noticed by the parent's next push, and a child that restarted before its acknowledgement was remembered with less than it had in force.

Change: the held version and digest go into the heartbeats; a child that sees its parent ahead for 0.8 s asks. A parent remembers for a child the version that it sent, not only the one acknowledged. A node without a parent reads the accepted object, not the newest text. Messages between nodes have their own module.

--- a/packages/papayapost/src/papayapost/distribution/__init__.py
+++ b/packages/papayapost/src/papayapost/distribution/__init__.py
@@ -9,22 +9,24 @@
 )
 from papayapost.distribution.messages import (
     AcceptedRules,
+    RulesHeld,
+    RulesInForce,
+    RulesRejected,
+    StoreBehind,
+    TextOffered,
+)
+from papayapost.distribution.part import DistributionPart, build_distribution
+from papayapost.distribution.peer_messages import (
     ChunkRequest,
     PartProgress,
     RulesBusy,
     RulesChunk,
     RulesDelta,
     RulesGone,
-    RulesHeld,
-    RulesInForce,
     RulesNotice,
     RulesProgress,
-    RulesRejected,
     RulesRequest,
-    StoreBehind,
-    TextOffered,
 )
-from papayapost.distribution.part import DistributionPart, build_distribution
 from papayapost.distribution.source import ACCEPTED_KEY, RULES_KEY
 from papayapost.distribution.status import (
     MAX_REPORTED_LAGGARDS,
--- a/packages/papayapost/src/papayapost/distribution/accept.py
+++ b/packages/papayapost/src/papayapost/distribution/accept.py
@@ -78,4 +78,6 @@
         rules.staged = row
         if rules.refused is not None and rules.refused.version < row.version:
             rules.refused = None
+        self._tree.own_version = row.version
+        self._tree.own_digest = int(row.rules.digest, 16)
         tick.post(RulesHeld(row.version, before, edits))
--- a/packages/papayapost/src/papayapost/distribution/deltas.py
+++ b/packages/papayapost/src/papayapost/distribution/deltas.py
@@ -2,12 +2,8 @@
 
 from papayapost.distribution.held import RulesTable
 from papayapost.distribution.lines import MAX_RULES_BYTES, LineEdit, apply_edits
-from papayapost.distribution.messages import (
-    FetchDue,
-    RequestDue,
-    RulesDelta,
-    TextOffered,
-)
+from papayapost.distribution.messages import FetchDue, RequestDue, TextOffered
+from papayapost.distribution.peer_messages import RulesDelta
 from papayapost.distribution.tables import FollowTable
 from papayapost.errors import DeltaRefused
 from papayapost.ids import RuleVersion
--- a/packages/papayapost/src/papayapost/distribution/feed.py
+++ b/packages/papayapost/src/papayapost/distribution/feed.py
@@ -2,10 +2,9 @@
 
 from papayapost.distribution.held import RulesTable
 from papayapost.distribution.lines import LineEdit, diff_lines, edits_size
-from papayapost.distribution.messages import (
-    RepushDue,
+from papayapost.distribution.messages import RepushDue, RulesHeld
+from papayapost.distribution.peer_messages import (
     RulesDelta,
-    RulesHeld,
     RulesNotice,
     RulesProgress,
     RulesRequest,
@@ -13,7 +12,12 @@
 from papayapost.distribution.tables import FeedRow, HistoryRow, RelayTables
 from papayapost.ids import Micros, RuleVersion
 from papayapost.kernel import System, Tick
-from papayapost.membership import ChildJoined, ChildLeft, TreeTables
+from papayapost.membership import (
+    ChildAcknowledged,
+    ChildJoined,
+    ChildLeft,
+    TreeTables,
+)
 from papayapost.peering import PeerSend
 from papayapost.place import SelfRow
 
@@ -81,6 +85,7 @@
         RulesRequest,
         RulesProgress,
         ChildJoined,
+        ChildAcknowledged,
         ChildLeft,
         RepushDue,
     )
@@ -106,10 +111,13 @@
             if left.node_id not in self._tree.children:
                 self._relay.feeds.pop(left.node_id)
                 self._relay.behind.pop(left.node_id, None)
-        for progress in tick.take(RulesProgress):
-            child_row = self._relay.feeds.get(progress.sender)
+        acked = [(p.sender, p.held_version) for p in tick.take(RulesProgress)]
+        for beat in tick.take(ChildAcknowledged):
+            acked.append((beat.child.node_id, beat.child.version))
+        for node_id, version in acked:
+            child_row = self._relay.feeds.get(node_id)
             if child_row is not None:
-                self._note_acked(child_row, progress.held_version)
+                self._note_acked(child_row, version)
         if tick.take(RulesHeld):
             self._push_to_all(tick)
         for request in tick.take(RulesRequest):
@@ -171,6 +179,9 @@
         self, tick: Tick, row: FeedRow, message: RulesDelta | RulesNotice
     ) -> None:
         row.is_fetching = isinstance(message, RulesNotice)
+        # The child may hold the version from now on: should it restart before
+        # it acknowledges, it must not serve less.
+        self._tree.remember_version(row.node_id, message.version, tick.now_us)
         tick.emit(PeerSend(row.address, message))
 
     def _set_repush(self, tick: Tick) -> None:
--- a/packages/papayapost/src/papayapost/distribution/follow.py
+++ b/packages/papayapost/src/papayapost/distribution/follow.py
@@ -4,22 +4,25 @@
 from papayapost.distribution.held import RulesTable
 from papayapost.distribution.lines import MAX_RULES_BYTES
 from papayapost.distribution.messages import (
-    ChunkRequest,
+    CatchUpDue,
     FetchDue,
     RequestDue,
+    TextOffered,
+)
+from papayapost.distribution.peer_messages import (
+    ChunkRequest,
     RulesBusy,
     RulesChunk,
     RulesDelta,
     RulesGone,
     RulesNotice,
     RulesRequest,
-    TextOffered,
 )
 from papayapost.distribution.tables import FetchRow, FollowTable
 from papayapost.errors import SnapshotRefused
 from papayapost.ids import Micros
 from papayapost.kernel import System, Tick
-from papayapost.membership import ParentChanged, TreeTables
+from papayapost.membership import ParentChanged, ParentVersionSeen, TreeTables
 from papayapost.observe import Event, Noted
 from papayapost.peering import PeerSend
 from papayapost.place import SelfRow
@@ -29,6 +32,7 @@
 
 _REQUEST_RETRY_US = 1_000_000
 _REQUEST_RETRY_MAX_US = 8_000_000
+_CATCH_UP_US = 800_000
 _RECHECK_US = 40_000_000
 _CHUNK_RETRY_US = 2_000_000
 _CHUNK_RETRY_MAX_US = 16_000_000
@@ -46,7 +50,14 @@
     and then afterwards, so that no lost message leaves it behind for long.
     """
 
-    consumes = (ParentChanged, RequestDue, RulesNotice, RulesDelta)
+    consumes = (
+        ParentChanged,
+        ParentVersionSeen,
+        CatchUpDue,
+        RequestDue,
+        RulesNotice,
+        RulesDelta,
+    )
 
     def __init__(
         self, me: SelfRow, rules: RulesTable, follow: FollowTable, tree: TreeTables
@@ -61,12 +72,27 @@
         if any(tick.take(kind) for kind in _ANSWERS):
             self._follow.failures = 0
             self._schedule(tick, _RECHECK_US, _RECHECK_US)
+        for seen in tick.take(ParentVersionSeen):
+            self._expect(tick, seen)
         if tick.take(ParentChanged):
             self._follow.failures = 0
             self._ask(tick)
-        elif tick.take(RequestDue):
+        elif tick.take(RequestDue) or (tick.take(CatchUpDue) and self._is_behind()):
             self._ask(tick)
 
+    def _expect(self, tick: Tick, seen: ParentVersionSeen) -> None:
+        # What the parent shows in a heartbeat is mostly on its way already.
+        if seen.version > self._rules.held_version:
+            pause_us = tick.random.randint(_CATCH_UP_US // 2, _CATCH_UP_US)
+            due_us = Micros(tick.now_us + pause_us)
+            tick.set_timer(CatchUpDue, due_us, CatchUpDue())
+
+    def _is_behind(self) -> bool:
+        parent, follow = self._tree.parent, self._follow
+        if parent is None or follow.fetch is not None:
+            return False
+        return parent.version > self._rules.held_version
+
     def _ask(self, tick: Tick) -> None:
         parent = self._tree.parent
         if parent is None:
--- a/packages/papayapost/src/papayapost/distribution/part.py
+++ b/packages/papayapost/src/papayapost/distribution/part.py
@@ -52,7 +52,7 @@
         StartDistribution(tree),
         WatchRules(rules, store, tree),
         OfferStoredRules(rules, store),
-        ReadWithoutParent(rules, tree),
+        ReadWithoutParent(store, tree),
         FollowParent(me, rules, follow, tree),
         ApplyDeltas(rules, follow),
         FetchSnapshots(me, rules, follow, tree),
--- a/packages/papayapost/src/papayapost/distribution/progress.py
+++ b/packages/papayapost/src/papayapost/distribution/progress.py
@@ -4,16 +4,18 @@
 
 from papayapost.distribution.held import RulesTable
 from papayapost.distribution.messages import (
-    PartProgress,
     ProgressCollected,
     ProgressDue,
     RequestDue,
-    RulesDelta,
     RulesHeld,
     RulesInForce,
+    RulesRejected,
+)
+from papayapost.distribution.peer_messages import (
+    PartProgress,
+    RulesDelta,
     RulesNotice,
     RulesProgress,
-    RulesRejected,
 )
 from papayapost.distribution.status import Laggard, RefusedVersion
 from papayapost.distribution.tables import FeedRow, RelayTables
--- a/packages/papayapost/src/papayapost/distribution/reports.py
+++ b/packages/papayapost/src/papayapost/distribution/reports.py
@@ -2,11 +2,11 @@
 
 from papayapost.distribution.messages import (
     KeepObject,
-    PartProgress,
     ProgressCollected,
     RulesHeld,
     StoreBehind,
 )
+from papayapost.distribution.peer_messages import PartProgress
 from papayapost.distribution.status import (
     MAX_REPORTED_LAGGARDS,
     RefusedVersion,
--- a/packages/papayapost/src/papayapost/distribution/snapshots.py
+++ b/packages/papayapost/src/papayapost/distribution/snapshots.py
@@ -1,8 +1,8 @@
 """The system that sends whole texts to children, at a bounded rate."""
 
 from papayapost.distribution.held import RulesTable, VersionRow
-from papayapost.distribution.messages import (
-    ChunkDue,
+from papayapost.distribution.messages import ChunkDue
+from papayapost.distribution.peer_messages import (
     ChunkRequest,
     RulesBusy,
     RulesChunk,
--- a/packages/papayapost/src/papayapost/distribution/source.py
+++ b/packages/papayapost/src/papayapost/distribution/source.py
@@ -157,26 +157,30 @@
 
 
 class ReadWithoutParent(System):
-    """Reads the rules object now and then while no parent feeds this node.
+    """Reads the accepted rules now and then while no parent feeds this node.
 
-    The reads of 12,000 such nodes stay far below what the store takes: the
-    first one is spread over 8 s, further ones over half a minute.
+    What is not recorded as accepted is left to the link relays. The reads of
+    12,000 such nodes stay far below what the store takes: the first one is
+    spread over 8 s, further ones over half a minute.
     """
 
-    consumes = (FallbackDue, ParentChanged, RoleChanged)
+    consumes = (FallbackDue, ParentChanged, RoleChanged, ObjectSeen)
 
-    def __init__(self, rules: RulesTable, tree: TreeTables):
-        self._rules = rules
+    def __init__(self, store: StoreRow, tree: TreeTables):
+        self._store = store
         self._tree = tree
 
     def run(self, tick: Tick) -> None:
         """Read once per period, at a random time in it."""
+        for seen in tick.take(ObjectSeen):
+            if seen.request_id == _FALLBACK_ID:
+                self._store.accepted_at = seen.version
         if any(tick.take(kind) for kind in _PLACE_CHANGES):
             self._follow_tree(tick)
         if tick.take(FallbackDue) and self._is_alone():
-            unless = self._rules.newest_seen
+            unless = self._store.accepted_at
             tick.emit(Noted(Event.STORE_FALLBACK))
-            tick.emit(ReadObject(RULES_KEY, _FALLBACK_ID, unless))
+            tick.emit(ReadObject(ACCEPTED_KEY, _FALLBACK_ID, unless))
             self._schedule(tick, _FALLBACK_PERIOD_US // 2, _FALLBACK_PERIOD_US * 3 // 2)
 
     def _follow_tree(self, tick: Tick) -> None:
--- a/packages/papayapost/src/papayapost/distribution/start.py
+++ b/packages/papayapost/src/papayapost/distribution/start.py
@@ -3,7 +3,8 @@
 from dataclasses import dataclass
 
 from papayapost.distribution.held import RulesTable
-from papayapost.distribution.messages import FloorWaitOver, RulesProgress
+from papayapost.distribution.messages import FloorWaitOver
+from papayapost.distribution.peer_messages import RulesProgress
 from papayapost.ids import Micros, RuleVersion
 from papayapost.kernel import System, Tick
 from papayapost.membership import ChildJoined, RoleChanged, TreeTables
--- a/packages/papayapost/src/papayapost/distribution/tables.py
+++ b/packages/papayapost/src/papayapost/distribution/tables.py
@@ -4,7 +4,7 @@
 from dataclasses import dataclass, field
 
 from papayapost.distribution.lines import LineEdit
-from papayapost.distribution.messages import RulesProgress
+from papayapost.distribution.peer_messages import RulesProgress
 from papayapost.ids import Address, Micros, NodeId, RuleVersion
 from papayapost.kernel import Table
 from papayapost.storage import ObjectKey
@@ -31,12 +31,15 @@
         Version that the watch waits to change from.
     failures
         Answers in a row that failed.
+    accepted_at
+        Store version of the accepted object that was read last.
     refused_version
         Lower version that was reported last, to report it once.
     """
 
     watched_after: int = 0
     failures: int = 0
+    accepted_at: int = 0
     refused_version: int | None = None
     is_watching: bool = False
 
--- a/packages/papayapost/src/papayapost/distribution/versions.py
+++ b/packages/papayapost/src/papayapost/distribution/versions.py
@@ -79,8 +79,8 @@
     """Swaps a staged version in once all its services are known.
 
     A version below the floor that others remember for this node stays out of
-    force. Before its first swap the node waits a bounded time for a parent or
-    for children, who tell it the floor.
+    force. Before its first swap the node waits a bounded time for a parent,
+    who tells it the floor; a link relay has the record of accepted versions.
     """
 
     consumes = (RulesHeld, DirectoryChanged, ParentChanged, RoleChanged, FloorWaitOver)
@@ -120,6 +120,7 @@
             self._is_wait_over
             or self._rules.in_force is not None
             or self._tree.parent is not None
+            or self._tree.is_link_relay
         )
 
     def _knows_services(self, staged: VersionRow) -> bool:
