--- a/packages/papayapost-testing/tests/test_distribution_faults.py
+++ b/packages/papayapost-testing/tests/test_distribution_faults.py
@@ -30,11 +30,11 @@
     WatchObject,
 )
 from papayapost_testing.distribution_worlds import (
-    backend_server,
     child_row,
     distribution_world,
     parent_row,
 )
+from papayapost_testing.worlds import backend_row
 
 PARENTS = {"link": None, "relay": "link", "leaf-1": "relay", "leaf-2": "relay"}
 STATUS_KEY = status_key(DataCentreId("north-1"))
@@ -126,7 +126,7 @@
         self.learn(name, services)
 
     def learn(self, name, services):
-        rows = tuple(backend_server(f"{service}-1", service) for service in services)
+        rows = tuple(backend_row(f"{service}-1", service) for service in services)
         for row in rows:
             self.nodes[name].directory.put(row.node_id, row)
         self.inboxes[name].append(DirectoryChanged(rows))
