Keep the directory of each data centre in the store

Cause: regions share no tree, and a data centre that restarts whole needs contacts besides its seeds. Change: the top relay writes its data centre's rows by conditional update, spaced by their size, reads back after a conflict or a lost reply, and names its data centre in an index; link relays watch the other regions' objects. Repairs are pulled from random members, so that no parent serves a herd.

--- a/packages/papayapost/src/papayapost/membership/directory.py
+++ b/packages/papayapost/src/papayapost/membership/directory.py
@@ -153,10 +153,10 @@
 
 
 def _is_urgent(before: BackendServerRow | None, row: BackendServerRow) -> bool:
-    """Return whether calls are routed differently after the change."""
-    if before is None or row.is_gone:
-        return True
-    return (before.service, before.peer_address, before.state) != (
+    """Return whether calls that go there now must stop or move."""
+    if before is None:
+        return False
+    return row.is_gone or (before.service, before.peer_address, before.state) != (
         row.service,
         row.peer_address,
         row.state,
--- a/packages/papayapost/src/papayapost/membership/part.py
+++ b/packages/papayapost/src/papayapost/membership/part.py
@@ -10,6 +10,7 @@
 from papayapost.membership.failures import AnswerProbes, ConfirmFailures
 from papayapost.membership.heartbeats import KeepParent
 from papayapost.membership.members import Members
+from papayapost.membership.publishing import PublishDirectory, WatchDirectories
 from papayapost.membership.repair import RepairDirectory, ServeRepairs
 from papayapost.membership.roles import AssignRoles
 from papayapost.membership.seeking import SeekDue, SeekParent
@@ -60,6 +61,8 @@
         AuditMembers(members, tree),
         AnswerProbes(members),
         ConfirmFailures(members, tree),
+        PublishDirectory(members, tree),
+        WatchDirectories(members, tree),
         SpreadRows(members, tree),
     ]
     first: list[object] = [SeekDue(), VouchDue(), TombstonesDue()]
--- /dev/null
+++ b/packages/papayapost/src/papayapost/membership/publishing.py
@@ -0,0 +1,304 @@
+"""Keeps each data centre's directory in the store, and reads the others'."""
+
+from dataclasses import dataclass
+
+from papayapost.ids import DataCentreId, Micros
+from papayapost.kernel import System, Tick
+from papayapost.membership.digests import Digests
+from papayapost.membership.members import MAX_DATA_CENTRES, Members
+from papayapost.membership.messages import (
+    DataCentreImage,
+    DataCentreName,
+    DirectoryChanged,
+    RoleChanged,
+    RowsArrived,
+)
+from papayapost.membership.seeking import own_directory_key
+from papayapost.membership.tables import TreeTables
+from papayapost.observe import Event, Noted
+from papayapost.storage import (
+    ObjectKey,
+    ObjectKind,
+    ObjectSeen,
+    ObjectUpdated,
+    ReadObject,
+    RequestId,
+    StoreFailed,
+    UpdateConflicted,
+    UpdateObject,
+    UpdateUnknown,
+    WatchObject,
+)
+
+__all__ = ["INDEX_KEY", "PublishDirectory", "WatchDirectories"]
+
+INDEX_KEY = ObjectKey(ObjectKind.DIRECTORY, "data-centres")
+
+_OWN_REQUEST = RequestId("membership/own")
+_INDEX_REQUEST = RequestId("membership/index")
+_GATHER_US = 1_000_000
+_MIN_INTERVAL_US = 2_000_000
+_STORED_ROW_BYTES = 25
+_WRITE_BYTES_PER_SECOND = 5_000
+_VERIFY_US = 60_000_000
+_RETRY_MIN_US = 500_000
+_RETRY_MAX_US = 10_000_000
+_MAX_STORED_TOMBSTONES = 2_000
+_ROWS_PER_MESSAGE = 512
+
+
+@dataclass(slots=True)
+class PublishDue:
+    """Timer: compare the stored directory with this node's."""
+
+
+@dataclass(slots=True)
+class VerifyDue:
+    """Timer: read the stored directory back, whoever wrote it last."""
+
+
+@dataclass(slots=True)
+class WatchDue:
+    """Timer: watch an object again after the store failed."""
+
+    key: ObjectKey
+
+
+class PublishDirectory(System):
+    """On the top relay, writes the rows of its data centre when they change.
+
+    Each write follows a version that was read or written by this node, and
+    is spaced by its size. After a conflict or a lost reply the object is
+    read back: if it holds what this node would write, there is nothing to
+    do. Two writers are harmless, since readers take single rows by stamp.
+    """
+
+    consumes = (
+        DirectoryChanged,
+        ObjectSeen,
+        ObjectUpdated,
+        PublishDue,
+        RoleChanged,
+        StoreFailed,
+        UpdateConflicted,
+        UpdateUnknown,
+        VerifyDue,
+    )
+
+    def __init__(self, members: Members, tree: TreeTables):
+        self._members = members
+        self._tree = tree
+        self._key = own_directory_key(members)
+        self._version: int | None = None
+        self._stored_digest: int | None = None
+        self._writing_digest = 0
+        self._is_busy = False
+        self._earliest_us = Micros(0)
+        self._failures = 0
+
+    def run(self, tick: Tick) -> None:
+        """Take the store's answers, then decide whether to write."""
+        self._take_answers(tick)
+        if tick.take(RoleChanged):
+            self._change_role(tick)
+        if not self._tree.is_top_relay:
+            return
+        if tick.take(VerifyDue):
+            self._version = None
+            tick.set_timer("verify", Micros(tick.now_us + _VERIFY_US), VerifyDue())
+            tick.emit(ReadObject(INDEX_KEY, _INDEX_REQUEST))
+            self._schedule(tick, 0)
+        if tick.take(DirectoryChanged) and self._differs():
+            self._schedule(tick, _GATHER_US)
+        if tick.take(PublishDue):
+            self._publish(tick)
+
+    def _change_role(self, tick: Tick) -> None:
+        self._version = None
+        if self._tree.is_top_relay:
+            self._schedule(tick, _GATHER_US)
+            tick.set_timer("verify", Micros(tick.now_us + _VERIFY_US), VerifyDue())
+        else:
+            tick.cancel_timer("publish")
+            tick.cancel_timer("verify")
+
+    def _publish(self, tick: Tick) -> None:
+        if self._is_busy:
+            return
+        if self._version is None:
+            self._is_busy = True
+            tick.emit(ReadObject(self._key, _OWN_REQUEST))
+            return
+        if not self._differs():
+            return
+        if tick.now_us < self._earliest_us:
+            self._schedule(tick, 0)
+            return
+        image = self._image()
+        self._writing_digest = self._digest()
+        self._is_busy = True
+        interval_us = self._interval_us(len(image.rows))
+        self._earliest_us = Micros(tick.now_us + interval_us)
+        tick.emit(UpdateObject(self._key, _OWN_REQUEST, self._version, image))
+
+    def _take_answers(self, tick: Tick) -> None:
+        for seen in tick.take(ObjectSeen):
+            if seen.request_id == _OWN_REQUEST:
+                self._see_stored(tick, seen)
+            elif seen.request_id == _INDEX_REQUEST:
+                self._join_index(tick, seen)
+        for updated in tick.take(ObjectUpdated):
+            if updated.request_id == _OWN_REQUEST:
+                self._see_written(tick, updated)
+        self._take_failures(tick)
+
+    def _take_failures(self, tick: Tick) -> None:
+        for conflict in tick.take(UpdateConflicted):
+            if conflict.request_id == _OWN_REQUEST:
+                self._retry(tick)
+            elif conflict.request_id == _INDEX_REQUEST:
+                tick.emit(ReadObject(INDEX_KEY, _INDEX_REQUEST))
+        for unknown in tick.take(UpdateUnknown):
+            if unknown.request_id == _OWN_REQUEST:
+                self._retry(tick)
+        for failed in tick.take(StoreFailed):
+            if failed.request_id == _OWN_REQUEST:
+                self._retry(tick)
+
+    def _see_stored(self, tick: Tick, seen: ObjectSeen) -> None:
+        self._is_busy = False
+        self._failures = 0
+        self._version = seen.version
+        is_image = isinstance(seen.value, DataCentreImage)
+        self._stored_digest = _digest_of(seen.value) if is_image else None
+        if self._tree.is_top_relay and self._differs():
+            self._schedule(tick, 0)
+
+    def _see_written(self, tick: Tick, updated: ObjectUpdated) -> None:
+        self._is_busy = False
+        self._failures = 0
+        self._version = updated.version
+        self._stored_digest = self._writing_digest
+        detail = f"version {updated.version}"
+        tick.emit(Noted(Event.DIRECTORY_STORED, detail=detail))
+        tick.emit(ReadObject(INDEX_KEY, _INDEX_REQUEST))
+        if self._tree.is_top_relay and self._differs():
+            self._schedule(tick, _GATHER_US)
+
+    def _join_index(self, tick: Tick, seen: ObjectSeen) -> None:
+        """Name this data centre in the index, unless it is there."""
+        place = self._members.me.place
+        own = DataCentreName(place.data_centre, place.region)
+        value = seen.value
+        known = value.data_centres if isinstance(value, DataCentreImage) else ()
+        if own in known or len(known) >= MAX_DATA_CENTRES:
+            return
+        image = DataCentreImage((*known, own), ())
+        tick.emit(UpdateObject(INDEX_KEY, _INDEX_REQUEST, seen.version, image))
+
+    def _retry(self, tick: Tick) -> None:
+        self._is_busy = False
+        self._version = None
+        self._failures += 1
+        ceiling_us = min(_RETRY_MIN_US << min(self._failures, 6), _RETRY_MAX_US)
+        self._schedule(tick, tick.random.randrange(_RETRY_MIN_US, ceiling_us + 1))
+
+    def _schedule(self, tick: Tick, pause_us: int) -> None:
+        if not self._tree.is_top_relay:
+            return
+        due_us = max(tick.now_us + pause_us, self._earliest_us)
+        tick.set_timer("publish", Micros(due_us), PublishDue())
+
+    def _image(self) -> DataCentreImage:
+        data_centre = self._members.me.place.data_centre
+        rows = list(self._members.directory.find("data_centre", data_centre))
+        buried = [
+            tombstone.row
+            for tombstone in self._members.tombstones
+            if tombstone.row.data_centre == data_centre
+        ]
+        return DataCentreImage((), (*rows, *buried[-_MAX_STORED_TOMBSTONES:]))
+
+    def _digest(self) -> int:
+        return self._members.digests.of(self._members.me.place.data_centre)
+
+    def _differs(self) -> bool:
+        return self._stored_digest != self._digest()
+
+    def _interval_us(self, rows: int) -> int:
+        size_bytes = rows * _STORED_ROW_BYTES
+        return max(_MIN_INTERVAL_US, size_bytes * 1_000_000 // _WRITE_BYTES_PER_SECOND)
+
+
+class WatchDirectories(System):
+    """On a link relay, watches the directories of the other regions.
+
+    The rows of its own region come through the tree.
+    """
+
+    consumes = (ObjectSeen, RoleChanged, StoreFailed, WatchDue)
+
+    def __init__(self, members: Members, tree: TreeTables):
+        self._members = members
+        self._tree = tree
+        self._versions: dict[ObjectKey, int] = {}
+
+    def run(self, tick: Tick) -> None:
+        """Merge what is seen, and watch on while this node is a link relay."""
+        for seen in tick.take(ObjectSeen):
+            is_watch = seen.request_id is None
+            if is_watch and isinstance(seen.value, DataCentreImage):
+                self._see(tick, seen, seen.value)
+        if tick.take(RoleChanged):
+            self._change_role(tick)
+        for failed in tick.take(StoreFailed):
+            if failed.request_id is None and failed.key in self._versions:
+                pause_us = tick.random.randrange(_RETRY_MIN_US, _RETRY_MAX_US)
+                due_us = Micros(tick.now_us + pause_us)
+                tick.set_timer(("watch", failed.key), due_us, WatchDue(failed.key))
+        for due in tick.take(WatchDue):
+            self._watch(tick, due.key)
+
+    def _change_role(self, tick: Tick) -> None:
+        if not self._tree.is_link_relay:
+            self._versions.clear()
+        elif not self._versions:
+            self._watch(tick, INDEX_KEY)
+
+    def _watch(self, tick: Tick, key: ObjectKey) -> None:
+        if self._tree.is_link_relay:
+            version = self._versions.setdefault(key, 0)
+            tick.emit(WatchObject(key, version))
+
+    def _see(self, tick: Tick, seen: ObjectSeen, image: DataCentreImage) -> None:
+        key = seen.key
+        if key == INDEX_KEY:
+            self._see_index(tick, image)
+        else:
+            self._see_rows(tick, DataCentreId(key.name), image)
+        if key in self._versions:
+            self._versions[key] = seen.version
+            self._watch(tick, key)
+
+    def _see_index(self, tick: Tick, image: DataCentreImage) -> None:
+        region = self._members.me.place.region
+        for item in image.data_centres[:MAX_DATA_CENTRES]:
+            key = ObjectKey(ObjectKind.DIRECTORY, item.data_centre)
+            if item.region != region and key not in self._versions:
+                self._watch(tick, key)
+
+    def _see_rows(
+        self, tick: Tick, data_centre: DataCentreId, image: DataCentreImage
+    ) -> None:
+        rows = [row for row in image.rows if row.data_centre == data_centre]
+        for start in range(0, len(rows), _ROWS_PER_MESSAGE):
+            part = tuple(rows[start : start + _ROWS_PER_MESSAGE])
+            tick.post(RowsArrived(None, None, part))
+
+
+def _digest_of(image: DataCentreImage) -> int:
+    digests = Digests()
+    for row in image.rows:
+        if not row.is_gone:
+            digests.put(row.data_centre, row.node_id, row.stamp)
+    return digests.total
--- a/packages/papayapost/src/papayapost/membership/repair.py
+++ b/packages/papayapost/src/papayapost/membership/repair.py
@@ -26,10 +26,11 @@
 __all__ = ["RepairDirectory", "ServeRepairs"]
 
 _MISMATCHES_BEFORE_REPAIR = 3
-_REPAIR_TIMEOUT_US = 15_000_000
+_REPAIR_TIMEOUT_US = 5_000_000
 _BUCKETS_PER_REQUEST = 4
 _MAX_DATA_CENTRES = 64
 _ROWS_PER_SECOND = 160
+_PARENT_SHARE = 0.3
 _ROWS_BURST = 15_000
 _MAX_WAITING = 64
 _SERVE_AGAIN_US = 200_000
@@ -46,10 +47,11 @@
 
 
 class RepairDirectory(System):
-    """Compares digests with the parent and fetches the buckets that differ.
+    """Compares digests and fetches the buckets that differ.
 
     A short difference is normal while changes are under way, so that a
-    repair begins only when it lasts; a new process begins at once.
+    repair begins only when it lasts; a new process begins at once. Any
+    member can serve a repair; the parent's digest tells whether one is due.
     """
 
     consumes = (
@@ -65,6 +67,7 @@
         self._members = members
         self._tree = tree
         self._mismatches = 0
+        self._source: Address | None = None
 
     def run(self, tick: Tick) -> None:
         """Take the next step of the repair."""
@@ -91,9 +94,18 @@
         patience = _MISMATCHES_BEFORE_REPAIR if tree.is_synced else 1
         if tree.repair is None and self._mismatches >= patience:
             self._mismatches = 0
-            self._offer(tick, tree.parent.address)
+            self._offer(tick, self._choose_source(tick, tree.parent.address))
+
+    def _choose_source(self, tick: Tick, parent: Address) -> Address:
+        """Return a random member mostly, so that no parent serves a herd."""
+        other = self._members.any_member(tick.random)
+        is_parent = tick.random.random() < _PARENT_SHARE
+        if other is None or other.is_gone or is_parent:
+            return parent
+        return other.peer_address
 
     def _offer(self, tick: Tick, address: Address) -> None:
+        self._source = address
         digests = self._members.digests
         offered = tuple(
             DataCentreDigest(data_centre, digests.of(data_centre))
@@ -104,10 +116,10 @@
         tick.emit(PeerSend(address, offer))
 
     def _begin(self, tick: Tick, digests: BucketDigests) -> None:
-        parent = self._tree.parent
-        is_expected = parent is not None and parent.node_id == digests.sender
+        is_expected = digests.reply_to == self._source
         if not is_expected or len(digests.buckets) != BUCKETS:
             return
+        self._source = None
         mine = self._members.digests.buckets_of(digests.data_centre)
         differing = deque(
             bucket
@@ -133,14 +145,13 @@
 
     def _take_rows(self, tick: Tick, answer: BucketRows) -> None:
         repair = self._tree.repair
-        if repair is None or repair.source != answer.reply_to:
-            return
-        if repair.data_centre != answer.data_centre:
-            return
-        self._send_missing(tick, answer)
         if answer.rows:
             tick.post(RowsArrived(answer.sender, answer.reply_to, answer.rows))
-        self._ask_next(tick, repair)
+        if repair is None or repair.source != answer.reply_to:
+            return
+        if repair.data_centre == answer.data_centre:
+            self._send_missing(tick, answer)
+            self._ask_next(tick, repair)
 
     def _send_missing(self, tick: Tick, answer: BucketRows) -> None:
         """Send the parent the rows that it does not have."""
--- a/packages/papayapost/src/papayapost/membership/spreading.py
+++ b/packages/papayapost/src/papayapost/membership/spreading.py
@@ -16,6 +16,8 @@
 _MAX_ROWS_PER_DELTA = 256
 _ROW_SENDS_PER_SECOND = 160
 _ROW_SENDS_BURST = 15_000
+_FLUSH_EVERY_US = 500_000
+_MAX_WAITING = 512
 
 
 @dataclass(slots=True)
@@ -26,8 +28,8 @@
 class SpreadRows(System):
     """Sends each changed row to all neighbours but the one it came from.
 
-    Rows that change how calls are routed go first. Rows beyond the budget
-    wait; only the newest row of a member is ever sent.
+    Rows that stop or move calls go first. Rows beyond the budget wait, and
+    only the newest row of a member is ever sent.
     """
 
     consumes = (RowsToSpread, SpreadDue)
@@ -39,6 +41,7 @@
         self._waiting: dict[NodeId, NodeId | None] = {}
         self._budget = Budget(_ROW_SENDS_PER_SECOND, _ROW_SENDS_BURST)
         self._is_due = False
+        self._flushed_us = Micros(-_FLUSH_EVERY_US)
 
     def run(self, tick: Tick) -> None:
         """Gather rows, and send what is due."""
@@ -46,15 +49,20 @@
             queue = self._urgent if spread.is_urgent else self._waiting
             for node_id in spread.node_ids:
                 queue[node_id] = spread.source
+        while len(self._waiting) > _MAX_WAITING:
+            # Digests will show the difference, and a repair is cheaper.
+            del self._waiting[next(iter(self._waiting))]
         if tick.take(SpreadDue):
             self._is_due = False
             self._flush(tick)
         if (self._urgent or self._waiting) and not self._is_due:
             self._is_due = True
-            due_us = Micros(tick.now_us + _GATHER_US)
-            tick.set_timer("spread", due_us, SpreadDue())
+            earliest_us = self._flushed_us + _FLUSH_EVERY_US
+            due_us = max(tick.now_us + _GATHER_US, earliest_us)
+            tick.set_timer("spread", Micros(due_us), SpreadDue())
 
     def _flush(self, tick: Tick) -> None:
+        self._flushed_us = tick.now_us
         neighbours = self._tree.neighbours()
         if not neighbours:
             # Whoever attaches later compares digests and gets them then.
