--- a/packages/papayapost-node/src/papayapost_node/store/values.py
+++ b/packages/papayapost-node/src/papayapost_node/store/values.py
@@ -3,6 +3,10 @@
 The rules file is plain text, so that operators can edit it in the store;
 everything else is JSON, so that they can read it there. Directories are
 compressed, because they cross the paid link whole.
+The rules file is plain text, so that operators can edit it in the store. The
+accepted rules are the same text after a line with their version: as JSON, a
+text near the store's megabyte would outgrow it. Everything else is JSON, so
+that operators can read it there.
 """
 
 from collections.abc import Mapping
@@ -12,6 +16,8 @@
 
 from papayapost.distribution.status import StatusReport
 from papayapost.membership import DataCentreImage
+from papayapost.distribution import AcceptedRules, StatusReport
+from papayapost.ids import RuleVersion
 from papayapost.storage import ObjectKind
 
 __all__ = ["VALUE_TYPES", "decode_value", "encode_value"]
@@ -24,6 +30,11 @@
 
 _COMPRESSED_TYPES = (DataCentreImage,)
 _MAX_PLAIN_BYTES = 8 << 20
+    ObjectKind.ACCEPTED: AcceptedRules,
+    ObjectKind.STATUS: StatusReport,
+}
+
+_ACCEPTED_PREFIX = "# papayapost version "
 
 
 def encode_value(value: object) -> bytes:
@@ -34,6 +45,9 @@
     if isinstance(value, _COMPRESSED_TYPES):
         return zstandard.ZstdCompressor().compress(data)
     return data
+    if isinstance(value, AcceptedRules):
+        return f"{_ACCEPTED_PREFIX}{value.version}\n{value.text}".encode()
+    return msgspec.json.encode(value)
 
 
 def decode_value(kind: ObjectKind, data: bytes) -> object:
@@ -58,3 +72,14 @@
         return decompressor.decompress(data, max_output_size=_MAX_PLAIN_BYTES)
     except zstandard.ZstdError as error:
         raise ValueError(f"{len(data)} bytes are not compressed: {error}") from None
+    if value_type is AcceptedRules:
+        return _decode_accepted(data.decode())
+    return msgspec.json.decode(data, type=value_type)
+
+
+def _decode_accepted(data: str) -> AcceptedRules:
+    head, _, text = data.partition("\n")
+    digits = head.removeprefix(_ACCEPTED_PREFIX)
+    if digits == head or not digits.isascii() or not digits.isdigit():
+        raise ValueError(f"the first line {head[:80]!r} names no version")
+    return AcceptedRules(RuleVersion(int(digits)), text)
--- a/packages/papayapost-testing/src/papayapost_testing/bench/__main__.py
+++ b/packages/papayapost-testing/src/papayapost_testing/bench/__main__.py
@@ -4,15 +4,23 @@
 from collections.abc import Sequence
 from importlib import import_module
 from pathlib import Path
+from pkgutil import iter_modules
 
 import fire
 import msgspec
 
+from papayapost_testing import bench
 from papayapost_testing.bench.rows import BenchRow
 
 __all__ = ["main"]
 
-BENCHMARKS = ("kernel", "rules")
+_HELPERS = frozenset(["__main__", "rows"])
+
+
+def benchmark_names() -> list[str]:
+    """Return the modules of this package that are benchmarks."""
+    names = [module.name for module in iter_modules(bench.__path__)]
+    return [name for name in names if name not in _HELPERS]
 
 
 def run(*names: str, long: bool = False, output: str = "") -> None:
@@ -27,11 +35,12 @@
     output
         Path of a JSON file that the rows are added to, by benchmark.
     """
-    unknown = sorted(set(names) - set(BENCHMARKS))
+    known = benchmark_names()
+    unknown = sorted(set(names) - set(known))
     if unknown:
-        sys.exit(f"no benchmark {', '.join(unknown)}; use {', '.join(BENCHMARKS)}")
+        sys.exit(f"no benchmark {', '.join(unknown)}; use {', '.join(known)}")
     results: dict[str, list[BenchRow]] = {}
-    for name in names or BENCHMARKS:
+    for name in names or known:
         module = import_module(f"papayapost_testing.bench.{name}")
         print(f"== {name}", flush=True)
         results[name] = module.run(short=not long)
