--- a/packages/papayapost/src/papayapost/membership/publishing.py
+++ b/packages/papayapost/src/papayapost/membership/publishing.py
@@ -169,8 +169,9 @@
         self._is_busy = False
         self._failures = 0
         self._version = seen.version
-        is_image = isinstance(seen.value, DataCentreImage)
-        self._stored_digest = _digest_of(seen.value) if is_image else None
+        self._stored_digest = None
+        if isinstance(seen.value, DataCentreImage):
+            self._stored_digest = _digest_of(seen.value)
         if self._tree.is_top_relay and self._differs():
             self._schedule(tick, 0)
 
