--- a/packages/papayapost-node/src/papayapost_node/store/values.py
+++ b/packages/papayapost-node/src/papayapost_node/store/values.py
@@ -12,6 +12,9 @@
 import msgspec
 import zstandard
 
+from papayapost.distribution.status import StatusReport
+from papayapost.record import ChangeDetail, RecordPage
+from papayapost.rules import decode_text
 from papayapost.distribution import AcceptedRules, StatusReport
 from papayapost.ids import RuleVersion
 from papayapost.membership import DataCentreImage
@@ -24,6 +27,8 @@
     ObjectKind.ACCEPTED: AcceptedRules,
     ObjectKind.STATUS: StatusReport,
     ObjectKind.DIRECTORY: DataCentreImage,
+    ObjectKind.RECORD: RecordPage,
+    ObjectKind.RECORD_DETAIL: ChangeDetail,
 }
 
 _ACCEPTED_PREFIX = "# papayapost version "
@@ -52,6 +57,7 @@
     """
     value_type = VALUE_TYPES[kind]
     if value_type is str:
+        return decode_text(data)
         return data.decode()
     if value_type is AcceptedRules:
         return _decode_accepted(data.decode())
