--- a/packages/papayapost-node/src/papayapost_node/store/values.py
+++ b/packages/papayapost-node/src/papayapost_node/store/values.py
@@ -3,17 +3,20 @@
 The rules file is plain text, so that operators can edit it in the store. The
 accepted rules are the same text after a line with their version: as JSON, a
 text near the store's megabyte would outgrow it. Everything else is JSON, so
-that operators can read it there.
+that operators can read it there; directories are compressed JSON, because
+they cross the paid link whole.
 """
 
 from collections.abc import Mapping
 
 import msgspec
+import zstandard
 
 from papayapost.distribution import AcceptedRules, StatusReport
 from papayapost.ids import RuleVersion
 from papayapost.record import ChangeDetail, RecordPage
 from papayapost.rules import decode_text
+from papayapost.membership import DataCentreImage
 from papayapost.storage import ObjectKind
 
 __all__ = ["VALUE_TYPES", "decode_value", "encode_value"]
@@ -22,11 +25,13 @@
     ObjectKind.CONFIG: str,
     ObjectKind.ACCEPTED: AcceptedRules,
     ObjectKind.STATUS: StatusReport,
+    ObjectKind.DIRECTORY: DataCentreImage,
     ObjectKind.RECORD: RecordPage,
     ObjectKind.RECORD_DETAIL: ChangeDetail,
 }
 
 _ACCEPTED_PREFIX = "# papayapost version "
+_MAX_IMAGE_BYTES = 8 << 20
 
 
 def encode_value(value: object) -> bytes:
@@ -35,7 +40,10 @@
         return value.encode()
     if isinstance(value, AcceptedRules):
         return f"{_ACCEPTED_PREFIX}{value.version}\n{value.text}".encode()
-    return msgspec.json.encode(value)
+    data = msgspec.json.encode(value)
+    if isinstance(value, DataCentreImage):
+        return zstandard.ZstdCompressor().compress(data)
+    return data
 
 
 def decode_value(kind: ObjectKind, data: bytes) -> object:
@@ -51,6 +59,8 @@
         return decode_text(data)
     if value_type is AcceptedRules:
         return _decode_accepted(data.decode())
+    if value_type is DataCentreImage:
+        data = _decompress(data)
     return msgspec.json.decode(data, type=value_type)
 
 
@@ -60,3 +70,11 @@
     if digits == head or not digits.isascii() or not digits.isdigit():
         raise ValueError(f"the first line {head[:80]!r} names no version")
     return AcceptedRules(RuleVersion(int(digits)), text)
+
+
+def _decompress(data: bytes) -> bytes:
+    try:
+        decompressor = zstandard.ZstdDecompressor()
+        return decompressor.decompress(data, max_output_size=_MAX_IMAGE_BYTES)
+    except zstandard.ZstdError as error:
+        raise ValueError(f"{len(data)} bytes are not compressed: {error}") from None
