Give papaya its commands, with coded errors and a JSON form

Cause: papaya showed stack traces and help pages upon a mistake, overwrote whatever was current, and could not tell who changed what.

Change: one module and one Command per command (check, apply, explain, log, status). The command line is parsed whole before anything runs; every mistake is a coded error with exit code 2. apply proposes, updates on condition and records; the second of two operators gets exit code 3 with who came first and what differs. Settings files of both programs are read by one module, which reports all findings at once with their paths.

--- a/packages/papayapost-node/src/papayapost_node/settings.py
+++ b/packages/papayapost-node/src/papayapost_node/settings.py
@@ -1,37 +1,20 @@
 """Settings of a node, read from a JSON file and checked as a whole."""
 
-import ipaddress
 from pathlib import Path
-from typing import Annotated
 
-from pydantic import AfterValidator, BaseModel, ConfigDict, Field, ValidationError
+from pydantic import Field
 
-from papayapost.errors import SettingsRefused
-from papayapost.findings import Finding
+from papayapost_node.settings_file import (
+    AddressText,
+    Name,
+    SettingsModel,
+    load_settings_file,
+)
 
 __all__ = ["BackendServerSettings", "Settings", "load_settings"]
 
 
-def _check_address(text: str) -> str:
-    ip, colon, port = text.rpartition(":")
-    try:
-        ipaddress.ip_address(ip.strip("[]"))
-    except ValueError:
-        colon = ""
-    if not colon or not port.isdigit() or not 0 < int(port) < 65_536:
-        raise ValueError(f"{text!r} is not an address; write an IP number and a port")
-    return text
-
-
-AddressText = Annotated[str, AfterValidator(_check_address)]
-Name = Annotated[str, Field(pattern=r"^[a-z0-9][a-z0-9-]{0,62}$")]
-
-
-class _Model(BaseModel):
-    model_config = ConfigDict(extra="forbid", frozen=True, strict=True)
-
-
-class BackendServerSettings(_Model):
+class BackendServerSettings(SettingsModel):
     """The backend server on the node's VM.
 
     Attributes
@@ -52,7 +35,7 @@
     connections: int = Field(ge=1, le=100_000)
 
 
-class Settings(_Model):
+class Settings(SettingsModel):
     """Settings of one node.
 
     Attributes
@@ -94,19 +77,4 @@
     SettingsRefused
         With every finding, each with its path in the file.
     """
-    try:
-        text = Path(path).read_text()
-    except (OSError, UnicodeDecodeError) as error:
-        finding = Finding(
-            "S001", str(path), f"cannot be read: {error}", "name a readable JSON file"
-        )
-        raise SettingsRefused([finding]) from error
-    try:
-        return Settings.model_validate_json(text)
-    except ValidationError as error:
-        raise SettingsRefused([_finding_of(item) for item in error.errors()]) from None
-
-
-def _finding_of(item) -> Finding:
-    place = ".".join(str(part) for part in item["loc"]) or "file"
-    return Finding("S002", place, item["msg"], "see docs/OPERATING.md, settings")
+    return load_settings_file(Path(path), Settings)
--- /dev/null
+++ b/packages/papayapost-node/src/papayapost_node/settings_file.py
@@ -0,0 +1,112 @@
+"""Reads a JSON settings file and checks it as a whole."""
+
+import ipaddress
+from enum import Enum
+from pathlib import Path
+from typing import Annotated, TypeVar
+
+from pydantic import AfterValidator, BaseModel, ConfigDict, Field, ValidationError
+
+from papayapost.errors import SettingsRefused
+from papayapost.findings import Finding
+
+__all__ = [
+    "AddressText",
+    "Name",
+    "SettingsFault",
+    "SettingsModel",
+    "load_settings_file",
+]
+
+_MAX_PORT = 65_535
+
+
+class SettingsFault(Enum):
+    """Stable code of a finding in a settings file; see docs/ERRORS.md."""
+
+    UNREADABLE = "S001"
+    NOT_JSON = "S002"
+    UNKNOWN_KEY = "S003"
+    MISSING_KEY = "S004"
+    WRONG_TYPE = "S005"
+    OUT_OF_RANGE = "S006"
+    BAD_VALUE = "S007"
+
+
+class SettingsModel(BaseModel):
+    """Base of all settings: no unknown keys, no conversions, no changes."""
+
+    model_config = ConfigDict(extra="forbid", frozen=True, strict=True)
+
+
+def _check_address(text: str) -> str:
+    ip, colon, port = text.rpartition(":")
+    try:
+        ipaddress.ip_address(ip.strip("[]"))
+    except ValueError:
+        colon = ""
+    if not colon or not port.isascii() or not port.isdigit():
+        raise ValueError(f"{text!r} is not an address")
+    if not 0 < int(port[:6]) <= _MAX_PORT:
+        raise ValueError(f"{text!r} has no port from 1 to {_MAX_PORT}")
+    return text
+
+
+AddressText = Annotated[str, AfterValidator(_check_address)]
+"""An IP number and a port, as in ``10.0.0.7:4100``."""
+
+Name = Annotated[str, Field(pattern=r"^[a-z0-9][a-z0-9-]{0,62}$")]
+"""Lower-case letters, digits and ``-``."""
+
+M = TypeVar("M", bound=SettingsModel)
+
+_FAULTS = {
+    "json_invalid": SettingsFault.NOT_JSON,
+    "extra_forbidden": SettingsFault.UNKNOWN_KEY,
+    "missing": SettingsFault.MISSING_KEY,
+    "greater_than_equal": SettingsFault.OUT_OF_RANGE,
+    "less_than_equal": SettingsFault.OUT_OF_RANGE,
+}
+_REMEDIES = {
+    SettingsFault.NOT_JSON: "write one JSON object",
+    SettingsFault.UNKNOWN_KEY: "remove it, or correct its name",
+    SettingsFault.MISSING_KEY: "add it",
+    SettingsFault.WRONG_TYPE: "write a value of that type",
+    SettingsFault.OUT_OF_RANGE: "write a value within the bound",
+    SettingsFault.BAD_VALUE: "names have lower-case letters, digits and '-'; "
+    "addresses an IP number and a port, as in 10.0.0.7:4100",
+}
+
+
+def load_settings_file(path: Path, model: type[M]) -> M:
+    """Read and check a settings file.
+
+    Raises
+    ------
+    SettingsRefused
+        With every finding, each with its path in the file.
+    """
+    try:
+        text = path.read_text(encoding="utf-8")
+    except (OSError, UnicodeDecodeError) as error:
+        finding = Finding(
+            SettingsFault.UNREADABLE.value,
+            str(path),
+            f"the file cannot be read: {error}",
+            "name a readable JSON file in UTF-8",
+        )
+        raise SettingsRefused([finding]) from None
+    try:
+        return model.model_validate_json(text)
+    except ValidationError as error:
+        raise SettingsRefused([_finding_of(item) for item in error.errors()]) from None
+
+
+def _finding_of(item) -> Finding:
+    kind = item["type"]
+    fault = _FAULTS.get(kind)
+    if fault is None:
+        is_type = kind.endswith("_type")
+        fault = SettingsFault.WRONG_TYPE if is_type else SettingsFault.BAD_VALUE
+    place = ".".join(str(part) for part in item["loc"]) or "file"
+    return Finding(fault.value, place, item["msg"], _REMEDIES[fault])
--- a/packages/papayapost-node/src/papayapost_node/store/values.py
+++ b/packages/papayapost-node/src/papayapost_node/store/values.py
@@ -14,9 +14,9 @@
 
 from papayapost.distribution import AcceptedRules, StatusReport
 from papayapost.ids import RuleVersion
+from papayapost.membership import DataCentreImage
 from papayapost.record import ChangeDetail, RecordPage
 from papayapost.rules import decode_text
-from papayapost.membership import DataCentreImage
 from papayapost.storage import ObjectKind
 
 __all__ = ["VALUE_TYPES", "decode_value", "encode_value"]
--- /dev/null
+++ b/packages/papayapost-operator/src/papayapost_operator/check.py
@@ -0,0 +1,58 @@
+"""papaya check."""
+
+from dataclasses import dataclass
+
+from papayapost.errors import RulesRefused
+from papayapost.findings import Finding
+from papayapost.rules import compile_rules, digest_of
+from papayapost_operator.command import Command, Result
+from papayapost_operator.files import read_rules_file
+
+__all__ = ["CheckCommand", "CheckReport", "finding_lines"]
+
+
+@dataclass(frozen=True, slots=True)
+class CheckReport:
+    """What stands in a rules file.
+
+    Parameters
+    ----------
+    routes, shares, services
+        Numbers of them; 0 if the file is refused.
+    """
+
+    file: str
+    digest: str
+    routes: int
+    shares: int
+    services: int
+    findings: tuple[Finding, ...]
+
+
+class CheckCommand(Command):
+    """Reports every finding of a rules file."""
+
+    name = "check"
+
+    def __init__(self, file: str):
+        self._file = file
+
+    def run(self) -> Result:
+        """Compile the file; the store is not asked."""
+        text = read_rules_file(self._file)
+        digest = digest_of(text)
+        try:
+            rules = compile_rules(text)
+        except RulesRefused as refused:
+            report = CheckReport(self._file, digest, 0, 0, 0, refused.findings)
+            lines = finding_lines(self._file, refused.findings)
+            return Result(report, lines, refused)
+        counts = len(rules.routes), len(rules.shares), len(rules.services)
+        report = CheckReport(self._file, digest, *counts, ())
+        line = "{}: {} routes, {} shares, {} services".format(self._file, *counts)
+        return Result(report, (line,))
+
+
+def finding_lines(file: str, findings: tuple[Finding, ...]) -> tuple[str, ...]:
+    """Return findings as lines that editors can jump by."""
+    return tuple(f"{file}:{finding}" for finding in findings)
--- a/packages/papayapost-operator/src/papayapost_operator/commands.py
+++ b/packages/papayapost-operator/src/papayapost_operator/commands.py
@@ -1,62 +1,124 @@
-"""The commands of papaya."""
+"""The commands of papaya, as the command line names them."""
 
-import asyncio
-import sys
-from pathlib import Path
-
-from papayapost.distribution import RULES_KEY
-from papayapost.errors import PapayapostError, RulesRefused
-from papayapost.ids import Address
-from papayapost.rules import compile_rules
-from papayapost_node.store import HttpStoreClient
+from papayapost_operator.apply import ApplyCommand
+from papayapost_operator.check import CheckCommand
+from papayapost_operator.command import Command
+from papayapost_operator.explain import ExplainCommand
+from papayapost_operator.flags import read_flag
+from papayapost_operator.log import LogCommand
+from papayapost_operator.settings import StoreOptions
+from papayapost_operator.status import StatusCommand
 
 __all__ = ["Papaya"]
 
-_EXIT_FAILURE = 1
-_EXIT_REFUSED = 2
-
 
 class Papaya:
-    """Checks and applies the rules file."""
+    """Checks, applies and explains the rules, and tells who changed them.
 
-    def check(self, file: str) -> None:
-        """Report every finding of a rules file; exit with 2 if there is one.
+    Every command takes --json for one JSON object in place of text.
+    """
+
+    def check(self, file: str) -> Command:
+        """Report every finding of a rules file; the store is not asked.
 
         Parameters
         ----------
         file
             Path of the rules file.
         """
-        try:
-            rules = compile_rules(Path(file).read_text())
-        except RulesRefused as refused:
-            for finding in refused.findings:
-                print(f"{file}:{finding}", file=sys.stderr)
-            sys.exit(_EXIT_REFUSED)
-        print(f"{file}: {len(rules.routes)} routes, {len(rules.shares)} shares")
-
-    def apply(self, file: str, store: str) -> None:
+        return CheckCommand(file)
+
+    def apply(
+        self,
+        file: str,
+        store: str = "",
+        settings: str = "",
+        operator: str = "",
+        message: str = "",
+        base: str = "",
+        preview: bool = False,
+    ) -> Command:
         """Make a rules file the store's current version.
 
         Parameters
         ----------
         file
             Path of the rules file.
+        store
+            Address of the object store, as in 10.0.0.7:4100.
+        settings
+            Path of a JSON settings file.
+        operator
+            Name to record; the login name if left out.
+        message
+            Why, for the record.
+        base
+            Version that the file was edited from: refuse if another one is
+            current.
+        preview
+            Show what would change and write nothing.
+        """
+        options = StoreOptions(store, settings)
+        is_preview = read_flag("--preview", preview)
+        return ApplyCommand(file, options, operator, message, base, is_preview)
+
+    def explain(
+        self, method: str, url: str, store: str = "", settings: str = "", file: str = ""
+    ) -> Command:
+        """Say which rule decides a call, whose it is and why others do not.
+
+        Parameters
+        ----------
+        method
+            HTTP method.
+        url
+            As in http://host/path, host/path or /path.
+        store
+            Address of the object store.
+        settings
+            Path of a JSON settings file.
+        file
+            Path of a rules file to explain by, in place of the store's.
+        """
+        return ExplainCommand(method, url, StoreOptions(store, settings), file)
+
+    def log(
+        self,
+        store: str = "",
+        settings: str = "",
+        rule: str = "",
+        owner: str = "",
+        limit: str = "20",
+    ) -> Command:
+        """Say who changed which rule when, newest first.
+
+        Parameters
+        ----------
+        store
+            Address of the object store.
+        settings
+            Path of a JSON settings file.
+        rule
+            Only rules whose methods and target contain this text.
+        owner
+            Only rules of this owner, before or after the change.
+        limit
+            Versions to show at most.
+        """
+        return LogCommand(StoreOptions(store, settings), rule, owner, limit)
+
+    def status(
+        self, store: str = "", settings: str = "", data_centres: str = ""
+    ) -> Command:
+        """Say which version is current, who holds it and what was refused.
+
+        Parameters
+        ----------
         store
             Address of the object store.
+        settings
+            Path of a JSON settings file.
+        data_centres
+            Names parted by commas; those of the settings file if left out.
         """
-        self.check(file)
-        try:
-            version = asyncio.run(_apply(Path(file).read_text(), Address(store)))
-        except PapayapostError as error:
-            print(error, file=sys.stderr)
-            sys.exit(_EXIT_FAILURE)
-        print(f"version {version}")
-
-
-async def _apply(text: str, address: Address) -> int:
-    client = HttpStoreClient(address)
-    current = await client.read(RULES_KEY.kind.value, RULES_KEY.name)
-    return await client.update(
-        RULES_KEY.kind.value, RULES_KEY.name, text.encode(), current.version
-    )
+        return StatusCommand(StoreOptions(store, settings), data_centres)
--- /dev/null
+++ b/packages/papayapost-operator/src/papayapost_operator/log.py
@@ -0,0 +1,68 @@
+"""papaya log."""
+
+from random import Random
+
+from papayapost.errors import PapayapostError, StoreUnavailable, UsageRefused
+from papayapost.record import ChangeEntry
+from papayapost.record.questions import (
+    LogFilter,
+    LogReport,
+    QuestionAnswered,
+    QuestionAsked,
+    ReadLog,
+    build_question,
+)
+from papayapost_operator.command import Command, Result
+from papayapost_operator.numbers import whole_number
+from papayapost_operator.session import run_world
+from papayapost_operator.settings import StoreOptions
+from papayapost_operator.text import change_lines, entry_line
+
+__all__ = ["LogCommand"]
+
+_MAX_LIMIT = 10_000
+
+
+class LogCommand(Command):
+    """Says who changed which rule when."""
+
+    name = "log"
+
+    def __init__(self, store: StoreOptions, rule: str, owner: str, limit: str):
+        self._store = store
+        self._rule = rule
+        self._owner = owner
+        self._limit = limit
+
+    def run(self) -> Result:
+        """Read the record backwards until enough entries pass."""
+        limit = whole_number("--limit", self._limit)
+        if not 0 < limit <= _MAX_LIMIT:
+            raise UsageRefused(f"--limit {limit} is not from 1 to {_MAX_LIMIT}")
+        settings = self._store.load()
+        question = ReadLog(LogFilter(self._rule, self._owner, limit))
+        world = build_question(Random(0))
+        asked = QuestionAsked(question)
+        report = run_world(settings, world, asked, QuestionAnswered).report
+        assert isinstance(report, LogReport)
+        lines = [line for entry in report.entries for line in _entry_lines(entry)]
+        if not lines:
+            lines = ["no change is recorded that passes the filter"]
+        return Result(report, tuple(lines), _error_of(report))
+
+
+def _entry_lines(entry: ChangeEntry) -> list[str]:
+    lines = [entry_line(entry)]
+    if not entry.changes.is_known:
+        lines.append("  what it changed is not known")
+    if entry.overtaken:
+        names = ", ".join(entry.overtaken)
+        lines.append(f"  may have replaced a version of {names} unseen")
+    return lines + change_lines(entry.changes.changes)
+
+
+def _error_of(report: LogReport) -> PapayapostError | None:
+    if not report.failure:
+        return None
+    reason = report.failure.removeprefix("PP301: ")
+    return StoreUnavailable(f"the record is shown in part: {reason}")
--- /dev/null
+++ b/packages/papayapost-operator/src/papayapost_operator/session.py
@@ -0,0 +1,63 @@
+"""Runs a world against the store until it reports."""
+
+import asyncio
+from typing import TypeVar
+
+from papayapost.errors import StoreUnavailable
+from papayapost.ids import Address
+from papayapost.kernel import World
+from papayapost.storage import ReadObject, UpdateObject
+from papayapost_node.clock import SystemClock
+from papayapost_node.runner import WorldRunner
+from papayapost_node.store import HttpStoreClient, StoreShell
+from papayapost_operator.settings import OperatorSettings
+
+__all__ = ["run_world"]
+
+E = TypeVar("E")
+
+# Many times what all tries of a command take together.
+_MAX_ANSWERS = 60
+
+
+def run_world(
+    settings: OperatorSettings, world: World, message: object, finished: type[E]
+) -> E:
+    """Post a message to a world and return its effect of type `finished`.
+
+    Raises
+    ------
+    StoreUnavailable
+        If the world has not finished after many times the store's timeout.
+    """
+    return asyncio.run(_run(settings, world, message, finished))
+
+
+async def _run(
+    settings: OperatorSettings, world: World, message: object, finished: type[E]
+) -> E:
+    timeout_s = settings.store_timeout_ms / 1_000
+    client = HttpStoreClient(Address(settings.store_address), timeout_s)
+    done: asyncio.Future[E] = asyncio.get_running_loop().create_future()
+    shell = StoreShell(client, lambda result: runner.post(result))
+    runner = WorldRunner(
+        world,
+        SystemClock(),
+        {
+            ReadObject: shell.read,
+            UpdateObject: shell.update,
+            finished: done.set_result,
+        },
+    )
+    runner.post(message)
+    try:
+        async with asyncio.timeout(timeout_s * _MAX_ANSWERS):
+            return await done
+    except TimeoutError:
+        raise StoreUnavailable(
+            f"the store at {settings.store_address} took too long; 'papaya status' "
+            "shows what it holds once it answers"
+        ) from None
+    finally:
+        runner.close()
+        shell.close()
--- /dev/null
+++ b/packages/papayapost-operator/src/papayapost_operator/settings.py
@@ -0,0 +1,97 @@
+"""Settings of papaya."""
+
+from pathlib import Path
+
+from pydantic import Field
+
+from papayapost.errors import UsageRefused
+from papayapost.ids import Address
+from papayapost_node.settings_file import (
+    AddressText,
+    Name,
+    SettingsModel,
+    load_settings_file,
+)
+
+__all__ = ["OperatorSettings", "StoreOptions", "store_address_of"]
+
+
+class OperatorSettings(SettingsModel):
+    """Settings of one operator.
+
+    Attributes
+    ----------
+    store_address
+        The platform's object API.
+    store_timeout_ms
+        Time for one answer of the store.
+    operator
+        Name that changes are recorded under, or null for the login name.
+    data_centres
+        Whose status reports ``papaya status`` shows.
+    """
+
+    store_address: AddressText
+    store_timeout_ms: int = Field(default=5_000, ge=50, le=60_000)
+    operator: str | None = Field(default=None, min_length=1, max_length=100)
+    data_centres: list[Name] = []
+
+
+class _StoreFlag(SettingsModel):
+    store_address: AddressText
+
+
+class StoreOptions:
+    """The options that name the store, as the command line has them.
+
+    Parameters
+    ----------
+    store
+        Address that goes before the settings file's.
+    settings
+        Path of a settings file; empty for none.
+    """
+
+    def __init__(self, store: str, settings: str):
+        self._store = store
+        self._settings = settings
+
+    def load(self) -> OperatorSettings:
+        """Return the settings.
+
+        Raises
+        ------
+        SettingsRefused
+            With every finding of the settings file.
+        UsageRefused
+            If no store is named, or by something that is no address.
+        """
+        if not self._store and not self._settings:
+            raise UsageRefused(
+                "no store is named; give --store ADDRESS or --settings FILE"
+            )
+        if not self._settings:
+            address = store_address_of(self._store)
+            return OperatorSettings(store_address=address)
+        loaded = load_settings_file(Path(self._settings), OperatorSettings)
+        if self._store:
+            address = store_address_of(self._store)
+            return loaded.model_copy(update={"store_address": address})
+        return loaded
+
+
+def store_address_of(text: str) -> Address:
+    """Return an address given on the command line.
+
+    Raises
+    ------
+    UsageRefused
+        If it is no address.
+    """
+    try:
+        return Address(_StoreFlag(store_address=text).store_address)
+    except ValueError:
+        raise UsageRefused(
+            f"--store {text!r} is not an address; write an IP number and a port, "
+            "as in 10.0.0.7:4100"
+        ) from None
--- /dev/null
+++ b/packages/papayapost-operator/src/papayapost_operator/text.py
@@ -0,0 +1,46 @@
+"""Lines that commands print for people."""
+
+from collections.abc import Iterable
+from datetime import UTC, datetime
+
+from papayapost.ids import Micros
+from papayapost.record import Attribution, ChangeEntry
+from papayapost.rules import ChangeKind, RuleChange
+
+__all__ = ["change_lines", "entry_line", "time_text"]
+
+
+def time_text(at_us: Micros) -> str:
+    """Return a wall-clock time in UTC.
+
+    Examples
+    --------
+    >>> time_text(Micros(1_700_000_000_000_000))
+    '2023-11-14 22:13:20Z'
+    """
+    return f"{datetime.fromtimestamp(at_us // 1_000_000, UTC):%Y-%m-%d %H:%M:%SZ}"
+
+
+def change_lines(changes: Iterable[RuleChange]) -> list[str]:
+    """Return changes as lines led by ``+`` and ``-``."""
+    lines = []
+    for change in changes:
+        if change.kind is ChangeKind.MOVED:
+            lines.append(f"  ~ {change.after} (moved)")
+            continue
+        if change.before:
+            lines.append(f"  - {change.before}")
+        if change.after:
+            lines.append(f"  + {change.after}")
+    return lines
+
+
+def entry_line(entry: ChangeEntry) -> str:
+    """Return who made a version, when and why."""
+    who = {
+        Attribution.APPLIED: f"applied by {entry.operator}",
+        Attribution.EDITED: "edited in the store",
+        Attribution.REFUSED: "edited in the store, does not compile",
+    }[entry.attribution]
+    message = f": {entry.message}" if entry.message else ""
+    return f"version {entry.version} {time_text(entry.at_us)} {who}{message}"
--- a/packages/papayapost/src/papayapost/errors.py
+++ b/packages/papayapost/src/papayapost/errors.py
@@ -1,7 +1,8 @@
 """Every error that papayapost raises, each with a stable code.
 
 Codes are grouped by hundreds: 1xx rules, 2xx settings, 3xx store, 4xx
-messages between nodes, 5xx calls.
+messages between nodes, 5xx calls, 7xx operators' tool, 9xx faults of the
+program itself.
 """
 
 from collections.abc import Sequence
@@ -13,15 +14,21 @@
     "CreditExceeded",
     "DeltaRefused",
     "ErrorCode",
+    "FileUnreadable",
     "FindingsError",
     "FrameError",
+    "InternalError",
+    "Interrupted",
+    "OutcomeUnknown",
     "PapayapostError",
+    "RulesOvertaken",
     "RulesRefused",
     "SettingsRefused",
     "SnapshotRefused",
     "StoreConflict",
     "StoreUnavailable",
     "UnknownRow",
+    "UsageRefused",
 ]
 
 
@@ -36,7 +43,13 @@
     SNAPSHOT_REFUSED = 311
     FRAME_MALFORMED = 401
     CREDIT_EXCEEDED = 402
+    USAGE_REFUSED = 701
+    FILE_UNREADABLE = 702
+    RULES_OVERTAKEN = 703
+    OUTCOME_UNKNOWN = 704
+    INTERRUPTED = 705
     UNKNOWN_ROW = 901
+    INTERNAL_ERROR = 902
 
     def __str__(self):
         return f"PP{self.value}"
@@ -126,6 +139,57 @@
         )
 
 
+class UsageRefused(PapayapostError):
+    """A command was given arguments that it does not take."""
+
+    code = ErrorCode.USAGE_REFUSED
+
+
+class FileUnreadable(PapayapostError):
+    """A file that a command names cannot be read."""
+
+    code = ErrorCode.FILE_UNREADABLE
+
+    def __init__(self, path: str, reason: str):
+        super().__init__(f"{path} cannot be read: {reason}; name a readable file")
+
+
+class RulesOvertaken(PapayapostError):
+    """Another operator's version came first; nothing was written."""
+
+    code = ErrorCode.RULES_OVERTAKEN
+
+
+class OutcomeUnknown(PapayapostError):
+    """A version was sent to the store and may be, or get, in force."""
+
+    code = ErrorCode.OUTCOME_UNKNOWN
+
+
+class Interrupted(PapayapostError):
+    """A command was interrupted before it had ended."""
+
+    code = ErrorCode.INTERRUPTED
+
+    def __init__(self):
+        super().__init__(
+            "interrupted; if this was an apply, 'papaya log' shows whether its "
+            "version is in the store"
+        )
+
+
+class InternalError(PapayapostError):
+    """The program met a state that it was not written for."""
+
+    code = ErrorCode.INTERNAL_ERROR
+
+    def __init__(self, error: BaseException):
+        super().__init__(
+            f"{type(error).__name__}: {error}; this is a fault of papayapost, "
+            "please report it with the command that shows it"
+        )
+
+
 class UnknownRow(PapayapostError):
     """A table holds no row under the key that was asked for."""
 
--- a/packages/papayapost/src/papayapost/record/apply/starting.py
+++ b/packages/papayapost/src/papayapost/record/apply/starting.py
@@ -7,12 +7,12 @@
 from papayapost.record.apply.ending import finish
 from papayapost.record.apply.messages import ApplyAsked, ApplyOutcome, ApplyReport
 from papayapost.record.apply.tables import ApplyRow, ApplyState, ApplyTable
-from papayapost.record.changeset import RulesText, changes_between
+from papayapost.record.changeset import RulesText, changes_between, printable_changes
 from papayapost.record.gather import GatherAsked, Gathered, GatheredObject, GatherId
 from papayapost.record.messages import StepDone, StepFailed, StepId, StepWanted
 from papayapost.record.model import RECORD_KEY, Proposal, RecordPage
 from papayapost.record.steps import ProposeVersion
-from papayapost.rules import compile_rules, diff_rules, digest_of
+from papayapost.rules import compile_rules, digest_of
 from papayapost.storage import RequestId, UpdateObject
 
 __all__ = ["UPDATE_REQUEST", "BeginUpdate", "ProposeApply", "StartApply"]
@@ -78,7 +78,8 @@
         if isinstance(rules.value, str):
             row.base = RulesText(RuleVersion(rules.version), rules.value)
         row.version = row.base_version
-        row.changes = diff_rules(row.base.text if row.base else "", row.asked.text)
+        base_text = row.base.text if row.base else ""
+        row.changes = printable_changes(base_text, row.asked.text)
         page = record.value if isinstance(record.value, RecordPage) else RecordPage()
         early = _early_outcome(row)
         if early is None:
--- a/packages/papayapost/src/papayapost/record/apply/tables.py
+++ b/packages/papayapost/src/papayapost/record/apply/tables.py
@@ -5,10 +5,10 @@
 
 from papayapost.ids import NO_VERSION, Micros, RuleVersion
 from papayapost.record.apply.messages import ApplyAsked, ApplyOutcome, ApplyReport
-from papayapost.record.changeset import RulesText
+from papayapost.record.changeset import RulesText, printable_changes
 from papayapost.record.model import ChangeEntry, Proposal
 from papayapost.record.steps import SeenVersion
-from papayapost.rules import RuleChange, diff_rules
+from papayapost.rules import RuleChange
 
 __all__ = ["ApplyRow", "ApplyState", "ApplyTable"]
 
@@ -73,7 +73,7 @@
     ) -> ApplyReport:
         """Return the report with what the row knows."""
         rival = self.rival
-        differing = diff_rules(rival.text, self.asked.text) if rival else ()
+        differing = printable_changes(rival.text, self.asked.text) if rival else ()
         version = rival.version if rival else self.version
         return ApplyReport(
             outcome,
--- a/packages/papayapost/src/papayapost/record/changeset.py
+++ b/packages/papayapost/src/papayapost/record/changeset.py
@@ -16,6 +16,7 @@
     "RulesText",
     "SizedChanges",
     "changes_between",
+    "printable_changes",
     "size_of",
 ]
 
@@ -61,7 +62,7 @@
     """
     if basis is None:
         return SizedChanges(UNKNOWN_CHANGES, {})
-    changes = tuple(_printable(item) for item in diff_rules(basis.text, text))
+    changes = printable_changes(basis.text, text)
     counts = Counter(change.kind for change in changes)
     summary = ChangeSet(
         basis.version,
@@ -77,6 +78,14 @@
     return SizedChanges(replace(summary, details=tuple(details)), details)
 
 
+def printable_changes(before: str, after: str) -> tuple[RuleChange, ...]:
+    """Return the rules that differ, fit for a record and for a terminal.
+
+    A text that was edited in the store may hold anything.
+    """
+    return tuple(_printable(change) for change in diff_rules(before, after))
+
+
 def size_of(changes: tuple[RuleChange, ...]) -> int:
     """Return about how many bytes the changes take in the store."""
     return sum(_size_of(change) for change in changes)
@@ -115,7 +124,6 @@
 
 
 def _printable(change: RuleChange) -> RuleChange:
-    """Keep what a broken text holds from reaching an operator's terminal."""
     before, after = _plain(change.before), _plain(change.after)
     rule = RuleKey(_plain(change.rule))
     if (rule, before, after) == (change.rule, change.before, change.after):
--- a/packages/papayapost/src/papayapost/record/steps.py
+++ b/packages/papayapost/src/papayapost/record/steps.py
@@ -232,7 +232,7 @@
     return tuple(
         proposal.operator
         for proposal in page.proposals
-        if proposal is not chosen
+        if proposal.proposal_id != chosen.proposal_id
         and proposal.digest == digest
         and proposal.base_version == chosen.base_version
     )
--- a/packages/papayapost/src/papayapost/rules/checks.py
+++ b/packages/papayapost/src/papayapost/rules/checks.py
@@ -40,7 +40,7 @@
             line.report(
                 RuleFault.DUPLICATE_ROUTE,
                 column,
-                f"the route of line {first.line} by {first.owner} matches the "
+                f"the route of line {first.line} by {first.owner!r} matches the "
                 "same calls",
                 "remove one of the two",
             )
@@ -101,7 +101,7 @@
             RuleFault.DUPLICATE_SHARE,
             line.words[1].column,
             f"rank {share.rank.name.lower()} has a share on line {earlier.line} "
-            f"by {earlier.owner}",
+            f"by {earlier.owner!r}",
             "keep one of the two",
         )
 
