Mend what two merges left to the linter

Cause: a union merge left two imports of one name, and the type checker took one message type for another in an or-expression. Change: one import; the two conditions are read apart.

--- a/packages/papayapost-node/src/papayapost_node/store/values.py
+++ b/packages/papayapost-node/src/papayapost_node/store/values.py
@@ -12,12 +12,11 @@
 import msgspec
 import zstandard
 
-from papayapost.distribution.status import StatusReport
-from papayapost.record import ChangeDetail, RecordPage
-from papayapost.rules import decode_text
 from papayapost.distribution import AcceptedRules, StatusReport
 from papayapost.ids import RuleVersion
 from papayapost.membership import DataCentreImage
+from papayapost.record import ChangeDetail, RecordPage
+from papayapost.rules import decode_text
 from papayapost.storage import ObjectKind
 
 __all__ = ["VALUE_TYPES", "decode_value", "encode_value"]
--- a/packages/papayapost/src/papayapost/distribution/follow.py
+++ b/packages/papayapost/src/papayapost/distribution/follow.py
@@ -77,7 +77,9 @@
         if tick.take(ParentChanged):
             self._follow.failures = 0
             self._ask(tick)
-        elif tick.take(RequestDue) or (tick.take(CatchUpDue) and self._is_behind()):
+            return
+        must_catch_up = bool(tick.take(CatchUpDue)) and self._is_behind()
+        if tick.take(RequestDue) or must_catch_up:
             self._ask(tick)
 
     def _expect(self, tick: Tick, seen: ParentVersionSeen) -> None:
