Admit attempts by rank, with floors, ceilings and deadlines

Cause: one queue let a flood of any rank delay all others, a replayed offer could start twice, and a call that broke after it was sent went unanswered. Change: queue disciplines behind one base class (ranked queues, and one queue as baseline), adaptive concurrency, decayed service times, a bounded table of decided attempts with epochs and early cancellations, AttemptFailed.

--- /dev/null
+++ b/packages/papayapost-testing/src/papayapost_testing/bench/flood.py
@@ -0,0 +1,199 @@
+"""Goodput and waiting time by rank while one rank floods an owner node.
+
+Runs in virtual time: arrivals are Poisson, the backend server holds a slot
+for an exponential time, and all else is decided by the owner's world.
+"""
+
+import heapq
+from collections.abc import Iterator
+from dataclasses import dataclass, field
+from random import Random
+
+from papayapost.ids import (
+    Address,
+    AttemptId,
+    ConnectionEpoch,
+    Incarnation,
+    Micros,
+    NodeId,
+    ServiceName,
+)
+from papayapost.kernel import World
+from papayapost.states import Rank
+from papayapost.traffic import (
+    AttemptOffer,
+    BackendCallBegun,
+    BackendCallEnded,
+    BackendCallStart,
+)
+from papayapost.traffic.queues import FifoQueue
+from papayapost_testing.bench.rows import BenchRow
+from papayapost_testing.worlds import backend_row, owner_world
+
+__all__ = ["Flood", "FloodFigures", "flood_rows", "run_flood"]
+
+SLOTS = 9
+SERVICE_US = 10_000
+BUDGET_US = 500_000
+CAPACITY_PER_S = SLOTS * 1e6 / SERVICE_US
+
+
+@dataclass(frozen=True, slots=True)
+class Flood:
+    """One run.
+
+    Parameters
+    ----------
+    rank
+        The rank that floods.
+    load
+        Load of all ranks together, as a multiple of the capacity.
+    others_share
+        Load of each rank that does not flood, as a part of the capacity.
+    """
+
+    rank: Rank
+    load: float
+    duration_s: float
+    others_share: float = 0.1
+    seed: int = 7
+
+    def rate_per_s(self, rank: Rank) -> float:
+        """Return the arrivals of a rank."""
+        others = min(self.others_share, self.load / len(Rank))
+        share = others if rank is not self.rank else self.load - 3 * others
+        return CAPACITY_PER_S * share
+
+
+@dataclass(slots=True)
+class FloodFigures:
+    """What became of each rank's attempts."""
+
+    offered: list[int] = field(default_factory=lambda: [0] * len(Rank))
+    answered: list[int] = field(default_factory=lambda: [0] * len(Rank))
+    waits_us: list[list[int]] = field(default_factory=lambda: [[] for _ in Rank])
+
+    def goodput(self, rank: Rank) -> float:
+        """Return the part of a rank's attempts that was answered in time."""
+        return self.answered[rank] / max(1, self.offered[rank])
+
+    def wait_p99_ms(self, rank: Rank) -> float:
+        """Return the wait for a slot that 99 in 100 started attempts met."""
+        waits = sorted(self.waits_us[rank])
+        return waits[len(waits) * 99 // 100] / 1_000 if waits else 0.0
+
+    def utilisation(self, duration_s: float) -> float:
+        """Return answered work as a part of the capacity."""
+        return sum(self.answered) / (CAPACITY_PER_S * duration_s)
+
+
+def run_flood(flood: Flood, world: World) -> FloodFigures:
+    """Drive one owner world through a flood."""
+    random = Random(flood.seed)
+    figures = FloodFigures()
+    ranks: dict[AttemptId, tuple[Rank, int]] = {}
+    events: list[tuple[int, int, object]] = list(_arrivals(flood, random))
+    heapq.heapify(events)
+    sequence = len(events)
+    while events:
+        now_us, _, message = heapq.heappop(events)
+        due_us = world.next_due_us()
+        if due_us is not None and due_us < now_us:
+            heapq.heappush(events, (now_us, sequence, message))
+            now_us, message = due_us, None
+        messages: list[object] = [] if message is None else [message]
+        if isinstance(message, AttemptOffer):
+            ranks[message.attempt_id] = (message.rank, now_us)
+            figures.offered[message.rank] += 1
+        elif isinstance(message, BackendCallEnded):
+            rank, arrived_us = ranks[message.attempt_id]
+            figures.answered[rank] += now_us - arrived_us <= BUDGET_US
+            messages.insert(0, BackendCallBegun(message.attempt_id, 200))
+        for effect in world.tick(Micros(now_us), messages):
+            if isinstance(effect, BackendCallStart):
+                rank, arrived_us = ranks[effect.attempt_id]
+                figures.waits_us[rank].append(now_us - arrived_us)
+                sequence += 1
+                held_us = 1 + int(random.expovariate(1 / SERVICE_US))
+                ended = BackendCallEnded(effect.attempt_id, True, True)
+                heapq.heappush(events, (now_us + held_us, sequence, ended))
+    return figures
+
+
+def flood_rows(short: bool) -> list[BenchRow]:
+    """Return goodput and p99 wait by rank, against one queue for all."""
+    loads = (1.0, 5.0) if short else (0.5, 1.0, 2.0, 5.0, 10.0)
+    duration_s = 2.0 if short else 10.0
+    rows: list[BenchRow] = []
+    for flooding in Rank:
+        for load in loads:
+            flood = Flood(flooding, load, duration_s)
+            ranked = run_flood(flood, _owner(is_ranked=True))
+            fifo = run_flood(flood, _owner(is_ranked=False))
+            rows.extend(_rows_of(flood, ranked, fifo))
+    return rows
+
+
+def _rows_of(
+    flood: Flood, ranked: FloodFigures, fifo: FloodFigures
+) -> Iterator[BenchRow]:
+    prefix = f"{flood.rank.name.lower()} flood {flood.load:g}x"
+    size = int(flood.load * 100)
+    for rank in Rank:
+        name = f"{prefix}, {rank.name.lower()}"
+        yield BenchRow(
+            f"{name} goodput",
+            size,
+            100 * ranked.goodput(rank),
+            "%",
+            100 * fifo.goodput(rank),
+        )
+        yield BenchRow(
+            f"{name} wait p99",
+            size,
+            ranked.wait_p99_ms(rank),
+            "ms",
+            fifo.wait_p99_ms(rank),
+        )
+    yield BenchRow(
+        f"{prefix}, slots in useful work",
+        size,
+        100 * ranked.utilisation(flood.duration_s),
+        "%",
+        100 * fifo.utilisation(flood.duration_s),
+    )
+
+
+def _owner(is_ranked: bool) -> World:
+    own = backend_row("owner", "gusts", slots=SLOTS)
+    queue = None if is_ranked else FifoQueue(SLOTS)
+    return owner_world(own, queue)
+
+
+def _arrivals(flood: Flood, random: Random) -> Iterator[tuple[int, int, object]]:
+    number = 0
+    for rank in Rank:
+        rate_per_s = flood.rate_per_s(rank)
+        at_s = random.expovariate(rate_per_s) if rate_per_s else flood.duration_s
+        while at_s < flood.duration_s:
+            number += 1
+            yield int(at_s * 1e6), number, _offer(number, rank)
+            at_s += random.expovariate(rate_per_s)
+
+
+def _offer(number: int, rank: Rank) -> AttemptOffer:
+    # Sequence 0 leaves out the check for forgotten attempts, for the arrivals
+    # of the ranks are numbered one rank after the other.
+    return AttemptOffer(
+        NodeId("entry"),
+        Address("entry:1"),
+        AttemptId(f"entry/1/{number:x}"),
+        ConnectionEpoch(1),
+        ServiceName("gusts"),
+        rank,
+        True,
+        Micros(BUDGET_US),
+        None,
+        Incarnation(1),
+        0,
+    )
--- a/packages/papayapost-testing/src/papayapost_testing/bench/traffic.py
+++ b/packages/papayapost-testing/src/papayapost_testing/bench/traffic.py
@@ -1,4 +1,4 @@
-"""Cost of a call's decisions, in µs of one core."""
+"""Cost of a call's decisions, and service by rank in floods."""
 
 import time
 
@@ -22,6 +22,7 @@
     CallArrived,
     OfferSend,
 )
+from papayapost_testing.bench.flood import flood_rows
 from papayapost_testing.bench.rows import BenchRow
 from papayapost_testing.worlds import backend_row, node_world
 
@@ -45,6 +46,7 @@
         for size in (10, 100, 1_000)
     ]
     rows.append(BenchRow("attempt at the owner node", 9, _owner_us(calls), "us"))
+    rows.extend(flood_rows(short))
     return rows
 
 
--- a/packages/papayapost-testing/src/papayapost_testing/worlds.py
+++ b/packages/papayapost-testing/src/papayapost_testing/worlds.py
@@ -3,7 +3,7 @@
 from collections.abc import Sequence
 from random import Random
 
-from papayapost.distribution import VersionRow
+from papayapost.distribution import VersionRow, build_distribution
 from papayapost.ids import (
     Address,
     DataCentreId,
@@ -13,13 +13,16 @@
     RuleVersion,
     ServiceName,
 )
-from papayapost.membership import BackendServerRow
+from papayapost.kernel import World
+from papayapost.membership import BackendServerRow, build_membership
 from papayapost.node import NodeWorld, build_node_world
 from papayapost.place import Place, SelfRow
 from papayapost.rules import compile_rules
 from papayapost.states import BackendServerState, StagedState
+from papayapost.traffic import build_traffic
+from papayapost.traffic.queues import QueueDiscipline
 
-__all__ = ["NORTH_1", "NORTH_2", "SOUTH_1", "backend_row", "node_world"]
+__all__ = ["NORTH_1", "NORTH_2", "SOUTH_1", "backend_row", "node_world", "owner_world"]
 
 NORTH_1 = Place(DataCentreId("north-1"), RegionId("north"))
 NORTH_2 = Place(DataCentreId("north-2"), RegionId("north"))
@@ -74,3 +77,12 @@
             RuleVersion(1), compiled, StagedState.IN_FORCE
         )
     return node
+
+
+def owner_world(own: BackendServerRow, queue: QueueDiscipline | None = None) -> World:
+    """Return a world of traffic alone, with another queue if one is given."""
+    me = SelfRow(own.node_id, own.incarnation, own.place, own.peer_address)
+    membership = build_membership(me, [], own)
+    distribution = build_distribution(membership)
+    traffic = build_traffic(me, membership, distribution, own.slots, queue=queue)
+    return World(traffic.systems, Random(1))
--- a/packages/papayapost/src/papayapost/traffic/owner_tables.py
+++ b/packages/papayapost/src/papayapost/traffic/owner_tables.py
@@ -1,30 +1,75 @@
 """Tables of the owner node: attempts that wait for or hold a slot."""
 
-from collections import deque
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from enum import Enum
 
 from papayapost.ids import AttemptId, Micros
 from papayapost.kernel import Table
+from papayapost.states import Rank
 from papayapost.traffic.messages import AttemptOffer
 
-__all__ = ["OwnedRow", "OwnedState", "OwnerTables"]
+__all__ = ["OwnedRow", "OwnedState", "OwnerCounters", "OwnerTables"]
 
 
 class OwnedState(Enum):
     """An attempt as its owner node sees it."""
 
+    CLAIMING = "claiming"
     QUEUED = "queued"
     RUNNING = "running"
 
 
 @dataclass(slots=True)
 class OwnedRow:
-    """One attempt at its owner node."""
+    """One attempt at its owner node.
+
+    Parameters
+    ----------
+    deadline_us
+        Time of the tick clock by which its answer must be on its way.
+    charged_us
+        Slot time that its rank was charged when it started.
+    is_begun, is_shed
+        Whether the head of its answer came in, and says that the backend
+        server refuses work.
+    is_cancelled
+        Whether its entry node no longer waits for it.
+    """
 
     offer: AttemptOffer
+    arrived_us: Micros
     deadline_us: Micros
     state: OwnedState
+    started_us: Micros = Micros(0)  # noqa: RUF009
+    charged_us: float = 0.0
+    is_begun: bool = False
+    is_shed: bool = False
+    is_cancelled: bool = False
+
+    @property
+    def size_bytes(self) -> int:
+        """Length of the body as far as the caller said."""
+        return self.offer.content_bytes or 0
+
+
+@dataclass(slots=True)
+class OwnerCounters:
+    """Totals of the owner side since the process started.
+
+    Parameters
+    ----------
+    started, refused
+        Attempts by rank.
+    """
+
+    started: list[int] = field(default_factory=lambda: [0] * len(Rank))
+    refused: list[int] = field(default_factory=lambda: [0] * len(Rank))
+    evicted: int = 0
+    expired: int = 0
+    replayed: int = 0
+    stale_epochs: int = 0
+    duplicates: int = 0
+    offers_after_grace: int = 0
 
 
 class OwnerTables:
@@ -34,15 +79,29 @@
     ----------
     slots
         Calls that the backend server runs at once.
+
+    Attributes
+    ----------
+    limit
+        Slots in use at most, as the backend server bears.
+    running
+        Attempts that hold a slot, by rank.
+    waiting
+        Attempts in the queue.
+    is_refusing
+        Whether a drain has come so far that offers are refused.
     """
 
     def __init__(self, slots: int):
         self.slots = slots
-        self.running = 0
+        self.limit = slots
+        self.running = [0] * len(Rank)
+        self.waiting = 0
+        self.is_refusing = False
         self.attempts: Table[AttemptId, OwnedRow] = Table("owned attempts")
-        self.queue: deque[AttemptId] = deque()
+        self.counters = OwnerCounters()
 
     @property
     def free_slots(self) -> int:
         """Slots that neither run nor are waited for."""
-        return max(0, self.slots - self.running - len(self.queue))
+        return max(0, self.limit - sum(self.running) - self.waiting)
--- a/packages/papayapost/src/papayapost/traffic/part.py
+++ b/packages/papayapost/src/papayapost/traffic/part.py
@@ -7,14 +7,19 @@
 from papayapost.membership import MembershipPart
 from papayapost.place import SelfRow
 from papayapost.traffic.balancing import NearestOfTwo
+from papayapost.traffic.concurrency import AdaptiveLimit, ConcurrencyLimit
 from papayapost.traffic.endings import EndCalls
 from papayapost.traffic.entry import RouteCalls
 from papayapost.traffic.link import LinkBudget
 from papayapost.traffic.offers import Offers
 from papayapost.traffic.owner import AdmitAttempts
 from papayapost.traffic.owner_tables import OwnerTables
+from papayapost.traffic.queues import QueueDiscipline, RankedQueues
+from papayapost.traffic.replies import Replies
 from papayapost.traffic.retries import BudgetedRetries, RetryPolicy
+from papayapost.traffic.seen import SeenAttempts
 from papayapost.traffic.settle import SettleAttempts
+from papayapost.traffic.shares import SharesInForce
 from papayapost.traffic.tables import TrafficTables
 from papayapost.traffic.track import FailureWatch, TrackUpstreams
 from papayapost.traffic.upstreams import Upstreams
@@ -39,6 +44,8 @@
     distribution: DistributionPart,
     slots: int,
     retries: RetryPolicy | None = None,
+    queue: QueueDiscipline | None = None,
+    concurrency: ConcurrencyLimit | None = None,
 ) -> TrafficPart:
     """Return the traffic part of a node without any calls.
 
@@ -46,8 +53,8 @@
     ----------
     slots
         Calls that the own backend server runs at once; 0 without one.
-    retries
-        In place of `BudgetedRetries`.
+    retries, queue, concurrency
+        In place of `BudgetedRetries`, `RankedQueues` and `AdaptiveLimit`.
     """
     directory = membership.directory
     calls = TrafficTables()
@@ -60,7 +67,14 @@
     systems: list[System] = [
         TrackUpstreams(directory, upstreams, calls, link),
         RouteCalls(distribution.rules, calls, offers),
-        AdmitAttempts(me, owner),
+        AdmitAttempts(
+            owner,
+            SeenAttempts(),
+            RankedQueues(slots) if queue is None else queue,
+            concurrency or AdaptiveLimit(slots),
+            SharesInForce(distribution.rules),
+            Replies(me, owner),
+        ),
         SettleAttempts(calls, upstreams, offers, retries, watch),
         EndCalls(calls, upstreams, offers, retries, watch, link),
     ]
--- /dev/null
+++ b/packages/papayapost/src/papayapost/traffic/replies.py
@@ -0,0 +1,65 @@
+"""What an owner node tells entry nodes; shared by its systems."""
+
+from papayapost.kernel import Tick
+from papayapost.peering import PeerSend
+from papayapost.place import SelfRow
+from papayapost.traffic.messages import (
+    AttemptFailed,
+    AttemptOffer,
+    AttemptRefused,
+    RefusalCode,
+)
+from papayapost.traffic.owner_messages import DropOffer
+from papayapost.traffic.owner_tables import OwnerTables
+
+__all__ = ["Replies"]
+
+_MIN_RETRY_AFTER_MS = 20
+_MAX_RETRY_AFTER_MS = 5_000
+
+
+class Replies:
+    """Sends refusals and failures to the entry node of an attempt."""
+
+    def __init__(self, me: SelfRow, tables: OwnerTables):
+        self._me = me
+        self._tables = tables
+
+    def refuse(
+        self, tick: Tick, offer: AttemptOffer, code: RefusalCode, wait_us: float
+    ) -> None:
+        """Say that an attempt was not run and never will be.
+
+        Parameters
+        ----------
+        wait_us
+            Expected wait of a new attempt; callers are asked to come back
+            after about that time, each at another moment.
+        """
+        self._tables.counters.refused[offer.rank] += 1
+        spread = 0.75 + 0.5 * tick.random.random()
+        wait_ms = max(_MIN_RETRY_AFTER_MS, wait_us / 1_000) * spread
+        refused = AttemptRefused(
+            self._me.node_id,
+            offer.attempt_id,
+            code,
+            int(min(_MAX_RETRY_AFTER_MS, wait_ms)),
+            self._tables.free_slots,
+        )
+        tick.emit(DropOffer(offer.attempt_id))
+        self._send(tick, offer, refused)
+
+    def fail(self, tick: Tick, offer: AttemptOffer) -> None:
+        """Say that an attempt may have run and will not be answered."""
+        failed = AttemptFailed(
+            self._me.node_id, offer.attempt_id, self._tables.free_slots
+        )
+        self._send(tick, offer, failed)
+
+    def _send(
+        self, tick: Tick, offer: AttemptOffer, message: AttemptRefused | AttemptFailed
+    ) -> None:
+        if offer.sender == self._me.node_id:
+            tick.post(message)
+        else:
+            tick.emit(PeerSend(offer.reply_to, message))
