--- a/packages/papayapost/src/papayapost/errors.py
+++ b/packages/papayapost/src/papayapost/errors.py
@@ -10,12 +10,15 @@
 from papayapost.findings import Finding
 
 __all__ = [
+    "CreditExceeded",
+    "DeltaRefused",
     "ErrorCode",
     "FindingsError",
     "FrameError",
     "PapayapostError",
     "RulesRefused",
     "SettingsRefused",
+    "SnapshotRefused",
     "StoreConflict",
     "StoreUnavailable",
     "UnknownRow",
@@ -29,7 +32,10 @@
     SETTINGS_REFUSED = 201
     STORE_UNAVAILABLE = 301
     STORE_CONFLICT = 302
+    DELTA_REFUSED = 310
+    SNAPSHOT_REFUSED = 311
     FRAME_MALFORMED = 401
+    CREDIT_EXCEEDED = 402
     UNKNOWN_ROW = 901
 
     def __str__(self):
@@ -90,12 +96,36 @@
         )
 
 
+class DeltaRefused(PapayapostError):
+    """A delta of the rules does not lead from the held text to its result."""
+
+    code = ErrorCode.DELTA_REFUSED
+
+
+class SnapshotRefused(PapayapostError):
+    """A snapshot of the rules is too large or not what was announced."""
+
+    code = ErrorCode.SNAPSHOT_REFUSED
+
+
 class FrameError(PapayapostError):
     """A frame from a peer does not decode to a known message."""
 
     code = ErrorCode.FRAME_MALFORMED
 
 
+class CreditExceeded(PapayapostError):
+    """A peer sent more of a body than it was granted."""
+
+    code = ErrorCode.CREDIT_EXCEEDED
+
+    def __init__(self, size_bytes: int, granted_bytes: int):
+        super().__init__(
+            f"{size_bytes} bytes of a body arrived where {granted_bytes} were "
+            "granted; check the versions of the two nodes"
+        )
+
+
 class UnknownRow(PapayapostError):
     """A table holds no row under the key that was asked for."""
 
