--- a/packages/papayapost-testing/src/papayapost_testing/bench/flood.py
+++ b/packages/papayapost-testing/src/papayapost_testing/bench/flood.py
@@ -28,7 +28,7 @@
 )
 from papayapost.traffic.queues import FifoQueue
 from papayapost_testing.bench.rows import BenchRow
-from papayapost_testing.worlds import backend_row, owner_world
+from papayapost_testing.worlds import backend_row, traffic_world
 
 __all__ = ["Flood", "FloodFigures", "flood_rows", "run_flood"]
 
@@ -167,7 +167,7 @@
 def _owner(is_ranked: bool) -> World:
     own = backend_row("owner", "gusts", slots=SLOTS)
     queue = None if is_ranked else FifoQueue(SLOTS)
-    return owner_world(own, queue)
+    return traffic_world(own, queue=queue).world
 
 
 def _arrivals(flood: Flood, random: Random) -> Iterator[tuple[int, int, object]]:
--- a/packages/papayapost-testing/src/papayapost_testing/bench/traffic.py
+++ b/packages/papayapost-testing/src/papayapost_testing/bench/traffic.py
@@ -1,4 +1,4 @@
-"""Cost of a call's decisions, and service by rank in floods."""
+"""Cost of a call's decisions, retries, and service by rank."""
 
 import time
 
@@ -23,8 +23,9 @@
     OfferSend,
 )
 from papayapost_testing.bench.flood import flood_rows
+from papayapost_testing.bench.retries import retry_rows
 from papayapost_testing.bench.rows import BenchRow
-from papayapost_testing.worlds import backend_row, node_world
+from papayapost_testing.worlds import backend_row, traffic_world
 
 __all__ = ["run"]
 
@@ -46,6 +47,7 @@
         for size in (10, 100, 1_000)
     ]
     rows.append(BenchRow("attempt at the owner node", 9, _owner_us(calls), "us"))
+    rows.extend(retry_rows(short))
     rows.extend(flood_rows(short))
     return rows
 
@@ -53,7 +55,7 @@
 def _entry_us(upstreams: int, calls: int) -> float:
     """Return µs per call from its arrival to the end of its answer."""
     others = [backend_row(f"u{number}", "gusts") for number in range(upstreams)]
-    world = node_world(backend_row("entry", None), others, _RULES).world
+    world = traffic_world(backend_row("entry", None), others, _RULES).world
     now_us = 0
     start_ns = 0
     for number in range(calls + 100):
@@ -75,7 +77,7 @@
 
 def _owner_us(calls: int) -> float:
     """Return µs per attempt from its offer to its freed slot."""
-    world = node_world(backend_row("owner", "gusts"), [], _RULES).world
+    world = traffic_world(backend_row("owner", "gusts"), [], _RULES).world
     now_us = 0
     start_ns = 0
     for number in range(calls + 100):
--- a/packages/papayapost-testing/src/papayapost_testing/worlds.py
+++ b/packages/papayapost-testing/src/papayapost_testing/worlds.py
@@ -1,9 +1,10 @@
 """Worlds of single nodes, driven by ticks alone."""
 
 from collections.abc import Sequence
+from dataclasses import dataclass
 from random import Random
 
-from papayapost.distribution import VersionRow, build_distribution
+from papayapost.distribution import RulesTable, VersionRow
 from papayapost.ids import (
     Address,
     DataCentreId,
@@ -14,15 +15,21 @@
     ServiceName,
 )
 from papayapost.kernel import World
-from papayapost.membership import BackendServerRow, build_membership
-from papayapost.node import NodeWorld, build_node_world
+from papayapost.membership import BackendServerRow, Directory, directory_table
 from papayapost.place import Place, SelfRow
 from papayapost.rules import compile_rules
 from papayapost.states import BackendServerState, StagedState
-from papayapost.traffic import build_traffic
+from papayapost.traffic import RetryPolicy, TrafficPart, build_traffic
 from papayapost.traffic.queues import QueueDiscipline
 
-__all__ = ["NORTH_1", "NORTH_2", "SOUTH_1", "backend_row", "node_world", "owner_world"]
+__all__ = [
+    "NORTH_1",
+    "NORTH_2",
+    "SOUTH_1",
+    "TrafficWorld",
+    "backend_row",
+    "traffic_world",
+]
 
 NORTH_1 = Place(DataCentreId("north-1"), RegionId("north"))
 NORTH_2 = Place(DataCentreId("north-2"), RegionId("north"))
@@ -52,37 +59,41 @@
     )
 
 
-def node_world(
+@dataclass(slots=True)
+class TrafficWorld:
+    """The traffic part of one node with the world that runs over it."""
+
+    world: World
+    traffic: TrafficPart
+    directory: Directory
+
+
+def traffic_world(
     own: BackendServerRow,
     others: Sequence[BackendServerRow] = (),
     rules: str = "",
-    seed: int = 1,
-    incarnation: int = _INCARNATION,
-) -> NodeWorld:
-    """Return a node's world that knows other nodes and has rules in force.
+    queue: QueueDiscipline | None = None,
+    retries: RetryPolicy | None = None,
+) -> TrafficWorld:
+    """Return the traffic of a node that knows other nodes.
 
     Parameters
     ----------
     rules
-        Text of the rules; empty for none in force.
+        Text of the rules in force; empty for none.
+    queue, retries
+        In place of the usual policies.
     """
-    own.incarnation = Incarnation(incarnation)
     me = SelfRow(own.node_id, own.incarnation, own.place, own.peer_address)
-    node = build_node_world(me, [], own, Random(seed))
-    for row in others:
-        node.membership.directory.put(row.node_id, row)
+    directory, table = directory_table(), RulesTable()
+    for row in (own, *others):
+        directory.put(row.node_id, row)
     if rules:
-        compiled = compile_rules(rules)
-        node.distribution.rules.in_force = VersionRow(
-            RuleVersion(1), compiled, StagedState.IN_FORCE
-        )
-    return node
+        table.in_force = _in_force(rules)
+    part = build_traffic(me, directory, table, own.slots, retries=retries, queue=queue)
+    return TrafficWorld(World(part.systems, Random(1)), part, directory)
 
 
-def owner_world(own: BackendServerRow, queue: QueueDiscipline | None = None) -> World:
-    """Return a world of traffic alone, with another queue if one is given."""
-    me = SelfRow(own.node_id, own.incarnation, own.place, own.peer_address)
-    membership = build_membership(me, [], own)
-    distribution = build_distribution(membership)
-    traffic = build_traffic(me, membership, distribution, own.slots, queue=queue)
-    return World(traffic.systems, Random(1))
+def _in_force(rules: str) -> VersionRow:
+    compiled = compile_rules(rules)
+    return VersionRow(RuleVersion(1), compiled, StagedState.IN_FORCE)
--- a/packages/papayapost/src/papayapost/node.py
+++ b/packages/papayapost/src/papayapost/node.py
@@ -49,6 +49,6 @@
     """
     membership = build_membership(me, seeds, own)
     distribution = build_distribution(me, membership.directory, membership.tree)
-    traffic = build_traffic(me, membership, distribution, own.slots)
+    traffic = build_traffic(me, membership.directory, distribution.rules, own.slots)
     systems = [*membership.systems, *distribution.systems, *traffic.systems]
     return NodeWorld(World(systems, random), membership, distribution, traffic)
--- a/packages/papayapost/src/papayapost/traffic/owner.py
+++ b/packages/papayapost/src/papayapost/traffic/owner.py
@@ -132,8 +132,8 @@
         tables.limit = self._concurrency.limit
         if tables.waiting and self._shares.have_changed():
             self._queue.set_shares(self._shares.current)
-        while tables.waiting and sum(tables.running) < tables.limit:
-            row = self._queue.pop(tables.running, tables.limit)
+        while tables.waiting and tables.running < tables.limit:
+            row = self._queue.pop(tables.running_by_rank, tables.limit)
             if row is None:
                 return
             tables.waiting -= 1
@@ -150,7 +150,8 @@
         row.state = OwnedState.RUNNING
         row.started_us = tick.now_us
         self._queue.started(row, service_us)
-        self._tables.running[offer.rank] += 1
+        self._tables.running += 1
+        self._tables.running_by_rank[offer.rank] += 1
         self._tables.counters.started[offer.rank] += 1
         if row.arrived_us != tick.now_us:
             tick.cancel_timer(("owned", offer.attempt_id))
@@ -178,8 +179,9 @@
             return
         tables.attempts.pop(ended.attempt_id)
         offer = row.offer
-        is_saturated = sum(tables.running) >= tables.limit
-        tables.running[offer.rank] -= 1
+        is_saturated = tables.running >= tables.limit
+        tables.running -= 1
+        tables.running_by_rank[offer.rank] -= 1
         held_us = tick.now_us - row.started_us
         self._queue.ended(row, held_us)
         if not ended.is_sent:
--- a/packages/papayapost/src/papayapost/traffic/owner_tables.py
+++ b/packages/papayapost/src/papayapost/traffic/owner_tables.py
@@ -84,8 +84,8 @@
     ----------
     limit
         Slots in use at most, as the backend server bears.
-    running
-        Attempts that hold a slot, by rank.
+    running, running_by_rank
+        Attempts that hold a slot.
     waiting
         Attempts in the queue.
     is_refusing
@@ -95,7 +95,8 @@
     def __init__(self, slots: int):
         self.slots = slots
         self.limit = slots
-        self.running = [0] * len(Rank)
+        self.running = 0
+        self.running_by_rank = [0] * len(Rank)
         self.waiting = 0
         self.is_refusing = False
         self.attempts: Table[AttemptId, OwnedRow] = Table("owned attempts")
@@ -104,4 +105,4 @@
     @property
     def free_slots(self) -> int:
         """Slots that neither run nor are waited for."""
-        return max(0, self.limit - sum(self.running) - self.waiting)
+        return max(0, self.limit - self.running - self.waiting)
--- a/packages/papayapost/src/papayapost/traffic/part.py
+++ b/packages/papayapost/src/papayapost/traffic/part.py
@@ -2,9 +2,9 @@
 
 from dataclasses import dataclass
 
-from papayapost.distribution import DistributionPart
+from papayapost.distribution import RulesTable
 from papayapost.kernel import System
-from papayapost.membership import MembershipPart
+from papayapost.membership import Directory
 from papayapost.place import SelfRow
 from papayapost.traffic.balancing import NearestOfTwo
 from papayapost.traffic.concurrency import AdaptiveLimit, ConcurrencyLimit
@@ -40,8 +40,8 @@
 
 def build_traffic(
     me: SelfRow,
-    membership: MembershipPart,
-    distribution: DistributionPart,
+    directory: Directory,
+    rules: RulesTable,
     slots: int,
     retries: RetryPolicy | None = None,
     queue: QueueDiscipline | None = None,
@@ -56,7 +56,6 @@
     retries, queue, concurrency
         In place of `BudgetedRetries`, `RankedQueues` and `AdaptiveLimit`.
     """
-    directory = membership.directory
     calls = TrafficTables()
     owner = OwnerTables(slots)
     upstreams = Upstreams(me, directory)
@@ -66,13 +65,13 @@
     retries = retries or BudgetedRetries()
     systems: list[System] = [
         TrackUpstreams(directory, upstreams, calls, link),
-        RouteCalls(distribution.rules, calls, offers),
+        RouteCalls(rules, calls, offers),
         AdmitAttempts(
             owner,
             SeenAttempts(),
             RankedQueues(slots) if queue is None else queue,
             concurrency or AdaptiveLimit(slots),
-            SharesInForce(distribution.rules),
+            SharesInForce(rules),
             Replies(me, owner),
         ),
         SettleAttempts(calls, upstreams, offers, retries, watch),
--- a/packages/papayapost/tests/traffic/owners.py
+++ b/packages/papayapost/tests/traffic/owners.py
@@ -19,7 +19,7 @@
     BackendCallEnded,
     BackendCallStart,
 )
-from papayapost_testing.worlds import backend_row, node_world
+from papayapost_testing.worlds import backend_row, traffic_world
 
 RULES = "route * /* -> gusts idempotent=yes # Mei: wind desk\n"
 
@@ -27,7 +27,7 @@
 class Owner:
     def __init__(self, slots=2, rules=RULES, node=None):
         own = backend_row("owner", "gusts", slots=slots)
-        self.node = node or node_world(own, [], rules)
+        self.node = node or traffic_world(own, [], rules)
         self.tables = self.node.traffic.owner
         self.now_us = 1_000
         self.offers = 0
@@ -63,7 +63,7 @@
 
     def is_idle(self):
         tables = self.tables
-        return not (len(tables.attempts) or sum(tables.running) or tables.waiting)
+        return not (len(tables.attempts) or tables.running or tables.waiting)
 
 
 def started(effects):
--- a/packages/papayapost/tests/traffic/test_admission.py
+++ b/packages/papayapost/tests/traffic/test_admission.py
@@ -11,7 +11,7 @@
 )
 from papayapost.traffic.seen import Novelty, SeenAttempts
 from papayapost_testing.bench.flood import CAPACITY_PER_S, Flood, run_flood
-from papayapost_testing.worlds import backend_row, owner_world
+from papayapost_testing.worlds import backend_row, traffic_world
 
 from .owners import Owner, refusals, started, told
 
@@ -24,7 +24,7 @@
 @pytest.mark.parametrize("flooding", Rank)
 def test_every_rank_keeps_its_floor_in_a_flood_of_another(flooding):
     flood = Flood(flooding, load=5, duration_s=4, others_share=0.2)
-    figures = run_flood(flood, owner_world(backend_row("owner", "gusts")))
+    figures = run_flood(flood, traffic_world(backend_row("owner", "gusts")).world)
     floors = {Rank.HIGH: 0.1, Rank.NORMAL: 0.1, Rank.BULK: 0.05}
     for rank, floor in floors.items():
         share = figures.answered[rank] / (CAPACITY_PER_S * flood.duration_s)
--- a/packages/papayapost/tests/traffic/test_balancing.py
+++ b/packages/papayapost/tests/traffic/test_balancing.py
@@ -19,7 +19,7 @@
     NORTH_2,
     SOUTH_1,
     backend_row,
-    node_world,
+    traffic_world,
 )
 
 RULES = """\
@@ -33,7 +33,7 @@
     """An entry node whose owners answer as a test says."""
 
     def __init__(self, rows, rules=RULES, own=None):
-        self.node = node_world(own or backend_row("entry", None), rows, rules)
+        self.node = traffic_world(own or backend_row("entry", None), rows, rules)
         self.now_us = 1_000
         self.calls = 0
 
