Cut the node's own work on a call

Cause: a call took a tick per message in rounds of their own, the loop's timer was set anew in each tick, each read allocated 256 KB, and the codec walked dataclasses field by field. Change: what a socket brings is decided on in one tick before the loop goes on (Batch); the wake-up timer only moves when it must (Deadline); connections read into one shared buffer; layouts of messages are derived once.

--- a/packages/papayapost-node/src/papayapost_node/composition.py
+++ b/packages/papayapost-node/src/papayapost_node/composition.py
@@ -47,29 +47,31 @@
             Random(self._me.incarnation),
         )
         self._log = EventLog(self._me.node_id)
+        self.runner = WorldRunner(self.world.world, clock)
         self._codec = MessagePackCodec(WIRE_NUMBERS)
         self._transport = ZmqTransport(self._me.peer_address)
         self._courier = NodeCourier(self._me.peer_address, self._send_to)
         budget = WindowBudget(_BODY_MEMORY_BYTES)
-        self._callers = CallerSide(self._me.node_id, self._courier, self._post, budget)
+        post = self.runner.post
+        self._callers = CallerSide(self._me.node_id, self._courier, post, budget)
         self._owner = self._owner_side(budget)
         self._courier.connect(self._callers.carriers())
         self._courier.connect(self._owner.carriers())
         store = HttpStoreClient(Address(settings.store_address))
-        self._store = StoreShell(store, self._post)
-        self._server = StreamingServer(Address(settings.caller_address), self._callers)
-        self.runner = WorldRunner(
-            self.world.world,
-            clock,
+        self._store = StoreShell(store, post)
+        self._server = StreamingServer(
+            Address(settings.caller_address), self._callers, batch=self.runner
+        )
+        self.runner.connect(self._callers.handlers())
+        self.runner.connect(self._owner.handlers())
+        self.runner.connect(
             {
-                **self._callers.handlers(),
-                **self._owner.handlers(),
                 PeerSend: self._send,
                 WatchObject: self._store.watch,
                 ReadObject: self._store.read,
                 UpdateObject: self._store.update,
                 Noted: self._log.note,
-            },
+            }
         )
 
     async def start(self) -> None:
@@ -80,10 +82,10 @@
         OSError
             If an address is in use or not this machine's.
         """
-        self._transport.start(self._on_frame)
+        self._transport.start(self._on_frame, self.runner)
         await self._server.start()
         for message in self.world.first_messages():
-            self._post(message)
+            self.runner.post(message)
         self._log.note_event(Event.NODE_STARTED)
 
     async def close(self) -> None:
@@ -95,21 +97,19 @@
         self._transport.close()
         self._log.note_event(Event.NODE_STOPPED)
 
-    def _post(self, message: object) -> None:
-        self.runner.post(message)
-
     def _owner_side(self, budget: WindowBudget) -> OwnerSide:
         backend = self._settings.backend_server
         pool = BackendPool(
             Address(backend.address) if backend else None,
             backend.connections if backend else 0,
+            self.runner,
         )
         tables = self.world.traffic.owner
         return OwnerSide(
             self._me.node_id,
             pool,
             self._courier,
-            self._post,
+            self.runner.post,
             lambda: tables.free_slots,
             budget,
         )
@@ -127,7 +127,7 @@
             self._log.note_event(Event.FRAME_REFUSED, str(error))
             return
         if not self._courier.take(message):
-            self._post(message)
+            self.runner.post(message)
 
 
 async def build_node(settings: Settings, clock: Clock | None = None) -> Node:
--- a/packages/papayapost-node/src/papayapost_node/exchange/answers.py
+++ b/packages/papayapost-node/src/papayapost_node/exchange/answers.py
@@ -7,9 +7,9 @@
 from papayapost.ids import AttemptId, NodeId
 from papayapost.kernel import Table
 from papayapost.traffic import AnswerBegun, AnswerEnded, CallerGone
+from papayapost_node.deadline import Deadline
 from papayapost_node.exchange.couriers import Courier
 from papayapost_node.exchange.tables import CallerRow, OfferedRow
-from papayapost_node.http.deadline import Deadline
 from papayapost_node.wire import (
     AnswerCarrier,
     AnswerCredit,
--- a/packages/papayapost-node/src/papayapost_node/exchange/backend_call.py
+++ b/packages/papayapost-node/src/papayapost_node/exchange/backend_call.py
@@ -7,6 +7,7 @@
 from papayapost.errors import CreditExceeded
 from papayapost.ids import AttemptId, Micros, NodeId
 from papayapost.traffic import BackendCallBegun, BackendCallEnded
+from papayapost_node.deadline import Deadline
 from papayapost_node.exchange.couriers import Courier
 from papayapost_node.exchange.outlet import MAX_PART_BYTES, BodyOutlet
 from papayapost_node.exchange.tables import OwnedRequest
@@ -18,7 +19,6 @@
     content_length,
     forwardable,
 )
-from papayapost_node.http.deadline import Deadline
 from papayapost_node.wire import (
     AnswerCarrier,
     AnswerPart,
--- a/packages/papayapost-node/src/papayapost_node/exchange/tables.py
+++ b/packages/papayapost-node/src/papayapost_node/exchange/tables.py
@@ -4,10 +4,10 @@
 from dataclasses import dataclass, field
 
 from papayapost.ids import Address, AttemptId, CallId
+from papayapost_node.deadline import Deadline
 from papayapost_node.exchange.outlet import BodyOutlet
 from papayapost_node.exchange.windows import ReceiveWindow
 from papayapost_node.http import Headers, HttpRequest, ServerExchange
-from papayapost_node.http.deadline import Deadline
 from papayapost_node.wire import AnswerCarrier, AnswerPart
 
 __all__ = ["CallerRow", "OfferedRow", "OwnedRequest"]
--- a/packages/papayapost-node/src/papayapost_node/http/backend.py
+++ b/packages/papayapost-node/src/papayapost_node/http/backend.py
@@ -8,7 +8,8 @@
 
 import h11
 
-from papayapost_node.http.deadline import Deadline
+from papayapost_node.batch import Batch
+from papayapost_node.deadline import Deadline
 from papayapost_node.http.messages import Headers, HttpRequest
 
 __all__ = ["AnswerSink", "BackendConnection"]
@@ -49,13 +50,17 @@
         """Note that the backend server has caught up with the request."""
 
 
-class BackendConnection(asyncio.Protocol):
+class BackendConnection(asyncio.BufferedProtocol):
     """Runs one call at a time.
 
     Parameters
     ----------
     on_free
         Called when the connection can take another call, or is closed.
+    batch
+        Told around all that is read at once.
+    read_buffer
+        Where the loop writes what it reads; connections may share it.
 
     Attributes
     ----------
@@ -65,8 +70,15 @@
         Calls begun on this connection.
     """
 
-    def __init__(self, on_free: Callable[[BackendConnection], None]):
+    def __init__(
+        self,
+        on_free: Callable[[BackendConnection], None],
+        batch: Batch,
+        read_buffer: memoryview,
+    ):
+        self._read_buffer = read_buffer
         self._on_free = on_free
+        self._batch = batch
         self._http = h11.Connection(
             h11.CLIENT, max_incomplete_event_size=_MAX_HEAD_BYTES
         )
@@ -102,6 +114,14 @@
             self._pump()
         return False
 
+    def get_buffer(self, sizehint: int) -> memoryview:
+        """Return where the loop writes what it reads."""
+        return self._read_buffer
+
+    def buffer_updated(self, nbytes: int) -> None:
+        """Parse what the loop has read."""
+        self.data_received(bytes(self._read_buffer[:nbytes]))
+
     def data_received(self, data: bytes) -> None:
         """Parse what arrived."""
         if self._sink is None:
@@ -110,7 +130,9 @@
             self.abort()
             return
         self._http.receive_data(data)
+        self._batch.begin()
         self._pump()
+        self._batch.end()
 
     def pause_writing(self) -> None:
         """Note that the backend server falls behind."""
--- a/packages/papayapost-node/src/papayapost_node/http/pool.py
+++ b/packages/papayapost-node/src/papayapost_node/http/pool.py
@@ -5,11 +5,13 @@
 
 from papayapost.ids import Address
 from papayapost_node.addresses import split_address
+from papayapost_node.batch import Batch
 from papayapost_node.http.backend import BackendConnection
 
 __all__ = ["BackendPool"]
 
 _IDLE_TIMEOUT_S = 4.0
+_READ_BUFFER_BYTES = 64 << 10
 
 ConnectionReady = Callable[[BackendConnection | None], None]
 
@@ -23,6 +25,8 @@
         The backend server, or None on a VM without one.
     max_connections
         Connections that may be open or opening at once.
+    batch
+        Told around all that a connection reads at once.
 
     Attributes
     ----------
@@ -30,9 +34,11 @@
         Connections opened so far.
     """
 
-    def __init__(self, address: Address | None, max_connections: int):
+    def __init__(self, address: Address | None, max_connections: int, batch: Batch):
         self._address = address
         self._max_connections = max_connections
+        self._batch = batch
+        self._read_buffer = memoryview(bytearray(_READ_BUFFER_BYTES))
         self._idle: list[BackendConnection] = []
         self._open: set[BackendConnection] = set()
         self._opening: set[asyncio.Task] = set()
@@ -75,7 +81,11 @@
         loop = asyncio.get_running_loop()
         try:
             _, connection = await loop.create_connection(
-                lambda: BackendConnection(self._on_free), ip, port
+                lambda: BackendConnection(
+                    self._on_free, self._batch, self._read_buffer
+                ),
+                ip,
+                port,
             )
         except OSError:
             on_ready(None)
--- a/packages/papayapost-node/src/papayapost_node/http/server.py
+++ b/packages/papayapost-node/src/papayapost_node/http/server.py
@@ -4,21 +4,30 @@
 
 from papayapost.ids import Address
 from papayapost_node.addresses import split_address
+from papayapost_node.batch import Batch, NoBatch
 from papayapost_node.http.limits import HttpLimits
 from papayapost_node.http.server_connection import RequestHandler, ServerConnection
 
 __all__ = ["StreamingServer"]
 
 _BACKLOG = 1_024
+_READ_BUFFER_BYTES = 64 << 10
 
 
 class StreamingServer:
     """Accepts connections at an address and hands over requests in pieces.
 
+    Parameters
+    ----------
+    batch
+        Told around all that a connection reads at once.
+
     Attributes
     ----------
     is_draining
         Whether each connection is closed after its current answer.
+    read_buffer
+        Shared by the connections, for the time of one read.
     refused_connections
         Connections closed on arrival because there were too many.
     """
@@ -28,10 +37,15 @@
         address: Address,
         handler: RequestHandler,
         limits: HttpLimits | None = None,
+        batch: Batch | None = None,
     ):
         self._address = address
         self.handler = handler
         self.limits = limits or HttpLimits()
+        self.batch = batch or NoBatch()
+        # The loop reads one connection after the other, and each copies what
+        # it keeps.
+        self.read_buffer = memoryview(bytearray(_READ_BUFFER_BYTES))
         self.is_draining = False
         self.refused_connections = 0
         self._connections: set[ServerConnection] = set()
--- a/packages/papayapost-node/src/papayapost_node/http/server_connection.py
+++ b/packages/papayapost-node/src/papayapost_node/http/server_connection.py
@@ -8,7 +8,7 @@
 
 import h11
 
-from papayapost_node.http.deadline import Deadline
+from papayapost_node.deadline import Deadline
 from papayapost_node.http.headers import content_length
 from papayapost_node.http.messages import Headers
 
@@ -116,7 +116,7 @@
         self.connection.resume_body(self)
 
 
-class ServerConnection(asyncio.Protocol):
+class ServerConnection(asyncio.BufferedProtocol):
     """Parses requests one after the other and writes their answers."""
 
     def __init__(self, server: StreamingServer):
@@ -159,6 +159,14 @@
         """Treat a half-closed connection as one whose caller has gone."""
         return False
 
+    def get_buffer(self, sizehint: int) -> memoryview:
+        """Return where the loop writes what it reads."""
+        return self._server.read_buffer
+
+    def buffer_updated(self, nbytes: int) -> None:
+        """Parse what the loop has read."""
+        self.data_received(bytes(self._server.read_buffer[:nbytes]))
+
     def data_received(self, data: bytes) -> None:
         """Parse what arrived."""
         if self._is_closing:
@@ -172,7 +180,9 @@
             self._pause_reading()
         self._received_bytes += len(data)
         self._http.receive_data(data)
+        self._server.batch.begin()
         self._pump()
+        self._server.batch.end()
 
     def pause_writing(self) -> None:
         """Note that the caller falls behind."""
@@ -305,7 +315,8 @@
         limits = self._limits
         timeout_ms = limits.head_timeout_ms if is_head_begun else limits.idle_timeout_ms
         self._deadline.set_in(timeout_ms / 1000)
-        self._resume_reading()
+        if is_head_begun or self._is_paused:
+            self._resume_reading()
 
     def _close_soon(self) -> None:
         """Close for writing first, so that no reset overtakes the answer."""
@@ -355,7 +366,8 @@
             self._deadline.clear()
             if self._exchange is not None:
                 handler.body_ended(self._exchange, list(event.headers))
-            return True
+            # A pipelined request waits for this one's answer.
+            return self._exchange is None
         if type(event) is h11.ConnectionClosed:
             self.close()
         return False
--- a/packages/papayapost-node/src/papayapost_node/runner.py
+++ b/packages/papayapost-node/src/papayapost_node/runner.py
@@ -5,65 +5,102 @@
 from typing import Any
 
 from papayapost.kernel import World
+from papayapost.observe import Event, Noted
+from papayapost_node.batch import Batch
 from papayapost_node.clock import Clock
+from papayapost_node.deadline import Deadline
 
 __all__ = ["EffectHandler", "WorldRunner"]
 
 EffectHandler = Callable[[Any], None]
 
 
-class WorldRunner:
+class WorldRunner(Batch):
     """Ticks when input has arrived or a timer is due, and sleeps between.
 
     Parameters
     ----------
     handlers
         What carries out each type of effect.
+
+    Attributes
+    ----------
+    ticks
+        Ticks run so far.
     """
 
     def __init__(
         self,
         world: World,
         clock: Clock,
-        handlers: Mapping[type, EffectHandler],
+        handlers: Mapping[type, EffectHandler] | None = None,
     ):
         self._world = world
         self._clock = clock
-        self._handlers = dict(handlers)
+        self._handlers = dict(handlers or {})
         self._inbox: list[object] = []
         self._is_scheduled = False
-        self._wake: asyncio.TimerHandle | None = None
+        self._is_gathering = False
+        self._is_closed = False
         self._loop = asyncio.get_running_loop()
+        self._wake = Deadline(self._loop, self._tick)
         self.ticks = 0
 
+    def connect(self, handlers: Mapping[type, EffectHandler]) -> None:
+        """Say what carries out further types of effects."""
+        self._handlers.update(handlers)
+
     def post(self, message: object) -> None:
         """Hand a message to the next tick."""
         self._inbox.append(message)
-        if not self._is_scheduled:
+        if not self._is_gathering and not self._is_scheduled:
             self._is_scheduled = True
-            self._loop.call_soon(self._tick)
+            self._loop.call_soon(self._run_scheduled)
+
+    def begin(self) -> None:
+        """Gather messages until `end`."""
+        self._is_gathering = True
+
+    def end(self) -> None:
+        """Tick at once if messages were gathered."""
+        self._is_gathering = False
+        if self._inbox:
+            self._tick()
 
     def close(self) -> None:
         """Run no further ticks."""
-        if self._wake is not None:
-            self._wake.cancel()
+        self._is_closed = True
+        self._wake.close()
         self._handlers.clear()
 
-    def _tick(self) -> None:
+    def _run_scheduled(self) -> None:
         self._is_scheduled = False
+        if self._inbox:
+            self._tick()
+
+    def _tick(self) -> None:
+        if self._is_closed:
+            return
         messages, self._inbox = self._inbox, []
         self.ticks += 1
-        for effect in self._world.tick(self._clock.now_us(), messages):
-            handler = self._handlers.get(type(effect))
-            if handler is not None:
+        now_us = self._clock.now_us()
+        handlers = self._handlers
+        for effect in self._world.tick(now_us, messages):
+            handler = handlers.get(type(effect))
+            if handler is None:
+                continue
+            try:
                 handler(effect)
-        self._sleep_until_due()
-
-    def _sleep_until_due(self) -> None:
-        if self._wake is not None:
-            self._wake.cancel()
-            self._wake = None
+            except Exception as error:
+                # One effect that fails must not take the others with it.
+                self._note_failure(effect, error)
         due_us = self._world.next_due_us()
         if due_us is not None:
-            delay_s = max(0, due_us - self._clock.now_us()) / 1e6
-            self._wake = self._loop.call_later(delay_s, self._tick)
+            self._wake.set_in(max(0, due_us - now_us) / 1e6)
+
+    def _note_failure(self, effect: object, error: Exception) -> None:
+        note = self._handlers.get(Noted)
+        if note is None or isinstance(effect, Noted):
+            raise error
+        detail = f"{type(effect).__name__}: {type(error).__name__}: {error}"
+        note(Noted(Event.EFFECT_FAILED, detail=detail))
--- a/packages/papayapost-node/src/papayapost_node/transport/base.py
+++ b/packages/papayapost-node/src/papayapost_node/transport/base.py
@@ -4,6 +4,7 @@
 from collections.abc import Callable
 
 from papayapost.ids import Address
+from papayapost_node.batch import Batch
 
 __all__ = ["FrameHandler", "PeerTransport"]
 
@@ -14,7 +15,7 @@
     """Sends frames to peers and hands over those that come in."""
 
     @abstractmethod
-    def start(self, on_frame: FrameHandler) -> None:
+    def start(self, on_frame: FrameHandler, batch: Batch) -> None:
         """Listen for peers."""
 
     @abstractmethod
--- a/packages/papayapost-node/src/papayapost_node/transport/zmq_transport.py
+++ b/packages/papayapost-node/src/papayapost_node/transport/zmq_transport.py
@@ -5,6 +5,7 @@
 import zmq
 
 from papayapost.ids import Address
+from papayapost_node.batch import Batch
 from papayapost_node.transport.base import FrameHandler, PeerTransport
 
 __all__ = ["ZmqTransport"]
@@ -28,9 +29,10 @@
         self._dealers: dict[Address, zmq.Socket] = {}
         self._router: zmq.Socket | None = None
 
-    def start(self, on_frame: FrameHandler) -> None:
+    def start(self, on_frame: FrameHandler, batch: Batch) -> None:
         """Listen for peers."""
         self._on_frame = on_frame
+        self._batch = batch
         self._loop = asyncio.get_running_loop()
         self._router = self._open(zmq.ROUTER)
         self._router.bind(f"tcp://{self._address}")
@@ -72,9 +74,10 @@
         router = self._router
         if router is None or router.closed:
             return
-        while True:
-            try:
+        self._batch.begin()
+        try:
+            while True:
                 parts = router.recv_multipart(zmq.NOBLOCK)
-            except zmq.Again:
-                return
-            self._on_frame(parts[-1])
+                self._on_frame(parts[-1])
+        except zmq.Again:
+            self._batch.end()
--- a/packages/papayapost-node/src/papayapost_node/wire/codec.py
+++ b/packages/papayapost-node/src/papayapost_node/wire/codec.py
@@ -4,14 +4,14 @@
 know nothing of the encoding and each field is checked when a frame comes in.
 """
 
-import dataclasses
 from abc import ABC, abstractmethod
 from collections.abc import Mapping
-from typing import Any, get_type_hints
+from typing import Any
 
 import msgspec
 
 from papayapost.errors import FrameError
+from papayapost_node.wire.layouts import Layout, Layouts
 
 __all__ = ["Codec", "MessagePackCodec"]
 
@@ -44,19 +44,25 @@
     """
 
     def __init__(self, numbers: Mapping[type, int]):
+        layouts = Layouts()
         self._numbers = dict(numbers)
-        self._mirrors: dict[tuple[type, int | None], type] = {}
-        mirrors = [self._mirror(kind, number) for kind, number in self._numbers.items()]
-        union: Any = mirrors[0]
-        for mirror in mirrors[1:]:
-            union = union | mirror
+        self._by_type: dict[type, Layout] = {}
+        self._by_mirror: dict[type, Layout] = {}
+        for kind, number in numbers.items():
+            layout = layouts.layout_of(kind, number)
+            self._by_type[kind] = layout
+            self._by_mirror[layout.mirror] = layout
+        mirrors: Any = None
+        for mirror in self._by_mirror:
+            mirrors = mirror if mirrors is None else mirrors | mirror
         self._encoder = msgspec.msgpack.Encoder()
-        self._decoder = msgspec.msgpack.Decoder(union)
+        self._decoder = msgspec.msgpack.Decoder(mirrors)
 
     def encode(self, message: object) -> bytes:
         """Return the frame of a message."""
-        number = self._numbers[type(message)]
-        return self._encoder.encode((number, *_fields_of(message)))
+        kind = type(message)
+        values = self._by_type[kind].to_values(message)
+        return self._encoder.encode((self._numbers[kind], *values))
 
     def decode(self, frame: bytes) -> object:
         """Return the message of a frame, every field checked."""
@@ -67,56 +73,4 @@
                 f"{len(frame)} bytes do not decode to a message: {error}; "
                 "check the versions of the two nodes"
             ) from None
-        return _message_of(mirror)
-
-    def _mirror(self, kind: Any, number: int | None) -> type:
-        known = self._mirrors.get((kind, number))
-        if known is not None:
-            return known
-        hints = get_type_hints(kind)
-        names = [item.name for item in dataclasses.fields(kind)]
-        fields = [(name, self._mirror_hint(hints[name])) for name in names]
-        mirror = msgspec.defstruct(
-            kind.__name__,
-            fields,
-            namespace={"message_type": kind},
-            array_like=True,
-            tag=number,
-        )
-        self._mirrors[kind, number] = mirror
-        return mirror
-
-    def _mirror_hint(self, hint: Any) -> Any:
-        if dataclasses.is_dataclass(hint):
-            return self._mirror(hint, None)
-        origin = getattr(hint, "__origin__", None)
-        if origin in (tuple, list):
-            arguments = tuple(self._mirror_hint(a) for a in hint.__args__)
-            return origin[arguments]
-        return hint
-
-
-def _fields_of(message: Any) -> tuple:
-    return tuple(
-        _plain(getattr(message, name)) for name in type(message).__dataclass_fields__
-    )
-
-
-def _plain(value: Any) -> Any:
-    if dataclasses.is_dataclass(value):
-        return _fields_of(value)
-    if type(value) is tuple or type(value) is list:
-        return [_plain(item) for item in value]
-    return value
-
-
-def _message_of(mirror: Any) -> Any:
-    message_type = getattr(mirror, "message_type", None)
-    if message_type is not None:
-        values = [_message_of(getattr(mirror, f)) for f in mirror.__struct_fields__]
-        return message_type(*values)
-    if type(mirror) is tuple:
-        return tuple(_message_of(item) for item in mirror)
-    if type(mirror) is list:
-        return [_message_of(item) for item in mirror]
-    return mirror
+        return self._by_mirror[type(mirror)].to_message(mirror)
