--- a/packages/papayapost-node/src/papayapost_node/wire/catalogue.py
+++ b/packages/papayapost-node/src/papayapost_node/wire/catalogue.py
@@ -3,7 +3,35 @@
 A number is never reused, so that mixed versions on the wire stay apart.
 """
 
-from papayapost.membership import Announcement
+from papayapost.distribution import (
+    ChunkRequest,
+    RulesBusy,
+    RulesChunk,
+    RulesDelta,
+    RulesGone,
+    RulesNotice,
+    RulesProgress,
+    RulesRequest,
+)
+from papayapost.membership import (
+    Announcement,
+    BucketDigests,
+    BucketRows,
+    BucketsWanted,
+    Detach,
+    DigestsOffered,
+    DirectoryDelta,
+    Heartbeat,
+    HeartbeatAnswer,
+    JoinAccepted,
+    JoinRedirected,
+    JoinRequest,
+    Probe,
+    ProbeAnswer,
+    ProbeRequest,
+    ProbeResult,
+    Vouch,
+)
 from papayapost.traffic import (
     AttemptCancel,
     AttemptFailed,
@@ -20,12 +48,37 @@
     RequestPart,
 )
 
-__all__ = ["WIRE_NUMBERS"]
+__all__ = ["CONTROL_TYPES", "WIRE_NUMBERS"]
 
 _MEMBERSHIP: dict[type, int] = {
     Announcement: 1,
+    JoinRequest: 2,
+    JoinAccepted: 3,
+    JoinRedirected: 4,
+    Heartbeat: 5,
+    HeartbeatAnswer: 6,
+    Detach: 7,
+    DirectoryDelta: 8,
+    DigestsOffered: 9,
+    BucketDigests: 10,
+    BucketsWanted: 11,
+    BucketRows: 12,
+    Vouch: 13,
+    Probe: 14,
+    ProbeAnswer: 15,
+    ProbeRequest: 16,
+    ProbeResult: 17,
+}
+_DISTRIBUTION: dict[type, int] = {
+    RulesRequest: 20,
+    RulesNotice: 21,
+    RulesDelta: 22,
+    ChunkRequest: 23,
+    RulesChunk: 24,
+    RulesBusy: 25,
+    RulesGone: 26,
+    RulesProgress: 27,
 }
-_DISTRIBUTION: dict[type, int] = {}
 _TRAFFIC: dict[type, int] = {
     AttemptOffer: 40,
     AttemptCancel: 41,
@@ -43,3 +96,6 @@
 }
 
 WIRE_NUMBERS: dict[type, int] = _MEMBERSHIP | _DISTRIBUTION | _TRAFFIC | _CARRIERS
+
+CONTROL_TYPES: frozenset[type] = frozenset([*_MEMBERSHIP, *_DISTRIBUTION])
+"""Messages that keep the mesh together, as opposed to calls."""
