Prove the limits towards callers and the truth of backend calls

Cause: bytes behind an answer were kept with the connection and taken for the next request's answer; an HTTP/2.0 request line was served as HTTP/1.1; no test sent malformed or slow requests. Change: a connection with bytes beyond its answer is closed; other major versions get 505. Raw-socket tests of heads, lengths, chunks, drip, pipelining, half close, idle and surplus connections; tests of reuse, refusal, lateness and loss on backend connections.

--- a/packages/papayapost-node/src/papayapost_node/http/backend.py
+++ b/packages/papayapost-node/src/papayapost_node/http/backend.py
@@ -273,7 +273,9 @@
         self._sink = None
         self._deadline.clear()
         http = self._http
-        if http.our_state is h11.DONE and http.their_state is h11.DONE:
+        is_done = http.our_state is h11.DONE and http.their_state is h11.DONE
+        # Bytes beyond the answer would be taken for the next one's.
+        if is_done and not http.trailing_data[0]:
             http.start_next_cycle()
             self._on_free(self)
         else:
--- a/packages/papayapost-node/src/papayapost_node/http/pool.py
+++ b/packages/papayapost-node/src/papayapost_node/http/pool.py
@@ -44,6 +44,11 @@
         self._opening: set[asyncio.Task] = set()
         self.opened = 0
 
+    @property
+    def open_connections(self) -> int:
+        """Connections that are open now."""
+        return len(self._open)
+
     def acquire(self, on_ready: ConnectionReady) -> None:
         """Hand over a connection, at once if one is idle.
 
--- a/packages/papayapost-node/src/papayapost_node/http/server_connection.py
+++ b/packages/papayapost-node/src/papayapost_node/http/server_connection.py
@@ -444,6 +444,8 @@
 
 
 def _refusal_status(head: h11.Request, limit_bytes: int) -> int | None:
+    if not head.http_version.startswith(b"1."):
+        return 505
     names = [name for name, _ in head.headers]
     if b"content-length" in names and b"transfer-encoding" in names:
         return 400
--- /dev/null
+++ b/packages/papayapost-node/tests/test_backend_calls.py
@@ -0,0 +1,179 @@
+import asyncio
+
+from papayapost.ids import Address, AttemptId, Micros, NodeId
+from papayapost.traffic import BackendCallBegun, BackendCallEnded
+from papayapost_node.batch import NoBatch
+from papayapost_node.exchange import Courier, WindowBudget
+from papayapost_node.exchange.backend_call import BackendCall, OwnerServices
+from papayapost_node.exchange.tables import OwnedRequest
+from papayapost_node.http import BackendPool, HttpRequest
+from papayapost_testing.ports import free_addresses
+from papayapost_testing.scripted_server import ScriptedServer
+
+ENTRY = Address("127.0.0.1:1")
+ANSWER = b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok"
+
+
+class KeptCarriers(Courier):
+    def __init__(self):
+        self.carriers: list = []
+
+    def deliver(self, address, carrier):
+        self.carriers.append(carrier)
+        return True
+
+
+class Owner:
+    """Runs backend calls and gathers what they post and deliver."""
+
+    def __init__(self, address: Address, connections: int = 2):
+        self.pool = BackendPool(address, connections, NoBatch())
+        self.courier = KeptCarriers()
+        self.posted: list = []
+        self.over: asyncio.Queue[AttemptId] = asyncio.Queue()
+        self.services = OwnerServices(
+            NodeId("n1"),
+            self.courier,
+            self.posted.append,
+            lambda: 1,
+            WindowBudget(1 << 20),
+            self.over.put_nowait,
+        )
+
+    def start(self, budget_ms: int = 5_000) -> BackendCall:
+        request = HttpRequest("POST", "/charge", [(b"host", b"a")])
+        owned = OwnedRequest(AttemptId("n1/1"), ENTRY, request, True, 65_536)
+        call = BackendCall(owned, Micros(budget_ms * 1_000), self.services)
+        self.pool.acquire(call.connected)
+        return call
+
+    async def run(self, budget_ms: int = 5_000) -> BackendCallEnded:
+        self.start(budget_ms)
+        await self.over.get()
+        return self.posted[-1]
+
+
+def run(scenario, script, connections: int = 2) -> None:
+    async def main():
+        (address,) = free_addresses(1)
+        server = ScriptedServer(address, script)
+        owner = Owner(address, connections)
+        try:
+            async with asyncio.timeout(5):
+                await scenario(owner, server)
+        finally:
+            owner.pool.close()
+            await server.close()
+
+    asyncio.run(main())
+
+
+async def answer_each(reader, writer):
+    while await reader.readuntil(b"\r\n\r\n"):
+        writer.write(ANSWER)
+
+
+def test_calls_reuse_a_connection_and_carry_the_time_that_is_left():
+    heads = []
+
+    async def script(reader, writer):
+        while True:
+            heads.append(await reader.readuntil(b"\r\n\r\n"))
+            writer.write(ANSWER)
+
+    async def scenario(owner, server):
+        await server.start()
+        for _ in range(3):
+            assert await owner.run() == BackendCallEnded(AttemptId("n1/1"), True, True)
+        assert server.connections == 1
+        for head in heads:
+            left_ms = int(head.partition(b"papayapost-timeout-ms: ")[2].split()[0])
+            assert 4_000 < left_ms <= 5_000
+
+    run(scenario, script)
+
+
+def test_a_request_that_nobody_accepted_was_not_sent():
+    async def scenario(owner, server):
+        assert await owner.run() == BackendCallEnded(AttemptId("n1/1"), False, False)
+
+    run(scenario, answer_each)
+
+
+def test_a_request_beyond_the_connections_was_not_sent():
+    async def script(reader, writer):
+        await reader.read()
+
+    async def scenario(owner, server):
+        await server.start()
+        owner.start()
+        assert await owner.run() == BackendCallEnded(AttemptId("n1/1"), False, False)
+
+    run(scenario, script, connections=1)
+
+
+def test_a_connection_that_ends_under_a_request_leaves_it_unknown_and_unrepeated():
+    heads = []
+
+    async def script(reader, writer):
+        heads.append(await reader.readuntil(b"\r\n\r\n"))
+        writer.write(ANSWER)
+        heads.append(await reader.readuntil(b"\r\n\r\n"))
+
+    async def scenario(owner, server):
+        await server.start()
+        assert (await owner.run()).is_whole
+        assert await owner.run() == BackendCallEnded(AttemptId("n1/1"), True, False)
+        assert len(heads) == 2
+        assert server.connections == 1
+
+    run(scenario, script)
+
+
+def test_a_connection_closed_while_idle_is_not_used_again():
+    async def script(reader, writer):
+        await reader.readuntil(b"\r\n\r\n")
+        writer.write(ANSWER)
+
+    async def scenario(owner, server):
+        await server.start()
+        assert (await owner.run()).is_whole
+        while owner.pool.open_connections:
+            await asyncio.sleep(0)
+        assert (await owner.run()).is_whole
+        assert server.connections == 2
+
+    run(scenario, script)
+
+
+def test_bytes_that_nobody_asked_for_never_become_an_answer():
+    async def script(reader, writer):
+        await reader.readuntil(b"\r\n\r\n")
+        writer.write(ANSWER)
+        await writer.drain()
+        writer.write(ANSWER.replace(b"ok", b"no"))
+        await reader.read()
+
+    async def scenario(owner, server):
+        await server.start()
+        for _ in range(2):
+            await owner.run()
+            while owner.pool.open_connections:
+                await asyncio.sleep(0)
+        assert [item.body for item in owner.courier.carriers] == [b"ok", b"ok"]
+
+    run(scenario, script)
+
+
+def test_a_head_that_is_late_ends_the_call_as_sent():
+    async def script(reader, writer):
+        await reader.read()
+
+    async def scenario(owner, server):
+        await server.start()
+        ended = await owner.run(budget_ms=100)
+        assert ended == BackendCallEnded(AttemptId("n1/1"), True, False)
+        assert not any(isinstance(item, BackendCallBegun) for item in owner.posted)
+        await server.ended.wait()
+
+    run(scenario, script)
--- /dev/null
+++ b/packages/papayapost-node/tests/test_http_abuse.py
@@ -0,0 +1,228 @@
+"""Raw bytes from callers who keep to no protocol."""
+
+import asyncio
+
+import pytest
+
+from papayapost_node.addresses import split_address
+from papayapost_node.http import HttpAnswer, HttpLimits, HttpServer, ServerCall
+from papayapost_testing.ports import free_addresses
+
+LIMITS = HttpLimits(
+    connections=3,
+    head_bytes=2_000,
+    head_timeout_ms=150,
+    idle_timeout_ms=150,
+    pace_timeout_ms=150,
+    pace_bytes=1_000,
+)
+GET = b"GET /a HTTP/1.1\r\nhost: a\r\n\r\n"
+POST = b"POST /a HTTP/1.1\r\nhost: a\r\n"
+
+
+class Server:
+    """Answers each request with its method, its length and one header."""
+
+    def __init__(self):
+        (self.address,) = free_addresses(1)
+        self.http = HttpServer(self.address, self.take, self.gone, LIMITS)
+        self.taken: list[ServerCall] = []
+        self.lost = asyncio.Event()
+        self.answers = True
+
+    def take(self, call: ServerCall) -> None:
+        self.taken.append(call)
+        if self.answers:
+            self.answer(call)
+
+    def answer(self, call: ServerCall) -> None:
+        request = call.request
+        folded = dict(request.headers).get(b"x-folded", b"")
+        body = b"%s %d %s" % (request.method.encode(), len(request.body), folded)
+        call.answer(HttpAnswer(200, [], body))
+
+    def gone(self, call: ServerCall) -> None:
+        self.lost.set()
+
+
+def run(scenario) -> None:
+    async def main():
+        server = Server()
+        await server.http.start()
+        try:
+            async with asyncio.timeout(5):
+                await scenario(server)
+        finally:
+            await server.http.close()
+
+    asyncio.run(main())
+
+
+async def connect(server: Server):
+    return await asyncio.open_connection(*split_address(server.address))
+
+
+async def all_answered(server: Server, data: bytes) -> bytes:
+    """Send bytes and return everything until the server closes."""
+    reader, writer = await connect(server)
+    writer.write(data)
+    try:
+        return await reader.read()
+    finally:
+        writer.close()
+
+
+@pytest.mark.parametrize(
+    ("request_bytes", "status"),
+    [
+        (b"GET /a HTTP/1.1\r\nhost: a\r\nx: " + b"x" * 3_000, b"431"),
+        (b"GET /a HTTP/1.1\r\nhost: a\r\nx: " + b"x" * 3_000 + b"\r\n\r\n", b"431"),
+        (b"GET /" + b"a" * 3_000 + b" HTTP/1.1\r\nhost: a\r\n\r\n", b"431"),
+        (POST + b"content-length: 3\r\ncontent-length: 4\r\n\r\nabc", b"400"),
+        (POST + b"content-length: 3, 4\r\n\r\nabc", b"400"),
+        (POST + b"content-length: -3\r\n\r\nabc", b"400"),
+        (
+            POST + b"content-length: 3\r\ntransfer-encoding: chunked\r\n\r\n0\r\n\r\n",
+            b"400",
+        ),
+        (POST + b"transfer-encoding: gzip, chunked\r\n\r\n0\r\n\r\n", b"501"),
+        (POST + b"transfer-encoding: chunked\r\n\r\nxyz\r\n", b"400"),
+        (POST + b"content-length: 999999999\r\n\r\n", b"413"),
+        (b"GET /a HTTP/1.1\r\nhost: a\r\nbad header\r\n\r\n", b"400"),
+        (b"GET /a HTTP/1.1\r\n folded: first\r\n\r\n", b"400"),
+        (b"GET /a HTTP/1.1\r\nhost: a\r\nhost: b\r\n\r\n", b"400"),
+        (b"GET /a HTTP/1.1\r\n\r\n", b"400"),
+        (b"GET /a HTTP/2.0\r\nhost: a\r\n\r\n", b"505"),
+        (b"\x16\x03\x01\x02\x00\x01\x00\x01\xfc\x03\x03\r\n\r\n", b"400"),
+    ],
+)
+def test_a_malformed_request_is_refused_and_its_connection_closed(
+    request_bytes, status
+):
+    async def scenario(server):
+        answered = await all_answered(server, request_bytes)
+        assert answered.startswith(b"HTTP/1.1 " + status)
+        assert answered.count(b"HTTP/1.1") == 1
+        assert not server.taken
+
+    run(scenario)
+
+
+def test_repeated_equal_lengths_and_folded_lines_are_read_as_one():
+    async def scenario(server):
+        data = POST + b"content-length: 3\r\ncontent-length: 3\r\n"
+        data += b"x-folded: one\r\n two\r\nconnection: close\r\n\r\nabc"
+        answered = await all_answered(server, data)
+        assert answered.endswith(b"POST 3 one two")
+        assert [key for key, _ in server.taken[0].request.headers].count(
+            b"content-length"
+        ) == 1
+
+    run(scenario)
+
+
+@pytest.mark.parametrize(
+    ("start", "drip", "expected"),
+    [
+        (b"GET /a HT", b"", b"HTTP/1.1 408"),
+        (b"GET /a HTTP/1.1\r\nx: ", b"y", b"HTTP/1.1 408"),
+        (POST + b"content-length: 9000\r\n\r\n", b"z", b"HTTP/1.1 408"),
+        (b"", b"", b""),
+        (GET, b"", b"HTTP/1.1 200"),
+    ],
+)
+def test_a_slow_or_idle_caller_is_closed_in_time(start, drip, expected):
+    async def scenario(server):
+        reader, writer = await connect(server)
+        writer.write(start)
+
+        async def keep_dripping():
+            while drip:
+                writer.write(drip)
+                await asyncio.sleep(0.02)
+
+        dripping = asyncio.create_task(keep_dripping())
+        answered = await reader.read()
+        dripping.cancel()
+        assert answered.startswith(expected)
+
+    run(scenario)
+
+
+def test_pipelined_requests_are_answered_one_after_the_other():
+    async def scenario(server):
+        server.answers = False
+        reader, writer = await connect(server)
+        writer.write(GET + POST + b"content-length: 2\r\n\r\nab" + GET)
+        while len(server.taken) < 1:
+            await asyncio.sleep(0)
+        assert len(server.taken) == 1
+        for number in range(3):
+            server.answer(server.taken[number])
+            await reader.readuntil(b"\r\n\r\n")
+        assert [call.request.method for call in server.taken] == ["GET", "POST", "GET"]
+        writer.close()
+
+    run(scenario)
+
+
+def test_a_flood_of_pipelined_requests_is_left_in_the_callers_hands():
+    async def scenario(server):
+        server.answers = False
+        _, writer = await connect(server)
+        writer.transport.set_write_buffer_limits(high=0)
+        writer.write(GET * 500_000)
+        with pytest.raises(TimeoutError):
+            await asyncio.wait_for(writer.drain(), 0.1)
+        assert len(server.taken) == 1
+        assert writer.transport.get_write_buffer_size() > 1 << 20
+        writer.transport.abort()
+
+    run(scenario)
+
+
+def test_a_half_closed_connection_counts_as_a_caller_who_has_gone():
+    async def scenario(server):
+        server.answers = False
+        reader, writer = await connect(server)
+        writer.write(GET)
+        writer.write_eof()
+        await server.lost.wait()
+        assert await reader.read() == b""
+        writer.close()
+
+    run(scenario)
+
+
+def test_connections_beyond_the_limit_are_closed_and_others_still_served():
+    async def scenario(server):
+        held = [await connect(server) for _ in range(3)]
+        for reader, writer in held:
+            writer.write(GET)
+            await reader.readuntil(b"\r\n\r\n")
+        reader, writer = await connect(server)
+        with pytest.raises((ConnectionResetError, asyncio.IncompleteReadError)):
+            await reader.readexactly(1)
+        held[0][1].write(GET)
+        assert await held[0][0].readuntil(b"\r\n\r\n")
+        for _, writer in held:
+            writer.close()
+
+    run(scenario)
+
+
+def test_a_caller_who_stops_reading_is_closed_in_time():
+    async def scenario(server):
+        server.answers = False
+        _, writer = await connect(server)
+        writer.write(GET)
+        while not server.taken:
+            await asyncio.sleep(0)
+        exchange = server.taken[0].exchange
+        exchange.begin(200, [(b"content-length", b"1000000000")])
+        while exchange.is_writable:
+            exchange.send(bytes(1 << 20))
+        await server.lost.wait()
+        writer.close()
+
+    run(scenario)
--- a/packages/papayapost-node/tests/test_streaming.py
+++ b/packages/papayapost-node/tests/test_streaming.py
@@ -1,5 +1,6 @@
 import asyncio
 import hashlib
+from contextlib import AsyncExitStack
 
 import pytest
 
@@ -37,19 +38,38 @@
     return await asyncio.open_connection(ip, port)
 
 
-def run(scenario, after_head, slots: int = 4) -> None:
-    async def main():
-        async with asyncio.timeout(15), node_pair(scripted(after_head), slots) as pair:
-            await scenario(pair)
+@pytest.fixture(scope="module")
+def run():
+    """Run scenarios on one pair of nodes, each with its own backend server."""
 
-    asyncio.run(main())
+    behaviour = None
+
+    async def behave(head, reader, writer):
+        await behaviour(head, reader, writer)
+
+    with asyncio.Runner() as runner:
+        stack = AsyncExitStack()
+        pair = runner.run(stack.enter_async_context(node_pair(scripted(behave))))
+
+        async def with_timeout(scenario):
+            async with asyncio.timeout(15):
+                await scenario(pair)
+
+        def run_scenario(scenario, after_head):
+            nonlocal behaviour
+            behaviour = after_head
+            pair.backend.ended.clear()
+            runner.run(with_timeout(scenario))
+
+        yield run_scenario
+        runner.run(stack.aclose())
 
 
 def addresses_of(pair: NodePair) -> list[Address]:
     return [pair.entry_address, pair.owner_address]
 
 
-def test_a_large_download_arrives_whole_over_one_and_two_nodes():
+def test_a_large_download_arrives_whole_over_one_and_two_nodes(run):
     pieces = 300
 
     async def backend(head, reader, writer):
@@ -72,7 +92,7 @@
     run(scenario, backend)
 
 
-def test_a_chunked_upload_arrives_whole_with_its_trailers():
+def test_a_chunked_upload_arrives_whole_with_its_trailers(run):
     pieces = 40
     seen = []
 
@@ -109,7 +129,9 @@
 @pytest.mark.parametrize(
     "framing", [b"content-length: 100000", b"transfer-encoding: chunked"]
 )
-def test_an_answer_that_the_backend_server_cuts_short_is_cut_for_the_caller(framing):
+def test_an_answer_that_the_backend_server_cuts_short_is_cut_for_the_caller(
+    run, framing
+):
     async def backend(head, reader, writer):
         writer.write(b"HTTP/1.1 200 OK\r\n" + framing + b"\r\n\r\n")
         is_chunked = b"chunked" in framing
@@ -132,7 +154,7 @@
     run(scenario, backend)
 
 
-def test_a_slow_reader_stops_the_backend_server_and_frees_it_when_gone():
+def test_a_slow_reader_stops_the_backend_server_and_frees_it_when_gone(run):
     sent = []
 
     async def backend(head, reader, writer):
@@ -160,7 +182,7 @@
     run(scenario, backend)
 
 
-def test_a_caller_who_leaves_cancels_its_call_at_the_backend_server():
+def test_a_caller_who_leaves_cancels_its_call_at_the_backend_server(run):
     begun = asyncio.Event()
 
     async def backend(head, reader, writer):
@@ -182,7 +204,7 @@
     run(scenario, backend)
 
 
-def test_a_body_is_asked_for_only_once_the_request_has_a_slot():
+def test_a_body_is_asked_for_only_once_the_request_has_a_slot(run):
     async def backend(head, reader, writer):
         assert b"expect" not in head.lower()
         assert await reader.readexactly(5) == b"12345"
@@ -204,7 +226,7 @@
     run(scenario, backend)
 
 
-def test_answers_without_a_body_keep_the_connection_in_step():
+def test_answers_without_a_body_keep_the_connection_in_step(run):
     async def backend(head, reader, writer):
         if head.startswith(b"HEAD"):
             writer.write(b"HTTP/1.1 200 OK\r\ncontent-length: 77\r\n\r\n")
