--- a/packages/papayapost/src/papayapost/node.py
+++ b/packages/papayapost/src/papayapost/node.py
@@ -51,7 +51,7 @@
     """
     membership = build_membership(me, seeds, own)
     distribution = build_distribution(me, membership.directory, membership.tree)
-    traffic = build_traffic(me, membership, distribution, own.slots)
+    traffic = build_traffic(me, membership.directory, distribution.rules, own.slots)
     record = build_record(me, membership.tree, distribution.rules)
     systems = [
         *membership.systems,
