--- a/packages/papayapost-operator/src/papayapost_operator/exits.py
+++ b/packages/papayapost-operator/src/papayapost_operator/exits.py
@@ -8,7 +8,7 @@
 
 
 class ExitCode(IntEnum):
-    """What a script can tell an outcome by; see docs/OPERATING.md."""
+    """What a script can tell an outcome by; see docs/PAPAYA.md."""
 
     DONE = 0
     STORE_UNAVAILABLE = 1
--- a/packages/papayapost/src/papayapost/record/changeset.py
+++ b/packages/papayapost/src/papayapost/record/changeset.py
@@ -24,7 +24,7 @@
 
 _MAX_INLINE_BYTES = 16_000
 _MAX_DETAIL_BYTES = 200_000
-_MAX_LINE_CHARACTERS = 5_000
+_MAX_LINE_CHARACTERS = 4_000
 # What JSON adds to a change: names, quotes and the kind.
 _CHANGE_OVERHEAD_BYTES = 150
 _UNPRINTABLE = re.compile("[\x00-\x1f\x7f-\x9f\u2028-\u202e\u2066-\u2069\ud800-\udfff]")
--- a/packages/papayapost/src/papayapost/rules/__init__.py
+++ b/packages/papayapost/src/papayapost/rules/__init__.py
@@ -2,6 +2,10 @@
 
 from papayapost.rules.characters import MAX_TEXT_BYTES, decode_text
 from papayapost.rules.compile import compile_rules, digest_of
+from papayapost.rules.defaults import (
+    DEFAULT_CEILINGS_PERCENT,
+    DEFAULT_FLOORS_PERCENT,
+)
 from papayapost.rules.diff import ChangeKind, RuleChange, RuleKey, diff_rules
 from papayapost.rules.explain import Explanation, Mismatch, NearMiss, explain
 from papayapost.rules.faults import RuleFault
@@ -10,6 +14,8 @@
 from papayapost.rules.ruleset import RuleSet
 
 __all__ = [
+    "DEFAULT_CEILINGS_PERCENT",
+    "DEFAULT_FLOORS_PERCENT",
     "MAX_TEXT_BYTES",
     "ChangeKind",
     "Explanation",
--- a/packages/papayapost/src/papayapost/rules/checks.py
+++ b/packages/papayapost/src/papayapost/rules/checks.py
@@ -4,6 +4,7 @@
 from collections.abc import Iterator
 
 from papayapost.rules.compilers import RulesDraft
+from papayapost.rules.defaults import DEFAULT_FLOORS_PERCENT
 from papayapost.rules.faults import RuleFault
 from papayapost.rules.index import RouteIndex
 from papayapost.rules.model import Route, Share
@@ -82,7 +83,12 @@
     def run(self, draft: RulesDraft, index: RouteIndex) -> None:
         """Report second shares of a rank and the floor that is too much."""
         first: dict[Rank, Share] = {}
-        floors_percent = 0
+        stated = {share.rank for share in draft.shares}
+        floors_percent = sum(
+            floor
+            for rank, floor in DEFAULT_FLOORS_PERCENT.items()
+            if rank not in stated
+        )
         for share in draft.shares:
             earlier = first.setdefault(share.rank, share)
             if earlier is not share:
@@ -110,7 +116,8 @@
         line.report(
             RuleFault.FLOORS_OVER_WHOLE,
             line.words[1].column,
-            f"with this share the floors add up to {floors_percent}%",
+            f"with this share the floors add up to {floors_percent}%, defaults "
+            "of ranks without a share included",
             "lower the floors until they add up to 100% at most",
         )
 
--- a/packages/papayapost/src/papayapost/rules/compile.py
+++ b/packages/papayapost/src/papayapost/rules/compile.py
@@ -13,7 +13,7 @@
 from papayapost.rules.route import RouteCompiler
 from papayapost.rules.ruleset import RuleSet
 from papayapost.rules.share import ShareCompiler
-from papayapost.rules.tokens import RuleLine, numbered_lines
+from papayapost.rules.tokens import MAX_LINE_CHARACTERS, RuleLine, numbered_lines
 
 __all__ = ["compile_rules", "digest_of"]
 
@@ -82,6 +82,14 @@
 
 
 def _read_line(line: RuleLine, draft: RulesDraft) -> None:
+    if len(line.text) > MAX_LINE_CHARACTERS:
+        line.report(
+            RuleFault.LINE_TOO_LONG,
+            MAX_LINE_CHARACTERS + 1,
+            f"the line has {len(line.text)} characters",
+            f"keep it within {MAX_LINE_CHARACTERS}; a long reason fits on "
+            "comment lines above",
+        )
     line.require_owner()
     compiler = _COMPILERS.get(line.words[0].text)
     if compiler is None:
--- a/packages/papayapost/src/papayapost/rules/faults.py
+++ b/packages/papayapost/src/papayapost/rules/faults.py
@@ -30,3 +30,4 @@
     TEXT_TOO_LARGE = "R020"
     BAD_HOST = "R021"
     HEDGE_AFTER_TIMEOUT = "R022"
+    LINE_TOO_LONG = "R023"
--- a/packages/papayapost/src/papayapost/rules/tokens.py
+++ b/packages/papayapost/src/papayapost/rules/tokens.py
@@ -8,7 +8,9 @@
 from papayapost.ids import Owner
 from papayapost.rules.faults import RuleFault
 
-__all__ = ["RuleLine", "Word", "numbered_lines", "rule_lines"]
+__all__ = ["MAX_LINE_CHARACTERS", "RuleLine", "Word", "numbered_lines", "rule_lines"]
+
+MAX_LINE_CHARACTERS = 4_000
 
 # Only spaces and tabs part words: other blanks look like them but are not,
 # and str.splitlines would count lines that no editor counts.
--- a/packages/papayapost/src/papayapost/traffic/shares.py
+++ b/packages/papayapost/src/papayapost/traffic/shares.py
@@ -3,7 +3,12 @@
 from dataclasses import dataclass
 
 from papayapost.distribution import RulesTable
-from papayapost.rules import RuleSet
+from papayapost.rules import (
+    DEFAULT_CEILINGS_PERCENT,
+    DEFAULT_FLOORS_PERCENT,
+    RuleSet,
+)
+from papayapost.states import Rank
 
 __all__ = ["DEFAULT_SHARES", "RankShares", "SharesInForce"]
 
@@ -34,7 +39,10 @@
         return cls(tuple(floors), tuple(ceilings))
 
 
-DEFAULT_SHARES = RankShares(floors=(0.0, 0.1, 0.1, 0.05), ceilings=(1.0, 1.0, 1.0, 0.7))
+DEFAULT_SHARES = RankShares(
+    floors=tuple(DEFAULT_FLOORS_PERCENT[rank] / 100 for rank in Rank),
+    ceilings=tuple(DEFAULT_CEILINGS_PERCENT[rank] / 100 for rank in Rank),
+)
 """Shares where the rules state none; see docs/notes/0010."""
 
 
--- a/packages/papayapost/tests/test_record.py
+++ b/packages/papayapost/tests/test_record.py
@@ -15,7 +15,8 @@
     RuleVersion,
 )
 from papayapost.kernel import World
-from papayapost.membership import RoleChanged, TreeTables
+from papayapost.membership import BackendServerRow, RoleChanged, TreeTables
+from papayapost.node import build_node_world
 from papayapost.observe import Noted
 from papayapost.place import Place, SelfRow
 from papayapost.record import (
@@ -35,6 +36,7 @@
     ApplyReport,
     build_apply,
 )
+from papayapost.states import BackendServerState
 from papayapost.storage import (
     ObjectKey,
     ObjectSeen,
@@ -44,6 +46,7 @@
     UpdateConflicted,
     UpdateObject,
     UpdateUnknown,
+    WatchObject,
 )
 
 START_US = 1_000_000_000
@@ -78,6 +81,10 @@
         hook = self.before.pop((type(effect), getattr(effect, "key", None)), None)
         if hook is not None:
             hook()
+        if isinstance(effect, WatchObject):
+            version, value = self.objects.get(effect.key, (0, None))
+            is_news = version != effect.after_version
+            return ObjectSeen(effect.key, version, value) if is_news else None
         if isinstance(effect, ReadObject):
             if effect.key in self.down:
                 return StoreFailed(effect.key, "down", effect.request_id)
@@ -103,7 +110,13 @@
         return ObjectUpdated(key, request_id, version)
 
 
-def drive(world: World, store: FakeStore, *messages: object, now_us: int = 0) -> list:
+def drive(
+    world: World,
+    store: FakeStore,
+    *messages: object,
+    now_us: int = 0,
+    until_us: int = 1 << 62,
+) -> list:
     """Run a world until nothing is due; return what is not for the store."""
     inputs, others = list(messages), []
     while True:
@@ -112,7 +125,7 @@
         inputs = [answer for answer in answers if answer is not None]
         others += [e for e, a in zip(effects, answers, strict=True) if a is None]
         due_us = world.next_due_us()
-        if not inputs and due_us is None:
+        if not inputs and (due_us is None or due_us > until_us):
             return others
         if not inputs:
             now_us = due_us
@@ -310,6 +323,29 @@
     ]
 
 
+def test_a_node_that_is_alone_completes_the_record():
+    store = FakeStore()
+    version = store.put(RULES_KEY, rule("a"))
+    place = Place(DataCentreId("n1"), RegionId("north"))
+    me = SelfRow(NodeId("r1"), Incarnation(START_US), place, Address("127.0.0.1:1"))
+    own = BackendServerRow(
+        me.node_id,
+        me.incarnation,
+        1,
+        None,
+        place.data_centre,
+        place.region,
+        me.peer_address,
+        0,
+        BackendServerState.READY,
+    )
+    node = build_node_world(me, [], own, Random(3))
+    drive(node.world, store, *node.first_messages(), until_us=60_000_000)
+    entry = store.page.newest
+    assert (entry.version, entry.attribution) == (version, Attribution.EDITED)
+    assert (entry.recorded_by, entry.changes.added) == ("r1", 1)
+
+
 def test_a_full_page_is_archived_once_and_nothing_is_lost():
     store = FakeStore()
     for number in range(205):
--- a/packages/papayapost/tests/test_rules_compile.py
+++ b/packages/papayapost/tests/test_rules_compile.py
@@ -29,12 +29,13 @@
         ("route GET /a -> a colour=red" + OWNER, ("1:19", "R008")),
         ("route GET /a -> a rank=swift" + OWNER, ("1:19", "R009")),
         ("route GET /a -> a timeout_ms=0" + OWNER, ("1:19", "R009")),
-        ("route GET /a -> a timeout_ms=" + "9" * 5_000 + OWNER, ("1:19", "R009")),
+        ("route GET /a -> a timeout_ms=" + "9" * 3_000 + OWNER, ("1:19", "R009")),
         ("share bulk floor=101%" + OWNER, ("1:12", "R009")),
         ("route GET /a -> a rank" + OWNER, ("1:19", "R010")),
         ("route GET /a -> a link=yes link=yes" + OWNER, ("1:28", "R011")),
         ("route POST /a -> a hedge_ms=9" + OWNER, ("1:20", "R012")),
         ("share bulk floor=9% ceiling=8%" + OWNER, ("1:1", "R017")),
+        ("route GET /a -> a # Ana: " + "n" * 3_976, ("1:4001", "R023")),
         ("route GET /a -> a # Ana: \x1b[2J", ("1:26", "R018")),
         ("route GET /a -> a # Ana: \u202egnol", ("1:26", "R018")),
         ("route GET /a -> a # Ana: caf\udce9", ("1:29", "R019")),
@@ -88,11 +89,14 @@
     lines = [
         "share urgent floor=60%",
         "share urgent floor=1%",
-        "share high floor=41%",
+        "share high floor=26%",
         "share bulk floor=5%",
     ]
     text = "\n".join(line + OWNER for line in lines)
-    assert findings_of(text) == [("2:7", "R015"), ("3:7", "R016")]
+    assert findings_of(text) == [("2:7", "R015"), ("4:7", "R016")]
+    assert (
+        len(compile_rules(text.replace("26", "25").replace(lines[1], "#")).shares) == 3
+    )
 
 
 def test_bytes_that_are_no_utf_8_are_found_and_an_oversized_text_is_not_read():
