--- a/packages/papayapost-node/src/papayapost_node/runner.py
+++ b/packages/papayapost-node/src/papayapost_node/runner.py
@@ -1,7 +1,7 @@
 """Runs a world: gathers messages, ticks, and carries out the effects."""
 
 import asyncio
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Mapping, Sequence
 from typing import Any
 
 from papayapost.kernel import World
@@ -9,6 +9,7 @@
 from papayapost_node.batch import Batch
 from papayapost_node.clock import Clock
 from papayapost_node.deadline import Deadline
+from papayapost_node.observe.observer import RunnerObserver, join_watchers
 
 __all__ = ["EffectHandler", "WorldRunner"]
 
@@ -22,6 +23,8 @@
     ----------
     handlers
         What carries out each type of effect.
+    observers
+        Look on at inputs and effects.
 
     Attributes
     ----------
@@ -34,10 +37,13 @@
         world: World,
         clock: Clock,
         handlers: Mapping[type, EffectHandler] | None = None,
+        observers: Sequence[RunnerObserver] = (),
     ):
         self._world = world
         self._clock = clock
         self._handlers = dict(handlers or {})
+        self._input_watchers = join_watchers(o.input_watchers() for o in observers)
+        self._effect_watchers = join_watchers(o.effect_watchers() for o in observers)
         self._inbox: list[object] = []
         self._is_scheduled = False
         self._is_gathering = False
@@ -84,9 +90,15 @@
         messages, self._inbox = self._inbox, []
         self.ticks += 1
         now_us = self._clock.now_us()
-        handlers = self._handlers
+        handlers, watchers = self._handlers, self._effect_watchers
+        for message in messages:
+            for watch in self._input_watchers.get(type(message), ()):
+                watch(message)
         for effect in self._world.tick(now_us, messages):
-            handler = handlers.get(type(effect))
+            kind = type(effect)
+            for watch in watchers.get(kind, ()):
+                watch(effect)
+            handler = handlers.get(kind)
             if handler is None:
                 continue
             try:
--- a/packages/papayapost/src/papayapost/storage/messages.py
+++ b/packages/papayapost/src/papayapost/storage/messages.py
@@ -35,6 +35,7 @@
     DIRECTORY = "directory"
     STATUS = "status"
     RECORD = "record"
+    RECORD_DETAIL = "record-detail"
     CLAIMS = "claims"
 
 
--- a/packages/papayapost/src/papayapost/traffic/part.py
+++ b/packages/papayapost/src/papayapost/traffic/part.py
@@ -2,19 +2,24 @@
 
 from dataclasses import dataclass
 
-from papayapost.distribution import DistributionPart
+from papayapost.distribution import RulesTable
 from papayapost.kernel import System
-from papayapost.membership import MembershipPart
+from papayapost.membership import Directory
 from papayapost.place import SelfRow
 from papayapost.traffic.balancing import NearestOfTwo
+from papayapost.traffic.concurrency import AdaptiveLimit, ConcurrencyLimit
 from papayapost.traffic.endings import EndCalls
 from papayapost.traffic.entry import RouteCalls
 from papayapost.traffic.link import LinkBudget
 from papayapost.traffic.offers import Offers
 from papayapost.traffic.owner import AdmitAttempts
 from papayapost.traffic.owner_tables import OwnerTables
+from papayapost.traffic.queues import QueueDiscipline, RankedQueues
+from papayapost.traffic.replies import Replies
 from papayapost.traffic.retries import BudgetedRetries, RetryPolicy
+from papayapost.traffic.seen import SeenAttempts
 from papayapost.traffic.settle import SettleAttempts
+from papayapost.traffic.shares import SharesInForce
 from papayapost.traffic.tables import TrafficTables
 from papayapost.traffic.track import FailureWatch, TrackUpstreams
 from papayapost.traffic.upstreams import Upstreams
@@ -35,10 +40,12 @@
 
 def build_traffic(
     me: SelfRow,
-    membership: MembershipPart,
-    distribution: DistributionPart,
+    directory: Directory,
+    rules: RulesTable,
     slots: int,
     retries: RetryPolicy | None = None,
+    queue: QueueDiscipline | None = None,
+    concurrency: ConcurrencyLimit | None = None,
 ) -> TrafficPart:
     """Return the traffic part of a node without any calls.
 
@@ -46,10 +53,9 @@
     ----------
     slots
         Calls that the own backend server runs at once; 0 without one.
-    retries
-        In place of `BudgetedRetries`.
+    retries, queue, concurrency
+        In place of `BudgetedRetries`, `RankedQueues` and `AdaptiveLimit`.
     """
-    directory = membership.directory
     calls = TrafficTables()
     owner = OwnerTables(slots)
     upstreams = Upstreams(me, directory)
@@ -59,8 +65,15 @@
     retries = retries or BudgetedRetries()
     systems: list[System] = [
         TrackUpstreams(directory, upstreams, calls, link),
-        RouteCalls(distribution.rules, calls, offers),
-        AdmitAttempts(me, owner),
+        RouteCalls(rules, calls, offers),
+        AdmitAttempts(
+            owner,
+            SeenAttempts(),
+            RankedQueues(slots) if queue is None else queue,
+            concurrency or AdaptiveLimit(slots),
+            SharesInForce(rules),
+            Replies(me, owner),
+        ),
         SettleAttempts(calls, upstreams, offers, retries, watch),
         EndCalls(calls, upstreams, offers, retries, watch, link),
     ]
