Measure the hop's ticks on the traffic part alone

Cause: the bench fed rules through the path of distribution, which changed. Change: it uses traffic_world.

--- a/packages/papayapost-testing/src/papayapost_testing/bench/hop.py
+++ b/packages/papayapost-testing/src/papayapost_testing/bench/hop.py
@@ -8,32 +8,25 @@
 import gc
 import time
 from collections.abc import Callable
-from random import Random
 
-from papayapost.distribution import RULES_KEY
 from papayapost.ids import (
     Address,
     AttemptId,
     CallId,
     ConnectionEpoch,
-    DataCentreId,
-    Incarnation,
     Micros,
     NodeId,
-    RegionId,
     ServiceName,
 )
-from papayapost.membership import BackendServerRow
-from papayapost.node import NodeWorld, build_node_world
-from papayapost.place import Place, SelfRow
-from papayapost.states import BackendServerState, Rank
-from papayapost.storage import ObjectSeen
+from papayapost.kernel import World
+from papayapost.states import Rank
 from papayapost.traffic import (
     AnswerBegun,
     AnswerEnded,
     AttemptOffer,
     BackendCallBegun,
     BackendCallEnded,
+    BackendCallStart,
     CallArrived,
 )
 from papayapost_node.batch import NoBatch
@@ -59,6 +52,7 @@
     RequestHead,
 )
 from papayapost_testing.bench.rows import BenchRow
+from papayapost_testing.worlds import backend_row, traffic_world
 
 __all__ = ["run"]
 
@@ -74,12 +68,7 @@
     + _BODY
 )
 _RULES = "route GET /* -> gusts rank=urgent idempotent=yes # Mei: wind desk\n"
-_ME = SelfRow(
-    NodeId("n1"),
-    Incarnation(1),
-    Place(DataCentreId("north-1"), RegionId("north")),
-    _ADDRESS,
-)
+_NODE = NodeId("n1")
 _ROUNDS = 7
 _BUFFER = memoryview(bytearray(4_096))
 
@@ -210,27 +199,13 @@
     return piece
 
 
-def _world() -> NodeWorld:
-    own = BackendServerRow(
-        _ME.node_id,
-        _ME.incarnation,
-        1,
-        ServiceName("gusts"),
-        _ME.place.data_centre,
-        _ME.place.region,
-        _ADDRESS,
-        8,
-        BackendServerState.READY,
-    )
-    world = build_node_world(_ME, [], own, Random(1))
-    world.world.tick(SystemClock().now_us(), world.first_messages())
-    seen = ObjectSeen(RULES_KEY, 1, _RULES)
-    world.world.tick(SystemClock().now_us(), [seen])
-    return world
+def _world() -> World:
+    own = backend_row(_NODE, "gusts", slots=8)
+    return traffic_world(own, rules=_RULES).world
 
 
 def _tick_piece() -> Callable[[], None]:
-    world = _world().world
+    world = _world()
     clock = SystemClock()
     number = 0
 
@@ -239,12 +214,12 @@
         number += 1
         arrived = CallArrived(CallId(number), "GET", "wind.example", "/gusts/wanli")
         effects = world.tick(clock.now_us(), [arrived])
-        attempt_id = effects[-1].attempt_id
+        attempt_id = next(e.attempt_id for e in effects if type(e) is BackendCallStart)
         ended = [
             BackendCallBegun(attempt_id, 200),
             BackendCallEnded(attempt_id, True, True),
-            AnswerBegun(_ME.node_id, attempt_id, 200, 8),
-            AnswerEnded(_ME.node_id, attempt_id, True, 256),
+            AnswerBegun(_NODE, attempt_id, 200, 8),
+            AnswerEnded(_NODE, attempt_id, True, 256),
         ]
         world.tick(clock.now_us(), ended)
 
@@ -253,12 +228,12 @@
 
 def _node_piece() -> Callable[[], None]:
     world = _world()
-    runner = WorldRunner(world.world, SystemClock())
-    courier = NodeCourier(_ADDRESS, lambda address, message: True)
+    runner = WorldRunner(world, SystemClock())
+    courier = NodeCourier(Address(f"{_NODE}:1"), lambda address, message: True)
     budget = WindowBudget(1 << 20)
-    callers = CallerSide(_ME.node_id, courier, runner.post, budget)
+    callers = CallerSide(_NODE, courier, runner.post, budget)
     pool = _MemoryPool(runner)
-    owner = OwnerSide(_ME.node_id, pool, courier, runner.post, lambda: 0, budget)
+    owner = OwnerSide(_NODE, pool, courier, runner.post, lambda: 0, budget)
     for side in (callers, owner):
         courier.connect(side.carriers())
         runner.connect(side.handlers())
@@ -287,7 +262,7 @@
 
 def _offer() -> OfferCarrier:
     offer = AttemptOffer(
-        sender=_ME.node_id,
+        sender=_NODE,
         reply_to=_ADDRESS,
         attempt_id=AttemptId("n1/5f3a2b1c/1a2b"),
         epoch=ConnectionEpoch(1),
@@ -299,11 +274,11 @@
     )
     headers = [(b"host", b"wind.example")]
     head = RequestHead("GET", "/gusts/wanli?now", headers)
-    return OfferCarrier(_ME.node_id, offer, head, b"", True, 65_536)
+    return OfferCarrier(_NODE, offer, head, b"", True, 65_536)
 
 
 def _answer() -> AnswerCarrier:
     attempt_id = AttemptId("n1/5f3a2b1c/1a2b")
     return AnswerCarrier(
-        _ME.node_id, attempt_id, 200, _ANSWER_HEADERS, _BODY, True, True, 3, []
+        _NODE, attempt_id, 200, _ANSWER_HEADERS, _BODY, True, True, 3, []
     )
