--- a/packages/papayapost-testing/src/papayapost_testing/demo/director.py
+++ b/packages/papayapost-testing/src/papayapost_testing/demo/director.py
@@ -165,7 +165,7 @@
         stored = await HttpStoreClient(self._store_address).read("config", "rules")
         account = await read_account(self._store_address)
         version = RuleVersion(stored.version)
-        applied_us = Micros(account.last_write_us)
+        applied_us = Micros(account.written_us["/objects/config/rules"])
         self._runner.post(RulesApplied(version, applied_us, step.subject))
 
     async def _start_nodes(self, step: StepRow) -> None:
--- a/packages/papayapost-testing/src/papayapost_testing/store/systems.py
+++ b/packages/papayapost-testing/src/papayapost_testing/store/systems.py
@@ -69,7 +69,7 @@
             tick.post(ReplyReady(update.number, ReplyKind.CONFLICT, current))
             return
         tables.last_version += 1
-        tables.account.last_write_us = tick.now_us
+        tables.account.written_us[update.path] = tick.now_us
         earlier = row.value if row else b""
         changed = ObjectRow(
             update.path, tables.last_version, update.value, current, earlier
--- a/packages/papayapost-testing/src/papayapost_testing/store/tables.py
+++ b/packages/papayapost-testing/src/papayapost_testing/store/tables.py
@@ -1,6 +1,6 @@
 """Tables of the object store stand-in."""
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from enum import Enum
 from typing import NewType
 
@@ -88,8 +88,8 @@
 
     Attributes
     ----------
-    last_write_us
-        Monotonic time of the last update that took effect, in µs.
+    written_us
+        Monotonic time of each object's last update, in µs.
     """
 
     reads: int = 0
@@ -97,7 +97,7 @@
     conflicts: int = 0
     read_bytes: int = 0
     written_bytes: int = 0
-    last_write_us: int = 0
+    written_us: dict[str, int] = field(default_factory=dict)
 
 
 class StoreTables:
