--- a/packages/papayapost-node/src/papayapost_node/store/values.py
+++ b/packages/papayapost-node/src/papayapost_node/store/values.py
@@ -57,7 +57,6 @@
     value_type = VALUE_TYPES[kind]
     if value_type is str:
         return decode_text(data)
-        return data.decode()
     if value_type is AcceptedRules:
         return _decode_accepted(data.decode())
     if value_type is DataCentreImage:
