--- a/packages/papayapost/src/papayapost/distribution/follow.py
+++ b/packages/papayapost/src/papayapost/distribution/follow.py
@@ -77,7 +77,7 @@
         if tick.take(ParentChanged):
             self._follow.failures = 0
             self._ask(tick)
-        elif tick.take(RequestDue) or (tick.take(CatchUpDue) and self._is_behind()):
+        elif tick.take(RequestDue) or self._is_catch_up_due(tick):
             self._ask(tick)
 
     def _expect(self, tick: Tick, seen: ParentVersionSeen) -> None:
@@ -87,9 +87,9 @@
             due_us = Micros(tick.now_us + pause_us)
             tick.set_timer(CatchUpDue, due_us, CatchUpDue())
 
-    def _is_behind(self) -> bool:
-        parent, follow = self._tree.parent, self._follow
-        if parent is None or follow.fetch is not None:
+    def _is_catch_up_due(self, tick: Tick) -> bool:
+        parent, fetch = self._tree.parent, self._follow.fetch
+        if not tick.take(CatchUpDue) or parent is None or fetch is not None:
             return False
         return parent.version > self._rules.held_version
 
