Claim a charge's key in the store before it may run

Cause: a caller's repeat of a charge through another node ran twice. Change: claims by partition, added by conditional updates that batch all waiting wishes, recognised after lost replies, given back when unused and taken over by the next attempt of the same call; writes are paced for the fleet. Keyed calls of a data centre go to one owner per partition. An owner refuses an offer that is meant for another service.

--- a/packages/papayapost-node/src/papayapost_node/store/values.py
+++ b/packages/papayapost-node/src/papayapost_node/store/values.py
@@ -13,6 +13,7 @@
 from papayapost.distribution import AcceptedRules, StatusReport
 from papayapost.ids import RuleVersion
 from papayapost.storage import ObjectKind
+from papayapost.traffic import ClaimsObject
 
 __all__ = ["VALUE_TYPES", "decode_value", "encode_value"]
 
@@ -20,6 +21,7 @@
     ObjectKind.CONFIG: str,
     ObjectKind.ACCEPTED: AcceptedRules,
     ObjectKind.STATUS: StatusReport,
+    ObjectKind.CLAIMS: ClaimsObject,
 }
 
 _ACCEPTED_PREFIX = "# papayapost version "
--- a/packages/papayapost/src/papayapost/node.py
+++ b/packages/papayapost/src/papayapost/node.py
@@ -29,7 +29,11 @@
 
     def first_messages(self) -> list:
         """Return what the first tick takes."""
-        return [*self.membership.first_messages, *self.distribution.first_messages]
+        return [
+            *self.membership.first_messages,
+            *self.distribution.first_messages,
+            *self.traffic.first_messages,
+        ]
 
 
 def build_node_world(
--- a/packages/papayapost/src/papayapost/traffic/__init__.py
+++ b/packages/papayapost/src/papayapost/traffic/__init__.py
@@ -1,6 +1,7 @@
 """Calls: routing at the entry node, admission at the owner node."""
 
 from papayapost.traffic.balancing import BalancingPolicy, NearestOfTwo
+from papayapost.traffic.claims_tables import ClaimsObject, ClaimToken
 from papayapost.traffic.endings import EndCalls
 from papayapost.traffic.entry import RouteCalls
 from papayapost.traffic.messages import (
@@ -61,6 +62,8 @@
     "CallExpired",
     "CallRefusal",
     "CallerGone",
+    "ClaimToken",
+    "ClaimsObject",
     "CutAnswer",
     "DrainComplete",
     "DrainRequested",
--- /dev/null
+++ b/packages/papayapost/src/papayapost/traffic/claim_results.py
@@ -0,0 +1,147 @@
+"""Takes the object store's results about claims."""
+
+from papayapost.kernel import System, Tick
+from papayapost.observe import Event, Noted
+from papayapost.storage import (
+    ObjectKey,
+    ObjectKind,
+    ObjectSeen,
+    ObjectUpdated,
+    RequestId,
+    StoreFailed,
+    UpdateConflicted,
+    UpdateUnknown,
+)
+from papayapost.traffic.claim_requests import (
+    ClaimRequests,
+    digest_of,
+    settle_claim,
+)
+from papayapost.traffic.claims_tables import (
+    ClaimsDue,
+    ClaimsObject,
+    ClaimTables,
+    ClaimVerdict,
+    PartitionReady,
+    PartitionRow,
+    PartitionState,
+)
+
+__all__ = ["SettleClaims"]
+
+
+class SettleClaims(System):
+    """Grants the claims whose update took effect, and reads after the rest.
+
+    A claim is granted only when its update took effect, or when a read shows
+    its own token: the reply to a successful update may have been lost.
+    """
+
+    consumes = (
+        ClaimsDue,
+        ObjectSeen,
+        ObjectUpdated,
+        StoreFailed,
+        UpdateConflicted,
+        UpdateUnknown,
+    )
+
+    def __init__(self, tables: ClaimTables, requests: ClaimRequests):
+        self._tables = tables
+        self._requests = requests
+
+    def run(self, tick: Tick) -> None:
+        """Take the result of each request that is still awaited."""
+        for updated in tick.take(ObjectUpdated):
+            if row := self._awaited(updated.key, updated.request_id):
+                self._updated(tick, row, updated.version)
+        for conflicted in tick.take(UpdateConflicted):
+            if row := self._awaited(conflicted.key, conflicted.request_id):
+                self._conflicted(tick, row)
+        for unknown in tick.take(UpdateUnknown):
+            if row := self._awaited(unknown.key, unknown.request_id):
+                self._unknown(tick, row)
+        self._take_reads(tick)
+        for due in tick.take(ClaimsDue):
+            self._due(tick, self._tables.partitions.require(due.key))
+
+    def _take_reads(self, tick: Tick) -> None:
+        for seen in tick.take(ObjectSeen):
+            if row := self._awaited(seen.key, seen.request_id):
+                self._seen(tick, row, seen)
+        for failed in tick.take(StoreFailed):
+            if row := self._awaited(failed.key, failed.request_id):
+                self._requests.pause(tick, row, failed.reason)
+
+    def _awaited(
+        self, key: ObjectKey, request_id: RequestId | None
+    ) -> PartitionRow | None:
+        if key.kind is not ObjectKind.CLAIMS or request_id is None:
+            return None
+        row = self._tables.partitions.get(key)
+        return row if row is not None and row.request_id == request_id else None
+
+    def _updated(self, tick: Tick, row: PartitionRow, version: int) -> None:
+        row.version, row.tokens, row.read_us = version, row.written, tick.now_us
+        row.failures = 0
+        # Nothing older can take effect any more: the version has moved.
+        row.releases = {
+            digest: attempt_id
+            for digest, attempt_id in row.releases.items()
+            if digest in row.tokens and row.tokens[digest].attempt_id == attempt_id
+        }
+        granted, row.in_flight = row.in_flight, []
+        for needed in granted:
+            settle_claim(tick, needed, ClaimVerdict.GRANTED)
+        self._go_idle(tick, row)
+
+    def _conflicted(self, tick: Tick, row: PartitionRow) -> None:
+        self._tables.conflicts += 1
+        tick.emit(Noted(Event.CLAIMS_CONFLICTED, detail=row.key.name))
+        row.waiting = row.in_flight + row.waiting
+        row.in_flight = []
+        self._requests.read(tick, row)
+
+    def _unknown(self, tick: Tick, row: PartitionRow) -> None:
+        for needed in row.in_flight:
+            needed.is_maybe_written = True
+        row.waiting = row.in_flight + row.waiting
+        row.in_flight = []
+        self._requests.read(tick, row)
+
+    def _seen(self, tick: Tick, row: PartitionRow, seen: ObjectSeen) -> None:
+        tokens = seen.value.tokens if isinstance(seen.value, ClaimsObject) else ()
+        row.version, row.read_us = seen.version, tick.now_us
+        row.tokens = {token.key_digest: token for token in tokens}
+        row.failures = 0
+        self._recognise(tick, row)
+        self._go_idle(tick, row)
+
+    def _recognise(self, tick: Tick, row: PartitionRow) -> None:
+        """Grant the wishes whose own token a read shows."""
+        left = []
+        for needed in row.waiting:
+            token = row.tokens.get(digest_of(needed.offer))
+            is_own = token is not None and token.attempt_id == needed.offer.attempt_id
+            if is_own and needed.is_maybe_written:
+                settle_claim(tick, needed, ClaimVerdict.GRANTED)
+            else:
+                left.append(needed)
+        row.waiting = left
+
+    def _due(self, tick: Tick, row: PartitionRow) -> None:
+        if row.state is PartitionState.WRITING:
+            self._unknown(tick, row)
+        elif row.state is PartitionState.READING:
+            self._requests.pause(tick, row, "no answer in time")
+        elif row.state is PartitionState.PAUSED:
+            row.state = PartitionState.UNREAD
+            tick.post(PartitionReady(row.key))
+        else:
+            tick.post(PartitionReady(row.key, is_due=True))
+
+    def _go_idle(self, tick: Tick, row: PartitionRow) -> None:
+        row.state = PartitionState.IDLE
+        row.request_id = None
+        tick.cancel_timer(("claims", row.key))
+        tick.post(PartitionReady(row.key))
--- a/packages/papayapost/src/papayapost/traffic/internal.py
+++ b/packages/papayapost/src/papayapost/traffic/internal.py
@@ -4,7 +4,7 @@
 
 from papayapost.ids import AttemptId, CallId, NodeId
 
-__all__ = ["AttemptLost", "CallDue", "EjectionOver"]
+__all__ = ["AttemptLost", "CallDue", "EjectionOver", "TrafficStarted"]
 
 
 @dataclass(slots=True)
@@ -26,3 +26,8 @@
     """Timer: an ejected upstream may be tried again."""
 
     node_id: NodeId
+
+
+@dataclass(slots=True)
+class TrafficStarted:
+    """First message: the process starts now."""
--- a/packages/papayapost/src/papayapost/traffic/messages.py
+++ b/packages/papayapost/src/papayapost/traffic/messages.py
@@ -64,6 +64,7 @@
     STALE_EPOCH = "stale-epoch"
     DUPLICATE = "duplicate"
     CLAIMS_UNAVAILABLE = "claims-unavailable"
+    WRONG_SERVICE = "wrong-service"
 
 
 class LossCause(Enum):
--- a/packages/papayapost/src/papayapost/traffic/offers.py
+++ b/packages/papayapost/src/papayapost/traffic/offers.py
@@ -1,11 +1,12 @@
 """Makes and withdraws attempts; shared by the systems of the entry node."""
 
-from papayapost.ids import AttemptId, Micros
+from papayapost.ids import AttemptId, IdempotencyKey, Micros
 from papayapost.kernel import Tick
 from papayapost.peering import PeerSend
 from papayapost.place import SelfRow
 from papayapost.states import LinkClass, Outcome
 from papayapost.traffic.balancing import BalancingPolicy
+from papayapost.traffic.claims_tables import digest_of_key, partition_of
 from papayapost.traffic.internal import CallDue
 from papayapost.traffic.link import HEAD_BYTES, LinkBudget
 from papayapost.traffic.messages import (
@@ -23,7 +24,7 @@
     CallStep,
     TrafficTables,
 )
-from papayapost.traffic.upstreams import UpstreamRow, Upstreams
+from papayapost.traffic.upstreams import ServiceRow, UpstreamRow, Upstreams
 
 __all__ = ["Offers", "close_call", "forget_attempt", "refuse_call", "set_step"]
 
@@ -129,6 +130,19 @@
         service = self._upstreams.service(route.service, tick.now_us)
         return self._policy.choose(service, call.tried, reach, tick.now_us, tick.random)
 
+    def _preferred(
+        self, service: ServiceRow, key: IdempotencyKey, call: CallRow
+    ) -> UpstreamRow | None:
+        """Return the upstream that claims for this key, if it has room.
+
+        One owner for each partition spares conflicts in the object store.
+        """
+        partition = partition_of(service.name, digest_of_key(key))
+        for row in service.preferred_for(partition.name):
+            if row.node_id not in call.tried:
+                return row if len(row.attempts) < row.slots else None
+        return None
+
     def _build(
         self,
         tick: Tick,
--- a/packages/papayapost/src/papayapost/traffic/owner.py
+++ b/packages/papayapost/src/papayapost/traffic/owner.py
@@ -2,9 +2,13 @@
 
 from papayapost.ids import AttemptId, Micros
 from papayapost.kernel import System, Tick
+from papayapost.membership import Directory
 from papayapost.observe import Event, Noted
+from papayapost.place import SelfRow
+from papayapost.traffic.claims_tables import ClaimSettled, ClaimVerdict
 from papayapost.traffic.concurrency import ConcurrencyLimit, ServiceTimes
 from papayapost.traffic.messages import AttemptCancel, AttemptOffer, RefusalCode
+from papayapost.traffic.owned import WaitingAttempts
 from papayapost.traffic.owner_messages import (
     AttemptExpired,
     BackendCallBegun,
@@ -22,6 +26,7 @@
 __all__ = ["AdmitAttempts"]
 
 _SHED_STATUS = 503
+_MAX_CLAIMED_BUDGET_US = 300_000_000
 
 
 class AdmitAttempts(System):
@@ -37,10 +42,13 @@
         BackendCallBegun,
         BackendCallEnded,
         AttemptOffer,
+        ClaimSettled,
     )
 
     def __init__(
         self,
+        me: SelfRow,
+        directory: Directory,
         tables: OwnerTables,
         seen: SeenAttempts,
         queue: QueueDiscipline,
@@ -48,12 +56,15 @@
         shares: SharesInForce,
         replies: Replies,
     ):
+        self._me = me
+        self._directory = directory
         self._tables = tables
         self._seen = seen
         self._queue = queue
         self._concurrency = concurrency
         self._shares = shares
         self._replies = replies
+        self._waiting = WaitingAttempts(tables, queue, replies)
         self._times = ServiceTimes()
 
     def run(self, tick: Tick) -> None:
@@ -69,6 +80,8 @@
             for offer in tick.take(AttemptOffer)
             if (row := self._receive(tick, offer)) is not None
         ]
+        for settled in tick.take(ClaimSettled):
+            self._settle_claim(tick, settled)
         for expired in tick.take(AttemptExpired):
             self._expire(tick, expired.attempt_id)
         self._fill_slots(tick)
@@ -101,31 +114,62 @@
 
     def _admit(self, tick: Tick, offer: AttemptOffer) -> OwnedRow | None:
         tables = self._tables
-        if tables.is_refusing or not tables.slots:
-            tables.counters.offers_after_grace += 1
-            self._replies.refuse(tick, offer, RefusalCode.DRAINING, 0)
+        code = self._reason_to_refuse(offer)
+        if code is not None:
+            self._replies.refuse(tick, offer, code, 0)
             return None
         service_us = self._times.estimate_us(offer.rank, tick.now_us)
-        wait_us = 0.0
-        if tables.waiting:
-            wait_us = self._queue.expected_wait_us(offer.rank, service_us, tables.limit)
+        wait_us = self._expected_wait_us(offer, service_us)
         if wait_us + service_us > offer.budget_us:
             self._replies.refuse(tick, offer, RefusalCode.DEADLINE, wait_us)
             return None
-        deadline_us = Micros(tick.now_us + offer.budget_us)
+        needs_claim = not offer.idempotent and offer.idempotency_key is not None
+        budget_us = offer.budget_us
+        if needs_claim:
+            budget_us = Micros(min(budget_us, _MAX_CLAIMED_BUDGET_US))
+        deadline_us = Micros(tick.now_us + budget_us)
         row = OwnedRow(offer, tick.now_us, deadline_us, OwnedState.QUEUED)
         tables.attempts.put(offer.attempt_id, row)
-        self._enqueue(tick, row, wait_us)
+        if needs_claim:
+            self._waiting.claim(tick, row)
+        else:
+            self._waiting.enqueue(tick, row, wait_us)
         return row
 
-    def _enqueue(self, tick: Tick, row: OwnedRow, wait_us: float) -> None:
-        for refused in self._queue.push(row):
-            code = RefusalCode.QUEUE_FULL
-            if refused is not row:
-                self._tables.counters.evicted += 1
-                code = RefusalCode.EVICTED
-            self._refuse_waiting(tick, refused, code, wait_us)
-        self._tables.waiting = len(self._queue)
+    def _reason_to_refuse(self, offer: AttemptOffer) -> RefusalCode | None:
+        """Return why an offer has no chance here, or None."""
+        tables = self._tables
+        own = self._directory.get(self._me.node_id)
+        if own is None or own.service != offer.service:
+            return RefusalCode.WRONG_SERVICE
+        if tables.is_refusing:
+            tables.counters.offers_after_grace += 1
+            return RefusalCode.DRAINING
+        if tables.claiming >= self._queue.places:
+            return RefusalCode.QUEUE_FULL
+        return None
+
+    def _expected_wait_us(self, offer: AttemptOffer, service_us: float) -> float:
+        tables = self._tables
+        if not tables.waiting:
+            return 0.0
+        return self._queue.expected_wait_us(offer.rank, service_us, tables.limit)
+
+    def _settle_claim(self, tick: Tick, settled: ClaimSettled) -> None:
+        row = self._tables.attempts.get(settled.attempt_id)
+        if row is None or row.state is not OwnedState.CLAIMING:
+            return
+        self._waiting.claimed(row)
+        if settled.verdict is ClaimVerdict.GRANTED:
+            self._waiting.enqueue(tick, row, 0)
+            return
+        row.is_claimed = False
+        code = RefusalCode.CLAIMS_UNAVAILABLE
+        if settled.verdict is ClaimVerdict.DUPLICATE:
+            code = RefusalCode.DUPLICATE
+            self._tables.counters.duplicates += 1
+            tick.emit(Noted(Event.DUPLICATE_REFUSED, attempt_id=settled.attempt_id))
+        self._waiting.refuse(tick, row, code, 0)
 
     def _fill_slots(self, tick: Tick) -> None:
         tables = self._tables
@@ -145,7 +189,7 @@
         left_us = row.deadline_us - tick.now_us
         if left_us <= 0 or left_us < service_us:
             self._tables.counters.expired += 1
-            self._refuse_waiting(tick, row, RefusalCode.DEADLINE, service_us)
+            self._waiting.refuse(tick, row, RefusalCode.DEADLINE, service_us)
             return
         row.state = OwnedState.RUNNING
         row.started_us = tick.now_us
@@ -159,7 +203,8 @@
 
     def _set_expiry(self, tick: Tick, row: OwnedRow) -> None:
         attempt_id = row.offer.attempt_id
-        if row.state is OwnedState.QUEUED and attempt_id in self._tables.attempts:
+        is_waiting = row.state is not OwnedState.RUNNING
+        if is_waiting and attempt_id in self._tables.attempts:
             expired = AttemptExpired(attempt_id)
             tick.set_timer(("owned", attempt_id), row.deadline_us, expired)
 
@@ -185,6 +230,7 @@
         held_us = tick.now_us - row.started_us
         self._queue.ended(row, held_us)
         if not ended.is_sent:
+            self._waiting.release(tick, row)
             self._replies.refuse(tick, offer, RefusalCode.UNREACHABLE, 0)
         elif ended.is_whole and not row.is_shed:
             self._times.sample(offer.rank, held_us, tick.now_us)
@@ -201,8 +247,8 @@
         if row.state is OwnedState.RUNNING:
             tick.emit(BackendCallCancel(attempt_id))
             return
-        self._take_out(row)
-        self._forget_waiting(tick, row)
+        self._waiting.take_out(row)
+        self._waiting.forget(tick, row)
         tick.emit(DropOffer(attempt_id))
 
     def _expire(self, tick: Tick, attempt_id: AttemptId) -> None:
@@ -210,21 +256,5 @@
         if row is None or row.state is OwnedState.RUNNING:
             return
         self._tables.counters.expired += 1
-        self._take_out(row)
-        self._refuse_waiting(tick, row, RefusalCode.DEADLINE, 0)
-
-    def _take_out(self, row: OwnedRow) -> None:
-        if row.state is OwnedState.QUEUED:
-            self._queue.remove(row)
-            self._tables.waiting = len(self._queue)
-
-    def _refuse_waiting(
-        self, tick: Tick, row: OwnedRow, code: RefusalCode, wait_us: float
-    ) -> None:
-        self._forget_waiting(tick, row)
-        self._replies.refuse(tick, row.offer, code, wait_us)
-
-    def _forget_waiting(self, tick: Tick, row: OwnedRow) -> None:
-        attempt_id = row.offer.attempt_id
-        self._tables.attempts.pop(attempt_id)
-        tick.cancel_timer(("owned", attempt_id))
+        self._waiting.take_out(row)
+        self._waiting.refuse(tick, row, RefusalCode.DEADLINE, 0)
--- a/packages/papayapost/src/papayapost/traffic/owner_tables.py
+++ b/packages/papayapost/src/papayapost/traffic/owner_tables.py
@@ -34,6 +34,8 @@
         server refuses work.
     is_cancelled
         Whether its entry node no longer waits for it.
+    is_claimed
+        Whether its key is, or may come to be, claimed for it.
     """
 
     offer: AttemptOffer
@@ -45,6 +47,7 @@
     is_begun: bool = False
     is_shed: bool = False
     is_cancelled: bool = False
+    is_claimed: bool = False
 
     @property
     def size_bytes(self) -> int:
@@ -86,8 +89,8 @@
         Slots in use at most, as the backend server bears.
     running, running_by_rank
         Attempts that hold a slot.
-    waiting
-        Attempts in the queue.
+    waiting, claiming
+        Attempts in the queue, and those whose key is not claimed yet.
     is_refusing
         Whether a drain has come so far that offers are refused.
     """
@@ -98,6 +101,7 @@
         self.running = 0
         self.running_by_rank = [0] * len(Rank)
         self.waiting = 0
+        self.claiming = 0
         self.is_refusing = False
         self.attempts: Table[AttemptId, OwnedRow] = Table("owned attempts")
         self.counters = OwnerCounters()
--- a/packages/papayapost/src/papayapost/traffic/part.py
+++ b/packages/papayapost/src/papayapost/traffic/part.py
@@ -7,9 +7,14 @@
 from papayapost.membership import Directory
 from papayapost.place import SelfRow
 from papayapost.traffic.balancing import NearestOfTwo
+from papayapost.traffic.claim_requests import ClaimRequests
+from papayapost.traffic.claim_results import SettleClaims
+from papayapost.traffic.claims import ClaimKeys
+from papayapost.traffic.claims_tables import ClaimPace, ClaimTables
 from papayapost.traffic.concurrency import AdaptiveLimit, ConcurrencyLimit
 from papayapost.traffic.endings import EndCalls
 from papayapost.traffic.entry import RouteCalls
+from papayapost.traffic.internal import TrafficStarted
 from papayapost.traffic.link import LinkBudget
 from papayapost.traffic.offers import Offers
 from papayapost.traffic.owner import AdmitAttempts
@@ -29,13 +34,15 @@
 
 @dataclass(slots=True)
 class TrafficPart:
-    """Tables and systems of calls and attempts."""
+    """Tables and systems of calls, and what their first tick takes."""
 
     calls: TrafficTables
     upstreams: Upstreams
     owner: OwnerTables
+    claims: ClaimTables
     link: LinkBudget
     systems: list[System]
+    first_messages: list[object]
 
 
 def build_traffic(
@@ -58,6 +65,8 @@
     """
     calls = TrafficTables()
     owner = OwnerTables(slots)
+    claims = ClaimTables(me)
+    requests = ClaimRequests(claims)
     upstreams = Upstreams(me, directory)
     link = LinkBudget(me)
     offers = Offers(me, calls, upstreams, NearestOfTwo(owner), link)
@@ -66,7 +75,11 @@
     systems: list[System] = [
         TrackUpstreams(directory, upstreams, calls, link),
         RouteCalls(rules, calls, offers),
+        SettleClaims(claims, requests),
+        ClaimKeys(claims, ClaimPace(rules, directory), requests),
         AdmitAttempts(
+            me,
+            directory,
             owner,
             SeenAttempts(),
             RankedQueues(slots) if queue is None else queue,
@@ -77,4 +90,6 @@
         SettleAttempts(calls, upstreams, offers, retries, watch),
         EndCalls(calls, upstreams, offers, retries, watch, link),
     ]
-    return TrafficPart(calls, upstreams, owner, link, systems)
+    return TrafficPart(
+        calls, upstreams, owner, claims, link, systems, [TrafficStarted()]
+    )
--- a/packages/papayapost/src/papayapost/traffic/settle.py
+++ b/packages/papayapost/src/papayapost/traffic/settle.py
@@ -36,7 +36,7 @@
 _REFUSAL_IS_FULL = frozenset(
     [RefusalCode.QUEUE_FULL, RefusalCode.EVICTED, RefusalCode.SHED]
 )
-_REFUSAL_IS_FAILURE = frozenset([RefusalCode.UNREACHABLE])
+_REFUSAL_IS_FAILURE = frozenset([RefusalCode.UNREACHABLE, RefusalCode.WRONG_SERVICE])
 
 
 class SettleAttempts(System):
--- a/packages/papayapost/src/papayapost/traffic/upstreams.py
+++ b/packages/papayapost/src/papayapost/traffic/upstreams.py
@@ -94,6 +94,9 @@
         Those of them that take work, by `LinkClass`.
     latency_us
         Decayed latency over all of them.
+    preferred
+        For each claims object, the upstreams in the order in which all
+        nodes of a data centre send its keys to them.
     """
 
     name: ServiceName
@@ -103,6 +106,7 @@
     is_stale: bool = True
     is_panicking: bool = False
     is_known: bool = False
+    preferred: dict[str, list[UpstreamRow]] = field(default_factory=dict)
 
     def sample_latency(self, latency_us: int) -> None:
         """Fold one answer's latency into the decayed one."""
@@ -122,6 +126,19 @@
             [row for row in chosen if row.distance is distance]
             for distance in LinkClass
         ]
+        self.preferred.clear()
+
+    def preferred_for(self, partition: str) -> list[UpstreamRow]:
+        """Return the upstreams of this data centre, the preferred first."""
+        order = self.preferred.get(partition)
+        if order is None:
+            near = [
+                *self.tiers[LinkClass.SELF],
+                *self.tiers[LinkClass.DATA_CENTRE],
+            ]
+            order = sorted(near, key=lambda row: _weight(partition, row.node_id))
+            self.preferred[partition] = order
+        return order
 
 
 class Upstreams:
@@ -216,3 +233,8 @@
             self.rows.put(row.node_id, known)
         known.slots = max(1, row.slots)
         return known
+
+
+def _weight(chooser: str, node_id: NodeId) -> int:
+    """Return a rendezvous hash: each chooser ranks the nodes its own way."""
+    return xxhash.xxh3_64_intdigest(f"{chooser}|{node_id}".encode())
--- a/packages/papayapost/tests/traffic/owners.py
+++ b/packages/papayapost/tests/traffic/owners.py
@@ -28,10 +28,13 @@
     def __init__(self, slots=2, rules=RULES, node=None):
         own = backend_row("owner", "gusts", slots=slots)
         self.node = node or traffic_world(own, [], rules)
-        self.tables = self.node.traffic.owner
         self.now_us = 1_000
         self.offers = 0
 
+    @property
+    def tables(self):
+        return self.node.traffic.owner
+
     def tick(self, *messages, after_us=10):
         self.now_us += after_us
         return self.node.world.tick(Micros(self.now_us), messages)
--- /dev/null
+++ b/packages/papayapost/tests/traffic/stores.py
@@ -0,0 +1,52 @@
+"""An object store that fails as a test says."""
+
+from enum import Enum
+
+from papayapost.storage import (
+    ObjectSeen,
+    ObjectUpdated,
+    ReadObject,
+    StoreFailed,
+    UpdateConflicted,
+    UpdateObject,
+    UpdateUnknown,
+)
+
+
+class StoreFault(Enum):
+    NONE = "none"
+    DOWN = "down"
+    LOST_REPLY = "lost-reply"
+
+
+class FakeStore:
+    def __init__(self):
+        self.objects = {}
+        self.writes = 0
+
+    def handles(self, effect):
+        return isinstance(effect, (UpdateObject, ReadObject))
+
+    def carry_out(self, effect, fault=StoreFault.NONE):
+        """Return the input that the effect's result comes back as."""
+        if isinstance(effect, ReadObject):
+            return self._read(effect, fault)
+        if fault is StoreFault.DOWN:
+            return UpdateUnknown(effect.key, effect.request_id, "down")
+        version, _ = self.objects.get(effect.key, (0, None))
+        if version != effect.expected_version:
+            return UpdateConflicted(effect.key, effect.request_id, version)
+        self.objects[effect.key] = (version + 1, effect.value)
+        self.writes += 1
+        if fault is StoreFault.LOST_REPLY:
+            return UpdateUnknown(effect.key, effect.request_id, "reply lost")
+        return ObjectUpdated(effect.key, effect.request_id, version + 1)
+
+    def _read(self, effect, fault):
+        if fault is StoreFault.DOWN:
+            return StoreFailed(effect.key, "down", effect.request_id)
+        version, value = self.objects.get(effect.key, (0, None))
+        return ObjectSeen(effect.key, version, value, effect.request_id)
+
+    def tokens(self):
+        return [token for _, value in self.objects.values() for token in value.tokens]
--- a/packages/papayapost/tests/traffic/test_balancing.py
+++ b/packages/papayapost/tests/traffic/test_balancing.py
@@ -41,9 +41,10 @@
         self.now_us += after_us
         return self.node.world.tick(Micros(self.now_us), messages)
 
-    def call(self, path="/gusts/wanli"):
+    def call(self, path="/gusts/wanli", method="GET", key=None):
         self.calls += 1
-        return self.tick(CallArrived(CallId(self.calls), "GET", "wind", path))
+        call_id = CallId(self.calls)
+        return self.tick(CallArrived(call_id, method, "wind", path, None, key))
 
     def answer(self, offer, status=200, after_us=1_000, free_slots=0):
         sender = offer.offer.sender
--- /dev/null
+++ b/packages/papayapost/tests/traffic/test_claims.py
@@ -0,0 +1,234 @@
+from papayapost.ids import AttemptId, IdempotencyKey, Micros, ServiceName
+from papayapost.states import Rank
+from papayapost.storage import ReadObject, UpdateObject
+from papayapost.traffic import BackendCallEnded, ClaimsObject, ClaimToken, RefusalCode
+from papayapost.traffic.claims import _MAX_TOKENS, RETENTION_S
+from papayapost.traffic.claims_tables import PARTITIONS
+from papayapost_testing.worlds import backend_row, traffic_world
+
+from .owners import Owner, refusals, started
+from .stores import FakeStore, StoreFault
+from .test_balancing import Entry, only
+
+KEY = IdempotencyKey("deposit-7")
+
+
+class Claimer(Owner):
+    """An owner whose store answers at once, as the test says."""
+
+    def __init__(self, store, name="owner", slots=2):
+        own = backend_row(name, "gusts", slots=slots)
+        super().__init__(node=traffic_world(own))
+        self.store = store
+        self.name = name
+
+    def charge(self, key=KEY, **fields):
+        offer = self.offer(idempotent=False, idempotency_key=key, **fields)
+        offer.attempt_id = AttemptId(f"{self.name}-{offer.attempt_id}")
+        return offer
+
+    def settle(self, effects, fault=StoreFault.NONE):
+        """Carry out store requests until none is left."""
+        seen = []
+        while effects:
+            requests = [e for e in effects if self.store.handles(e)]
+            seen += [e for e in effects if not self.store.handles(e)]
+            results = [self.store.carry_out(e, fault) for e in requests]
+            effects = self.tick(*results) if results else []
+        return seen
+
+    def take(self, *offers, fault=StoreFault.NONE):
+        return self.settle(self.tick(*offers), fault)
+
+
+def test_a_charge_starts_only_when_its_claim_took_effect():
+    owner = Claimer(FakeStore())
+    charge = owner.charge()
+    effects = owner.tick(charge)
+    while not any(isinstance(e, UpdateObject) for e in effects):
+        assert not started(effects)
+        effects = owner.tick(*map(owner.store.carry_out, effects))
+    assert not started(effects)
+    assert started(owner.settle(effects)) == [charge.attempt_id]
+
+
+def test_a_repeat_through_another_owner_does_not_run():
+    store = FakeStore()
+    first, second = Claimer(store, "a"), Claimer(store, "b")
+    charge, repeat = first.charge(), second.charge()
+    assert started(first.take(charge))
+    effects = second.take(repeat)
+    assert refusals(effects) == {repeat.attempt_id: RefusalCode.DUPLICATE}
+    assert not started(effects)
+
+
+def test_two_owners_at_once_let_one_of_two_repeats_run():
+    store = FakeStore()
+    first, second = Claimer(store, "a"), Claimer(store, "b")
+    read_a, read_b = first.tick(first.charge()), second.tick(second.charge())
+    write_a = first.tick(store.carry_out(read_a[0]))
+    write_b = second.tick(store.carry_out(read_b[0]))
+    ran = started(first.settle(write_a)) + started(second.settle(write_b))
+    assert len(ran) == 1
+    assert second.node.traffic.claims.conflicts == 1
+
+
+def test_a_claim_whose_reply_was_lost_is_recognised():
+    owner = Claimer(FakeStore())
+    charge = owner.charge()
+    (read,) = owner.tick(charge)
+    (write,) = owner.tick(owner.store.carry_out(read))
+    effects = owner.tick(owner.store.carry_out(write, StoreFault.LOST_REPLY))
+    assert not started(effects)
+    assert started(owner.settle(effects)) == [charge.attempt_id]
+    assert owner.store.writes == 1
+
+
+def test_a_write_that_takes_effect_late_is_recognised():
+    owner = Claimer(FakeStore())
+    charge = owner.charge()
+    (read,) = owner.tick(charge)
+    (late,) = owner.tick(owner.store.carry_out(read))
+    (again,) = owner.tick(owner.store.carry_out(late, StoreFault.DOWN))
+    (write,) = owner.tick(owner.store.carry_out(again))
+    owner.store.carry_out(late)
+    effects = owner.tick(owner.store.carry_out(write))
+    assert started(owner.settle(effects)) == [charge.attempt_id]
+
+
+def test_charges_are_refused_as_not_run_while_the_store_is_down():
+    owner = Claimer(FakeStore())
+    charge, other = owner.charge(), owner.charge(IdempotencyKey("other"))
+    effects = owner.take(charge, other, fault=StoreFault.DOWN)
+    assert set(refusals(effects).values()) == {RefusalCode.CLAIMS_UNAVAILABLE}
+    lookup = owner.offer()
+    assert started(owner.tick(lookup)) == [lookup.attempt_id]
+    owner.settle(owner.tick(after_us=2_000_000))
+    again = owner.charge()
+    assert started(owner.take(again)) == [again.attempt_id]
+
+
+def test_a_store_that_says_nothing_holds_a_charge_to_its_deadline_only():
+    owner = Claimer(FakeStore())
+    charge = owner.charge(budget_us=Micros(300_000))
+    owner.tick(charge)
+    refused = refusals(owner.tick(after_us=300_000))
+    assert refused == {charge.attempt_id: RefusalCode.DEADLINE}
+    assert owner.tables.claiming == 0
+    owner.tick(after_us=1_700_000)
+    again = owner.charge()
+    owner.settle(owner.tick(after_us=2_000_000))
+    assert started(owner.take(again)) == [again.attempt_id]
+
+
+def test_a_claim_is_given_back_when_its_attempt_does_not_run():
+    store = FakeStore()
+    first, second = Claimer(store, "a"), Claimer(store, "b")
+    charge = first.charge()
+    first.take(charge)
+    first.settle(first.tick(BackendCallEnded(charge.attempt_id, False, False)))
+    repeat = second.charge()
+    assert RefusalCode.DUPLICATE in refusals(second.take(repeat)).values()
+    first.settle(first.tick(after_us=1_000_000))
+    assert store.tokens() == []
+    second.tick(after_us=2_000_000)
+    assert started(second.take(second.charge()))
+
+
+def test_a_cancelled_charge_gives_back_a_claim_that_was_under_way():
+    owner = Claimer(FakeStore())
+    charge = owner.charge()
+    effects = owner.tick(charge)
+    owner.cancel(charge)
+    assert not started(owner.settle(effects))
+    owner.settle(owner.tick(after_us=1_000_000))
+    assert owner.store.tokens() == []
+    assert owner.is_idle()
+
+
+def test_the_next_attempt_of_a_call_takes_over_what_a_refused_one_claimed():
+    store = FakeStore()
+    first, second = Claimer(store, "a"), Claimer(store, "b")
+    charge = first.charge()
+    first.take(charge)
+    first.settle(first.tick(BackendCallEnded(charge.attempt_id, False, False)))
+    retry = second.charge(refused_attempts=(charge.attempt_id,))
+    assert started(second.take(retry)) == [retry.attempt_id]
+    first.settle(first.tick(after_us=1_000_000))
+    assert [token.attempt_id for token in store.tokens()] == [retry.attempt_id]
+
+
+def test_claims_that_come_together_share_one_write():
+    owner = Claimer(FakeStore(), slots=200)
+    keys = [IdempotencyKey(f"key-{number}") for number in range(100)]
+    charges = [owner.charge(key) for key in keys]
+    effects = owner.take(*charges)
+    for _ in range(4):
+        effects += owner.settle(owner.tick(after_us=10_000))
+    assert len(started(effects)) == 100
+    assert owner.store.writes == PARTITIONS
+
+
+def test_a_key_is_free_again_after_its_retention():
+    store = FakeStore()
+    first, second = Claimer(store, "a"), Claimer(store, "b")
+    first.take(first.charge())
+    second.now_us += (RETENTION_S - 2) * 1_000_000
+    assert not started(second.take(second.charge()))
+    second.now_us += 4_000_000
+    assert started(second.take(second.charge()))
+
+
+def test_a_full_claims_object_stays_under_a_megabyte_and_refuses_more():
+    longest = AttemptId(f"{'n' * 63}/{1 << 60:x}/{1 << 40:x}")
+    token_bytes = len(f'{{"key_digest":"{"0" * 32}","attempt_id":"{longest}"}},')
+    assert _MAX_TOKENS * (token_bytes + len('"claimed_s":1234567890,')) < 1_000_000
+    owner = Claimer(FakeStore())
+    (read,) = owner.tick(owner.charge())
+    tokens = tuple(
+        ClaimToken(f"{number:032x}", longest, 10) for number in range(_MAX_TOKENS)
+    )
+    owner.store.objects[read.key] = (3, ClaimsObject(tokens))
+    effects = owner.settle([read])
+    assert set(refusals(effects).values()) == {RefusalCode.CLAIMS_UNAVAILABLE}
+
+
+def test_writes_of_claims_are_paced():
+    owner = Claimer(FakeStore(), slots=200)
+    rules = "route POST /* -> gusts # Mei: festival\n"
+    others = [backend_row(f"u{number}", "gusts") for number in range(99)]
+    own = backend_row("owner", "gusts", slots=200)
+    owner.node = traffic_world(own, others, rules)
+    for number in range(200):
+        owner.take(owner.charge(IdempotencyKey(f"key-{number}")))
+        owner.settle(owner.tick(after_us=10_000))
+    elapsed_s = owner.now_us / 1e6
+    assert owner.node.traffic.claims.writes <= 5 + 200 / 100 * elapsed_s
+
+
+def test_keyed_calls_go_to_one_owner_for_each_partition():
+    rules = "route POST /bookings -> gusts # Mei: festival\n"
+    rows = [backend_row(f"u{number}", "gusts") for number in range(8)]
+    entries = [Entry(rows, rules, backend_row(name, None)) for name in ("x", "y")]
+    used = []
+    for number in range(16):
+        pair = set()
+        for entry in entries:
+            key = IdempotencyKey(f"key-{number}")
+            pair.add(only(entry.call("/bookings", method="POST", key=key)).address)
+        assert len(pair) == 1
+        used += pair
+    assert len(set(used)) > 2
+
+
+def test_an_offer_for_another_service_is_refused_as_not_run():
+    owner = Owner()
+    offer = owner.offer(Rank.URGENT, service=ServiceName("archive"))
+    assert refusals(owner.tick(offer)) == {offer.attempt_id: RefusalCode.WRONG_SERVICE}
+
+
+def test_an_unkeyed_charge_asks_nothing_of_the_store():
+    owner = Claimer(FakeStore())
+    effects = owner.tick(owner.offer(idempotent=False))
+    assert started(effects)
+    assert not [e for e in effects if isinstance(e, (ReadObject, UpdateObject))]
--- a/packages/papayapost/tests/traffic/test_retries.py
+++ b/packages/papayapost/tests/traffic/test_retries.py
@@ -8,7 +8,6 @@
     AttemptCancel,
     AttemptFailed,
     AttemptRefused,
-    CallArrived,
     CallerGone,
     CutAnswer,
     DropAnswer,
@@ -34,8 +33,7 @@
         super().__init__(self.rows, RULES)
 
     def book(self):
-        self.calls += 1
-        return self.tick(arrival(self.calls, "POST", "/bookings"))
+        return self.call("/bookings", method="POST")
 
     def refuse(self, offer, code=RefusalCode.QUEUE_FULL):
         sender, attempt_id = offer.offer.sender, offer.offer.attempt_id
@@ -51,10 +49,6 @@
         return not (len(tables.calls) or len(tables.attempts) or left)
 
 
-def arrival(number, method, path):
-    return CallArrived(CallId(number), method, "wind", path)
-
-
 def cancelled(effects):
     messages = [e.message for e in effects if isinstance(e, PeerSend)]
     return [m.attempt_id for m in messages if isinstance(m, AttemptCancel)]
