--- a/packages/papayapost-node/src/papayapost_node/composition.py
+++ b/packages/papayapost-node/src/papayapost_node/composition.py
@@ -18,10 +18,16 @@
 from papayapost.place import Place, SelfRow
 from papayapost.states import BackendServerState
 from papayapost.storage import ReadObject, UnwatchObject, UpdateObject, WatchObject
+from papayapost_node.admin import (
+    AdminServer,
+    MetricsPage,
+    StatusPage,
+    TimelinePage,
+)
 from papayapost_node.clock import Clock, SystemClock
-from papayapost_node.events import EventLog
 from papayapost_node.exchange import CallerSide, NodeCourier, OwnerSide, WindowBudget
 from papayapost_node.http import BackendPool, StreamingServer
+from papayapost_node.observe import CallMeter, EventRecorder
 from papayapost_node.runner import WorldRunner
 from papayapost_node.settings import Settings
 from papayapost_node.store import HttpStoreClient, StoreShell
@@ -31,6 +37,7 @@
     WIRE_NUMBERS,
     CompressingCodec,
     MessagePackCodec,
+    StampingCodec,
 )
 
 __all__ = ["Node", "build_node"]
@@ -51,32 +58,39 @@
             _own_row(settings, self._me),
             Random(self._me.incarnation),
         )
-        self._log = EventLog(self._me.node_id)
-        self._codec = CompressingCodec(MessagePackCodec(WIRE_NUMBERS), CONTROL_TYPES)
+        self._log = EventRecorder(self._me.node_id, self._me.place.data_centre, clock)
+        self._meter = CallMeter(clock)
+        self.runner = WorldRunner(
+            self.world.world, clock, observers=[self._log, self._meter]
+        )
+        messages = CompressingCodec(MessagePackCodec(WIRE_NUMBERS), CONTROL_TYPES)
+        self._codec = StampingCodec(messages, self._log.hybrid_clock, clock)
         self._transport = ZmqTransport(self._me.peer_address)
         self._courier = NodeCourier(self._me.peer_address, self._send_to)
         budget = WindowBudget(_BODY_MEMORY_BYTES)
-        self._callers = CallerSide(self._me.node_id, self._courier, self._post, budget)
+        post = self.runner.post
+        self._callers = CallerSide(self._me.node_id, self._courier, post, budget)
         self._owner = self._owner_side(budget)
         self._courier.connect(self._callers.carriers())
         self._courier.connect(self._owner.carriers())
         store = HttpStoreClient(Address(settings.store_address))
-        self._store = StoreShell(store, self._post)
-        self._server = StreamingServer(Address(settings.caller_address), self._callers)
-        self.runner = WorldRunner(
-            self.world.world,
-            clock,
+        self._store = StoreShell(store, post)
+        self._server = StreamingServer(
+            Address(settings.caller_address), self._callers, batch=self.runner
+        )
+        self.runner.connect(self._callers.handlers())
+        self.runner.connect(self._owner.handlers())
+        self.runner.connect(
             {
-                **self._callers.handlers(),
-                **self._owner.handlers(),
                 PeerSend: self._send,
                 WatchObject: self._store.watch,
                 UnwatchObject: self._store.unwatch,
                 ReadObject: self._store.read,
                 UpdateObject: self._store.update,
                 Noted: self._log.note,
-            },
+            }
         )
+        self._admin = self._admin_server()
 
     async def start(self) -> None:
         """Listen for callers and peers and begin to watch the rules.
@@ -86,36 +100,48 @@
         OSError
             If an address is in use or not this machine's.
         """
-        self._transport.start(self._on_frame)
+        self._transport.start(self._on_frame, self.runner)
         await self._server.start()
+        if self._admin is not None:
+            await self._admin.start()
         for message in self.world.first_messages():
-            self._post(message)
+            self.runner.post(message)
         self._log.note_event(Event.NODE_STARTED)
 
     async def close(self) -> None:
         """Close everything at once."""
         self.runner.close()
         await self._server.close()
+        if self._admin is not None:
+            await self._admin.close()
         self._store.close()
         self._owner.close()
         self._transport.close()
         self._log.note_event(Event.NODE_STOPPED)
 
-    def _post(self, message: object) -> None:
-        self.runner.post(message)
+    def _admin_server(self) -> AdminServer | None:
+        if self._settings.admin_address is None:
+            return None
+        pages = [
+            TimelinePage(self._me, self._log),
+            MetricsPage(self._meter, self.world),
+            StatusPage(self._me, self.world),
+        ]
+        return AdminServer(Address(self._settings.admin_address), pages)
 
     def _owner_side(self, budget: WindowBudget) -> OwnerSide:
         backend = self._settings.backend_server
         pool = BackendPool(
             Address(backend.address) if backend else None,
             backend.connections if backend else 0,
+            self.runner,
         )
         tables = self.world.traffic.owner
         return OwnerSide(
             self._me.node_id,
             pool,
             self._courier,
-            self._post,
+            self.runner.post,
             lambda: tables.free_slots,
             budget,
         )
@@ -133,7 +159,7 @@
             self._log.note_event(Event.FRAME_REFUSED, str(error))
             return
         if not self._courier.take(message):
-            self._post(message)
+            self.runner.post(message)
 
 
 async def build_node(settings: Settings, clock: Clock | None = None) -> Node:
--- a/packages/papayapost-testing/src/papayapost_testing/distribution_worlds.py
+++ b/packages/papayapost-testing/src/papayapost_testing/distribution_worlds.py
@@ -6,36 +6,29 @@
 from papayapost.distribution import DistributionPart, build_distribution
 from papayapost.ids import (
     Address,
-    DataCentreId,
     Incarnation,
     Micros,
     NodeId,
-    RegionId,
     RuleVersion,
-    ServiceName,
 )
 from papayapost.kernel import World
 from papayapost.membership import (
-    BackendServerRow,
     ChildRow,
     Directory,
     ParentRow,
     TreeTables,
     directory_table,
 )
-from papayapost.place import Place, SelfRow
-from papayapost.states import BackendServerState
+from papayapost.place import SelfRow
+from papayapost_testing.worlds import NORTH_1
 
 __all__ = [
     "DistributionWorld",
-    "backend_server",
     "child_row",
     "distribution_world",
     "parent_row",
 ]
 
-_PLACE = Place(DataCentreId("north-1"), RegionId("north"))
-
 
 @dataclass(slots=True)
 class DistributionWorld:
@@ -57,7 +50,7 @@
 
     The node is reached at its own name in place of an address.
     """
-    me = SelfRow(NodeId(name), Incarnation(seed), _PLACE, Address(name))
+    me = SelfRow(NodeId(name), Incarnation(seed), NORTH_1, Address(name))
     directory, tree = directory_table(), TreeTables()
     part = build_distribution(me, directory, tree)
     world = World(part.systems, Random(seed))
@@ -72,18 +65,3 @@
 def child_row(name: str, version: int = 0) -> ChildRow:
     """Return the row of a child reached at its own name."""
     return ChildRow(NodeId(name), Address(name), Incarnation(1), RuleVersion(version))
-
-
-def backend_server(name: str, service: str) -> BackendServerRow:
-    """Return a ready backend server with one slot."""
-    return BackendServerRow(
-        node_id=NodeId(name),
-        incarnation=Incarnation(1),
-        revision=1,
-        service=ServiceName(service),
-        data_centre=_PLACE.data_centre,
-        region=_PLACE.region,
-        peer_address=Address(name),
-        slots=1,
-        state=BackendServerState.READY,
-    )
--- a/packages/papayapost/src/papayapost/observe/events.py
+++ b/packages/papayapost/src/papayapost/observe/events.py
@@ -18,6 +18,7 @@
     NODE_STARTED = 100
     NODE_DRAINING = 101
     NODE_STOPPED = 102
+    EFFECT_FAILED = 103
     RULES_IN_FORCE = 200
     RULES_REJECTED = 201
     RULES_WAITING = 202
@@ -64,6 +65,7 @@
     DIRECTORY_STORED = 611
     DIRECTORY_REPAIRED = 612
     JOINS_DEFERRED = 613
+    CHANGE_RECORDED = 700
 
 
 @dataclass(slots=True)
