Drain a node without cutting a request

Cause: nothing followed a stop request; owners refused or lost what ran. Change: DrainRequested announces, serves offers on their way for 3 s, refuses as not run, finishes calls, attempts and claims, says farewell to the mesh and emits DrainComplete; a backend server that drains by itself can return. Violations are counted on both sides.

--- a/packages/papayapost/src/papayapost/traffic/claims_tables.py
+++ b/packages/papayapost/src/papayapost/traffic/claims_tables.py
@@ -199,6 +199,12 @@
         """Return wall-clock time by this process's start and its clock."""
         return (self._me.incarnation + now_us - self.started_us) // 1_000_000
 
+    def is_busy(self) -> bool:
+        """Return whether claims are being written or are to be given back."""
+        return any(
+            row.waiting or row.in_flight or row.releases for row in self.partitions
+        )
+
 
 class ClaimPace:
     """A token bucket for writes of claims.
--- a/packages/papayapost/src/papayapost/traffic/internal.py
+++ b/packages/papayapost/src/papayapost/traffic/internal.py
@@ -4,7 +4,16 @@
 
 from papayapost.ids import AttemptId, CallId, NodeId
 
-__all__ = ["AttemptLost", "CallDue", "EjectionOver", "TrafficStarted"]
+__all__ = [
+    "AttemptLost",
+    "CallDue",
+    "DrainCheck",
+    "DrainFinished",
+    "DrainLimitPassed",
+    "EjectionOver",
+    "GraceOver",
+    "TrafficStarted",
+]
 
 
 @dataclass(slots=True)
@@ -31,3 +40,25 @@
 @dataclass(slots=True)
 class TrafficStarted:
     """First message: the process starts now."""
+
+
+@dataclass(slots=True)
+class GraceOver:
+    """Timer: other nodes have had time to learn of a drain."""
+
+
+@dataclass(slots=True)
+class DrainLimitPassed:
+    """Timer: the process exits with what is left."""
+
+
+@dataclass(slots=True)
+class DrainCheck:
+    """Internal: nothing seems to be left of a drain."""
+
+
+@dataclass(slots=True)
+class DrainFinished:
+    """Internal: the drain is over."""
+
+    is_clean: bool
--- a/packages/papayapost/src/papayapost/traffic/offers.py
+++ b/packages/papayapost/src/papayapost/traffic/offers.py
@@ -2,6 +2,7 @@
 
 from papayapost.ids import AttemptId, IdempotencyKey, Micros
 from papayapost.kernel import Tick
+from papayapost.observe import Event, Noted
 from papayapost.peering import PeerSend
 from papayapost.place import SelfRow
 from papayapost.states import LinkClass, Outcome
@@ -80,6 +81,9 @@
         upstream = self._choose(tick, call)
         if upstream is None:
             return False
+        if self._upstreams.is_leaving(upstream.node_id):
+            self._tables.counters.offers_to_draining += 1
+            tick.emit(Noted(Event.OFFER_TO_DRAINING, peer=upstream.node_id))
         self._sequence += 1
         attempt_id = AttemptId(f"{self._prefix}{self._sequence:x}")
         offer = self._build(tick, call, attempt_id, upstream)
--- a/packages/papayapost/src/papayapost/traffic/part.py
+++ b/packages/papayapost/src/papayapost/traffic/part.py
@@ -12,6 +12,7 @@
 from papayapost.traffic.claims import ClaimKeys
 from papayapost.traffic.claims_tables import ClaimPace, ClaimTables
 from papayapost.traffic.concurrency import AdaptiveLimit, ConcurrencyLimit
+from papayapost.traffic.drain import DrainRow, FinishDrain, StartDrain
 from papayapost.traffic.endings import EndCalls
 from papayapost.traffic.entry import RouteCalls
 from papayapost.traffic.internal import TrafficStarted
@@ -41,6 +42,7 @@
     owner: OwnerTables
     claims: ClaimTables
     link: LinkBudget
+    drain: DrainRow
     systems: list[System]
     first_messages: list[object]
 
@@ -69,10 +71,12 @@
     requests = ClaimRequests(claims)
     upstreams = Upstreams(me, directory)
     link = LinkBudget(me)
+    drain = DrainRow()
     offers = Offers(me, calls, upstreams, NearestOfTwo(owner), link)
     watch = FailureWatch(upstreams, calls)
     retries = retries or BudgetedRetries()
     systems: list[System] = [
+        StartDrain(me, directory, upstreams, owner, drain),
         TrackUpstreams(directory, upstreams, calls, link),
         RouteCalls(rules, calls, offers),
         SettleClaims(claims, requests),
@@ -89,7 +93,8 @@
         ),
         SettleAttempts(calls, upstreams, offers, retries, watch),
         EndCalls(calls, upstreams, offers, retries, watch, link),
+        FinishDrain(drain, calls, owner, claims),
     ]
     return TrafficPart(
-        calls, upstreams, owner, claims, link, systems, [TrafficStarted()]
+        calls, upstreams, owner, claims, link, drain, systems, [TrafficStarted()]
     )
--- a/packages/papayapost/src/papayapost/traffic/upstreams.py
+++ b/packages/papayapost/src/papayapost/traffic/upstreams.py
@@ -26,6 +26,7 @@
 
 _PANIC_SHARE = 0.5
 _LATENCY_WEIGHT = 0.2
+_LEAVING = frozenset([BackendServerState.DRAINING, BackendServerState.GONE])
 
 
 @dataclass(slots=True)
@@ -172,6 +173,11 @@
             self._rebuild(service, now_us)
         return service
 
+    def is_leaving(self, node_id: NodeId) -> bool:
+        """Return whether the directory says not to send new work there."""
+        row = self._directory.get(node_id)
+        return row is None or row.state in _LEAVING
+
     def mark_stale(self, name: ServiceName) -> None:
         """Rebuild the service's row before its next use."""
         service = self.services.get(name)
--- /dev/null
+++ b/packages/papayapost/tests/traffic/test_drain.py
@@ -0,0 +1,129 @@
+from papayapost.ids import CallId
+from papayapost.membership import DirectoryChanged
+from papayapost.states import BackendServerState
+from papayapost.traffic import (
+    AnswerBegun,
+    AnswerEnded,
+    BackendCallEnded,
+    DrainComplete,
+    DrainRequested,
+    OwnBackendServerSeen,
+    RefusalCode,
+)
+from papayapost.traffic.drain import GRACE_US
+from papayapost_testing.worlds import backend_row
+
+from .owners import Owner, refusals, started
+from .stores import FakeStore
+from .test_balancing import Entry, only, sent
+from .test_claims import Claimer
+
+
+def completed(effects):
+    return [e for e in effects if isinstance(e, DrainComplete)]
+
+
+def own_row(owner):
+    return owner.node.directory.require("owner")
+
+
+def test_a_draining_owner_serves_what_is_on_its_way_and_refuses_the_rest():
+    owner = Owner()
+    owner.tick(DrainRequested())
+    assert own_row(owner).state is BackendServerState.DRAINING
+    assert own_row(owner).revision == 2
+    on_its_way = owner.offer()
+    assert started(owner.tick(on_its_way, after_us=GRACE_US - 20))
+    owner.tick(after_us=20)
+    late = owner.offer()
+    assert refusals(owner.tick(late)) == {late.attempt_id: RefusalCode.DRAINING}
+    assert completed(owner.end(on_its_way.attempt_id)) == [DrainComplete(True)]
+    assert owner.node.world.next_due_us() is None
+
+
+def test_an_idle_node_stays_for_the_grace_period():
+    owner = Owner()
+    assert not completed(owner.tick(DrainRequested()))
+    assert not completed(owner.tick(after_us=GRACE_US - 10))
+    assert completed(owner.tick(after_us=10)) == [DrainComplete(True)]
+
+
+def test_queued_attempts_are_finished_before_a_drain_completes():
+    owner = Owner(slots=1)
+    offers = [owner.offer() for _ in range(3)]
+    running = started(owner.tick(*offers))
+    owner.tick(DrainRequested())
+    owner.tick(after_us=GRACE_US - 2_900_000)
+    done = []
+    while running:
+        effects = owner.end(running.pop())
+        running = started(effects)
+        done += completed(effects)
+    assert not done
+    assert completed(owner.tick(after_us=GRACE_US)) == [DrainComplete(True)]
+    assert owner.tables.counters.started[2] == 3
+
+
+def test_an_entry_node_finishes_its_calls_before_it_exits():
+    entry = Entry([backend_row("a", "gusts"), backend_row("b", "gusts")])
+    offer = only(entry.call())
+    entry.tick(DrainRequested())
+    begun = AnswerBegun(offer.offer.sender, offer.offer.attempt_id, 200, 1)
+    entry.tick(begun)
+    assert not completed(entry.tick(after_us=GRACE_US))
+    ended = AnswerEnded(offer.offer.sender, offer.offer.attempt_id, True)
+    assert completed(entry.tick(ended)) == [DrainComplete(True)]
+
+
+def test_a_drain_that_reaches_its_limit_says_that_work_was_left():
+    owner = Owner()
+    owner.tick(owner.offer())
+    owner.tick(DrainRequested(limit_ms=5_000))
+    owner.tick(after_us=GRACE_US)
+    assert completed(owner.tick(after_us=2_000_000)) == [DrainComplete(False)]
+
+
+def test_callers_of_a_draining_node_are_served_by_others():
+    own = backend_row("entry", "gusts")
+    entry = Entry([backend_row("a", "gusts")], own=own)
+    assert only(entry.call()).is_local
+    entry.tick(DrainRequested())
+    assert only(entry.call()).address == "a:1"
+    assert entry.node.traffic.calls.counters.offers_to_draining == 0
+
+
+def test_a_backend_server_that_drains_and_returns_takes_work_again():
+    owner = Owner()
+    owner.tick(OwnBackendServerSeen(BackendServerState.DRAINING))
+    assert not completed(owner.tick(after_us=GRACE_US))
+    refused = owner.offer()
+    assert refusals(owner.tick(refused))
+    owner.tick(OwnBackendServerSeen(BackendServerState.READY))
+    assert own_row(owner).state is BackendServerState.READY
+    assert started(owner.tick(owner.offer()))
+    assert not completed(owner.tick(after_us=GRACE_US))
+
+
+def test_a_drain_gives_back_claims_before_it_completes():
+    owner = Claimer(FakeStore())
+    charge = owner.charge()
+    owner.take(charge)
+    owner.tick(DrainRequested())
+    owner.tick(after_us=GRACE_US)
+    effects = owner.tick(BackendCallEnded(charge.attempt_id, False, False))
+    assert not completed(effects)
+    effects = owner.settle(owner.tick(after_us=1_000_000))
+    assert completed(effects) == [DrainComplete(True)]
+    assert owner.store.tokens() == []
+
+
+def test_an_offer_against_the_directory_is_counted():
+    rows = [backend_row("a", "gusts")]
+    entry = Entry(rows)
+    only(entry.call())
+    rows[0].state = BackendServerState.DRAINING
+    entry.call()
+    assert entry.node.traffic.calls.counters.offers_to_draining == 1
+    entry.tick(DirectoryChanged((rows[0],)))
+    assert not sent(entry.call())
+    assert CallId(3) not in entry.node.traffic.calls.calls
