--- a/packages/papayapost/src/papayapost/traffic/part.py
+++ b/packages/papayapost/src/papayapost/traffic/part.py
@@ -7,9 +7,15 @@
 from papayapost.membership import Directory
 from papayapost.place import SelfRow
 from papayapost.traffic.balancing import NearestOfTwo
+from papayapost.traffic.claim_requests import ClaimRequests
+from papayapost.traffic.claim_results import SettleClaims
+from papayapost.traffic.claims import ClaimKeys
+from papayapost.traffic.claims_tables import ClaimPace, ClaimTables
 from papayapost.traffic.concurrency import AdaptiveLimit, ConcurrencyLimit
+from papayapost.traffic.drain import DrainRow, FinishDrain, StartDrain
 from papayapost.traffic.endings import EndCalls
 from papayapost.traffic.entry import RouteCalls
+from papayapost.traffic.internal import TrafficStarted
 from papayapost.traffic.link import LinkBudget
 from papayapost.traffic.offers import Offers
 from papayapost.traffic.owner import AdmitAttempts
@@ -29,13 +35,16 @@
 
 @dataclass(slots=True)
 class TrafficPart:
-    """Tables and systems of calls and attempts."""
+    """Tables and systems of calls, and what their first tick takes."""
 
     calls: TrafficTables
     upstreams: Upstreams
     owner: OwnerTables
+    claims: ClaimTables
     link: LinkBudget
+    drain: DrainRow
     systems: list[System]
+    first_messages: list[object]
 
 
 def build_traffic(
@@ -58,15 +67,23 @@
     """
     calls = TrafficTables()
     owner = OwnerTables(slots)
+    claims = ClaimTables(me)
+    requests = ClaimRequests(claims)
     upstreams = Upstreams(me, directory)
     link = LinkBudget(me)
+    drain = DrainRow()
     offers = Offers(me, calls, upstreams, NearestOfTwo(owner), link)
     watch = FailureWatch(upstreams, calls)
     retries = retries or BudgetedRetries()
     systems: list[System] = [
+        StartDrain(me, directory, upstreams, owner, drain),
         TrackUpstreams(directory, upstreams, calls, link),
         RouteCalls(rules, calls, offers),
+        SettleClaims(claims, requests),
+        ClaimKeys(claims, ClaimPace(rules, directory), requests),
         AdmitAttempts(
+            me,
+            directory,
             owner,
             SeenAttempts(),
             RankedQueues(slots) if queue is None else queue,
@@ -76,5 +93,8 @@
         ),
         SettleAttempts(calls, upstreams, offers, retries, watch),
         EndCalls(calls, upstreams, offers, retries, watch, link),
+        FinishDrain(drain, calls, owner, claims),
     ]
-    return TrafficPart(calls, upstreams, owner, link, systems)
+    return TrafficPart(
+        calls, upstreams, owner, claims, link, drain, systems, [TrafficStarted()]
+    )
