--- a/packages/papayapost-node/src/papayapost_node/store/values.py
+++ b/packages/papayapost-node/src/papayapost_node/store/values.py
@@ -18,6 +18,7 @@
 from papayapost.record import ChangeDetail, RecordPage
 from papayapost.rules import decode_text
 from papayapost.storage import ObjectKind
+from papayapost.traffic import ClaimsObject
 
 __all__ = ["VALUE_TYPES", "decode_value", "encode_value"]
 
@@ -25,6 +26,7 @@
     ObjectKind.CONFIG: str,
     ObjectKind.ACCEPTED: AcceptedRules,
     ObjectKind.STATUS: StatusReport,
+    ObjectKind.CLAIMS: ClaimsObject,
     ObjectKind.DIRECTORY: DataCentreImage,
     ObjectKind.RECORD: RecordPage,
     ObjectKind.RECORD_DETAIL: ChangeDetail,
@@ -57,7 +59,6 @@
     value_type = VALUE_TYPES[kind]
     if value_type is str:
         return decode_text(data)
-        return data.decode()
     if value_type is AcceptedRules:
         return _decode_accepted(data.decode())
     if value_type is DataCentreImage:
--- a/packages/papayapost/src/papayapost/record/apply/starting.py
+++ b/packages/papayapost/src/papayapost/record/apply/starting.py
@@ -1,18 +1,18 @@
 """Systems that lead an apply up to its update."""
 
-from papayapost.distribution import RULES_KEY
+from papayapost.distribution import ACCEPTED_KEY, RULES_KEY, AcceptedRules
 from papayapost.errors import RulesRefused
 from papayapost.ids import NO_VERSION, RuleVersion
 from papayapost.kernel import System, Tick
 from papayapost.record.apply.ending import finish
 from papayapost.record.apply.messages import ApplyAsked, ApplyOutcome, ApplyReport
 from papayapost.record.apply.tables import ApplyRow, ApplyState, ApplyTable
-from papayapost.record.changeset import RulesText, changes_between
+from papayapost.record.changeset import RulesText, changes_between, printable_changes
 from papayapost.record.gather import GatherAsked, Gathered, GatheredObject, GatherId
 from papayapost.record.messages import StepDone, StepFailed, StepId, StepWanted
 from papayapost.record.model import RECORD_KEY, Proposal, RecordPage
 from papayapost.record.steps import ProposeVersion
-from papayapost.rules import compile_rules, diff_rules, digest_of
+from papayapost.rules import compile_rules, digest_of
 from papayapost.storage import RequestId, UpdateObject
 
 __all__ = ["UPDATE_REQUEST", "BeginUpdate", "ProposeApply", "StartApply"]
@@ -44,7 +44,8 @@
                 )
                 finish(tick, self._applies.row, report)
                 continue
-            tick.post(GatherAsked(_GATHER, (RULES_KEY, RECORD_KEY)))
+            keys = (RULES_KEY, RECORD_KEY, ACCEPTED_KEY)
+            tick.post(GatherAsked(_GATHER, keys))
 
 
 class ProposeApply(System):
@@ -63,7 +64,12 @@
                 self._decide(tick, row, *gathered.objects)
 
     def _decide(
-        self, tick: Tick, row: ApplyRow, rules: GatheredObject, record: GatheredObject
+        self,
+        tick: Tick,
+        row: ApplyRow,
+        rules: GatheredObject,
+        record: GatheredObject,
+        accepted: GatheredObject,
     ) -> None:
         failure = rules.failure or record.failure
         if failure:
@@ -72,11 +78,12 @@
         if isinstance(rules.value, str):
             row.base = RulesText(RuleVersion(rules.version), rules.value)
         row.version = row.base_version
-        row.changes = diff_rules(row.base.text if row.base else "", row.asked.text)
+        base_text = row.base.text if row.base else ""
+        row.changes = printable_changes(base_text, row.asked.text)
         page = record.value if isinstance(record.value, RecordPage) else RecordPage()
         early = _early_outcome(row)
         if early is None:
-            _propose(tick, row)
+            _propose(tick, row, _basis_of(row, accepted.value))
             return
         if early is ApplyOutcome.OVERTAKEN:
             row.rival = row.base
@@ -95,9 +102,9 @@
     return ApplyOutcome.PREVIEWED if row.asked.is_preview else None
 
 
-def _propose(tick: Tick, row: ApplyRow) -> None:
+def _propose(tick: Tick, row: ApplyRow, basis: RulesText | None) -> None:
     asked = row.asked
-    sized = changes_between(_basis_of(row), asked.text)
+    sized = changes_between(basis, asked.text)
     row.proposal = Proposal(
         asked.proposal_id,
         asked.operator,
@@ -112,13 +119,15 @@
     tick.post(StepWanted(_STEP, ProposeVersion(row.proposal, sized, current)))
 
 
-def _basis_of(row: ApplyRow) -> RulesText | None:
+def _basis_of(row: ApplyRow, accepted: object) -> RulesText | None:
     """Return the text that the record compares with: the last valid one."""
     if row.base is None:
         return RulesText(NO_VERSION, "")
     try:
         compile_rules(row.base.text)
     except RulesRefused:
+        if isinstance(accepted, AcceptedRules):
+            return RulesText(accepted.version, accepted.text)
         return None
     return row.base
 
