--- a/packages/papayapost-node/src/papayapost_node/composition.py
+++ b/packages/papayapost-node/src/papayapost_node/composition.py
@@ -60,9 +60,8 @@
         )
         self._log = EventRecorder(self._me.node_id, self._me.place.data_centre, clock)
         self._meter = CallMeter(clock)
-        self.runner = WorldRunner(
-            self.world.world, clock, observers=[self._log, self._meter]
-        )
+        observers = [self._log, self._meter]
+        self.runner = WorldRunner(self.world.world, clock, observers=observers)
         messages = CompressingCodec(MessagePackCodec(WIRE_NUMBERS), CONTROL_TYPES)
         self._codec = StampingCodec(messages, self._log.hybrid_clock, clock)
         self._transport = ZmqTransport(self._me.peer_address)
