Tell a lost update from an overtaken one after a direct edit

Cause: a search over random schedules found an apply that reported itself overtaken although its version had been in the store: a version edited in the store has no known base, which read as base 0. A node that recorded two versions out of order also lost whose the earlier one was.

Change: only an applied version's base proves that another update of the same base never took effect. Entries keep the proposals that they overtook, so that a late entry finds its own. A record that cannot be written is event 701.

--- a/packages/papayapost-operator/src/papayapost_operator/log.py
+++ b/packages/papayapost-operator/src/papayapost_operator/log.py
@@ -56,7 +56,7 @@
     if not entry.changes.is_known:
         lines.append("  what it changed is not known")
     if entry.overtaken:
-        names = ", ".join(entry.overtaken)
+        names = ", ".join(proposal.operator for proposal in entry.overtaken)
         lines.append(f"  may have replaced a version of {names} unseen")
     return lines + change_lines(entry.changes.changes)
 
--- a/packages/papayapost-operator/tests/test_command_line.py
+++ b/packages/papayapost-operator/tests/test_command_line.py
@@ -2,6 +2,7 @@
 
 import pytest
 
+from papayapost_operator.check import CheckCommand
 from papayapost_operator.main import run
 
 RULES = "route GET wind.example/gusts/* -> gusts rank=urgent # Lin: launches\n"
@@ -52,6 +53,21 @@
         assert capsys.readouterr().err.startswith("PP702: ")
 
 
+@pytest.mark.parametrize(
+    ("raised", "exit_code", "code"),
+    [(KeyboardInterrupt(), 130, "PP705"), (RuntimeError("odd state"), 70, "PP902")],
+)
+def test_an_interruption_and_a_fault_of_the_program_are_coded_errors(
+    raised, exit_code, code, rules_file, monkeypatch, capsys
+):
+    def fail(command: CheckCommand) -> None:
+        raise raised
+
+    monkeypatch.setattr(CheckCommand, "run", fail)
+    assert run(["check", rules_file]) == exit_code
+    assert capsys.readouterr().err.startswith(f"{code}: ")
+
+
 def test_help_is_shown_only_when_asked_for(capsys):
     assert run(["apply", "--help"]) == 0
     output = capsys.readouterr()
--- a/packages/papayapost/src/papayapost/observe/events.py
+++ b/packages/papayapost/src/papayapost/observe/events.py
@@ -66,6 +66,7 @@
     DIRECTORY_REPAIRED = 612
     JOINS_DEFERRED = 613
     CHANGE_RECORDED = 700
+    RECORD_FAILED = 701
 
 
 @dataclass(slots=True)
--- a/packages/papayapost/src/papayapost/record/apply/resolving.py
+++ b/packages/papayapost/src/papayapost/record/apply/resolving.py
@@ -15,7 +15,7 @@
 from papayapost.record.changeset import RulesText
 from papayapost.record.gather import GatherAsked, Gathered, GatheredObject, GatherId
 from papayapost.record.messages import StepDone, StepFailed, StepId, StepWanted
-from papayapost.record.model import RecordPage
+from papayapost.record.model import Attribution, ChangeEntry, RecordPage
 from papayapost.record.steps import RecordVersion
 from papayapost.storage import ObjectUpdated, UpdateConflicted, UpdateUnknown
 
@@ -115,7 +115,8 @@
         is_own = entry is None or entry.proposal_id == row.asked.proposal_id
         outcome = ApplyOutcome.ACCEPTED if is_own else ApplyOutcome.UNCHANGED
         earlier = None if is_own else entry
-        finish(tick, row, row.report(outcome, earlier, is_recorded=True))
+        is_recorded = entry is not None
+        finish(tick, row, row.report(outcome, earlier, is_recorded=is_recorded))
 
 
 class CompareRival(System):
@@ -148,7 +149,7 @@
         elif row.rival.text == row.asked.text:
             row.version = row.rival.version
             report = row.report(ApplyOutcome.UNCHANGED, entry, is_recorded=True)
-        elif not row.unknowns or (entry and entry.base_version == row.base_version):
+        elif not row.unknowns or _has_same_base(entry, row):
             row.version = row.rival.version
             report = row.report(ApplyOutcome.OVERTAKEN, entry)
         else:
@@ -157,6 +158,16 @@
         finish(tick, row, report)
 
 
+def _has_same_base(entry: ChangeEntry | None, row: ApplyRow) -> bool:
+    """Return whether a version is known to have replaced the row's base.
+
+    Of a version that was edited in the store the base is not known.
+    """
+    if entry is None or entry.attribution is not Attribution.APPLIED:
+        return False
+    return entry.base_version == row.base_version
+
+
 def _resolve(tick: Tick, row: ApplyRow) -> None:
     row.state = ApplyState.RESOLVING
     tick.post(GatherAsked(_GATHER, (RULES_KEY,)))
--- a/packages/papayapost/src/papayapost/record/keeper.py
+++ b/packages/papayapost/src/papayapost/record/keeper.py
@@ -8,6 +8,7 @@
 from papayapost.distribution.backoff import jittered_backoff_us
 from papayapost.ids import Micros
 from papayapost.kernel import System, Tick
+from papayapost.observe import Event, Noted
 from papayapost.record.messages import PageDue, StepDone, StepFailed, StepWanted
 from papayapost.record.model import RECORD_KEY, RecordPage, detail_key, page_key
 from papayapost.record.steps import PageDraft
@@ -29,6 +30,7 @@
 _REQUEST = RequestId("record-page")
 _PAUSE_MIN_US = 100_000
 _PAUSE_MAX_US = 2_000_000
+_FAILURES_TO_NOTE = 5
 # A batch adds far fewer entries than a page holds, and a busy page is read
 # and written once for all that wait.
 _MAX_BATCH = 16
@@ -138,7 +140,11 @@
         elif self._tables.page.state is PageState.UPDATING:
             # Not at once: a store that reads from the past would be asked in
             # a circle.
-            _pause(tick, self._tables, "another update of the record came first")
+            _pause(
+                tick,
+                self._tables,
+                "each time another update came first, or the store shows an old copy",
+            )
 
     def _part_stored(self, tick: Tick, key: ObjectKey) -> None:
         page = self._tables.page
@@ -190,7 +196,8 @@
     """Read again after a pause, or give up after too many failures."""
     page = tables.page
     page.failures += 1
-    page.last_reason = reason
+    if page.failures == _FAILURES_TO_NOTE:
+        tick.emit(Noted(Event.RECORD_FAILED, detail=reason))
     if tables.max_failures is not None and page.failures >= tables.max_failures:
         for row in list(tables.steps):
             tables.steps.pop(row.step_id)
--- a/packages/papayapost/src/papayapost/record/model.py
+++ b/packages/papayapost/src/papayapost/record/model.py
@@ -119,8 +119,8 @@
     recorded_by
         The operator or node that wrote the entry.
     overtaken
-        Operators whose proposals on an earlier version may or may not have
-        been in force for a moment before this one.
+        Proposals on an earlier version that may or may not have been in
+        force for a moment before this one.
     """
 
     version: RuleVersion
@@ -133,7 +133,7 @@
     at_us: Micros
     recorded_by: str
     changes: ChangeSet
-    overtaken: tuple[Operator, ...] = ()
+    overtaken: tuple[Proposal, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/papayapost/src/papayapost/record/relay.py
+++ b/packages/papayapost/src/papayapost/record/relay.py
@@ -106,9 +106,9 @@
     def run(self, tick: Tick) -> None:
         """Ask for the entry; the record leaves it out if it stands."""
         for due in tick.take(RecordDue):
-            row = self._seen.unrecorded.get(due.version)
-            if row is not None:
-                tick.post(StepWanted(_step_id(due.version), RecordVersion(row)))
+            for version, row in self._seen.unrecorded.items():
+                if version <= due.version:
+                    tick.post(StepWanted(_step_id(version), RecordVersion(row)))
         for done in tick.take(StepDone):
             self._forget(tick, done)
 
--- a/packages/papayapost/src/papayapost/record/steps.py
+++ b/packages/papayapost/src/papayapost/record/steps.py
@@ -60,9 +60,11 @@
 
         Two nodes that archive the same page have to write the same content.
         """
-        if not _is_full(self.page):
-            entries = sorted((*self.page.entries, entry), key=lambda e: e.version)
-            self.page = replace(self.page, entries=tuple(entries))
+        if _is_full(self.page):
+            return
+        entries = [_without_overtaken(e, entry.proposal_id) for e in self.page.entries]
+        entries = sorted((*entries, entry), key=lambda e: e.version)
+        self.page = replace(self.page, entries=tuple(entries))
 
 
 class PageStep(ABC):
@@ -116,7 +118,7 @@
         page, version = draft.page, self.seen.version
         if version == 0 or page.entry_of(version) is not None:
             return
-        if page.entries and version < page.entries[0].version:
+        if page.number > 1 and version < page.entries[0].version:
             return
         entry = self._entry(draft)
         left = tuple(p for p in page.proposals if p.base_version >= version)
@@ -175,9 +177,13 @@
         """
         if self.claimed is not None:
             return self.claimed
-        newest_version = page.newest.version if page.newest else 0
-        for proposal in page.proposals:
-            is_open = newest_version <= proposal.base_version < self.seen.version
+        version = self.seen.version
+        earlier = [e.version for e in page.entries if e.version < version]
+        later = [e for e in page.entries if e.version > version]
+        newest_version = earlier[-1] if earlier else NO_VERSION
+        overtaken = [proposal for e in later for proposal in e.overtaken]
+        for proposal in (*page.proposals, *overtaken):
+            is_open = newest_version <= proposal.base_version < version
             if is_open and proposal.digest == digest:
                 return proposal
         return None
@@ -227,10 +233,16 @@
     return changes + len(page.entries) * _ENTRY_OVERHEAD_BYTES >= _MAX_PAGE_BYTES
 
 
-def _others(page: RecordPage, digest: str, chosen: Proposal) -> tuple[Operator, ...]:
+def _without_overtaken(entry: ChangeEntry, proposal_id: ProposalId) -> ChangeEntry:
+    """Return an entry after it has come out what became of a proposal."""
+    left = tuple(p for p in entry.overtaken if p.proposal_id != proposal_id)
+    return entry if left == entry.overtaken else replace(entry, overtaken=left)
+
+
+def _others(page: RecordPage, digest: str, chosen: Proposal) -> tuple[Proposal, ...]:
     """Return who proposed the very same text on the same base."""
     return tuple(
-        proposal.operator
+        proposal
         for proposal in page.proposals
         if proposal.proposal_id != chosen.proposal_id
         and proposal.digest == digest
@@ -238,9 +250,9 @@
     )
 
 
-def _bases_passed(page: RecordPage, version: RuleVersion) -> tuple[Operator, ...]:
-    """Return whose proposals may have been in force before the version."""
-    return tuple(p.operator for p in page.proposals if p.base_version < version)
+def _bases_passed(page: RecordPage, version: RuleVersion) -> tuple[Proposal, ...]:
+    """Return the proposals that may have been in force before the version."""
+    return tuple(p for p in page.proposals if p.base_version < version)
 
 
 def _compiles(text: str) -> bool:
--- a/packages/papayapost/src/papayapost/record/tables.py
+++ b/packages/papayapost/src/papayapost/record/tables.py
@@ -38,8 +38,6 @@
         Details and archived pages that have to be stored before the draft.
     failures
         Failures of the store since it last answered.
-    last_reason
-        What the store's last failure said.
     """
 
     state: PageState = PageState.IDLE
@@ -48,7 +46,6 @@
     taken: tuple[StepId, ...] = ()
     parts: dict[ObjectKey, object] = field(default_factory=dict)
     failures: int = 0
-    last_reason: str = ""
 
 
 @dataclass(slots=True)
--- a/packages/papayapost/tests/test_record.py
+++ b/packages/papayapost/tests/test_record.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from papayapost.distribution import RULES_KEY, RulesTable
+from papayapost.distribution import ACCEPTED_KEY, RULES_KEY, RulesTable
 from papayapost.ids import (
     Address,
     DataCentreId,
@@ -23,9 +23,16 @@
     RECORD_KEY,
     Attribution,
     Operator,
+    PageDraft,
+    Proposal,
     ProposalId,
+    ProposeVersion,
     RecordPage,
+    RecordVersion,
+    RulesText,
+    SeenVersion,
     build_record,
+    changes_between,
     detail_key,
     page_key,
 )
@@ -36,6 +43,14 @@
     ApplyReport,
     build_apply,
 )
+from papayapost.record.questions import (
+    LogFilter,
+    LogReport,
+    QuestionAsked,
+    ReadLog,
+    build_question,
+)
+from papayapost.rules import digest_of
 from papayapost.states import BackendServerState
 from papayapost.storage import (
     ObjectKey,
@@ -145,9 +160,9 @@
 
 
 def apply(store: FakeStore, asked: ApplyAsked) -> ApplyReport:
-    (finished,) = drive(build_apply(Random(1)), store, asked)
-    assert isinstance(finished, ApplyFinished)
-    return finished.report
+    effects = drive(build_apply(Random(1)), store, asked)
+    (report,) = [e.report for e in effects if isinstance(e, ApplyFinished)]
+    return report
 
 
 def relay(store: FakeStore, rules: RulesTable | None = None) -> tuple[World, Callable]:
@@ -251,7 +266,8 @@
     report = apply(store, ask(rule("b"), "lin"))
     assert report.outcome is ApplyOutcome.UNKNOWN
     entry = store.page.newest
-    assert (entry.attribution, entry.overtaken) == (Attribution.EDITED, ("lin",))
+    assert entry.attribution is Attribution.EDITED
+    assert [proposal.operator for proposal in entry.overtaken] == ["lin"]
 
 
 def test_a_store_that_is_down_leaves_the_rules_or_the_record_for_later():
@@ -359,6 +375,73 @@
     ]
 
 
+def test_the_log_goes_back_over_pages_and_details():
+    store = FakeStore()
+    many = "\n".join(rule(f"a-long-path-name-{number}") for number in range(200))
+    apply(store, ask(many, "mei"))
+    for number in range(120):
+        apply(store, ask(rule(f"p{number}", "Bo"), f"op{number}"))
+
+    def log(**wanted) -> LogReport:
+        asked = QuestionAsked(ReadLog(LogFilter(**wanted)))
+        (answered,) = drive(build_question(Random(1)), store, asked)
+        return answered.report
+
+    newest = log(limit=110)
+    assert [e.operator for e in newest.entries[::109]] == ["op119", "op10"]
+    assert (newest.is_whole, newest.failure) == (False, "")
+    found = log(rule="name-199", owner="Ana", limit=9)
+    assert [(e.operator, len(e.changes.changes)) for e in found.entries] == [
+        ("op0", 1),
+        ("mei", 1),
+    ]
+    assert found.is_whole
+    store.down = {page_key(1)}
+    assert log(limit=110).failure == "down"
+
+
+def test_a_store_that_shows_an_old_copy_is_not_written_to():
+    store = FakeStore()
+    apply(store, ask(rule("a"), "mei"))
+    old = dict(store.objects)
+    apply(store, ask(rule("b"), "lin"))
+    current, answer = store.answer, store.objects
+
+    def show_old(effect: object) -> object:
+        if isinstance(effect, ReadObject):
+            return ObjectSeen(effect.key, *old[effect.key], effect.request_id)
+        return current(effect)
+
+    old[ACCEPTED_KEY] = (0, None)
+    store.answer = show_old
+    report = apply(store, ask(rule("c"), "bo"))
+    assert report.outcome is ApplyOutcome.UNAVAILABLE
+    assert "old copy" in report.reason
+    assert answer[RULES_KEY][1] == rule("b")
+
+
+def test_of_two_operators_with_the_same_text_the_winner_claims_the_version():
+    draft = PageDraft(RecordPage())
+    for name in ("mei", "lin"):
+        asked = ask(rule("a"), name)
+        sized = changes_between(RulesText(RuleVersion(0), ""), asked.text)
+        proposal = Proposal(
+            asked.proposal_id,
+            asked.operator,
+            asked.message,
+            RuleVersion(0),
+            digest_of(asked.text),
+            asked.asked_at_us,
+            sized.changes,
+        )
+        ProposeVersion(proposal, sized, None).apply(draft)
+    seen = SeenVersion(RuleVersion(7), rule("a"), Micros(9), "lin")
+    RecordVersion(seen, claimed=proposal).apply(draft)
+    entry = draft.page.newest
+    assert entry.operator == "lin"
+    assert [item.operator for item in entry.overtaken] == ["mei"]
+
+
 def test_changes_too_many_for_an_entry_stand_in_their_own_objects():
     store = FakeStore()
     text = "\n".join(rule(f"a-long-path-name-{number}") for number in range(2_000))
