--- a/packages/papayapost/src/papayapost/distribution/deltas.py
+++ b/packages/papayapost/src/papayapost/distribution/deltas.py
@@ -33,7 +33,7 @@
             except DeltaRefused as error:
                 self._note(tick, delta, error)
                 is_repair_due = is_repair_due or delta.version > chain.version
-        if chain.edits:
+        if chain.version > self._rules.held_version:
             self._follow.fetch = None
             tick.cancel_timer(FetchDue)
             tick.post(chain.offered())
--- /dev/null
+++ b/packages/papayapost/src/papayapost/distribution/fingerprint.py
@@ -0,0 +1,26 @@
+"""Sums of node hashes: whether two counts are of the same nodes."""
+
+import xxhash
+
+from papayapost.ids import NodeId
+
+__all__ = ["add_hashes", "node_hash"]
+
+_MODULUS = 1 << 64
+
+
+def node_hash(node_id: NodeId) -> int:
+    """Return the 64-bit hash of a node's name."""
+    return xxhash.xxh3_64_intdigest(node_id.encode())
+
+
+def add_hashes(left: int, right: int) -> int:
+    """Return the sum of two hashes or of two sums, in any order.
+
+    Examples
+    --------
+    >>> a, b = node_hash(NodeId("a")), node_hash(NodeId("b"))
+    >>> add_hashes(a, b) == add_hashes(b, a) != add_hashes(a, a)
+    True
+    """
+    return (left + right) % _MODULUS
--- a/packages/papayapost/src/papayapost/distribution/messages.py
+++ b/packages/papayapost/src/papayapost/distribution/messages.py
@@ -28,6 +28,7 @@
     "RulesInForce",
     "RulesRejected",
     "StoreBehind",
+    "StoreCaughtUp",
     "TextOffered",
     "WatchDue",
 ]
@@ -103,6 +104,11 @@
     reason: str
 
 
+@dataclass(slots=True)
+class StoreCaughtUp:
+    """Internal: the store shows what is held, or more, again."""
+
+
 @dataclass(slots=True)
 class KeepObject:
     """Internal: the object should hold this value."""
--- a/packages/papayapost/src/papayapost/distribution/peer_messages.py
+++ b/packages/papayapost/src/papayapost/distribution/peer_messages.py
@@ -121,6 +121,9 @@
         Newest version that the sender holds.
     nodes_in_force, nodes_total
         Nodes with `version` or a later one in force, of those that report.
+    fingerprint
+        Sum of the hashes of the nodes in force, modulo 2**64. A node that
+        changes its parent can be counted twice for a moment; the sum tells.
     laggards
         Some of the others.
     refused
@@ -131,6 +134,7 @@
     version: RuleVersion
     nodes_in_force: int
     nodes_total: int
+    fingerprint: int
     laggards: tuple[Laggard, ...]
     refused: tuple[RefusedVersion, ...]
 
--- a/packages/papayapost/src/papayapost/distribution/progress.py
+++ b/packages/papayapost/src/papayapost/distribution/progress.py
@@ -2,6 +2,7 @@
 
 from dataclasses import dataclass, field
 
+from papayapost.distribution.fingerprint import add_hashes, node_hash
 from papayapost.distribution.held import RulesTable
 from papayapost.distribution.messages import (
     ProgressCollected,
@@ -128,6 +129,7 @@
         own.note_refused(rules.refused)
         if rules.in_force is not None and rules.staged is None:
             own.in_force = 1
+            own.fingerprint = node_hash(self._me.node_id)
             return
         laggard = Laggard(self._me.node_id, rules.version, self._own_reason())
         own.laggards.append(laggard)
@@ -164,6 +166,7 @@
     """Progress of one data centre while it is added up."""
 
     in_force: int = 0
+    fingerprint: int = 0
     total: int = 0
     laggards: list[Laggard] = field(default_factory=list)
     refused: RefusedVersion | None = None
@@ -174,6 +177,7 @@
             self.note_refused(refused)
         if part.version >= version:
             self.in_force += part.nodes_in_force
+            self.fingerprint = add_hashes(self.fingerprint, part.fingerprint)
             self.laggards.extend(part.laggards)
         else:
             reason = f"has not acknowledged version {version}"
@@ -191,6 +195,7 @@
             version,
             self.in_force,
             self.total,
+            self.fingerprint,
             tuple(self.laggards[:MAX_LAGGARDS_SENT]),
             () if self.refused is None else (self.refused,),
         )
--- a/packages/papayapost/src/papayapost/distribution/reports.py
+++ b/packages/papayapost/src/papayapost/distribution/reports.py
@@ -1,10 +1,12 @@
 """The system that reports to the operators."""
 
+from papayapost.distribution.fingerprint import add_hashes, node_hash
 from papayapost.distribution.messages import (
     KeepObject,
     ProgressCollected,
     RulesHeld,
     StoreBehind,
+    StoreCaughtUp,
 )
 from papayapost.distribution.peer_messages import PartProgress
 from papayapost.distribution.status import (
@@ -27,10 +29,13 @@
 )
 
 
+_ENDS_OF_FAULT: tuple[type, ...] = (StoreCaughtUp, RulesHeld)
+
+
 class PublishStatus(System):
     """Turns collected progress into one report per data centre."""
 
-    consumes = (ProgressCollected, StoreBehind, RulesHeld)
+    consumes = (ProgressCollected, StoreBehind, StoreCaughtUp, RulesHeld)
 
     def __init__(self, me: SelfRow, directory: Directory, tree: TreeTables):
         self._me = me
@@ -41,7 +46,7 @@
 
     def run(self, tick: Tick) -> None:
         """Report what was collected, and a store that fell behind."""
-        if tick.take(RulesHeld):
+        if any(tick.take(kind) for kind in _ENDS_OF_FAULT):
             self._store_fault = None
         for behind in tick.take(StoreBehind):
             finding = Finding(_STORE_CODE, "store", behind.reason, _STORE_REMEDY)
@@ -67,8 +72,22 @@
             part.data_centre,
             self._me.node_id,
             part.version,
-            part.nodes_in_force,
+            self._in_force(part, known),
             max(known, part.nodes_total),
             tuple(laggards[:MAX_REPORTED_LAGGARDS]),
             refused,
         )
+
+    def _in_force(self, part: PartProgress, known: int) -> int:
+        """Return the nodes in force, never more than is certain of all."""
+        twice_counted = max(0, part.nodes_total - known)
+        in_force = part.nodes_in_force - min(part.nodes_in_force, twice_counted)
+        if in_force < known or self._is_of_all(part):
+            return in_force
+        return in_force - 1
+
+    def _is_of_all(self, part: PartProgress) -> bool:
+        expected = 0
+        for row in self._directory.find("data_centre", part.data_centre):
+            expected = add_hashes(expected, node_hash(row.node_id))
+        return expected == part.fingerprint
--- a/packages/papayapost/src/papayapost/distribution/source.py
+++ b/packages/papayapost/src/papayapost/distribution/source.py
@@ -7,6 +7,7 @@
     FallbackDue,
     RulesRejected,
     StoreBehind,
+    StoreCaughtUp,
     TextOffered,
     WatchDue,
 )
@@ -79,7 +80,11 @@
         store = self._store
         if self._tree.is_link_relay and not store.is_watching:
             store.is_watching = True
-            store.watched_after = self._rules.newest_seen
+            # What was seen in an earlier turn of the role may have been left
+            # before it was recorded, so the watch starts at what is held.
+            store.watched_after = self._rules.held_version
+            store.refused_version = None
+            tick.post(StoreCaughtUp())
             self._watch(tick)
         elif not self._tree.is_link_relay and store.is_watching:
             store.is_watching = False
@@ -138,12 +143,19 @@
         elif not isinstance(seen.value, str):
             return
         elif version > held_version:
-            self._store.refused_version = None
+            self._recover(tick)
             tick.post(TextOffered(version, seen.value))
-        elif digest_of(seen.value) != self._rules.held_digest:
+        elif digest_of(seen.value) == self._rules.held_digest:
+            self._recover(tick)
+        else:
             reason = f"the store's version {version} differs from the one held"
             self._report(tick, Event.STORE_DIVERGED, version, reason)
 
+    def _recover(self, tick: Tick) -> None:
+        if self._store.refused_version is not None:
+            self._store.refused_version = None
+            tick.post(StoreCaughtUp())
+
     def _report(
         self, tick: Tick, event: Event, version: RuleVersion, reason: str
     ) -> None:
