--- a/packages/papayapost/src/papayapost/distribution/accept.py
+++ b/packages/papayapost/src/papayapost/distribution/accept.py
@@ -22,11 +22,11 @@
 class AcceptRules(System):
     """Stages a compiled version once it is recorded as accepted.
 
-    A link relay records it in the store first, on condition of the record's
-    version. So a version that any node holds is one that every later link
-    relay finds, also if all nodes are replaced and the newest text is bad,
-    and a store that answers from the past is told by the refused condition.
-    What comes from a parent is recorded already.
+    What came from the store is recorded there first, on condition of the
+    record's version. So a version that any node holds is one that every later
+    link relay finds, also if all nodes are replaced and the newest text is
+    bad, and a store that answers from the past is told by the refused
+    condition. What comes from another node is recorded already.
     """
 
     consumes = (RulesCompiled, ObjectKept, RoleChanged)
@@ -37,13 +37,13 @@
 
     def run(self, tick: Tick) -> None:
         """Ask for the record, or stage what is recorded."""
-        if tick.take(RoleChanged) and not self._tree.is_link_relay:
+        if tick.take(RoleChanged) and not self._tree.watches_store:
             self._rules.candidate = None
         for compiled in tick.take(RulesCompiled):
-            if self._tree.is_link_relay:
-                self._record(tick, compiled.row)
-            else:
+            if compiled.is_recorded:
                 self._hold(tick, compiled.row, compiled.edits)
+            else:
+                self._record(tick, compiled.row)
         for kept in tick.take(ObjectKept):
             if isinstance(kept.value, AcceptedRules):
                 self._settle(tick, kept.value)
--- a/packages/papayapost/src/papayapost/distribution/follow.py
+++ b/packages/papayapost/src/papayapost/distribution/follow.py
@@ -20,7 +20,7 @@
 )
 from papayapost.distribution.tables import FetchRow, FollowTable
 from papayapost.errors import SnapshotRefused
-from papayapost.ids import Micros
+from papayapost.ids import Address, Micros
 from papayapost.kernel import System, Tick
 from papayapost.membership import ParentChanged, ParentVersionSeen, TreeTables
 from papayapost.observe import Event, Noted
@@ -167,7 +167,7 @@
                 # version follow as one delta.
                 return
             self._follow.fetch = FetchRow(
-                notice.version, notice.digest, notice.size_bytes
+                notice.sender, notice.version, notice.digest, notice.size_bytes
             )
         self._ask(tick)
 
@@ -220,7 +220,7 @@
         fetch = self._follow.fetch
         if fetch is None:
             return
-        if fetch.failures >= _MAX_CHUNK_FAILURES or self._tree.parent is None:
+        if fetch.failures >= _MAX_CHUNK_FAILURES or self._address_of(fetch) is None:
             self._drop(tick)
             tick.post(RequestDue())
             return
@@ -228,8 +228,9 @@
         self._ask(tick)
 
     def _ask(self, tick: Tick) -> None:
-        fetch, parent = self._follow.fetch, self._tree.parent
-        if fetch is None or parent is None:
+        fetch = self._follow.fetch
+        address = self._address_of(fetch) if fetch is not None else None
+        if fetch is None or address is None:
             return
         request = ChunkRequest(
             self._me.node_id,
@@ -238,12 +239,19 @@
             fetch.digest,
             len(fetch.received),
         )
-        tick.emit(PeerSend(parent.address, request))
+        tick.emit(PeerSend(address, request))
         pause_us = jittered_backoff_us(
             tick.random, fetch.failures, _CHUNK_RETRY_US, _CHUNK_RETRY_MAX_US
         )
         self._schedule(tick, pause_us)
 
+    def _address_of(self, fetch: FetchRow) -> Address | None:
+        child = self._tree.children.get(fetch.source)
+        if child is not None:
+            return child.address
+        parent = self._tree.parent
+        return parent.address if parent is not None else None
+
     def _schedule(self, tick: Tick, pause_us: int) -> None:
         tick.set_timer(FetchDue, Micros(tick.now_us + pause_us), FetchDue())
 
--- a/packages/papayapost/src/papayapost/distribution/keeping.py
+++ b/packages/papayapost/src/papayapost/distribution/keeping.py
@@ -188,7 +188,7 @@
 
     def _start(self, tick: Tick, row: KeptRow) -> None:
         row.is_scheduled = False
-        if not self._tree.is_link_relay or row.is_asked:
+        if not self._tree.watches_store or row.is_asked:
             return
         if row.known_version is None:
             row.is_asked = True
--- a/packages/papayapost/src/papayapost/distribution/messages.py
+++ b/packages/papayapost/src/papayapost/distribution/messages.py
@@ -57,12 +57,16 @@
     ----------
     base_version, edits
         How it differs from an earlier version; None where that is unknown.
+    is_recorded
+        Whether the store holds it as accepted; so it is with everything that
+        another node passes on.
     """
 
     version: RuleVersion
     text: str
     base_version: RuleVersion | None = None
     edits: tuple[LineEdit, ...] | None = None
+    is_recorded: bool = True
 
 
 @dataclass(slots=True)
@@ -73,10 +77,13 @@
     ----------
     edits
         How it differs from the held text, or None where that is unknown.
+    is_recorded
+        As in `TextOffered`.
     """
 
     row: VersionRow
     edits: tuple[LineEdit, ...] | None
+    is_recorded: bool = True
 
 
 @dataclass(slots=True)
--- a/packages/papayapost/src/papayapost/distribution/part.py
+++ b/packages/papayapost/src/papayapost/distribution/part.py
@@ -8,6 +8,7 @@
 from papayapost.distribution.follow import FetchSnapshots, FollowParent
 from papayapost.distribution.held import RulesTable
 from papayapost.distribution.keeping import KeepObjects, kept_objects
+from papayapost.distribution.overtaking import FollowChildren
 from papayapost.distribution.progress import ReportProgress
 from papayapost.distribution.reports import PublishStatus
 from papayapost.distribution.snapshots import SendSnapshots
@@ -54,6 +55,7 @@
         OfferStoredRules(rules, store),
         ReadWithoutParent(store, tree),
         FollowParent(me, rules, follow, tree),
+        FollowChildren(me, rules, tree),
         ApplyDeltas(rules, follow),
         FetchSnapshots(me, rules, follow, tree),
         LearnFloor(rules, tree),
--- a/packages/papayapost/src/papayapost/distribution/source.py
+++ b/packages/papayapost/src/papayapost/distribution/source.py
@@ -52,7 +52,7 @@
 
 
 class WatchRules(System):
-    """Keeps one watch on the rules object while this node is a link relay."""
+    """Keeps one watch on the rules object on a link relay or its stand-by."""
 
     consumes = (RoleChanged, ObjectSeen, StoreFailed, WatchDue)
 
@@ -65,7 +65,7 @@
         """Watch again after every answer, after a pause where it failed."""
         if tick.take(RoleChanged):
             self._follow_role(tick)
-        if not self._tree.is_link_relay:
+        if not self._tree.watches_store:
             return
         for seen in tick.take(ObjectSeen):
             if seen.key == RULES_KEY and seen.request_id is None:
@@ -78,7 +78,7 @@
 
     def _follow_role(self, tick: Tick) -> None:
         store = self._store
-        if self._tree.is_link_relay and not store.is_watching:
+        if self._tree.watches_store and not store.is_watching:
             store.is_watching = True
             # What was seen in an earlier turn of the role may have been left
             # before it was recorded, so the watch starts at what is held.
@@ -86,7 +86,7 @@
             store.refused_version = None
             tick.post(StoreCaughtUp())
             self._watch(tick)
-        elif not self._tree.is_link_relay and store.is_watching:
+        elif not self._tree.watches_store and store.is_watching:
             store.is_watching = False
             tick.cancel_timer(WatchDue)
             tick.emit(UnwatchObject(RULES_KEY))
@@ -144,7 +144,7 @@
             return
         elif version > held_version:
             self._recover(tick)
-            tick.post(TextOffered(version, seen.value))
+            tick.post(TextOffered(version, seen.value, is_recorded=False))
         elif digest_of(seen.value) == self._rules.held_digest:
             self._recover(tick)
         else:
--- a/packages/papayapost/src/papayapost/distribution/tables.py
+++ b/packages/papayapost/src/papayapost/distribution/tables.py
@@ -46,8 +46,15 @@
 
 @dataclass(slots=True)
 class FetchRow:
-    """A snapshot on its way from the parent."""
+    """A snapshot on its way from the parent, or from a child ahead of it.
 
+    Parameters
+    ----------
+    source
+        The node that announced it.
+    """
+
+    source: NodeId
     version: RuleVersion
     digest: str
     size_bytes: int
--- a/packages/papayapost/src/papayapost/distribution/versions.py
+++ b/packages/papayapost/src/papayapost/distribution/versions.py
@@ -64,7 +64,8 @@
         state = StagedState.WAITING_FOR_SERVICES
         row = VersionRow(version, compiled, state, missing=set(compiled.services))
         is_next = rules.held_version == offered.base_version
-        tick.post(RulesCompiled(row, offered.edits if is_next else None))
+        edits = offered.edits if is_next else None
+        tick.post(RulesCompiled(row, edits, offered.is_recorded))
         return True
 
     def _refuse(self, tick: Tick, version: RuleVersion, error: RulesRefused) -> None:
@@ -121,7 +122,7 @@
             self._is_wait_over
             or self._rules.in_force is not None
             or self._tree.parent is not None
-            or self._tree.is_link_relay
+            or self._tree.watches_store
         )
 
     def _knows_services(self, staged: VersionRow) -> bool:
--- a/packages/papayapost/src/papayapost/membership/ranking.py
+++ b/packages/papayapost/src/papayapost/membership/ranking.py
@@ -90,6 +90,22 @@
         orders = self._orders.get(data_centre, [])
         return [node_id for _, node_id in orders[:RELAYS_PER_DATA_CENTRE]]
 
+    def stand_by(self, region: RegionId) -> NodeId | None:
+        """Return the relay that watches the store beside the link relay.
+
+        It is the highest relay of another data centre than the link
+        relay's, or the second highest in a region of one data centre, so
+        that a data centre that is cut off does not leave its region behind.
+        """
+        relays = self._relays_of(region)
+        if not relays:
+            return None
+        link_data_centre = self._places[relays[0]].data_centre
+        for relay in relays[1:]:
+            if self._places[relay].data_centre != link_data_centre:
+                return relay
+        return relays[1] if len(relays) > 1 else None
+
     def sample(
         self, data_centre: DataCentreId, count: int, random: Random
     ) -> list[NodeId]:
@@ -127,18 +143,23 @@
 
     def _parents_for_relay(self, node_id: NodeId, place: Place) -> list[NodeId]:
         own = order_of(node_id)
-        relays = [
-            order_of(relay)
-            for data_centre in self._regions.get(place.region, {})
-            for relay in self.relays(data_centre)
-        ]
-        above = [relay for _, relay in sorted(o for o in relays if o < own)]
+        relays = self._relays_of(place.region)
+        above = [relay for relay in relays if order_of(relay) < own]
         near = [
             r for r in above[1:] if self._places[r].data_centre == place.data_centre
         ]
         far = [relay for relay in above[1:] if relay not in near]
         return [*above[:1], *near, *far]
 
+    def _relays_of(self, region: RegionId) -> list[NodeId]:
+        """Return the relays of a region, highest first."""
+        relays = [
+            relay
+            for data_centre in self._regions.get(region, {})
+            for relay in self.relays(data_centre)
+        ]
+        return sorted(relays, key=order_of)
+
     def _count_parents(self, data_centre: DataCentreId) -> int:
         size = self.size(data_centre)
         if size <= RELAYS_PER_DATA_CENTRE + TARGET_CHILDREN:
--- a/packages/papayapost/src/papayapost/membership/roles.py
+++ b/packages/papayapost/src/papayapost/membership/roles.py
@@ -35,13 +35,24 @@
         is_root = tree.state is TreeState.ROOT
         is_informed = is_root or tree.is_synced
         is_eligible = is_informed and me.node_id in ranking
-        before = (tree.level, tree.is_relay, tree.is_link_relay, tree.is_top_relay)
+        before = _roles(tree)
         tree.level = ranking.level_of(me.node_id, data_centre)
         tree.is_link_relay = is_root
         tree.is_relay = is_root or (is_eligible and tree.level is TreeLevel.RELAY)
         tree.is_top_relay = is_eligible and ranking.is_top(me.node_id, data_centre)
-        after = (tree.level, tree.is_relay, tree.is_link_relay, tree.is_top_relay)
-        if after != before:
+        is_next = ranking.stand_by(me.place.region) == me.node_id
+        tree.is_stand_by = is_eligible and is_next and not is_root
+        if _roles(tree) != before:
             tick.post(RoleChanged())
             detail = f"{tree.level.value}, {tree.state.value}"
             tick.emit(Noted(Event.ROLE_CHANGED, detail=detail))
+
+
+def _roles(tree: TreeTables) -> tuple[TreeLevel, bool, bool, bool, bool]:
+    return (
+        tree.level,
+        tree.is_relay,
+        tree.is_link_relay,
+        tree.is_stand_by,
+        tree.is_top_relay,
+    )
--- a/packages/papayapost/src/papayapost/membership/tables.py
+++ b/packages/papayapost/src/papayapost/membership/tables.py
@@ -228,6 +228,9 @@
         Whether the node is one of the relays of its data centre.
     is_link_relay
         Whether the node watches the store for its region.
+    is_stand_by
+        Whether the node watches the store beside the link relay, from
+        another data centre where there is one.
     is_top_relay
         Whether the node writes its data centre's directory to the store.
     parent
@@ -250,6 +253,7 @@
         self.level = TreeLevel.LEAF
         self.is_relay = False
         self.is_link_relay = False
+        self.is_stand_by = False
         self.is_top_relay = False
         self.parent: ParentRow | None = None
         self.is_synced = False
@@ -263,6 +267,11 @@
         self.own_digest = 0
         self.known_versions: Table[NodeId, KnownVersion] = Table("known versions")
 
+    @property
+    def watches_store(self) -> bool:
+        """Whether the node takes the rules from the store itself."""
+        return self.is_link_relay or self.is_stand_by
+
     def neighbours(self) -> list[tuple[NodeId, Address]]:
         """Return the parent and the children."""
         found = [(child.node_id, child.address) for child in self.children]
--- /dev/null
+++ b/packages/papayapost/tests/test_stand_by.py
@@ -0,0 +1,74 @@
+from papayapost.ids import Micros, NodeId, RegionId
+from papayapost.membership import ChildAcknowledged, ChildJoined, RoleChanged
+from papayapost.membership.ranking import Ranking, order_of
+from papayapost.storage import (
+    ObjectKind,
+    ObjectSeen,
+    ObjectUpdated,
+    UpdateObject,
+    WatchObject,
+)
+from papayapost_testing.distribution_worlds import (
+    child_row,
+    distribution_world,
+    parent_row,
+)
+from papayapost_testing.worlds import NORTH_1, NORTH_2
+
+RULES = "route GET /gusts -> gusts # Mei: wind desk\n"
+
+
+def take(effects, kind):
+    return [effect for effect in effects if isinstance(effect, kind)]
+
+
+def messages(effects):
+    return [effect.message for effect in effects if hasattr(effect, "message")]
+
+
+def test_the_stand_by_stands_in_another_data_centre_than_the_link_relay():
+    ranking = Ranking()
+    places = {NodeId(f"n{n}"): (NORTH_1, NORTH_2)[n % 2] for n in range(12)}
+    for node_id, place in places.items():
+        ranking.add(node_id, place)
+    stand_by = ranking.stand_by(RegionId("north"))
+    link = min(places, key=order_of)
+    assert stand_by is not None
+    assert places[stand_by] != places[link]
+    ranking = Ranking()
+    for number in range(3):
+        ranking.add(NodeId(f"n{number}"), NORTH_1)
+    second = sorted((NodeId(f"n{n}") for n in range(3)), key=order_of)[1]
+    assert ranking.stand_by(RegionId("north")) == second
+
+
+def test_news_that_only_the_stand_by_sees_reaches_the_link_relay():
+    link, stand_by = distribution_world("link"), distribution_world("stand-by")
+    link.tree.is_link_relay = True
+    link.world.tick(Micros(0), [RoleChanged()])
+    stand_by.tree.is_stand_by = True
+    stand_by.tree.parent = parent_row("link")
+    child = child_row("stand-by")
+    link.tree.children.put(child.node_id, child)
+    link.world.tick(Micros(0), [ChildJoined(child)])
+
+    (watch,) = take(stand_by.world.tick(Micros(0), [RoleChanged()]), WatchObject)
+    effects = stand_by.world.tick(Micros(1), [ObjectSeen(watch.key, 7, RULES)])
+    now_us = 1
+    while not take(effects, UpdateObject):
+        now_us += 100_000
+        reads = [e for e in effects if hasattr(e, "request_id")]
+        answers = [ObjectSeen(r.key, 0, None, r.request_id) for r in reads]
+        effects = stand_by.world.tick(Micros(now_us), answers)
+    (update,) = take(effects, UpdateObject)
+    assert update.key.kind is ObjectKind.ACCEPTED
+    recorded = ObjectUpdated(update.key, update.request_id, 8)
+    stand_by.world.tick(Micros(now_us + 1), [recorded])
+    assert stand_by.part.rules.held_version == 7
+
+    child.version = stand_by.tree.own_version
+    asked = messages(link.world.tick(Micros(now_us), [ChildAcknowledged(child)]))
+    for _ in range(4):
+        answers = messages(stand_by.world.tick(Micros(now_us + 2), asked))
+        asked = messages(link.world.tick(Micros(now_us + 2), answers))
+    assert link.part.rules.held_version == 7
