Give transport, trust, settings and the end of a node their shells

Cause: a frame could be replayed by a reconnecting socket, anybody could join, settings were checked key by key only, and SIGTERM cut what ran. Change: a connection to a peer lives once (IMMEDIATE, no reconnect); its loss is posted as OwnerLost, and an offer that never left as OfferUndelivered; idle dealers close. CURVE keys of a keys file, two generations for each holder, reloaded on SIGHUP; senders are checked against the key. Security has no default: "mode": "none" must be said. Settings and keys are checked whole. The first SIGTERM drains, the second stops. An address in use is PP202. The health endpoint is asked at a low rate. The directory gets an index by peer address; test and demo settings say mode none.

--- a/packages/papayapost-node/src/papayapost_node/composition.py
+++ b/packages/papayapost-node/src/papayapost_node/composition.py
@@ -1,8 +1,9 @@
 """The composition root: wires one node from its settings."""
 
+from pathlib import Path
 from random import Random
 
-from papayapost.errors import FrameError
+from papayapost.errors import SettingsRefused
 from papayapost.ids import (
     Address,
     DataCentreId,
@@ -16,7 +17,7 @@
 from papayapost.observe import Event, Noted
 from papayapost.peering import PeerSend
 from papayapost.place import Place, SelfRow
-from papayapost.states import BackendServerState
+from papayapost.states import BackendServerState, LinkClass
 from papayapost.storage import ReadObject, UnwatchObject, UpdateObject, WatchObject
 from papayapost_node.admin import (
     AdminServer,
@@ -25,13 +26,17 @@
     TimelinePage,
 )
 from papayapost_node.clock import Clock, SystemClock
+from papayapost_node.drain import Drain
+from papayapost_node.event_limit import EventLimit
 from papayapost_node.exchange import CallerSide, NodeCourier, OwnerSide, WindowBudget
-from papayapost_node.http import BackendPool, StreamingServer
+from papayapost_node.http import BackendPool, HealthWatch, HttpLimits, StreamingServer
 from papayapost_node.observe import CallMeter, EventRecorder
+from papayapost_node.peer_messages import PeerMessages
 from papayapost_node.runner import WorldRunner
-from papayapost_node.settings import Settings
+from papayapost_node.security import KeyRing, SenderCheck
+from papayapost_node.settings import SecurityMode, Settings, load_keys
 from papayapost_node.store import HttpStoreClient, StoreShell
-from papayapost_node.transport import ZmqTransport
+from papayapost_node.transport import PeerTable, ZmqTransport
 from papayapost_node.wire import (
     CONTROL_TYPES,
     WIRE_NUMBERS,
@@ -62,10 +67,20 @@
         self._meter = CallMeter(clock)
         observers = [self._log, self._meter]
         self.runner = WorldRunner(self.world.world, clock, observers=observers)
+        self._ring = self._key_ring()
+        self._peers = PeerTable(self._link_class_of)
+        self._transport = ZmqTransport(self._me.peer_address, self._peers, self._ring)
         messages = CompressingCodec(MessagePackCodec(WIRE_NUMBERS), CONTROL_TYPES)
-        self._codec = StampingCodec(messages, self._log.hybrid_clock, clock)
-        self._transport = ZmqTransport(self._me.peer_address)
-        self._courier = NodeCourier(self._me.peer_address, self._send_to)
+        self._messages = PeerMessages(
+            self._me.peer_address,
+            self._transport,
+            StampingCodec(messages, self._log.hybrid_clock, clock),
+            SenderCheck(self._ring, self.world.membership.directory),
+            EventLimit(self._log.note_event, clock),
+            self.runner.post,
+        )
+        self._courier = NodeCourier(self._me.peer_address, self._messages.send)
+        self._messages.connect(self._courier.take)
         budget = WindowBudget(_BODY_MEMORY_BYTES)
         post = self.runner.post
         self._callers = CallerSide(self._me.node_id, self._courier, post, budget)
@@ -75,13 +90,20 @@
         store = HttpStoreClient(Address(settings.store_address))
         self._store = StoreShell(store, post)
         self._server = StreamingServer(
-            Address(settings.caller_address), self._callers, batch=self.runner
+            Address(settings.caller_address),
+            self._callers,
+            HttpLimits(**settings.http.model_dump()),
+            self.runner,
+            "caller_address",
         )
+        self._health = self._health_watch()
+        self._drain = Drain(self._server, post)
         self.runner.connect(self._callers.handlers())
         self.runner.connect(self._owner.handlers())
+        self.runner.connect(self._drain.handlers())
         self.runner.connect(
             {
-                PeerSend: self._send,
+                PeerSend: self._messages.carry_out,
                 WatchObject: self._store.watch,
                 UnwatchObject: self._store.unwatch,
                 ReadObject: self._store.read,
@@ -96,20 +118,45 @@
 
         Raises
         ------
-        OSError
+        AddressUnavailable
             If an address is in use or not this machine's.
         """
-        self._transport.start(self._on_frame, self.runner)
+        self._transport.start(self._messages, self.runner)
         await self._server.start()
         if self._admin is not None:
             await self._admin.start()
+        if self._health is not None:
+            self._health.start()
         for message in self.world.first_messages():
             self.runner.post(message)
         self._log.note_event(Event.NODE_STARTED)
 
+    async def drain(self) -> None:
+        """Take no new work, finish what runs, and tell the others."""
+        self._log.note_event(Event.NODE_DRAINING)
+        await self._drain.run(self._settings.drain_limit_ms)
+
+    def reload_keys(self) -> None:
+        """Take over the keys file as it is now, unless it has findings."""
+        keys_file = self._settings.security.keys_file
+        if self._ring is None or keys_file is None:
+            return
+        try:
+            keys = load_keys(Path(keys_file))
+        except SettingsRefused as refused:
+            self._log.note_event(Event.KEYS_REFUSED, str(refused))
+            return
+        is_own_new = keys.own_pair() != self._ring.own
+        self._ring.replace(keys.own_pair(), keys.allowed_rows())
+        if is_own_new:
+            self._transport.keys_changed()
+        self._log.note_event(Event.KEYS_RELOADED, f"{len(keys.allowed)} allowed")
+
     async def close(self) -> None:
         """Close everything at once."""
         self.runner.close()
+        if self._health is not None:
+            self._health.close()
         await self._server.close()
         if self._admin is not None:
             await self._admin.close()
@@ -145,20 +192,39 @@
             budget,
         )
 
-    def _send(self, effect: PeerSend) -> None:
-        self._send_to(effect.address, effect.message)
+    def _health_watch(self) -> HealthWatch | None:
+        backend = self._settings.backend_server
+        if backend is None or backend.health_path is None:
+            return None
+        return HealthWatch(
+            Address(backend.address),
+            backend.health_path,
+            backend.health_interval_ms,
+            self.runner.post,
+        )
 
-    def _send_to(self, address: Address, message: object) -> bool:
-        return self._transport.send(address, self._codec.encode(message))
+    def _key_ring(self) -> KeyRing | None:
+        security = self._settings.security
+        if security.mode is SecurityMode.NONE or security.keys_file is None:
+            return None
+        keys = load_keys(Path(security.keys_file))
+        return KeyRing(keys.own_pair(), keys.allowed_rows(), self._holder_of)
 
-    def _on_frame(self, frame: bytes) -> None:
-        try:
-            message = self._codec.decode(frame)
-        except FrameError as error:
-            self._log.note_event(Event.FRAME_REFUSED, str(error))
-            return
-        if not self._courier.take(message):
-            self.runner.post(message)
+    def _row_at(self, address: Address) -> BackendServerRow | None:
+        return next(self.world.membership.directory.find("peer_address", address), None)
+
+    def _holder_of(self, address: Address) -> tuple[NodeId | None, DataCentreId]:
+        row = self._row_at(address)
+        # A seed is most likely one of this data centre.
+        return (
+            (row.node_id, row.data_centre)
+            if row
+            else (None, self._me.place.data_centre)
+        )
+
+    def _link_class_of(self, address: Address) -> LinkClass | None:
+        row = self._row_at(address)
+        return self._me.place.distance_to(row.place) if row else None
 
 
 async def build_node(settings: Settings, clock: Clock | None = None) -> Node:
--- /dev/null
+++ b/packages/papayapost-node/src/papayapost_node/drain.py
@@ -0,0 +1,44 @@
+"""Brings a node to its end without cutting a call."""
+
+import asyncio
+from collections.abc import Callable
+
+from papayapost.traffic import DrainComplete, DrainRequested
+from papayapost_node.http import StreamingServer
+
+__all__ = ["Drain"]
+
+_LAST_WRITES_S = 5.0
+
+
+class Drain:
+    """Asks the decisions to drain and waits until they are done.
+
+    Parameters
+    ----------
+    post
+        Hands a message to the next tick.
+    """
+
+    def __init__(self, server: StreamingServer, post: Callable[[object], None]):
+        self._server = server
+        self._post = post
+        self._complete = asyncio.Event()
+
+    def handlers(self) -> dict[type, Callable]:
+        """Return what carries out the end of the decisions' drain."""
+        return {DrainComplete: lambda effect: self._complete.set()}
+
+    async def run(self, limit_ms: int) -> None:
+        """Take no new connections, and return once all calls are over.
+
+        Parameters
+        ----------
+        limit_ms
+            Time after which the decisions give up what is left.
+        """
+        self._server.drain()
+        self._post(DrainRequested(limit_ms))
+        await self._complete.wait()
+        # Answers that were handed to connections still have to leave.
+        await self._server.wait_until_empty(_LAST_WRITES_S)
--- a/packages/papayapost-node/src/papayapost_node/exchange/caller_side.py
+++ b/packages/papayapost-node/src/papayapost_node/exchange/caller_side.py
@@ -186,10 +186,18 @@
             is_ended,
             window.size_bytes,
         )
-        if not self._courier.deliver(effect.address, carrier):
+
+        def undelivered() -> None:
+            self._undelivered(attempt)
+
+        if not self._courier.deliver(effect.address, carrier, undelivered):
+            undelivered()
+
+    def _undelivered(self, attempt: OfferedRow) -> None:
+        if attempt.attempt_id in self._attempts:
             self._forget(attempt)
-            call.attempts.remove(attempt)
-            self._post(OfferUndelivered(attempt_id))
+            attempt.call.attempts.remove(attempt)
+            self._post(OfferUndelivered(attempt.attempt_id))
 
     def _upload_of(self, attempt: OfferedRow) -> BodyOutlet:
         exchange = attempt.call.exchange
--- a/packages/papayapost-node/src/papayapost_node/exchange/couriers.py
+++ b/packages/papayapost-node/src/papayapost_node/exchange/couriers.py
@@ -4,19 +4,27 @@
 from collections.abc import Callable, Mapping
 
 from papayapost.ids import Address
+from papayapost_node.transport import Dropped
 
 __all__ = ["Courier", "NodeCourier"]
 
-SendMessage = Callable[[Address, object], bool]
+SendMessage = Callable[[Address, object, Dropped | None], bool]
 
 
 class Courier(ABC):
     """Delivers carriers by address; this node's own address is one too."""
 
     @abstractmethod
-    def deliver(self, address: Address, carrier: object) -> bool:
+    def deliver(
+        self, address: Address, carrier: object, on_dropped: Dropped | None = None
+    ) -> bool:
         """Deliver a carrier, at most once.
 
+        Parameters
+        ----------
+        on_dropped
+            Called later if it turns out that the carrier never left.
+
         Returns
         -------
         bool
@@ -52,8 +60,10 @@
         taker(carrier)
         return True
 
-    def deliver(self, address: Address, carrier: object) -> bool:
+    def deliver(
+        self, address: Address, carrier: object, on_dropped: Dropped | None = None
+    ) -> bool:
         """Deliver a carrier, at most once."""
         if address == self._own_address:
             return self.take(carrier)
-        return self._send(address, carrier)
+        return self._send(address, carrier, on_dropped)
--- a/packages/papayapost-node/src/papayapost_node/http/__init__.py
+++ b/packages/papayapost-node/src/papayapost_node/http/__init__.py
@@ -3,6 +3,7 @@
 from papayapost_node.http.backend import AnswerSink, BackendConnection
 from papayapost_node.http.connection import ClientConnection
 from papayapost_node.http.headers import content_length, forwardable
+from papayapost_node.http.health import HealthWatch
 from papayapost_node.http.limits import HttpLimits
 from papayapost_node.http.messages import Headers, HttpAnswer, HttpRequest
 from papayapost_node.http.pool import BackendPool
@@ -16,6 +17,7 @@
     "BackendPool",
     "ClientConnection",
     "Headers",
+    "HealthWatch",
     "HttpAnswer",
     "HttpLimits",
     "HttpRequest",
--- a/packages/papayapost-node/src/papayapost_node/http/server.py
+++ b/packages/papayapost-node/src/papayapost_node/http/server.py
@@ -2,6 +2,7 @@
 
 import asyncio
 
+from papayapost.errors import AddressUnavailable
 from papayapost.ids import Address
 from papayapost_node.addresses import split_address
 from papayapost_node.batch import Batch, NoBatch
@@ -21,6 +22,8 @@
     ----------
     batch
         Told around all that a connection reads at once.
+    setting
+        Key of the settings that the address comes from.
 
     Attributes
     ----------
@@ -38,8 +41,10 @@
         handler: RequestHandler,
         limits: HttpLimits | None = None,
         batch: Batch | None = None,
+        setting: str = "address",
     ):
         self._address = address
+        self._setting = setting
         self.handler = handler
         self.limits = limits or HttpLimits()
         self.batch = batch or NoBatch()
@@ -49,6 +54,7 @@
         self.is_draining = False
         self.refused_connections = 0
         self._connections: set[ServerConnection] = set()
+        self._empty = asyncio.Event()
         self._server: asyncio.Server | None = None
 
     async def start(self) -> None:
@@ -56,14 +62,18 @@
 
         Raises
         ------
-        OSError
+        AddressUnavailable
             If the address is in use or not this machine's.
         """
         ip, port = split_address(self._address)
         loop = asyncio.get_running_loop()
-        self._server = await loop.create_server(
-            lambda: ServerConnection(self), ip, port, backlog=_BACKLOG
-        )
+        try:
+            self._server = await loop.create_server(
+                lambda: ServerConnection(self), ip, port, backlog=_BACKLOG
+            )
+        except OSError as error:
+            reason = error.strerror or error
+            raise AddressUnavailable(self._setting, self._address, reason) from error
 
     def admit(self, connection: ServerConnection) -> bool:
         """Count a new connection, or say that there are too many."""
@@ -76,6 +86,20 @@
     def forget(self, connection: ServerConnection) -> None:
         """Note that a connection is over."""
         self._connections.discard(connection)
+        if not self._connections:
+            self._empty.set()
+
+    async def wait_until_empty(self, timeout_s: float) -> bool:
+        """Wait until no connection is open; False if time is over first."""
+        self._empty.clear()
+        if not self._connections:
+            return True
+        try:
+            async with asyncio.timeout(timeout_s):
+                await self._empty.wait()
+        except TimeoutError:
+            return False
+        return True
 
     def drain(self) -> None:
         """Accept nothing new; close each connection after its answer."""
--- a/packages/papayapost-node/src/papayapost_node/http/whole.py
+++ b/packages/papayapost-node/src/papayapost_node/http/whole.py
@@ -50,6 +50,8 @@
         Called with each whole request; it answers now or later.
     on_gone
         Called when a caller closes before its answer.
+    setting
+        Key of the settings that the address comes from.
     """
 
     def __init__(
@@ -58,17 +60,18 @@
         on_request: Callable[[ServerCall], None],
         on_gone: Callable[[ServerCall], None] | None = None,
         limits: HttpLimits | None = None,
+        setting: str = "address",
     ):
         self._on_request = on_request
         self._on_gone = on_gone
-        self._server = StreamingServer(address, self, limits)
+        self._server = StreamingServer(address, self, limits, setting=setting)
 
     async def start(self) -> None:
         """Listen.
 
         Raises
         ------
-        OSError
+        AddressUnavailable
             If the address is in use or not this machine's.
         """
         await self._server.start()
--- a/packages/papayapost-node/src/papayapost_node/main.py
+++ b/packages/papayapost-node/src/papayapost_node/main.py
@@ -1,4 +1,4 @@
-"""papayad: runs one node until SIGTERM or SIGINT."""
+"""papayad: runs one node until it is told to stop."""
 
 import asyncio
 import signal
@@ -8,18 +8,23 @@
 import fire
 
 from papayapost.errors import PapayapostError
-from papayapost_node.composition import build_node
+from papayapost_node.composition import Node, build_node
 from papayapost_node.events import configure_logging
+from papayapost_node.security import new_key_pair
 from papayapost_node.settings import Settings, load_settings
 
 __all__ = ["main"]
 
 _EXIT_FAILURE = 1
 _EXIT_USAGE = 2
+_KEYGEN = "keygen"
 
 
 def run(settings: str) -> None:
-    """Run the node of a settings file until SIGTERM.
+    """Run the node of a settings file.
+
+    The first SIGTERM or SIGINT drains the node, the second stops it at once;
+    SIGHUP reads the keys file again.
 
     Parameters
     ----------
@@ -34,25 +39,54 @@
         sys.exit(_EXIT_USAGE)
     try:
         asyncio.run(_serve(loaded))
-    except OSError as error:
+    except PapayapostError as error:
         print(f"{loaded.node_id} cannot start: {error}", file=sys.stderr)
         sys.exit(_EXIT_FAILURE)
 
 
+def keygen() -> None:
+    """Print a new pair of keys as JSON, for the keys file."""
+    pair = new_key_pair()
+    print(f'{{"public_key": "{pair.public_key}", "secret_key": "{pair.secret_key}"}}')
+
+
 async def _serve(settings: Settings) -> None:
-    stop = asyncio.Event()
     loop = asyncio.get_running_loop()
+    drain_wanted, stop_wanted = asyncio.Event(), asyncio.Event()
+
+    def on_stop_signal() -> None:
+        if drain_wanted.is_set():
+            stop_wanted.set()
+        drain_wanted.set()
+
     for number in (signal.SIGTERM, signal.SIGINT):
-        loop.add_signal_handler(number, stop.set)
+        loop.add_signal_handler(number, on_stop_signal)
     node = await build_node(settings)
-    await node.start()
-    await stop.wait()
-    await node.close()
+    try:
+        await node.start()
+        loop.add_signal_handler(signal.SIGHUP, node.reload_keys)
+        await drain_wanted.wait()
+        await _drain_unless_stopped(node, stop_wanted)
+    finally:
+        await node.close()
+
+
+async def _drain_unless_stopped(node: Node, stop_wanted: asyncio.Event) -> None:
+    tasks = [
+        asyncio.create_task(node.drain()),
+        asyncio.create_task(stop_wanted.wait()),
+    ]
+    await asyncio.wait(tasks, return_when=asyncio.FIRST_COMPLETED)
+    for task in tasks:
+        task.cancel()
 
 
 def main() -> None:
     """Entry point of ``papayad``."""
-    fire.Fire(run, name="papayad")
+    if sys.argv[1:2] == [_KEYGEN]:
+        fire.Fire(keygen, command=sys.argv[2:], name=f"papayad {_KEYGEN}")
+    else:
+        fire.Fire(run, name="papayad")
 
 
 if __name__ == "__main__":
--- /dev/null
+++ b/packages/papayapost-node/src/papayapost_node/security/__init__.py
@@ -0,0 +1,16 @@
+"""Who may take part in the mesh, and how nodes prove who they are."""
+
+from papayapost_node.security.gate import Gate
+from papayapost_node.security.keys import KeyPair, PublicKey, new_key_pair
+from papayapost_node.security.ring import AllowedKeyRow, KeyRing
+from papayapost_node.security.senders import SenderCheck
+
+__all__ = [
+    "AllowedKeyRow",
+    "Gate",
+    "KeyPair",
+    "KeyRing",
+    "PublicKey",
+    "SenderCheck",
+    "new_key_pair",
+]
--- a/packages/papayapost-node/src/papayapost_node/settings_file.py
+++ b/packages/papayapost-node/src/papayapost_node/settings_file.py
@@ -15,7 +15,9 @@
     "Name",
     "SettingsFault",
     "SettingsModel",
+    "findings_in",
     "load_settings_file",
+    "read_settings_file",
 ]
 
 _MAX_PORT = 65_535
@@ -31,6 +33,10 @@
     WRONG_TYPE = "S005"
     OUT_OF_RANGE = "S006"
     BAD_VALUE = "S007"
+    DUPLICATE = "S008"
+    CONTRADICTION = "S009"
+    NO_KEYS = "S010"
+    BAD_KEY = "S011"
 
 
 class SettingsModel(BaseModel):
@@ -86,8 +92,23 @@
     SettingsRefused
         With every finding, each with its path in the file.
     """
+    text = read_settings_file(path)
+    findings = findings_in(text, model)
+    if findings:
+        raise SettingsRefused(findings)
+    return model.model_validate_json(text)
+
+
+def read_settings_file(path: Path) -> str:
+    """Return the text of a settings file.
+
+    Raises
+    ------
+    SettingsRefused
+        If it cannot be read.
+    """
     try:
-        text = path.read_text(encoding="utf-8")
+        return path.read_text(encoding="utf-8")
     except (OSError, UnicodeDecodeError) as error:
         finding = Finding(
             SettingsFault.UNREADABLE.value,
@@ -96,10 +117,15 @@
             "name a readable JSON file in UTF-8",
         )
         raise SettingsRefused([finding]) from None
+
+
+def findings_in(text: str, model: type[SettingsModel]) -> list[Finding]:
+    """Return all that keeps a JSON text from being a model's."""
     try:
-        return model.model_validate_json(text)
+        model.model_validate_json(text)
     except ValidationError as error:
-        raise SettingsRefused([_finding_of(item) for item in error.errors()]) from None
+        return [_finding_of(item) for item in error.errors()]
+    return []
 
 
 def _finding_of(item) -> Finding:
--- a/packages/papayapost-node/src/papayapost_node/transport/__init__.py
+++ b/packages/papayapost-node/src/papayapost_node/transport/__init__.py
@@ -1,6 +1,14 @@
 """Carries frames between nodes."""
 
-from papayapost_node.transport.base import FrameHandler, PeerTransport
+from papayapost_node.transport.base import Dropped, FrameListener, PeerTransport
+from papayapost_node.transport.peers import PeerRow, PeerTable
 from papayapost_node.transport.zmq_transport import ZmqTransport
 
-__all__ = ["FrameHandler", "PeerTransport", "ZmqTransport"]
+__all__ = [
+    "Dropped",
+    "FrameListener",
+    "PeerRow",
+    "PeerTable",
+    "PeerTransport",
+    "ZmqTransport",
+]
--- a/packages/papayapost-node/src/papayapost_node/transport/zmq_transport.py
+++ b/packages/papayapost-node/src/papayapost_node/transport/zmq_transport.py
@@ -1,83 +1,225 @@
-"""The transport by pyzmq."""
+"""The transport by pyzmq: a ROUTER for what comes in, DEALERs for the rest."""
 
 import asyncio
+from collections import OrderedDict
 
 import zmq
 
+from papayapost.errors import AddressUnavailable
 from papayapost.ids import Address
 from papayapost_node.batch import Batch
-from papayapost_node.transport.base import FrameHandler, PeerTransport
+from papayapost_node.deadline import Deadline
+from papayapost_node.security.gate import Gate
+from papayapost_node.security.keys import PublicKey
+from papayapost_node.security.ring import KeyRing
+from papayapost_node.transport.base import Dropped, FrameListener, PeerTransport
+from papayapost_node.transport.dealer import Dealer, DealerOwner, open_socket
+from papayapost_node.transport.peers import PeerRow, PeerTable
 
 __all__ = ["ZmqTransport"]
 
-_MAX_QUEUED_FRAMES = 1_000
-_MAX_FRAME_BYTES = 4 << 20
+_MAX_DEALERS = 512
+_IDLE_TIMEOUT_S = 60.0
+_MAX_FRAMES_PER_READ = 256
+_REBIND_DELAY_S = 0.02
+_REBIND_ATTEMPTS = 100
 
 
-class ZmqTransport(PeerTransport):
-    """A ROUTER for what comes in and a DEALER for each peer.
+class ZmqTransport(PeerTransport, DealerOwner):
+    """Frames over TCP, encrypted and authenticated if there is a key ring.
 
     Parameters
     ----------
     address
         Where other nodes reach this one.
+    peers
+        Counts what is sent and received.
+    ring
+        Own keys and those of the peers; None for no security at all.
     """
 
-    def __init__(self, address: Address):
+    def __init__(self, address: Address, peers: PeerTable, ring: KeyRing | None):
         self._address = address
+        self._peers = peers
+        self._ring = ring
         self._context = zmq.Context(io_threads=1)
-        self._dealers: dict[Address, zmq.Socket] = {}
+        self._dealers: OrderedDict[Address, Dealer] = OrderedDict()
+        self._rows: dict[Address, PeerRow] = {}
+        self._used_s: dict[Address, float] = {}
         self._router: zmq.Socket | None = None
+        self._gate: Gate | None = None
 
-    def start(self, on_frame: FrameHandler, batch: Batch) -> None:
+    @property
+    def open_peers(self) -> int:
+        """Connections that this node has open to others."""
+        return len(self._dealers)
+
+    def start(self, listener: FrameListener, batch: Batch) -> None:
         """Listen for peers."""
-        self._on_frame = on_frame
+        self._listener = listener
         self._batch = batch
         self._loop = asyncio.get_running_loop()
-        self._router = self._open(zmq.ROUTER)
-        self._router.bind(f"tcp://{self._address}")
+        self._idle = Deadline(self._loop, self._close_idle)
+        if self._ring is not None:
+            self._gate = Gate(self._context, self._ring, listener.stranger_refused)
+            self._gate.start()
+        self._router = open_socket(self._context, zmq.ROUTER)
+        self._set_server_keys()
+        try:
+            self._router.bind(f"tcp://{self._address}")
+        except zmq.ZMQError as error:
+            raise AddressUnavailable("peer_address", self._address, error) from error
         self._loop.add_reader(self._router.fileno(), self._receive)
         self._loop.call_soon(self._receive)
 
-    def send(self, address: Address, frame: bytes) -> bool:
+    def send(
+        self, address: Address, frame: bytes, on_dropped: Dropped | None = None
+    ) -> bool:
         """Hand a frame over for delivery, at most once."""
         dealer = self._dealers.get(address)
         if dealer is None:
-            dealer = self._dealers[address] = self._open(zmq.DEALER)
-            dealer.connect(f"tcp://{address}")
-        try:
-            dealer.send(frame, zmq.NOBLOCK)
-        except zmq.Again:
+            dealer = self._connect(address)
+        else:
+            self._dealers.move_to_end(address)
+        self._used_s[address] = self._loop.time()
+        row = self._rows[address]
+        if not dealer.send(frame, on_dropped):
+            row.dropped_frames += 1
             return False
+        self._peers.sent(row, len(frame))
         return True
 
+    def keys_changed(self) -> None:
+        """Listen with the ring's present keys; open connections go on."""
+        if self._router is not None and self._ring is not None:
+            self._router.unbind(f"tcp://{self._address}")
+            self._set_server_keys()
+            self._rebind(_REBIND_ATTEMPTS)
+
     def close(self) -> None:
         """Drop what is queued and close."""
+        for dealer in self._dealers.values():
+            dealer.close()
+        self._dealers.clear()
         if self._router is not None:
             self._loop.remove_reader(self._router.fileno())
             self._router.close(0)
-        for dealer in self._dealers.values():
-            dealer.close(0)
+            self._router = None
+            self._idle.close()
+        if self._gate is not None:
+            self._gate.close()
         self._context.term()
 
-    def _open(self, kind: int) -> zmq.Socket:
-        socket = self._context.socket(kind)
-        socket.setsockopt(zmq.LINGER, 0)
-        socket.setsockopt(zmq.SNDHWM, _MAX_QUEUED_FRAMES)
-        socket.setsockopt(zmq.RCVHWM, _MAX_QUEUED_FRAMES)
-        socket.setsockopt(zmq.MAXMSGSIZE, _MAX_FRAME_BYTES)
-        return socket
+    def dealer_ready(self, dealer: Dealer) -> None:
+        """Remember the key that the peer answered to."""
+        if self._ring is not None and dealer.peer_key is not None:
+            self._ring.proved(dealer.address, dealer.peer_key)
+
+    def dealer_ended(self, dealer: Dealer, was_ready: bool) -> None:
+        """Report what is lost, or try the peer's other key."""
+        address = dealer.address
+        if self._dealers.get(address) is dealer:
+            self._forget(address)
+        if was_ready:
+            self._listener.peer_lost(address)
+            return
+        successor = self._retry_with_other_key(dealer)
+        if successor is None:
+            for _, on_dropped in dealer.waiting:
+                if on_dropped is not None:
+                    on_dropped()
+
+    def _connect(self, address: Address) -> Dealer:
+        if len(self._dealers) >= _MAX_DEALERS:
+            # The one that was used least recently.
+            self._close_dealer(next(iter(self._dealers)))
+        key = self._ring.first_key_of(address) if self._ring else None
+        return self._open(address, key)
+
+    def _open(self, address: Address, key: PublicKey | None) -> Dealer:
+        own_keys = self._ring.own if self._ring else None
+        dealer = Dealer(self._context, address, self, own_keys, key)
+        self._dealers[address] = dealer
+        self._rows[address] = self._peers.connected(address)
+        self._idle.set_in(_IDLE_TIMEOUT_S)
+        return dealer
+
+    def _retry_with_other_key(self, dealer: Dealer) -> Dealer | None:
+        if self._ring is None or dealer.peer_key is None or self._router is None:
+            return None
+        key = self._ring.key_after(dealer.address, dealer.peer_key)
+        if key is None or dealer.address in self._dealers:
+            return None
+        successor = self._open(dealer.address, key)
+        self._used_s[dealer.address] = self._loop.time()
+        successor.waiting = dealer.waiting
+        return successor
+
+    def _close_idle(self) -> None:
+        now_s = self._loop.time()
+        while self._dealers:
+            address = next(iter(self._dealers))
+            idle_s = now_s - self._used_s[address]
+            if idle_s < _IDLE_TIMEOUT_S:
+                self._idle.set_in(_IDLE_TIMEOUT_S - idle_s)
+                return
+            self._close_dealer(address)
+
+    def _close_dealer(self, address: Address) -> None:
+        dealer = self._dealers[address]
+        self._forget(address)
+        dealer.close()
+        for _, on_dropped in dealer.waiting:
+            if on_dropped is not None:
+                on_dropped()
+
+    def _forget(self, address: Address) -> None:
+        del self._dealers[address]
+        del self._rows[address]
+        del self._used_s[address]
+
+    def _set_server_keys(self) -> None:
+        if self._ring is not None and self._router is not None:
+            self._router.curve_server = True
+            self._router.curve_secretkey = self._ring.own.secret_key.encode()
+            self._router.curve_publickey = self._ring.own.public_key.encode()
+
+    def _rebind(self, attempts: int) -> None:
+        # The old listener closes in another thread, so that the address may
+        # be taken for a moment.
+        if self._router is None:
+            return
+        try:
+            self._router.bind(f"tcp://{self._address}")
+        except zmq.ZMQError as error:
+            if not attempts:
+                raise AddressUnavailable(
+                    "peer_address", self._address, error
+                ) from error
+            self._loop.call_later(_REBIND_DELAY_S, self._rebind, attempts - 1)
 
     def _receive(self) -> None:
         # The descriptor is edge-triggered: it reports only a change, so all
-        # that waits must be read before the loop sleeps again.
+        # that waits must be read, now or in the loop's next round.
         router = self._router
-        if router is None or router.closed:
+        if router is None:
             return
         self._batch.begin()
-        try:
-            while True:
-                parts = router.recv_multipart(zmq.NOBLOCK)
-                self._on_frame(parts[-1])
-        except zmq.Again:
-            self._batch.end()
+        for _ in range(_MAX_FRAMES_PER_READ):
+            try:
+                parts = router.recv_multipart(zmq.NOBLOCK, copy=self._ring is None)
+            except zmq.Again:
+                break
+            self._take(parts)
+        else:
+            self._loop.call_soon(self._receive)
+        self._batch.end()
+
+    def _take(self, parts: list) -> None:
+        last = parts[-1]
+        if self._ring is None:
+            frame, key = last, None
+        else:
+            frame, key = last.bytes, PublicKey(last.get("User-Id"))
+        self._peers.received(len(frame))
+        self._listener.frame_arrived(frame, key)
--- a/packages/papayapost-testing/src/papayapost_testing/demo/files.py
+++ b/packages/papayapost-testing/src/papayapost_testing/demo/files.py
@@ -93,6 +93,7 @@
         "peer_address": addresses.peer,
         "store_address": files.store_addresses[plan.place.data_centre],
         "admin_address": addresses.admin,
+        "security": {"mode": "none"},
         "seeds": seeds,
         "backend_server": {
             "service": plan.service.name,
--- a/packages/papayapost-testing/src/papayapost_testing/latency_mesh/processes.py
+++ b/packages/papayapost-testing/src/papayapost_testing/latency_mesh/processes.py
@@ -93,6 +93,7 @@
             "caller_address": self.owner_address if is_owner else self.entry_address,
             "peer_address": self.peers[number],
             "store_address": self.store_address,
+            "security": {"mode": "none"},
             "seeds": [self.peers[0]],
             "backend_server": backend if is_owner else None,
         }
--- a/packages/papayapost-testing/src/papayapost_testing/node_pair.py
+++ b/packages/papayapost-testing/src/papayapost_testing/node_pair.py
@@ -67,6 +67,7 @@
             "caller_address": callers[number],
             "peer_address": peers[number],
             "store_address": store_address,
+            "security": {"mode": "none"},
             "seeds": [peers[0]],
             "backend_server": service if number else None,
         }
--- a/packages/papayapost-testing/tests/test_whole_path.py
+++ b/packages/papayapost-testing/tests/test_whole_path.py
@@ -44,6 +44,7 @@
             "peer_address": peer,
             "store_address": store,
             "admin_address": admin,
+            "security": {"mode": "none"},
             "seeds": [addresses[1]],
             "backend_server": {
                 "service": "gusts" if number else "archive",
--- a/packages/papayapost/src/papayapost/errors.py
+++ b/packages/papayapost/src/papayapost/errors.py
@@ -11,6 +11,7 @@
 from papayapost.findings import Finding
 
 __all__ = [
+    "AddressUnavailable",
     "CreditExceeded",
     "DeltaRefused",
     "ErrorCode",
@@ -37,6 +38,7 @@
 
     RULES_REFUSED = 101
     SETTINGS_REFUSED = 201
+    ADDRESS_UNAVAILABLE = 202
     STORE_UNAVAILABLE = 301
     STORE_CONFLICT = 302
     DELTA_REFUSED = 310
@@ -90,6 +92,18 @@
     code = ErrorCode.SETTINGS_REFUSED
 
 
+class AddressUnavailable(PapayapostError):
+    """An address of the settings cannot be listened on."""
+
+    code = ErrorCode.ADDRESS_UNAVAILABLE
+
+    def __init__(self, setting: str, address: str, reason: object):
+        super().__init__(
+            f"{setting} {address} cannot be listened on: {reason}; name a free port "
+            "of an IP number of this VM"
+        )
+
+
 class StoreUnavailable(PapayapostError):
     """The object store gave no answer; a write may have taken effect."""
 
--- a/packages/papayapost/src/papayapost/membership/tables.py
+++ b/packages/papayapost/src/papayapost/membership/tables.py
@@ -91,7 +91,7 @@
 
 
 def directory_table() -> Directory:
-    """Return an empty directory, indexed by service, data centre and bucket.
+    """Return an empty directory with its indexes.
 
     The buckets are those that digests are compared by.
     """
@@ -100,6 +100,7 @@
         {
             "service": lambda row: row.service,
             "data_centre": lambda row: row.data_centre,
+            "peer_address": lambda row: row.peer_address,
             "bucket": lambda row: bucket_key(row.data_centre, row.node_id),
         },
     )
