--- a/packages/papayapost-testing/src/papayapost_testing/demo/files.py
+++ b/packages/papayapost-testing/src/papayapost_testing/demo/files.py
@@ -7,6 +7,7 @@
 import msgspec
 
 from papayapost.ids import Address, DataCentreId, NodeId
+from papayapost_node.security import new_key_pair
 from papayapost_testing.demo.plans import Deployment, NodePlan, plan_nodes
 from papayapost_testing.platform_settings import BackendSettings, PlatformSettings
 from papayapost_testing.ports import free_addresses
@@ -58,6 +59,7 @@
     stores = {place.data_centre: next(free) for place in deployment.places}
     files = DeploymentFiles(folder, plans, addresses, stores)
     _write_platform(files)
+    _write_keys(files)
     seeds = _seeds(files)
     for plan in plans:
         _write_node(files, plan, seeds)
@@ -83,6 +85,23 @@
     files.platform_path.write_bytes(msgspec.json.encode(settings))
 
 
+def _keys_path(files: DeploymentFiles, data_centre: DataCentreId) -> Path:
+    return files.folder / f"keys-{data_centre}.json"
+
+
+def _write_keys(files: DeploymentFiles) -> None:
+    """Give each data centre a key pair that all others accept."""
+    pairs = {name: new_key_pair() for name in files.store_addresses}
+    allowed = [
+        {"public_key": pair.public_key, "data_centre": name}
+        for name, pair in pairs.items()
+    ]
+    for name, pair in pairs.items():
+        own = {"public_key": pair.public_key, "secret_key": pair.secret_key}
+        keys = {"own": own, "allowed": allowed}
+        _keys_path(files, name).write_bytes(msgspec.json.encode(keys))
+
+
 def _write_node(files: DeploymentFiles, plan: NodePlan, seeds: list[Address]) -> None:
     addresses = files.addresses[plan.node_id]
     settings = {
@@ -93,7 +112,10 @@
         "peer_address": addresses.peer,
         "store_address": files.store_addresses[plan.place.data_centre],
         "admin_address": addresses.admin,
-        "security": {"mode": "none"},
+        "security": {
+            "mode": "curve",
+            "keys_file": str(_keys_path(files, plan.place.data_centre)),
+        },
         "seeds": seeds,
         "backend_server": {
             "service": plan.service.name,
