Bound the findings of a rules text

Cause: a megabyte of junk edited straight into the store had a million findings, which took 8.6 s and hundreds of megabytes on a link relay.

Change: compilation ends after 500 findings and says so (R024); papaya prints the first 200 changes of a file.

--- a/packages/papayapost-operator/src/papayapost_operator/text.py
+++ b/packages/papayapost-operator/src/papayapost_operator/text.py
@@ -1,6 +1,6 @@
 """Lines that commands print for people."""
 
-from collections.abc import Iterable
+from collections.abc import Sequence
 from datetime import UTC, datetime
 
 from papayapost.ids import Micros
@@ -9,6 +9,8 @@
 
 __all__ = ["change_lines", "entry_line", "time_text"]
 
+_MAX_CHANGES_SHOWN = 200
+
 
 def time_text(at_us: Micros) -> str:
     """Return a wall-clock time in UTC.
@@ -21,10 +23,10 @@
     return f"{datetime.fromtimestamp(at_us // 1_000_000, UTC):%Y-%m-%d %H:%M:%SZ}"
 
 
-def change_lines(changes: Iterable[RuleChange]) -> list[str]:
-    """Return changes as lines led by ``+`` and ``-``."""
+def change_lines(changes: Sequence[RuleChange]) -> list[str]:
+    """Return changes as lines led by ``+`` and ``-``, the first 200 of them."""
     lines = []
-    for change in changes:
+    for change in changes[:_MAX_CHANGES_SHOWN]:
         if change.kind is ChangeKind.MOVED:
             lines.append(f"  ~ {change.after} (moved)")
             continue
@@ -32,6 +34,9 @@
             lines.append(f"  - {change.before}")
         if change.after:
             lines.append(f"  + {change.after}")
+    left = len(changes) - _MAX_CHANGES_SHOWN
+    if left > 0:
+        lines.append(f"  and {left} more changes; see --json")
     return lines
 
 
--- a/packages/papayapost/src/papayapost/rules/characters.py
+++ b/packages/papayapost/src/papayapost/rules/characters.py
@@ -1,6 +1,7 @@
 """Checks the size and the characters of a rules text."""
 
 import re
+from collections.abc import Iterator
 
 from papayapost.findings import Finding
 from papayapost.rules.faults import RuleFault
@@ -46,17 +47,15 @@
     )
 
 
-def check_characters(text: str) -> list[Finding]:
-    """Return a finding for each character that may not stand in a text."""
+def check_characters(text: str) -> Iterator[Finding]:
+    """Yield a finding for each character that may not stand in a text."""
     # These calls run at a nanosecond a character, the search at ten.
     plain = text.replace("\r\n", "").replace("\n", "").replace("\t", "")
     if plain.isprintable() or _SUSPECT.search(text) is None:
-        return []
-    return [
-        _finding_of(match.group(), number, match.start() + 1)
-        for number, line in enumerate(text.split("\n"), 1)
-        for match in _SUSPECT.finditer(line.removesuffix("\r"))
-    ]
+        return
+    for number, line in enumerate(text.split("\n"), 1):
+        for match in _SUSPECT.finditer(line.removesuffix("\r")):
+            yield _finding_of(match.group(), number, match.start() + 1)
 
 
 def _finding_of(character: str, line: int, column: int) -> Finding:
--- a/packages/papayapost/src/papayapost/rules/compile.py
+++ b/packages/papayapost/src/papayapost/rules/compile.py
@@ -1,13 +1,15 @@
 """Compiles a rules text, whole or not at all."""
 
+from contextlib import suppress
+
 import xxhash
 
 from papayapost.errors import RulesRefused
-from papayapost.findings import Finding
 from papayapost.rules.characters import check_characters, check_size
 from papayapost.rules.checks import FILE_CHECKS
 from papayapost.rules.compilers import LineCompiler, RulesDraft
 from papayapost.rules.faults import RuleFault
+from papayapost.rules.gathering import FindingList, TooManyFindings
 from papayapost.rules.index import RouteIndex
 from papayapost.rules.model import Route, Share
 from papayapost.rules.route import RouteCompiler
@@ -41,8 +43,8 @@
     Raises
     ------
     RulesRefused
-        With every finding of the text, in file order. A text that is too
-        large is not read any further.
+        With every finding of the text, 500 at most, in file order. A text
+        that is too large is not read any further.
 
     Examples
     --------
@@ -53,14 +55,13 @@
     too_large = check_size(text)
     if too_large is not None:
         raise RulesRefused([too_large])
-    findings = check_characters(text)
+    findings = FindingList()
     draft = RulesDraft(text.split("\n"), findings)
-    _read_lines(text, draft, previous.rows_by_text() if previous else {})
-    index = RouteIndex(draft.routes, previous.index if previous else None)
-    for check in FILE_CHECKS:
-        check.run(draft, index)
-    if findings:
-        raise RulesRefused(sorted(findings, key=_place_of))
+    index = RouteIndex(())
+    with suppress(TooManyFindings):
+        index = _fill(draft, text, previous)
+    if findings.items:
+        raise RulesRefused(findings.sorted_items())
     services = frozenset(route.service for route in draft.routes)
     return RuleSet(
         text,
@@ -72,6 +73,16 @@
     )
 
 
+def _fill(draft: RulesDraft, text: str, previous: RuleSet | None) -> RouteIndex:
+    """Read all lines into the draft, check it, and return its index."""
+    draft.findings.extend(check_characters(text))
+    _read_lines(text, draft, previous.rows_by_text() if previous else {})
+    index = RouteIndex(draft.routes, previous.index if previous else None)
+    for check in FILE_CHECKS:
+        check.run(draft, index)
+    return index
+
+
 def _read_lines(text: str, draft: RulesDraft, known: dict[str, Route | Share]) -> None:
     last_known = 0
     for number, raw in numbered_lines(text):
@@ -110,8 +121,3 @@
         f"unknown rule {keyword.text!r}",
         f"start the line with one of {', '.join(map(repr, _COMPILERS))}",
     )
-
-
-def _place_of(finding: Finding) -> tuple[int, int]:
-    line, _, column = finding.place.partition(":")
-    return int(line), int(column)
--- a/packages/papayapost/src/papayapost/rules/compilers.py
+++ b/packages/papayapost/src/papayapost/rules/compilers.py
@@ -4,7 +4,7 @@
 from dataclasses import dataclass, field
 from typing import ClassVar
 
-from papayapost.findings import Finding
+from papayapost.rules.gathering import FindingList
 from papayapost.rules.model import Route, Share
 from papayapost.rules.tokens import RuleLine
 
@@ -25,7 +25,7 @@
     """
 
     texts: list[str]
-    findings: list[Finding]
+    findings: FindingList
     routes: list[Route] = field(default_factory=list)
     shares: list[Share] = field(default_factory=list)
     fresh_lines: set[int] = field(default_factory=set)
--- a/packages/papayapost/src/papayapost/rules/diff.py
+++ b/packages/papayapost/src/papayapost/rules/diff.py
@@ -6,6 +6,7 @@
 from typing import NewType
 
 from papayapost.ids import Owner
+from papayapost.rules.gathering import FindingList
 from papayapost.rules.tokens import RuleLine, rule_lines
 
 __all__ = ["ChangeKind", "RuleChange", "RuleKey", "diff_rules"]
@@ -107,7 +108,7 @@
     """Return the rules of a text; repeated ones are numbered."""
     rows: dict[RuleKey, _RuleRow] = {}
     times: dict[str, int] = {}
-    for line in rule_lines(text, []):
+    for line in rule_lines(text, FindingList()):
         name = _name_of(line)
         times[name] = times.get(name, 0) + 1
         rule = RuleKey(name if times[name] == 1 else f"{name} #{times[name]}")
--- a/packages/papayapost/src/papayapost/rules/faults.py
+++ b/packages/papayapost/src/papayapost/rules/faults.py
@@ -31,3 +31,4 @@
     BAD_HOST = "R021"
     HEDGE_AFTER_TIMEOUT = "R022"
     LINE_TOO_LONG = "R023"
+    TOO_MANY_FINDINGS = "R024"
--- a/packages/papayapost/src/papayapost/rules/tokens.py
+++ b/packages/papayapost/src/papayapost/rules/tokens.py
@@ -7,6 +7,7 @@
 from papayapost.findings import Finding
 from papayapost.ids import Owner
 from papayapost.rules.faults import RuleFault
+from papayapost.rules.gathering import FindingList
 
 __all__ = ["MAX_LINE_CHARACTERS", "RuleLine", "Word", "numbered_lines", "rule_lines"]
 
@@ -34,7 +35,7 @@
     number
         Line number, from 1.
     findings
-        Where `report` appends to.
+        Where `report` adds to.
 
     Attributes
     ----------
@@ -45,12 +46,13 @@
 
     Examples
     --------
-    >>> line = RuleLine(1, "share bulk floor=5% # Ana: downloads", [])
+    >>> text = "share bulk floor=5% # Ana: downloads"
+    >>> line = RuleLine(1, text, FindingList())
     >>> [word.text for word in line.words], line.owner
     (['share', 'bulk', 'floor=5%'], 'Ana')
     """
 
-    def __init__(self, number: int, text: str, findings: list[Finding]):
+    def __init__(self, number: int, text: str, findings: FindingList):
         self.number = number
         self.text = text
         self._findings = findings
@@ -66,7 +68,7 @@
     def report(self, fault: RuleFault, column: int, message: str, remedy: str) -> None:
         """Add a finding at a column of this line."""
         place = f"{self.number}:{column}"
-        self._findings.append(Finding(fault.value, place, message, remedy))
+        self._findings.add(Finding(fault.value, place, message, remedy))
 
     def require_owner(self) -> None:
         """Report the line unless its comment says who asked and why."""
@@ -79,7 +81,7 @@
             )
 
 
-def rule_lines(text: str, findings: list[Finding]) -> Iterator[RuleLine]:
+def rule_lines(text: str, findings: FindingList) -> Iterator[RuleLine]:
     """Yield the lines of a text that are neither empty nor all comment."""
     for number, raw in numbered_lines(text):
         yield RuleLine(number, raw, findings)
--- a/packages/papayapost/tests/test_rules_compile.py
+++ b/packages/papayapost/tests/test_rules_compile.py
@@ -2,6 +2,7 @@
 
 from papayapost.errors import RulesRefused
 from papayapost.rules import MAX_TEXT_BYTES, compile_rules, decode_text
+from papayapost.rules.gathering import MAX_FINDINGS
 from papayapost.states import Rank
 
 OWNER = " # Ana: asked for"
@@ -105,6 +106,14 @@
     assert compile_rules("#" + "n" * (MAX_TEXT_BYTES - 1)).routes == ()
 
 
+@pytest.mark.parametrize("junk", ["x\n", "route GET /a -> a # b: c\n", "\x01"])
+def test_a_megabyte_of_junk_has_a_bounded_number_of_findings(junk):
+    found = findings_of((junk * MAX_TEXT_BYTES)[:MAX_TEXT_BYTES])
+    assert len(found) == MAX_FINDINGS + 1
+    assert found[-1][1] == "R024"
+    assert found[-1][0] == found[-2][0]
+
+
 def test_a_download_and_an_at_most_once_charge_can_be_expressed():
     rules = compile_rules(
         "route POST oleaje.example/deposits -> counter rank=high idempotent=no "
