--- a/packages/papayapost/src/papayapost/traffic/endings.py
+++ b/packages/papayapost/src/papayapost/traffic/endings.py
@@ -75,6 +75,8 @@
             self._tables.counters.late_answers += 1
             tick.emit(DropAnswer(begun.attempt_id))
             return
+        if attempt.state is AttemptState.ANSWERING:
+            return
         self._observe(tick, begun, attempt, call)
         if begun.status in _BAD_STATUSES and self._passes_over(tick, call, attempt):
             return
--- a/packages/papayapost/src/papayapost/traffic/settle.py
+++ b/packages/papayapost/src/papayapost/traffic/settle.py
@@ -69,9 +69,9 @@
         for undelivered in tick.take(OfferUndelivered):
             self._undelivered(tick, undelivered.attempt_id)
         for lost in tick.take(AttemptLost):
-            self._lost(tick, lost.attempt_id)
+            self._lost(tick, lost.attempt_id, is_told=False)
         for failed in tick.take(AttemptFailed):
-            self._lost(tick, failed.attempt_id)
+            self._lost(tick, failed.attempt_id, is_told=True)
         for due in tick.take(CallDue):
             self._step(tick, due.call_id)
 
@@ -102,11 +102,16 @@
         self._failed(tick, call, attempt.upstream)
         self._not_run(tick, call, attempt_id, RefusalCode.UNREACHABLE)
 
-    def _lost(self, tick: Tick, attempt_id: AttemptId) -> None:
-        attempt = forget_attempt(self._tables, attempt_id)
+    def _lost(self, tick: Tick, attempt_id: AttemptId, is_told: bool) -> None:
+        attempt = self._tables.attempts.get(attempt_id)
         call = self._call_of(attempt)
         if attempt is None or call is None:
             return
+        if is_told:
+            forget_attempt(self._tables, attempt_id)
+        else:
+            # The offer may still be queued for delivery after a reconnect.
+            self._offers.cancel(tick, attempt_id)
         call.live.remove(attempt_id)
         call.is_maybe_run = True
         self._failed(tick, call, attempt.upstream)
--- a/packages/papayapost/tests/traffic/test_claims.py
+++ b/packages/papayapost/tests/traffic/test_claims.py
@@ -1,6 +1,6 @@
 from papayapost.ids import AttemptId, IdempotencyKey, Micros, ServiceName
 from papayapost.states import Rank
-from papayapost.storage import ReadObject, UpdateObject
+from papayapost.storage import ObjectUpdated, ReadObject, UpdateObject
 from papayapost.traffic import BackendCallEnded, ClaimsObject, ClaimToken, RefusalCode
 from papayapost.traffic.claims import _MAX_TOKENS, RETENTION_S
 from papayapost.traffic.claims_tables import PARTITIONS
@@ -96,6 +96,19 @@
     assert started(owner.settle(effects)) == [charge.attempt_id]
 
 
+def test_a_result_that_is_overdue_grants_nothing():
+    owner = Claimer(FakeStore())
+    charge = owner.charge(budget_us=Micros(10_000_000))
+    (read,) = owner.tick(charge)
+    (overdue,) = owner.tick(owner.store.carry_out(read))
+    late = ObjectUpdated(overdue.key, overdue.request_id, 1)
+    (again,) = owner.tick(after_us=2_000_000)
+    assert not owner.tick(late)
+    (write,) = owner.tick(owner.store.carry_out(again))
+    assert not owner.tick(late)
+    assert started(owner.settle([write])) == [charge.attempt_id]
+
+
 def test_charges_are_refused_as_not_run_while_the_store_is_down():
     owner = Claimer(FakeStore())
     charge, other = owner.charge(), owner.charge(IdempotencyKey("other"))
--- a/packages/papayapost/tests/traffic/test_retries.py
+++ b/packages/papayapost/tests/traffic/test_retries.py
@@ -83,7 +83,9 @@
 def test_a_lookup_sent_to_a_lost_node_is_tried_elsewhere_at_once():
     desk = Desk()
     first = only(desk.call())
-    second = only(desk.tick(OwnerLost(first.address)))
+    effects = desk.tick(OwnerLost(first.address))
+    assert cancelled(effects) == [first.offer.attempt_id]
+    second = only(effects)
     assert second.address != first.address
     effects = desk.answer(second)
     assert ForwardAnswer(CallId(1), second.offer.attempt_id) in effects
