--- a/packages/papayapost-node/src/papayapost_node/runner.py
+++ b/packages/papayapost-node/src/papayapost_node/runner.py
@@ -89,15 +89,16 @@
             return
         messages, self._inbox = self._inbox, []
         self.ticks += 1
+        now_us = self._clock.now_us()
+        handlers, watchers = self._handlers, self._effect_watchers
         for message in messages:
             for watch in self._input_watchers.get(type(message), ()):
                 watch(message)
-        now_us = self._clock.now_us()
-        handlers = self._handlers
         for effect in self._world.tick(now_us, messages):
-            for watch in self._effect_watchers.get(type(effect), ()):
+            kind = type(effect)
+            for watch in watchers.get(kind, ()):
                 watch(effect)
-            handler = handlers.get(type(effect))
+            handler = handlers.get(kind)
             if handler is None:
                 continue
             try:
