Bound the rebuilding of services and judge silence fairly

Cause: each newcomer of a large service cost the next call a rebuild (1.7 ms at 1,000 upstreams), callers with tiny budgets could eject healthy backend servers, and a node that woke after a deadline made one more attempt. Change: lists are rebuilt ten times a second at most, leavers are taken out at once; silence counts after three latencies; an overdue step ends the call.

--- a/packages/papayapost/src/papayapost/traffic/endings.py
+++ b/packages/papayapost/src/papayapost/traffic/endings.py
@@ -141,7 +141,7 @@
         for attempt_id in call.live:
             attempt = self._tables.attempts.require(attempt_id)
             service = self._upstreams.service(call.route.service, tick.now_us)
-            self._watch.failed(tick, attempt.upstream, service)
+            self._watch.silent(tick, attempt, service)
         call.is_maybe_run = call.is_maybe_run or bool(call.live)
         self._offers.withdraw(tick, call)
         refuse_call(tick, self._tables, call, RefusalCode.DEADLINE)
--- a/packages/papayapost/src/papayapost/traffic/settle.py
+++ b/packages/papayapost/src/papayapost/traffic/settle.py
@@ -8,6 +8,7 @@
 from papayapost.traffic.messages import (
     AttemptFailed,
     AttemptRefused,
+    CallExpired,
     CutAnswer,
     OfferUndelivered,
     RefusalCode,
@@ -181,7 +182,9 @@
         call = self._tables.calls.get(call_id)
         if call is None:
             return
-        if call.step is CallStep.HEDGE:
+        if tick.now_us >= call.deadline_us:
+            tick.post(CallExpired(call_id))
+        elif call.step is CallStep.HEDGE:
             self._hedge(tick, call)
         elif call.step is CallStep.GIVE_UP_ATTEMPT:
             self._give_up_attempt(tick, call)
@@ -212,7 +215,8 @@
             return
         for attempt_id in given_up:
             attempt = self._tables.attempts.require(attempt_id)
-            self._failed(tick, call, attempt.upstream)
+            service = self._upstreams.service(call.route.service, tick.now_us)
+            self._watch.silent(tick, attempt, service)
             self._offers.cancel(tick, attempt_id)
             call.live.remove(attempt_id)
             call.is_maybe_run = True
@@ -234,7 +238,7 @@
     def _mark_draining(self, upstream: UpstreamRow, call: CallRow | None) -> None:
         upstream.is_draining = True
         if call is not None:
-            self._upstreams.mark_stale(call.route.service)
+            self._upstreams.withdraw(call.route.service, upstream.node_id)
 
     def _failed(self, tick: Tick, call: CallRow, upstream: UpstreamRow) -> None:
         service = self._upstreams.service(call.route.service, tick.now_us)
--- a/packages/papayapost/src/papayapost/traffic/track.py
+++ b/packages/papayapost/src/papayapost/traffic/track.py
@@ -1,6 +1,6 @@
 """Systems that keep the upstream tables true to what is seen."""
 
-from papayapost.ids import Micros
+from papayapost.ids import Micros, ServiceName
 from papayapost.kernel import System, Tick
 from papayapost.membership import BackendServerRow, Directory, DirectoryChanged
 from papayapost.observe import Event, Noted
@@ -8,12 +8,14 @@
 from papayapost.traffic.internal import AttemptLost, EjectionOver
 from papayapost.traffic.link import LinkBudget
 from papayapost.traffic.messages import LossCause, OwnerLost
-from papayapost.traffic.tables import AttemptState, TrafficTables
+from papayapost.traffic.tables import AttemptRow, AttemptState, TrafficTables
 from papayapost.traffic.upstreams import ServiceRow, UpstreamRow, Upstreams
 
 __all__ = ["FailureWatch", "TrackUpstreams"]
 
 _MAX_FAILURES = 5
+_FAIR_MIN_US = 100_000
+_FAIR_LATENCIES = 3
 _EJECTION_MIN_US = 5_000_000
 _EJECTION_MAX_US = 60_000_000
 
@@ -33,6 +35,16 @@
         upstream.failures = 0
         upstream.ejections = 0
 
+    def silent(self, tick: Tick, attempt: AttemptRow, service: ServiceRow) -> None:
+        """Note an attempt that was given up without an answer.
+
+        It counts as a failure only if it had a fair time, so that callers
+        in a hurry do not eject healthy backend servers.
+        """
+        fair_us = max(_FAIR_MIN_US, _FAIR_LATENCIES * service.latency_us)
+        if tick.now_us - attempt.offered_us >= fair_us:
+            self.failed(tick, attempt.upstream, service)
+
     def failed(self, tick: Tick, upstream: UpstreamRow, service: ServiceRow) -> None:
         """Note a lost attempt, an expired one or a bad answer."""
         upstream.failures += 1
@@ -83,9 +95,9 @@
             self._readmit(tick, over)
 
     def _follow(self, tick: Tick, row: BackendServerRow) -> None:
-        if row.service is not None:
-            self._upstreams.mark_stale(row.service)
         upstream = self._upstreams.rows.get(row.node_id)
+        if row.service is not None:
+            self._refresh(row, row.service, upstream)
         if upstream is None:
             return
         known = self._directory.get(row.node_id)
@@ -99,6 +111,15 @@
         elif known.state is BackendServerState.COLD:
             upstream.ramp_from_us = tick.now_us
 
+    def _refresh(
+        self, row: BackendServerRow, service: ServiceName, upstream: UpstreamRow | None
+    ) -> None:
+        is_same = upstream is None or upstream.incarnation == row.incarnation
+        if row.state is BackendServerState.READY and is_same:
+            self._upstreams.mark_stale(service)
+        else:
+            self._upstreams.withdraw(service, row.node_id)
+
     def _lose(self, tick: Tick, upstream: UpstreamRow, cause: LossCause) -> None:
         upstream.epoch = self._upstreams.next_epoch()
         for attempt_id in upstream.attempts:
--- a/packages/papayapost/src/papayapost/traffic/upstreams.py
+++ b/packages/papayapost/src/papayapost/traffic/upstreams.py
@@ -24,6 +24,7 @@
 SUBSET_SIZE = 20
 """Upstreams of a service that one entry node uses at one distance."""
 
+_REBUILD_EVERY_US = 100_000
 _PANIC_SHARE = 0.5
 _LATENCY_WEIGHT = 0.2
 _LEAVING = frozenset([BackendServerState.DRAINING, BackendServerState.GONE])
@@ -104,6 +105,7 @@
     upstreams: list[UpstreamRow] = field(default_factory=list)
     tiers: list[list[UpstreamRow]] = field(default_factory=list)
     latency_us: float = 1.0
+    built_us: int = 0
     is_stale: bool = True
     is_panicking: bool = False
     is_known: bool = False
@@ -146,7 +148,8 @@
     """Upstreams by node and services by name, built from the directory.
 
     A service's row is built when a call first needs it and again after the
-    directory changed it, so that a call never scans the directory.
+    directory changed it, at most ten times a second, so that a call does not
+    scan the directory. Who leaves is taken out at once.
 
     Attributes
     ----------
@@ -169,7 +172,8 @@
         if service is None:
             service = ServiceRow(name)
             self.services.put(name, service)
-        if service.is_stale:
+        is_due = now_us - service.built_us >= _REBUILD_EVERY_US
+        if service.is_stale and (is_due or not service.upstreams):
             self._rebuild(service, now_us)
         return service
 
@@ -179,11 +183,22 @@
         return row is None or row.state in _LEAVING
 
     def mark_stale(self, name: ServiceName) -> None:
-        """Rebuild the service's row before its next use."""
+        """Rebuild the service's row soon, for what came to it."""
         service = self.services.get(name)
         if service is not None:
             service.is_stale = True
 
+    def withdraw(self, name: ServiceName, node_id: NodeId) -> None:
+        """Use a node no longer from now on, for it left the service."""
+        service = self.services.get(name)
+        if service is None:
+            return
+        service.is_stale = True
+        kept = [row for row in service.upstreams if row.node_id != node_id]
+        if len(kept) < len(service.upstreams):
+            service.upstreams = kept
+            service.refresh_tiers()
+
     def next_epoch(self) -> ConnectionEpoch:
         """Return an epoch that is higher than all before."""
         self._next_epoch += 1
@@ -199,6 +214,7 @@
             self._upstream(row, is_first, now_us) for row in self._subset(ready)
         ]
         service.is_stale = False
+        service.built_us = now_us
         service.is_known = bool(service.upstreams)
         service.refresh_tiers()
 
--- a/packages/papayapost/tests/traffic/test_balancing.py
+++ b/packages/papayapost/tests/traffic/test_balancing.py
@@ -127,6 +127,17 @@
     assert bad in targets(entry, 20)
 
 
+def test_callers_in_a_hurry_do_not_eject_healthy_backend_servers():
+    entry = Entry([backend_row(name, "gusts") for name in "abc"])
+    for number in range(100):
+        call_id = CallId(1_000 + number)
+        entry.tick(CallArrived(call_id, "GET", "w", "/gusts/a", Micros(1_000)))
+        entry.tick(after_us=1_100)
+    counters = entry.node.traffic.calls.counters
+    assert counters.unknown_outcomes == 100
+    assert counters.ejections == 0
+
+
 def test_when_most_backend_servers_fail_all_of_them_are_used():
     entry = Entry([backend_row(name, "gusts") for name in "abcd"])
     for _ in range(100):
@@ -141,6 +152,7 @@
     targets(entry, 1)
     rows[0].incarnation = Incarnation(rows[0].incarnation + 1)
     entry.tick(DirectoryChanged((rows[0],)))
+    entry.tick(after_us=100_000)
     assert targets(entry, 40).count("a:1") < 4
     entry.tick(after_us=11_000_000)
     assert targets(entry, 200).count("a:1") > 30
@@ -158,6 +170,21 @@
     assert refused.outcome is Outcome.NOT_RUN
 
 
+def test_a_herd_of_newcomers_does_not_rebuild_a_service_for_each():
+    rows = [backend_row(f"u{number}", "gusts") for number in range(50)]
+    entry = Entry(rows[:10])
+    targets(entry, 1)
+    for row in rows[10:]:
+        entry.node.directory.put(row.node_id, row)
+        entry.tick(DirectoryChanged((row,)))
+        only(entry.call())
+    service = entry.node.traffic.upstreams.services.require("gusts")
+    assert len(service.upstreams) == 10
+    entry.tick(after_us=100_000)
+    only(entry.call())
+    assert len(service.upstreams) == SUBSET_SIZE
+
+
 def test_an_entry_node_uses_a_bounded_and_stable_part_of_a_large_service():
     rows = [backend_row(f"u{number}", "gusts", slots=100) for number in range(200)]
     entry, again = Entry(rows), Entry(rows[::-1])
--- a/packages/papayapost/tests/traffic/test_retries.py
+++ b/packages/papayapost/tests/traffic/test_retries.py
@@ -142,6 +142,15 @@
     assert desk.is_idle()
 
 
+def test_a_node_that_wakes_after_the_deadline_makes_no_further_attempt():
+    desk = Desk()
+    desk.call()
+    effects = desk.tick(after_us=500_000)
+    assert not sent(effects)
+    assert refusal(effects).code is RefusalCode.DEADLINE
+    assert desk.is_idle()
+
+
 def test_a_hedge_wins_and_the_loser_is_cancelled():
     desk = Desk()
     first = only(desk.call("/hedged/wanli"))
