--- /dev/null
+++ b/packages/papayapost-testing/tests/test_charges.py
@@ -0,0 +1,44 @@
+import asyncio
+
+from papayapost.ids import Address
+from papayapost_node.http import ClientConnection, HttpAnswer, HttpRequest
+from papayapost_testing.node_pair import node_pair
+
+ANSWER = b"HTTP/1.1 200 OK\r\ncontent-length: 4\r\n\r\ndone"
+
+
+async def charge(address: Address, key: bytes) -> HttpAnswer:
+    connection = await ClientConnection.open(address)
+    headers = [
+        (b"host", b"scans.example"),
+        (b"idempotency-key", key),
+        (b"content-length", b"0"),
+    ]
+    try:
+        return await connection.call(HttpRequest("POST", "/deposit", headers))
+    finally:
+        connection.close()
+
+
+async def charge_twice() -> tuple[HttpAnswer, HttpAnswer, int]:
+    runs = 0
+
+    async def backend(reader, writer):
+        nonlocal runs
+        while head := await reader.readuntil(b"\r\n\r\n"):
+            runs += head.startswith(b"POST")
+            writer.write(ANSWER)
+
+    async with node_pair(backend) as pair:
+        first = await charge(pair.entry_address, b"deposit-7")
+        again = await charge(pair.owner_address, b"deposit-7")
+        return first, again, runs
+
+
+def test_a_repeat_of_a_charge_through_another_node_is_refused_as_not_run():
+    first, again, runs = asyncio.run(charge_twice())
+    assert (first.status, first.body) == (200, b"done")
+    assert again.status == 409
+    assert again.header(b"papayapost-outcome") == b"refused-not-run"
+    assert again.header(b"papayapost-code") == b"duplicate"
+    assert runs == 1
--- a/packages/papayapost/src/papayapost/traffic/track.py
+++ b/packages/papayapost/src/papayapost/traffic/track.py
@@ -102,8 +102,8 @@
             return
         known = self._directory.get(row.node_id)
         if known is None or known.state is BackendServerState.GONE:
-            self._lose(tick, upstream, LossCause.DIRECTORY)
-            self._upstreams.rows.pop(row.node_id)
+            if not self._lose(tick, upstream, LossCause.DIRECTORY):
+                self._upstreams.rows.pop(row.node_id)
         elif known.incarnation != upstream.incarnation:
             self._lose(tick, upstream, LossCause.CONNECTION)
         elif known.state is BackendServerState.READY:
@@ -120,15 +120,26 @@
         else:
             self._upstreams.withdraw(service, row.node_id)
 
-    def _lose(self, tick: Tick, upstream: UpstreamRow, cause: LossCause) -> None:
+    def _lose(self, tick: Tick, upstream: UpstreamRow, cause: LossCause) -> bool:
+        """Report what was sent to an upstream as lost.
+
+        Returns
+        -------
+        bool
+            Whether answers go on arriving. The directory may call a node
+            gone that is merely cut off from its observers, and an answer
+            that still arrives disproves it.
+        """
         upstream.epoch = self._upstreams.next_epoch()
+        is_arriving = False
         for attempt_id in upstream.attempts:
             attempt = self._tables.attempts.require(attempt_id)
-            # The directory may call a node gone that is merely cut off from
-            # its observers. An answer that is still arriving disproves it.
-            is_arriving = attempt.state is AttemptState.ANSWERING
-            if cause is LossCause.CONNECTION or not is_arriving:
+            is_answering = attempt.state is AttemptState.ANSWERING
+            if cause is LossCause.DIRECTORY and is_answering:
+                is_arriving = True
+            else:
                 tick.post(AttemptLost(attempt_id))
+        return is_arriving
 
     def _readmit(self, tick: Tick, over: EjectionOver) -> None:
         upstream = self._upstreams.rows.get(over.node_id)
--- a/packages/papayapost/tests/traffic/test_retries.py
+++ b/packages/papayapost/tests/traffic/test_retries.py
@@ -122,6 +122,19 @@
     assert desk.is_idle()
 
 
+def test_an_answer_is_shown_as_cut_also_after_a_wrong_verdict():
+    desk = Desk()
+    offer = only(desk.call())
+    attempt_id = offer.offer.attempt_id
+    desk.tick(AnswerBegun(offer.offer.sender, attempt_id, 200, 1))
+    row = next(r for r in desk.rows if r.peer_address == offer.address)
+    for state in (BackendServerState.GONE, BackendServerState.READY):
+        row.state = state
+        assert not desk.tick(DirectoryChanged((row,)))
+    assert CutAnswer(CallId(1), attempt_id) in desk.tick(OwnerLost(offer.address))
+    assert desk.is_idle()
+
+
 def test_a_late_answer_is_dropped():
     desk = Desk()
     offer = only(desk.book())
