Test the tree through deaths, pauses, cuts, herds and odd messages

Cause: a lonely new root overwrote the stored directory and never met the others, and the time since a node seeks was counted from zero. Change: the time counts from the first request; whatever image of the own data centre is read from the store gives contacts to greet; a herd is answered within 30 requests and 60 deferrals a second. Worlds are joined by a small loop in virtual time, with a fake of the store.

--- /dev/null
+++ b/packages/papayapost-testing/src/papayapost_testing/mesh_store.py
@@ -0,0 +1,80 @@
+"""A fake of the object store for worlds in virtual time."""
+
+from collections.abc import Callable
+
+from papayapost.ids import Address
+from papayapost.storage import (
+    ObjectKey,
+    ObjectSeen,
+    ObjectUpdated,
+    ReadObject,
+    StoreFailed,
+    UpdateConflicted,
+    UpdateObject,
+    UpdateUnknown,
+    WatchObject,
+)
+
+__all__ = ["MeshStore"]
+
+
+class MeshStore:
+    """Versions, conditional updates and watches, answered by messages.
+
+    Parameters
+    ----------
+    post
+        Takes a node's address and the answer for it.
+
+    Attributes
+    ----------
+    unreachable
+        Addresses that get no answer to a watch and a failure to the rest.
+    loses_replies
+        Whether updates take effect while their answers are lost.
+    """
+
+    def __init__(self, post: Callable[[Address, object], None]):
+        self._post = post
+        self.objects: dict[ObjectKey, tuple[int, object]] = {}
+        self.unreachable: set[Address] = set()
+        self.loses_replies = False
+        self.writes = 0
+        self._watches: dict[tuple[Address, ObjectKey], int] = {}
+
+    def call(self, address: Address, effect: object) -> None:
+        """Carry out an effect, if it is one on the store."""
+        if isinstance(effect, WatchObject):
+            self._watches[address, effect.key] = effect.after_version
+            self._answer_watches()
+        elif isinstance(effect, ReadObject):
+            self._post(address, self._read(address, effect))
+        elif isinstance(effect, UpdateObject):
+            self._post(address, self._update(address, effect))
+            self._answer_watches()
+
+    def _read(self, address: Address, read: ReadObject) -> object:
+        if address in self.unreachable:
+            return StoreFailed(read.key, "no answer", read.request_id)
+        version, value = self.objects.get(read.key, (0, None))
+        return ObjectSeen(read.key, version, value, read.request_id)
+
+    def _update(self, address: Address, update: UpdateObject) -> object:
+        key, request_id = update.key, update.request_id
+        if address in self.unreachable:
+            return UpdateUnknown(key, request_id, "no answer")
+        version = self.objects.get(key, (0, None))[0]
+        if version != update.expected_version:
+            return UpdateConflicted(key, request_id, version)
+        self.writes += 1
+        self.objects[key] = (version + 1, update.value)
+        if self.loses_replies:
+            return UpdateUnknown(key, request_id, "the reply was lost")
+        return ObjectUpdated(key, request_id, version + 1)
+
+    def _answer_watches(self) -> None:
+        for (address, key), after in list(self._watches.items()):
+            version, value = self.objects.get(key, (0, None))
+            if version != after and address not in self.unreachable:
+                del self._watches[address, key]
+                self._post(address, ObjectSeen(key, version, value))
--- a/packages/papayapost/src/papayapost/membership/children.py
+++ b/packages/papayapost/src/papayapost/membership/children.py
@@ -32,9 +32,8 @@
 
 _SWEEP_US = 1_000_000
 _GIVE_UP_US = 10_000_000
-_JOINS_PER_SECOND = 40
-_JOINS_BURST = 60
-_ANSWERS_PER_SECOND = 100
+_JOINS_PER_SECOND = 30
+_ANSWERS_PER_SECOND = 60
 _RETRY_MIN_MS = 500
 _RETRY_MAX_MS = 60_000
 _STALE_RETRY_MS = 200
@@ -60,7 +59,7 @@
         self._me = members.me
         self._members = members
         self._tree = tree
-        self._joins = Budget(_JOINS_PER_SECOND, _JOINS_BURST)
+        self._joins = Budget(_JOINS_PER_SECOND, _JOINS_PER_SECOND)
         self._answers = Budget(_ANSWERS_PER_SECOND, _ANSWERS_PER_SECOND)
         self._backlog: dict[NodeId, Micros] = {}
 
--- a/packages/papayapost/src/papayapost/membership/seeking.py
+++ b/packages/papayapost/src/papayapost/membership/seeking.py
@@ -18,7 +18,7 @@
     ParentLost,
 )
 from papayapost.membership.ranking import order_of
-from papayapost.membership.tables import ParentRow, SeekRow, TreeTables
+from papayapost.membership.tables import NEVER, ParentRow, SeekRow, TreeTables
 from papayapost.observe import Event, Noted
 from papayapost.peering import PeerSend
 from papayapost.states import TreeState
@@ -83,6 +83,7 @@
         self._me = me
         self._members = members
         self._tree = tree
+        self._directory_key = own_directory_key(members)
         self._is_seed = me.peer_address in seeds
         self._seeds = [seed for seed in seeds if seed != me.peer_address]
 
@@ -97,7 +98,7 @@
         for redirected in tick.take(JoinRedirected):
             self._see_redirection(tick, redirected)
         for seen in tick.take(ObjectSeen):
-            if seen.request_id == HINTS_REQUEST:
+            if seen.key == self._directory_key and seen.value is not None:
                 self._see_hints(tick, seen)
         for timed_out in tick.take(SeekTimedOut):
             if timed_out.target == self._tree.seek.target:
@@ -109,6 +110,8 @@
         seek = self._tree.seek
         seek.tried.clear()
         seek.answers = 0
+        if seek.since_us == NEVER:
+            seek.since_us = tick.now_us
         if self._tree.state is TreeState.ROOT:
             self._greet(tick)
         if self._is_content():
@@ -175,9 +178,8 @@
         if tree.parent is None:
             if self._may_be_root(tick):
                 self._become_root(tick)
-            elif not seek.answers:
-                key = own_directory_key(self._members)
-                tick.emit(ReadObject(key, HINTS_REQUEST))
+            if not seek.answers:
+                tick.emit(ReadObject(self._directory_key, HINTS_REQUEST))
         seek.rounds += 1
         ceiling_us = _BACKOFF_MIN_US << min(seek.rounds, 6)
         self._schedule(tick, min(ceiling_us, _BACKOFF_MAX_US))
--- /dev/null
+++ b/packages/papayapost/tests/membership/test_any_failures.py
@@ -0,0 +1,124 @@
+"""Kills, restarts, pauses, cuts and heals in any order."""
+
+from hypothesis import HealthCheck, settings, strategies as st
+from hypothesis.stateful import (
+    RuleBasedStateMachine,
+    initialize,
+    invariant,
+    precondition,
+    rule,
+)
+
+from papayapost.membership import order_of
+from papayapost.membership.ranking import MAX_CHILDREN
+from papayapost.states import TreeState
+from papayapost_testing.mesh_loop import MeshLoop
+
+NAMES = ["x0", "x1", "x2", "x3", "x4"]
+names = st.sampled_from(NAMES)
+
+
+class MeshMachine(RuleBasedStateMachine):
+    """Five nodes at most, with late, doubled and lost messages."""
+
+    @initialize(seed=st.integers(0, 1_000), count=st.integers(3, 5))
+    def start_mesh(self, seed, count):
+        self.loop = MeshLoop(seed, NAMES[:2])
+        self.names = NAMES[:count]
+        self.loop.drop_rate = self.loop.duplicate_rate = 0.05
+        self.loop.max_delay_us = 300_000
+        self.newest = {}
+        for name in self.names:
+            self.loop.start(name)
+        self.loop.run(20)
+
+    @rule(name=names)
+    def kill(self, name):
+        self.loop.kill(name)
+
+    @rule(name=names)
+    def restart(self, name):
+        if name in self.names:
+            self.loop.run(0.1)
+            self.loop.start(name)
+
+    @rule(name=names, is_paused=st.booleans())
+    def pause(self, name, is_paused):
+        if name in self.loop.nodes:
+            self.loop.pause(name, is_paused)
+
+    @rule(name=names)
+    def cut(self, name):
+        self.loop.groups[f"{name}:1"] = 1
+
+    @rule()
+    def heal_cuts(self):
+        self.loop.groups.clear()
+
+    @rule(seconds=st.sampled_from([0.2, 2, 15, 80]))
+    def wait(self, seconds):
+        self.loop.run(seconds)
+
+    @precondition(lambda self: self.loop.nodes)
+    @rule()
+    def heal_all(self):
+        self.loop.groups.clear()
+        self.loop.drop_rate = 0
+        for name, node in self.loop.nodes.items():
+            if node.is_paused:
+                self.loop.pause(name, is_paused=False)
+        self.loop.run(240)
+        self.check_converged()
+        self.loop.drop_rate = 0.05
+
+    def check_converged(self):
+        parts = [node.part for node in self.loop.nodes.values()]
+        live = {part.members.me.node_id: part.members.own.stamp for part in parts}
+        roots = [part for part in parts if part.tree.state is TreeState.ROOT]
+        assert len(roots) == 1
+        for part in parts:
+            known = {row.node_id: row.stamp for row in part.directory}
+            dead = set(known) - set(live)
+            assert {n: known[n] for n in known if n in live} == live
+            # Dead rows stay only where burying them would be a majority.
+            assert not dead or 2 * len(dead) >= len(known)
+
+    @invariant()
+    def no_older_stamp_returns(self):
+        for name, node in self.loop.nodes.items():
+            for row in node.part.directory:
+                key = (name, node.part.members.me.incarnation, row.node_id)
+                assert row.stamp >= self.newest.get(key, row.stamp)
+                self.newest[key] = row.stamp
+            for tombstone in node.part.members.tombstones:
+                assert tombstone.row.node_id not in node.part.directory
+
+    @invariant()
+    def children_are_bounded_and_parents_rank_above(self):
+        for node in self.loop.nodes.values():
+            tree, me = node.part.tree, node.part.members.me.node_id
+            assert len(tree.children) <= MAX_CHILDREN
+            if tree.parent is not None:
+                assert order_of(tree.parent.node_id) < order_of(me)
+
+    @invariant()
+    def nobody_buries_a_living_majority(self):
+        for node in self.loop.nodes.values():
+            members = node.part.members
+            wrong = [
+                tombstone
+                for tombstone in members.tombstones
+                if tombstone.row.node_id in self.loop.nodes
+            ]
+            assert 2 * len(wrong) <= len(members.directory) + len(wrong)
+
+
+MeshMachine.TestCase.settings = settings(
+    derandomize=True,
+    database=None,
+    deadline=None,
+    max_examples=25,
+    stateful_step_count=14,
+    suppress_health_check=list(HealthCheck),
+)
+TestAnyFailures = MeshMachine.TestCase
--- /dev/null
+++ b/packages/papayapost/tests/membership/test_tree.py
@@ -0,0 +1,224 @@
+from dataclasses import replace
+
+import pytest
+
+from papayapost.ids import Incarnation, Micros, NodeId, RuleVersion
+from papayapost.membership import (
+    ChildJoined,
+    Heartbeat,
+    JoinRedirected,
+    JoinRequest,
+    LeaveMesh,
+    OwnRowChanged,
+    order_of,
+)
+from papayapost.membership.ranking import MAX_CHILDREN
+from papayapost.peering import PeerSend
+from papayapost.states import BackendServerState, TreeLevel
+from papayapost_testing.mesh_loop import MeshLoop
+
+# 8 KB/s for control, at 40 bytes for the smallest answer.
+ANSWERS_PER_SECOND = 200
+
+
+def mesh(count, seed=1, seeds=("x0", "x1")):
+    loop = MeshLoop(seed, seeds)
+    for number in range(count):
+        loop.start(f"x{number}")
+    return loop
+
+
+def directories(loop):
+    return {
+        frozenset((row.node_id, row.stamp) for row in node.part.directory)
+        for node in loop.nodes.values()
+    }
+
+
+def roots(loop):
+    return [n for n, node in loop.nodes.items() if node.part.tree.is_link_relay]
+
+
+def sent(loop, kind):
+    effects = [effect for _, effect in loop.effects if isinstance(effect, PeerSend)]
+    return [effect for effect in effects if isinstance(effect.message, kind)]
+
+
+def rejoin_time_s(loop, node):
+    for second in range(60):
+        if node.part.tree.parent is not None:
+            return second
+        loop.run(1)
+    return None
+
+
+def test_a_mesh_becomes_one_tree_of_bounded_width():
+    loop = mesh(130)
+    loop.run(90)
+    assert len(roots(loop)) == 1
+    assert len(directories(loop)) == 1
+    parts = [node.part for node in loop.nodes.values()]
+    assert max(len(part.tree.children) for part in parts) <= MAX_CHILDREN
+    assert sum(part.tree.level is TreeLevel.PARENT for part in parts) == 4
+    for part in parts:
+        parent, me = part.tree.parent, part.members.me.node_id
+        assert parent is None or order_of(parent.node_id) < order_of(me)
+
+
+def test_a_dead_node_is_buried_everywhere_and_its_late_row_stays_dead():
+    loop = mesh(6)
+    loop.run(30)
+    victim = next(n for n in loop.nodes if n not in roots(loop))
+    late = loop.nodes[victim].part.members.own
+    loop.kill(victim)
+    loop.run(12)
+    assert all(victim not in node.part.directory for node in loop.nodes.values())
+    request = JoinRequest(NodeId(victim), late, True, RuleVersion(0), 0)
+    for node in loop.nodes.values():
+        loop.post(node.part.members.me.peer_address, request)
+    loop.run(5)
+    assert all(victim not in node.part.directory for node in loop.nodes.values())
+
+
+def test_a_rack_that_dies_with_its_parent_is_missed_by_the_relays():
+    loop = mesh(60)
+    loop.run(90)
+    trees = {name: node.part.tree for name, node in loop.nodes.items()}
+    parent = next(n for n, tree in trees.items() if tree.level is TreeLevel.PARENT)
+    dead = [parent, *(child.node_id for child in trees[parent].children)][:25]
+    for name in dead:
+        loop.kill(name)
+    loop.run(240)
+    assert directories(loop).pop().isdisjoint(dead)
+    assert [len(n.part.directory) for n in loop.nodes.values()] == [60 - len(dead)] * (
+        60 - len(dead)
+    )
+
+
+def test_a_node_that_is_cut_off_keeps_what_it_knows_and_recovers():
+    loop = mesh(7)
+    loop.run(30)
+    loop.groups = {node.part.members.me.peer_address: 1 for node in [loop.nodes["x3"]]}
+    loop.run(120)
+    assert len(loop.nodes["x3"].part.directory) == 7
+    assert "x3" not in loop.nodes["x4"].part.directory
+    loop.groups.clear()
+    loop.run(40)
+    assert [len(node.part.directory) for node in loop.nodes.values()] == [7] * 7
+    assert len(roots(loop)) == 1
+
+
+@pytest.mark.parametrize("name", ["x0", "x1", "x2", "x3", "x4"])
+def test_a_paused_node_comes_back_by_itself(name):
+    loop = mesh(5)
+    loop.run(30)
+    loop.pause(name)
+    loop.run(90)
+    loop.pause(name, is_paused=False)
+    loop.run(40)
+    assert len(directories(loop)) == 1
+    assert len(loop.nodes[name].part.directory) == 5
+    assert len(roots(loop)) == 1
+
+
+def test_a_restarted_node_learns_the_version_its_former_process_acknowledged():
+    loop = mesh(6)
+    loop.run(30)
+    name = next(n for n in loop.nodes if n not in roots(loop))
+    loop.nodes[name].part.tree.own_version = RuleVersion(41)
+    loop.run(3)
+    loop.kill(name)
+    loop.run(20)
+    node = loop.start(name)
+    assert rejoin_time_s(loop, node) is not None
+    assert node.part.tree.floor_version == 41
+
+
+def test_leaving_and_draining_reach_every_node_within_two_seconds():
+    loop = mesh(40)
+    loop.run(60)
+    leaving, draining = [n for n in ("x5", "x6", "x7") if n not in roots(loop)][:2]
+    members = loop.nodes[draining].part.members
+    own = replace(members.own, revision=2, state=BackendServerState.DRAINING)
+    members.directory.put(own.node_id, own)
+    loop.post(own.peer_address, OwnRowChanged())
+    loop.post(loop.nodes[leaving].part.members.me.peer_address, LeaveMesh())
+    loop.run(0.01)
+    loop.kill(leaving)
+    loop.run(2)
+    for node in loop.nodes.values():
+        assert leaving not in node.part.directory
+        row = node.part.directory.require(NodeId(draining))
+        assert row.state is BackendServerState.DRAINING
+
+
+def test_a_herd_is_spread_within_each_nodes_budget_and_nobody_starves():
+    loop = mesh(3)
+    loop.run(10)
+    loop.effects.clear()
+    for number in range(3, 200):
+        loop.start(f"x{number}")
+    for _ in range(10):
+        loop.run(1)
+        answers = sent(loop, JoinRedirected)
+        by_node = [effect.message.sender for effect in answers]
+        assert max(map(by_node.count, by_node), default=0) <= ANSWERS_PER_SECOND
+        loop.effects.clear()
+    loop.run(80)
+    assert all(
+        node.part.tree.parent or node.part.tree.is_link_relay
+        for node in loop.nodes.values()
+    )
+
+
+def test_a_whole_data_centre_restarts_without_the_store_by_its_seeds():
+    loop = mesh(12)
+    loop.run(40)
+    loop.store.unreachable = {
+        node.part.members.me.peer_address for node in loop.nodes.values()
+    }
+    for name in list(loop.nodes):
+        loop.start(name)
+    loop.run(60)
+    assert len(roots(loop)) == 1
+    assert [len(node.part.directory) for node in loop.nodes.values()] == [12] * 12
+
+
+def test_without_a_living_seed_the_stored_directory_gives_the_contacts():
+    loop = mesh(8)
+    loop.run(40)
+    loop.kill("x0")
+    loop.kill("x1")
+    loop.run(30)
+    loop.start("y1")
+    loop.run(60)
+    assert len(roots(loop)) == 1
+    assert [len(node.part.directory) for node in loop.nodes.values()] == [7] * 7
+
+
+def test_no_message_makes_a_parent_of_a_lower_ranked_node():
+    loop = mesh(2)
+    loop.run(10)
+    (root,) = roots(loop)
+    other = next(name for name in loop.nodes if name != root)
+    row = loop.nodes[root].part.members.own
+    request = JoinRequest(row.node_id, row, True, RuleVersion(0), 0)
+    address = loop.nodes[other].part.members.me.peer_address
+    effects = loop.nodes[other].world.tick(loop.now_us, [request])
+    answers = [e.message for e in effects if isinstance(e, PeerSend)]
+    assert not any(isinstance(answer, ChildJoined) for answer in answers)
+    assert row.node_id not in loop.nodes[other].part.tree.children
+    assert address
+
+
+def test_a_heartbeat_of_an_older_process_does_not_keep_a_child():
+    loop = mesh(3)
+    loop.run(10)
+    (root,) = roots(loop)
+    part = loop.nodes[root].part
+    child = next(iter(part.tree.children))
+    heard_us = child.heard_us
+    old = Heartbeat(child.node_id, Incarnation(1), RuleVersion(9), 0)
+    loop.nodes[root].world.tick(Micros(loop.now_us + 1), [old])
+    assert child.version == 0
+    assert child.heard_us == heard_us
