--- a/packages/papayapost-node/src/papayapost_node/composition.py
+++ b/packages/papayapost-node/src/papayapost_node/composition.py
@@ -1,8 +1,9 @@
 """The composition root: wires one node from its settings."""
 
+from pathlib import Path
 from random import Random
 
-from papayapost.errors import FrameError
+from papayapost.errors import SettingsRefused
 from papayapost.ids import (
     Address,
     DataCentreId,
@@ -16,21 +17,32 @@
 from papayapost.observe import Event, Noted
 from papayapost.peering import PeerSend
 from papayapost.place import Place, SelfRow
-from papayapost.states import BackendServerState
+from papayapost.states import BackendServerState, LinkClass
 from papayapost.storage import ReadObject, UnwatchObject, UpdateObject, WatchObject
+from papayapost_node.admin import (
+    AdminServer,
+    MetricsPage,
+    StatusPage,
+    TimelinePage,
+)
 from papayapost_node.clock import Clock, SystemClock
-from papayapost_node.events import EventLog
+from papayapost_node.drain import Drain
+from papayapost_node.event_limit import EventLimit
 from papayapost_node.exchange import CallerSide, NodeCourier, OwnerSide, WindowBudget
-from papayapost_node.http import BackendPool, StreamingServer
+from papayapost_node.http import BackendPool, HealthWatch, HttpLimits, StreamingServer
+from papayapost_node.observe import CallMeter, EventRecorder
+from papayapost_node.peer_messages import PeerMessages
 from papayapost_node.runner import WorldRunner
-from papayapost_node.settings import Settings
+from papayapost_node.security import KeyRing, SenderCheck
+from papayapost_node.settings import SecurityMode, Settings, load_keys
 from papayapost_node.store import HttpStoreClient, StoreShell
-from papayapost_node.transport import ZmqTransport
+from papayapost_node.transport import PeerTable, ZmqTransport
 from papayapost_node.wire import (
     CONTROL_TYPES,
     WIRE_NUMBERS,
     CompressingCodec,
     MessagePackCodec,
+    StampingCodec,
 )
 
 __all__ = ["Node", "build_node"]
@@ -51,89 +63,168 @@
             _own_row(settings, self._me),
             Random(self._me.incarnation),
         )
-        self._log = EventLog(self._me.node_id)
-        self._codec = CompressingCodec(MessagePackCodec(WIRE_NUMBERS), CONTROL_TYPES)
-        self._transport = ZmqTransport(self._me.peer_address)
-        self._courier = NodeCourier(self._me.peer_address, self._send_to)
+        self._log = EventRecorder(self._me.node_id, self._me.place.data_centre, clock)
+        self._meter = CallMeter(clock)
+        observers = [self._log, self._meter]
+        self.runner = WorldRunner(self.world.world, clock, observers=observers)
+        self._ring = self._key_ring()
+        self._peers = PeerTable(self._link_class_of)
+        self._transport = ZmqTransport(self._me.peer_address, self._peers, self._ring)
+        messages = CompressingCodec(MessagePackCodec(WIRE_NUMBERS), CONTROL_TYPES)
+        self._messages = PeerMessages(
+            self._me.peer_address,
+            self._transport,
+            StampingCodec(messages, self._log.hybrid_clock, clock),
+            SenderCheck(self._ring, self.world.membership.directory),
+            EventLimit(self._log.note_event, clock),
+            self.runner.post,
+        )
+        self._courier = NodeCourier(self._me.peer_address, self._messages.send)
+        self._messages.connect(self._courier.take)
         budget = WindowBudget(_BODY_MEMORY_BYTES)
-        self._callers = CallerSide(self._me.node_id, self._courier, self._post, budget)
+        post = self.runner.post
+        self._callers = CallerSide(self._me.node_id, self._courier, post, budget)
         self._owner = self._owner_side(budget)
         self._courier.connect(self._callers.carriers())
         self._courier.connect(self._owner.carriers())
         store = HttpStoreClient(Address(settings.store_address))
-        self._store = StoreShell(store, self._post)
-        self._server = StreamingServer(Address(settings.caller_address), self._callers)
-        self.runner = WorldRunner(
-            self.world.world,
-            clock,
+        self._store = StoreShell(store, post)
+        self._server = StreamingServer(
+            Address(settings.caller_address),
+            self._callers,
+            HttpLimits(**settings.http.model_dump()),
+            self.runner,
+            "caller_address",
+        )
+        self._health = self._health_watch()
+        self._drain = Drain(self._server, post)
+        self.runner.connect(self._callers.handlers())
+        self.runner.connect(self._owner.handlers())
+        self.runner.connect(self._drain.handlers())
+        self.runner.connect(
             {
-                **self._callers.handlers(),
-                **self._owner.handlers(),
-                PeerSend: self._send,
+                PeerSend: self._messages.carry_out,
                 WatchObject: self._store.watch,
                 UnwatchObject: self._store.unwatch,
                 ReadObject: self._store.read,
                 UpdateObject: self._store.update,
                 Noted: self._log.note,
-            },
+            }
         )
+        self._admin = self._admin_server()
 
     async def start(self) -> None:
         """Listen for callers and peers and begin to watch the rules.
 
         Raises
         ------
-        OSError
+        AddressUnavailable
             If an address is in use or not this machine's.
         """
-        self._transport.start(self._on_frame)
+        self._transport.start(self._messages, self.runner)
         await self._server.start()
+        if self._admin is not None:
+            await self._admin.start()
+        if self._health is not None:
+            self._health.start()
         for message in self.world.first_messages():
-            self._post(message)
+            self.runner.post(message)
         self._log.note_event(Event.NODE_STARTED)
 
+    async def drain(self) -> None:
+        """Take no new work, finish what runs, and tell the others."""
+        self._log.note_event(Event.NODE_DRAINING)
+        await self._drain.run(self._settings.drain_limit_ms)
+
+    def reload_keys(self) -> None:
+        """Take over the keys file as it is now, unless it has findings."""
+        keys_file = self._settings.security.keys_file
+        if self._ring is None or keys_file is None:
+            return
+        try:
+            keys = load_keys(Path(keys_file))
+        except SettingsRefused as refused:
+            self._log.note_event(Event.KEYS_REFUSED, str(refused))
+            return
+        is_own_new = keys.own_pair() != self._ring.own
+        self._ring.replace(keys.own_pair(), keys.allowed_rows())
+        if is_own_new:
+            self._transport.keys_changed()
+        self._log.note_event(Event.KEYS_RELOADED, f"{len(keys.allowed)} allowed")
+
     async def close(self) -> None:
         """Close everything at once."""
         self.runner.close()
+        if self._health is not None:
+            self._health.close()
         await self._server.close()
+        if self._admin is not None:
+            await self._admin.close()
         self._store.close()
         self._owner.close()
         self._transport.close()
         self._log.note_event(Event.NODE_STOPPED)
 
-    def _post(self, message: object) -> None:
-        self.runner.post(message)
+    def _admin_server(self) -> AdminServer | None:
+        if self._settings.admin_address is None:
+            return None
+        pages = [
+            TimelinePage(self._me, self._log),
+            MetricsPage(self._meter, self.world),
+            StatusPage(self._me, self.world),
+        ]
+        return AdminServer(Address(self._settings.admin_address), pages)
 
     def _owner_side(self, budget: WindowBudget) -> OwnerSide:
         backend = self._settings.backend_server
         pool = BackendPool(
             Address(backend.address) if backend else None,
             backend.connections if backend else 0,
+            self.runner,
         )
         tables = self.world.traffic.owner
         return OwnerSide(
             self._me.node_id,
             pool,
             self._courier,
-            self._post,
+            self.runner.post,
             lambda: tables.free_slots,
             budget,
         )
 
-    def _send(self, effect: PeerSend) -> None:
-        self._send_to(effect.address, effect.message)
+    def _health_watch(self) -> HealthWatch | None:
+        backend = self._settings.backend_server
+        if backend is None or backend.health_path is None:
+            return None
+        return HealthWatch(
+            Address(backend.address),
+            backend.health_path,
+            backend.health_interval_ms,
+            self.runner.post,
+        )
 
-    def _send_to(self, address: Address, message: object) -> bool:
-        return self._transport.send(address, self._codec.encode(message))
+    def _key_ring(self) -> KeyRing | None:
+        security = self._settings.security
+        if security.mode is SecurityMode.NONE or security.keys_file is None:
+            return None
+        keys = load_keys(Path(security.keys_file))
+        return KeyRing(keys.own_pair(), keys.allowed_rows(), self._holder_of)
 
-    def _on_frame(self, frame: bytes) -> None:
-        try:
-            message = self._codec.decode(frame)
-        except FrameError as error:
-            self._log.note_event(Event.FRAME_REFUSED, str(error))
-            return
-        if not self._courier.take(message):
-            self._post(message)
+    def _row_at(self, address: Address) -> BackendServerRow | None:
+        return next(self.world.membership.directory.find("peer_address", address), None)
+
+    def _holder_of(self, address: Address) -> tuple[NodeId | None, DataCentreId]:
+        row = self._row_at(address)
+        # A seed is most likely one of this data centre.
+        return (
+            (row.node_id, row.data_centre)
+            if row
+            else (None, self._me.place.data_centre)
+        )
+
+    def _link_class_of(self, address: Address) -> LinkClass | None:
+        row = self._row_at(address)
+        return self._me.place.distance_to(row.place) if row else None
 
 
 async def build_node(settings: Settings, clock: Clock | None = None) -> Node:
--- a/packages/papayapost-node/src/papayapost_node/store/values.py
+++ b/packages/papayapost-node/src/papayapost_node/store/values.py
@@ -15,7 +15,10 @@
 from papayapost.distribution import AcceptedRules, StatusReport
 from papayapost.ids import RuleVersion
 from papayapost.membership import DataCentreImage
+from papayapost.record import ChangeDetail, RecordPage
+from papayapost.rules import decode_text
 from papayapost.storage import ObjectKind
+from papayapost.traffic import ClaimsObject
 
 __all__ = ["VALUE_TYPES", "decode_value", "encode_value"]
 
@@ -23,7 +26,10 @@
     ObjectKind.CONFIG: str,
     ObjectKind.ACCEPTED: AcceptedRules,
     ObjectKind.STATUS: StatusReport,
+    ObjectKind.CLAIMS: ClaimsObject,
     ObjectKind.DIRECTORY: DataCentreImage,
+    ObjectKind.RECORD: RecordPage,
+    ObjectKind.RECORD_DETAIL: ChangeDetail,
 }
 
 _ACCEPTED_PREFIX = "# papayapost version "
@@ -52,7 +58,7 @@
     """
     value_type = VALUE_TYPES[kind]
     if value_type is str:
-        return data.decode()
+        return decode_text(data)
     if value_type is AcceptedRules:
         return _decode_accepted(data.decode())
     if value_type is DataCentreImage:
--- a/packages/papayapost/src/papayapost/distribution/deltas.py
+++ b/packages/papayapost/src/papayapost/distribution/deltas.py
@@ -2,12 +2,8 @@
 
 from papayapost.distribution.held import RulesTable
 from papayapost.distribution.lines import MAX_RULES_BYTES, LineEdit, apply_edits
-from papayapost.distribution.messages import (
-    FetchDue,
-    RequestDue,
-    RulesDelta,
-    TextOffered,
-)
+from papayapost.distribution.messages import FetchDue, RequestDue, TextOffered
+from papayapost.distribution.peer_messages import RulesDelta
 from papayapost.distribution.tables import FollowTable
 from papayapost.errors import DeltaRefused
 from papayapost.ids import RuleVersion
@@ -37,7 +33,7 @@
             except DeltaRefused as error:
                 self._note(tick, delta, error)
                 is_repair_due = is_repair_due or delta.version > chain.version
-        if chain.edits:
+        if chain.version > self._rules.held_version:
             self._follow.fetch = None
             tick.cancel_timer(FetchDue)
             tick.post(chain.offered())
--- a/packages/papayapost/src/papayapost/distribution/follow.py
+++ b/packages/papayapost/src/papayapost/distribution/follow.py
@@ -4,22 +4,25 @@
 from papayapost.distribution.held import RulesTable
 from papayapost.distribution.lines import MAX_RULES_BYTES
 from papayapost.distribution.messages import (
-    ChunkRequest,
+    CatchUpDue,
     FetchDue,
     RequestDue,
+    TextOffered,
+)
+from papayapost.distribution.peer_messages import (
+    ChunkRequest,
     RulesBusy,
     RulesChunk,
     RulesDelta,
     RulesGone,
     RulesNotice,
     RulesRequest,
-    TextOffered,
 )
 from papayapost.distribution.tables import FetchRow, FollowTable
 from papayapost.errors import SnapshotRefused
-from papayapost.ids import Micros
+from papayapost.ids import Address, Micros
 from papayapost.kernel import System, Tick
-from papayapost.membership import ParentChanged, TreeTables
+from papayapost.membership import ParentChanged, ParentVersionSeen, TreeTables
 from papayapost.observe import Event, Noted
 from papayapost.peering import PeerSend
 from papayapost.place import SelfRow
@@ -29,6 +32,7 @@
 
 _REQUEST_RETRY_US = 1_000_000
 _REQUEST_RETRY_MAX_US = 8_000_000
+_CATCH_UP_US = 800_000
 _RECHECK_US = 40_000_000
 _CHUNK_RETRY_US = 2_000_000
 _CHUNK_RETRY_MAX_US = 16_000_000
@@ -46,7 +50,14 @@
     and then afterwards, so that no lost message leaves it behind for long.
     """
 
-    consumes = (ParentChanged, RequestDue, RulesNotice, RulesDelta)
+    consumes = (
+        ParentChanged,
+        ParentVersionSeen,
+        CatchUpDue,
+        RequestDue,
+        RulesNotice,
+        RulesDelta,
+    )
 
     def __init__(
         self, me: SelfRow, rules: RulesTable, follow: FollowTable, tree: TreeTables
@@ -61,12 +72,27 @@
         if any(tick.take(kind) for kind in _ANSWERS):
             self._follow.failures = 0
             self._schedule(tick, _RECHECK_US, _RECHECK_US)
+        for seen in tick.take(ParentVersionSeen):
+            self._expect(tick, seen)
         if tick.take(ParentChanged):
             self._follow.failures = 0
             self._ask(tick)
-        elif tick.take(RequestDue):
+        elif tick.take(RequestDue) or self._is_catch_up_due(tick):
             self._ask(tick)
 
+    def _expect(self, tick: Tick, seen: ParentVersionSeen) -> None:
+        # What the parent shows in a heartbeat is mostly on its way already.
+        if seen.version > self._rules.held_version:
+            pause_us = tick.random.randint(_CATCH_UP_US // 2, _CATCH_UP_US)
+            due_us = Micros(tick.now_us + pause_us)
+            tick.set_timer(CatchUpDue, due_us, CatchUpDue())
+
+    def _is_catch_up_due(self, tick: Tick) -> bool:
+        parent, fetch = self._tree.parent, self._follow.fetch
+        if not tick.take(CatchUpDue) or parent is None or fetch is not None:
+            return False
+        return parent.version > self._rules.held_version
+
     def _ask(self, tick: Tick) -> None:
         parent = self._tree.parent
         if parent is None:
@@ -141,7 +167,7 @@
                 # version follow as one delta.
                 return
             self._follow.fetch = FetchRow(
-                notice.version, notice.digest, notice.size_bytes
+                notice.sender, notice.version, notice.digest, notice.size_bytes
             )
         self._ask(tick)
 
@@ -194,7 +220,7 @@
         fetch = self._follow.fetch
         if fetch is None:
             return
-        if fetch.failures >= _MAX_CHUNK_FAILURES or self._tree.parent is None:
+        if fetch.failures >= _MAX_CHUNK_FAILURES or self._address_of(fetch) is None:
             self._drop(tick)
             tick.post(RequestDue())
             return
@@ -202,8 +228,9 @@
         self._ask(tick)
 
     def _ask(self, tick: Tick) -> None:
-        fetch, parent = self._follow.fetch, self._tree.parent
-        if fetch is None or parent is None:
+        fetch = self._follow.fetch
+        address = self._address_of(fetch) if fetch is not None else None
+        if fetch is None or address is None:
             return
         request = ChunkRequest(
             self._me.node_id,
@@ -212,12 +239,19 @@
             fetch.digest,
             len(fetch.received),
         )
-        tick.emit(PeerSend(parent.address, request))
+        tick.emit(PeerSend(address, request))
         pause_us = jittered_backoff_us(
             tick.random, fetch.failures, _CHUNK_RETRY_US, _CHUNK_RETRY_MAX_US
         )
         self._schedule(tick, pause_us)
 
+    def _address_of(self, fetch: FetchRow) -> Address | None:
+        child = self._tree.children.get(fetch.source)
+        if child is not None:
+            return child.address
+        parent = self._tree.parent
+        return parent.address if parent is not None else None
+
     def _schedule(self, tick: Tick, pause_us: int) -> None:
         tick.set_timer(FetchDue, Micros(tick.now_us + pause_us), FetchDue())
 
--- a/packages/papayapost/src/papayapost/distribution/source.py
+++ b/packages/papayapost/src/papayapost/distribution/source.py
@@ -7,6 +7,7 @@
     FallbackDue,
     RulesRejected,
     StoreBehind,
+    StoreCaughtUp,
     TextOffered,
     WatchDue,
 )
@@ -51,7 +52,7 @@
 
 
 class WatchRules(System):
-    """Keeps one watch on the rules object while this node is a link relay."""
+    """Keeps one watch on the rules object on a link relay or its stand-by."""
 
     consumes = (RoleChanged, ObjectSeen, StoreFailed, WatchDue)
 
@@ -64,7 +65,7 @@
         """Watch again after every answer, after a pause where it failed."""
         if tick.take(RoleChanged):
             self._follow_role(tick)
-        if not self._tree.is_link_relay:
+        if not self._tree.watches_store:
             return
         for seen in tick.take(ObjectSeen):
             if seen.key == RULES_KEY and seen.request_id is None:
@@ -77,11 +78,15 @@
 
     def _follow_role(self, tick: Tick) -> None:
         store = self._store
-        if self._tree.is_link_relay and not store.is_watching:
+        if self._tree.watches_store and not store.is_watching:
             store.is_watching = True
-            store.watched_after = self._rules.newest_seen
+            # What was seen in an earlier turn of the role may have been left
+            # before it was recorded, so the watch starts at what is held.
+            store.watched_after = self._rules.held_version
+            store.refused_version = None
+            tick.post(StoreCaughtUp())
             self._watch(tick)
-        elif not self._tree.is_link_relay and store.is_watching:
+        elif not self._tree.watches_store and store.is_watching:
             store.is_watching = False
             tick.cancel_timer(WatchDue)
             tick.emit(UnwatchObject(RULES_KEY))
@@ -138,12 +143,19 @@
         elif not isinstance(seen.value, str):
             return
         elif version > held_version:
-            self._store.refused_version = None
-            tick.post(TextOffered(version, seen.value))
-        elif digest_of(seen.value) != self._rules.held_digest:
+            self._recover(tick)
+            tick.post(TextOffered(version, seen.value, is_recorded=False))
+        elif digest_of(seen.value) == self._rules.held_digest:
+            self._recover(tick)
+        else:
             reason = f"the store's version {version} differs from the one held"
             self._report(tick, Event.STORE_DIVERGED, version, reason)
 
+    def _recover(self, tick: Tick) -> None:
+        if self._store.refused_version is not None:
+            self._store.refused_version = None
+            tick.post(StoreCaughtUp())
+
     def _report(
         self, tick: Tick, event: Event, version: RuleVersion, reason: str
     ) -> None:
@@ -157,26 +169,30 @@
 
 
 class ReadWithoutParent(System):
-    """Reads the rules object now and then while no parent feeds this node.
+    """Reads the accepted rules now and then while no parent feeds this node.
 
-    The reads of 12,000 such nodes stay far below what the store takes: the
-    first one is spread over 8 s, further ones over half a minute.
+    What is not recorded as accepted is left to the link relays. The reads of
+    12,000 such nodes stay far below what the store takes: the first one is
+    spread over 8 s, further ones over half a minute.
     """
 
-    consumes = (FallbackDue, ParentChanged, RoleChanged)
+    consumes = (FallbackDue, ParentChanged, RoleChanged, ObjectSeen)
 
-    def __init__(self, rules: RulesTable, tree: TreeTables):
-        self._rules = rules
+    def __init__(self, store: StoreRow, tree: TreeTables):
+        self._store = store
         self._tree = tree
 
     def run(self, tick: Tick) -> None:
         """Read once per period, at a random time in it."""
+        for seen in tick.take(ObjectSeen):
+            if seen.request_id == _FALLBACK_ID:
+                self._store.accepted_at = seen.version
         if any(tick.take(kind) for kind in _PLACE_CHANGES):
             self._follow_tree(tick)
         if tick.take(FallbackDue) and self._is_alone():
-            unless = self._rules.newest_seen
+            unless = self._store.accepted_at
             tick.emit(Noted(Event.STORE_FALLBACK))
-            tick.emit(ReadObject(RULES_KEY, _FALLBACK_ID, unless))
+            tick.emit(ReadObject(ACCEPTED_KEY, _FALLBACK_ID, unless))
             self._schedule(tick, _FALLBACK_PERIOD_US // 2, _FALLBACK_PERIOD_US * 3 // 2)
 
     def _follow_tree(self, tick: Tick) -> None:
--- a/packages/papayapost/src/papayapost/distribution/versions.py
+++ b/packages/papayapost/src/papayapost/distribution/versions.py
@@ -55,15 +55,17 @@
         rules = self._rules
         version = offered.version
         rules.newest_seen = max(rules.newest_seen, version)
+        held = rules.held
         try:
-            compiled = compile_rules(offered.text)
+            compiled = compile_rules(offered.text, held.rules if held else None)
         except RulesRefused as refused:
             self._refuse(tick, version, refused)
             return False
         state = StagedState.WAITING_FOR_SERVICES
         row = VersionRow(version, compiled, state, missing=set(compiled.services))
         is_next = rules.held_version == offered.base_version
-        tick.post(RulesCompiled(row, offered.edits if is_next else None))
+        edits = offered.edits if is_next else None
+        tick.post(RulesCompiled(row, edits, offered.is_recorded))
         return True
 
     def _refuse(self, tick: Tick, version: RuleVersion, error: RulesRefused) -> None:
@@ -79,8 +81,8 @@
     """Swaps a staged version in once all its services are known.
 
     A version below the floor that others remember for this node stays out of
-    force. Before its first swap the node waits a bounded time for a parent or
-    for children, who tell it the floor.
+    force. Before its first swap the node waits a bounded time for a parent,
+    who tells it the floor; a link relay has the record of accepted versions.
     """
 
     consumes = (RulesHeld, DirectoryChanged, ParentChanged, RoleChanged, FloorWaitOver)
@@ -120,6 +122,7 @@
             self._is_wait_over
             or self._rules.in_force is not None
             or self._tree.parent is not None
+            or self._tree.watches_store
         )
 
     def _knows_services(self, staged: VersionRow) -> bool:
--- a/packages/papayapost/src/papayapost/errors.py
+++ b/packages/papayapost/src/papayapost/errors.py
@@ -1,7 +1,8 @@
 """Every error that papayapost raises, each with a stable code.
 
 Codes are grouped by hundreds: 1xx rules, 2xx settings, 3xx store, 4xx
-messages between nodes, 5xx calls.
+messages between nodes, 5xx calls, 7xx operators' tool, 9xx faults of the
+program itself.
 """
 
 from collections.abc import Sequence
@@ -10,18 +11,25 @@
 from papayapost.findings import Finding
 
 __all__ = [
+    "AddressUnavailable",
     "CreditExceeded",
     "DeltaRefused",
     "ErrorCode",
+    "FileUnreadable",
     "FindingsError",
     "FrameError",
+    "InternalError",
+    "Interrupted",
+    "OutcomeUnknown",
     "PapayapostError",
+    "RulesOvertaken",
     "RulesRefused",
     "SettingsRefused",
     "SnapshotRefused",
     "StoreConflict",
     "StoreUnavailable",
     "UnknownRow",
+    "UsageRefused",
 ]
 
 
@@ -30,13 +38,20 @@
 
     RULES_REFUSED = 101
     SETTINGS_REFUSED = 201
+    ADDRESS_UNAVAILABLE = 202
     STORE_UNAVAILABLE = 301
     STORE_CONFLICT = 302
     DELTA_REFUSED = 310
     SNAPSHOT_REFUSED = 311
     FRAME_MALFORMED = 401
     CREDIT_EXCEEDED = 402
+    USAGE_REFUSED = 701
+    FILE_UNREADABLE = 702
+    RULES_OVERTAKEN = 703
+    OUTCOME_UNKNOWN = 704
+    INTERRUPTED = 705
     UNKNOWN_ROW = 901
+    INTERNAL_ERROR = 902
 
     def __str__(self):
         return f"PP{self.value}"
@@ -77,6 +92,18 @@
     code = ErrorCode.SETTINGS_REFUSED
 
 
+class AddressUnavailable(PapayapostError):
+    """An address of the settings cannot be listened on."""
+
+    code = ErrorCode.ADDRESS_UNAVAILABLE
+
+    def __init__(self, setting: str, address: str, reason: object):
+        super().__init__(
+            f"{setting} {address} cannot be listened on: {reason}; name a free port "
+            "of an IP number of this VM"
+        )
+
+
 class StoreUnavailable(PapayapostError):
     """The object store gave no answer; a write may have taken effect."""
 
@@ -126,6 +153,57 @@
         )
 
 
+class UsageRefused(PapayapostError):
+    """A command was given arguments that it does not take."""
+
+    code = ErrorCode.USAGE_REFUSED
+
+
+class FileUnreadable(PapayapostError):
+    """A file that a command names cannot be read."""
+
+    code = ErrorCode.FILE_UNREADABLE
+
+    def __init__(self, path: str, reason: str):
+        super().__init__(f"{path} cannot be read: {reason}; name a readable file")
+
+
+class RulesOvertaken(PapayapostError):
+    """Another operator's version came first; nothing was written."""
+
+    code = ErrorCode.RULES_OVERTAKEN
+
+
+class OutcomeUnknown(PapayapostError):
+    """A version was sent to the store and may be, or get, in force."""
+
+    code = ErrorCode.OUTCOME_UNKNOWN
+
+
+class Interrupted(PapayapostError):
+    """A command was interrupted before it had ended."""
+
+    code = ErrorCode.INTERRUPTED
+
+    def __init__(self):
+        super().__init__(
+            "interrupted; if this was an apply, 'papaya log' shows whether its "
+            "version is in the store"
+        )
+
+
+class InternalError(PapayapostError):
+    """The program met a state that it was not written for."""
+
+    code = ErrorCode.INTERNAL_ERROR
+
+    def __init__(self, error: BaseException):
+        super().__init__(
+            f"{type(error).__name__}: {error}; this is a fault of papayapost, "
+            "please report it with the command that shows it"
+        )
+
+
 class UnknownRow(PapayapostError):
     """A table holds no row under the key that was asked for."""
 
