Measure membership at the design size and fit it into 8 KB/s

Cause: after a data centre restarts, passing each row on to 50 children took 19.5 KB/s for a long time, and a herd 14.6 KB in its worst second. Change: rows go on in larger batches while the budget is short, at 80 row sends a second; 15 joins and 20 deferrals a second are answered.

--- /dev/null
+++ b/packages/papayapost-testing/src/papayapost_testing/bench/membership.py
@@ -0,0 +1,328 @@
+"""What membership costs one node: processor time, memory and bytes.
+
+Bytes are those of the frames between nodes, without headers of TCP and IP.
+The baseline is every node announcing to a seed each second and getting the
+whole directory back.
+"""
+
+import heapq
+import time
+import tracemalloc
+from collections import Counter
+from dataclasses import dataclass, replace
+from random import Random
+
+from papayapost.ids import Incarnation, Micros, NodeId, RuleVersion
+from papayapost.kernel import World
+from papayapost.membership import (
+    Announcement,
+    BackendServerRow,
+    BucketRows,
+    DataCentreImage,
+    DirectoryDelta,
+    Heartbeat,
+    JoinRedirected,
+    JoinRequest,
+    MembershipPart,
+    RowsArrived,
+    build_membership,
+    order_of,
+)
+from papayapost.peering import PeerSend
+from papayapost.place import SelfRow
+from papayapost_node.store.values import encode_value
+from papayapost_node.wire import WIRE_NUMBERS, MessagePackCodec
+from papayapost_node.wire.catalogue import CONTROL_TYPES
+from papayapost_node.wire.compression import CompressingCodec
+from papayapost_testing.bench.rows import BenchRow
+from papayapost_testing.worlds import NORTH_1, NORTH_2, SOUTH_1, backend_row
+
+__all__ = ["run"]
+
+SECOND_US = 1_000_000
+WALL_US = 1_700_000_000_000_000
+CHILDREN = 50
+RELAY_CHILDREN = 25
+JOINS_AT_ONCE = 5
+SPREAD_US = 200_000
+RESTARTS_PER_DAY = 620
+DAY_S = 86_400
+HERD = 2_400
+SERVICES = 810
+
+CODEC = CompressingCodec(MessagePackCodec(WIRE_NUMBERS), CONTROL_TYPES)
+
+
+@dataclass(slots=True)
+class Node:
+    """One world with the time it has reached."""
+
+    world: World
+    part: MembershipPart
+    now_us: Micros
+
+    def tick(self, *messages: object) -> list[PeerSend]:
+        """Run one tick and return what it sends to other nodes."""
+        effects = self.world.tick(self.now_us, messages)
+        return [effect for effect in effects if isinstance(effect, PeerSend)]
+
+    def run_until(self, end_us: int) -> list[PeerSend]:
+        """Run all timers that are due by a time."""
+        sent: list[PeerSend] = []
+        while True:
+            due_us = self.world.next_due_us()
+            if due_us is None or due_us > end_us:
+                break
+            self.now_us = Micros(max(due_us, self.now_us))
+            sent += self.tick()
+        self.now_us = Micros(end_us)
+        return sent
+
+
+def run(short: bool) -> list[BenchRow]:
+    """Return the figures of one node at several sizes of the mesh."""
+    rows: list[BenchRow] = []
+    for size in (100, 1_000, 12_000):
+        rows += measure_ticks(size, 200 if short else 2_000)
+    rows += measure_bytes(12_000)
+    rows += measure_idle(12_000)
+    rows += measure_churn(12_000)
+    rows += measure_herd(12_000)
+    return [*rows, measure_memory(12_000)]
+
+
+def mesh_rows(size: int, seed: int = 1) -> list[BackendServerRow]:
+    """Return the rows of a mesh, a fifth of them in this data centre."""
+    random = Random(seed)
+    places = [NORTH_1, NORTH_2, replace(NORTH_2, data_centre="north-3")]
+    places += [SOUTH_1, replace(SOUTH_1, data_centre="south-2")]
+    rows = []
+    for number in range(size):
+        place = places[number % len(places)]
+        service = f"service-{random.randrange(SERVICES)}"
+        name = f"{place.data_centre}-vm-{number:05}"
+        address = f"10.{number % 5}.{number // 250}.{number % 250}:7001"
+        row = backend_row(name, service, place, slots=9)
+        started_us = WALL_US - random.randrange(DAY_S * SECOND_US)
+        row.incarnation, row.peer_address = Incarnation(started_us), address
+        rows.append(row)
+    return rows
+
+
+def parent_node(rows: list[BackendServerRow], children: int = CHILDREN) -> Node:
+    """Return the top relay of a data centre with its children."""
+    near = [row for row in rows if row.data_centre == NORTH_1.data_centre]
+    near.sort(key=lambda row: order_of(row.node_id))
+    own = near[0]
+    me = SelfRow(own.node_id, Incarnation(WALL_US), NORTH_1, own.peer_address)
+    part = build_membership(me, [], replace(own, incarnation=me.incarnation))
+    node = Node(World(part.systems, Random(1)), part, Micros(0))
+    node.tick(*part.first_messages)
+    for start in range(0, len(rows), 500):
+        chunk = tuple(row for row in rows[start : start + 500] if row is not own)
+        node.tick(RowsArrived(None, None, chunk))
+    for start in range(-children, 0, JOINS_AT_ONCE):
+        node.now_us = Micros(node.now_us + SECOND_US)
+        for child in near[start : start + JOINS_AT_ONCE or None]:
+            node.tick(join_request(child))
+    return node
+
+
+def join_request(row: BackendServerRow) -> JoinRequest:
+    """Return the request of a node that has no other parent to ask."""
+    return JoinRequest(row.node_id, row, True, RuleVersion(0), 0)
+
+
+def beats_of(node: Node) -> list[Heartbeat]:
+    """Return a heartbeat of each child."""
+    digest = 0x9E3779B97F4A7C15
+    return [
+        Heartbeat(child.node_id, child.incarnation, RuleVersion(25_000), digest)
+        for child in node.part.tree.children
+    ]
+
+
+def size_of(messages) -> int:
+    """Return the bytes of the frames of some messages."""
+    return sum(len(CODEC.encode(message)) for message in messages)
+
+
+def sent_bytes(sent: list[PeerSend]) -> int:
+    """Return the bytes of what a node sent."""
+    return size_of(effect.message for effect in sent)
+
+
+def measure_ticks(size: int, repeats: int) -> list[BenchRow]:
+    """Measure the processor time of a change and of heartbeats."""
+    node = parent_node(mesh_rows(size))
+    changing = mesh_rows(size)[1]
+    beats = beats_of(node)
+    changes_us = 0.0
+    for number in range(repeats):
+        node.tick(*beats)
+        node.run_until(node.now_us + SECOND_US)
+        row = replace(changing, revision=number + 2)
+        delta = DirectoryDelta(changing.node_id, changing.peer_address, (row,))
+        started = time.process_time()
+        node.tick(delta)
+        node.run_until(node.now_us + SPREAD_US)
+        changes_us += (time.process_time() - started) * 1e6 / repeats
+    started = time.process_time()
+    for _ in range(repeats // 10):
+        for beat in beats:
+            node.tick(beat)
+    beats_us = (time.process_time() - started) / (repeats // 10) * 1e6
+    announce = Announcement(
+        changing.node_id, changing.peer_address, tuple(mesh_rows(size)), False
+    )
+    started = time.process_time()
+    CODEC.encode(announce)
+    baseline_us = (time.process_time() - started) * 1e6
+    return [
+        BenchRow("one change, merged and passed on to 50", size, changes_us, "us"),
+        BenchRow(
+            f"heartbeats of {len(beats)} children, per second",
+            size,
+            beats_us,
+            "us",
+            baseline_us * len(beats),
+        ),
+    ]
+
+
+def measure_bytes(size: int) -> list[BenchRow]:
+    """Measure the bytes of a row in a chunk and in the stored directory."""
+    near = [r for r in mesh_rows(size) if r.data_centre == NORTH_1.data_centre]
+    chunk = tuple(near[:150])
+    sender, address = near[0].node_id, near[0].peer_address
+    frame = BucketRows(sender, address, NORTH_1.data_centre, (1, 2, 3, 4), chunk)
+    plain = MessagePackCodec(WIRE_NUMBERS).encode(frame)
+    image = encode_value(DataCentreImage((), tuple(near)))
+    per_row = len(CODEC.encode(frame)) / len(chunk)
+    return [
+        BenchRow("snapshot, per row", size, per_row, "B", len(plain) / len(chunk)),
+        BenchRow("stored directory, per row", size, len(image) / len(near), "B"),
+        BenchRow("stored directory of a data centre", size, len(image), "B"),
+    ]
+
+
+def measure_idle(size: int) -> list[BenchRow]:
+    """Measure the control bytes and time of a parent of 50 idle children."""
+    node = parent_node(mesh_rows(size))
+    seconds, sent, taken = 60, 0, 0
+    started = time.process_time()
+    for _ in range(seconds):
+        beats = beats_of(node)
+        effects = node.tick(*beats) + node.run_until(node.now_us + SECOND_US)
+        taken += size_of(beats)
+        sent += sent_bytes(effects)
+    core = (time.process_time() - started) / seconds * 100
+    rows = tuple(mesh_rows(size))
+    whole = size_of([Announcement(NodeId("seed"), rows[0].peer_address, rows, False)])
+    per_second = (sent + taken) / seconds
+    children = len(node.part.tree.children)
+    beat = size_of(beats_of(node)) / children
+    answer = per_second / children - beat
+    return [
+        BenchRow(
+            "idle parent, sent and received", size, per_second, "B/s", whole * size
+        ),
+        BenchRow("idle leaf, sent and received", size, beat + answer, "B/s", whole),
+        BenchRow("idle parent, with encoding", size, core, "% of a core"),
+    ]
+
+
+def measure_churn(size: int) -> list[BenchRow]:
+    """Measure the bytes of 620 restarts a day, and of a herd of restarts."""
+    node = parent_node(mesh_rows(size))
+    row = mesh_rows(size)[7]
+    restarted = replace(row, incarnation=Incarnation(row.incarnation + 1))
+    sent = node.tick(DirectoryDelta(row.node_id, row.peer_address, (restarted,)))
+    sent += node.run_until(node.now_us + SECOND_US)
+    deltas = [e.message for e in sent if isinstance(e.message, DirectoryDelta)]
+    # A restart changes a row twice: the old process leaves, the new one joins.
+    per_second = size_of(deltas) * 2 * RESTARTS_PER_DAY / DAY_S
+    near = [r for r in mesh_rows(size) if r.data_centre == NORTH_1.data_centre]
+    again = [
+        replace(r, incarnation=Incarnation(r.incarnation + 9))
+        for r in near
+        if r.node_id not in node.part.tree.children
+    ]
+    for start in range(0, len(again), 240):
+        chunk = tuple(again[start : start + 240])
+        node.tick(DirectoryDelta(row.node_id, row.peer_address, chunk))
+    minute = []
+    for _ in range(60):
+        beats = beats_of(node)
+        effects = node.tick(*beats) + node.run_until(node.now_us + SECOND_US)
+        minute.append(sent_bytes(effects) + size_of(beats))
+    return [
+        BenchRow("620 restarts a day, parent of 50", size, per_second, "B/s"),
+        BenchRow("data centre restarts, worst second", size, max(minute), "B/s"),
+        BenchRow("data centre restarts, mean of minute", size, sum(minute) / 60, "B/s"),
+        BenchRow("data centre restarts, last 20 s", size, sum(minute[40:]) / 20, "B/s"),
+    ]
+
+
+def measure_herd(size: int) -> list[BenchRow]:
+    """Measure what a relay spends on 2,400 nodes that ask at once."""
+    rows = mesh_rows(size)
+    node = parent_node(rows, RELAY_CHILDREN)
+    random = Random(2)
+    newcomers = [
+        replace(backend_row(f"new-{n:05}", "gusts"), incarnation=Incarnation(WALL_US))
+        for n in range(HERD)
+    ]
+    queue = [(node.now_us + random.randrange(SECOND_US), n) for n in range(HERD)]
+    heapq.heapify(queue)
+    start_us, spent = node.now_us, Counter()
+    beat_us = start_us
+    while queue:
+        due_us, number = heapq.heappop(queue)
+        row = newcomers[number]
+        sent = node.run_until(due_us)
+        if due_us - beat_us > SECOND_US:
+            beat_us = due_us
+            beats = beats_of(node)
+            sent += node.tick(*beats)
+            spent[(due_us - start_us) // SECOND_US] += size_of(beats)
+        request = replace(join_request(row), accepts_any=False)
+        sent += node.tick(request)
+        spent[(due_us - start_us) // SECOND_US] += sent_bytes(sent)
+        mine = [e.message for e in sent if e.address == row.peer_address]
+        answer = next((m for m in mine if isinstance(m, JoinRedirected)), None)
+        if answer is None and not mine:
+            pause_us = random.randrange(SECOND_US, 15 * SECOND_US)
+            heapq.heappush(queue, (due_us + pause_us, number))
+        elif answer is not None and answer.retry_after_ms:
+            heapq.heappush(queue, (due_us + answer.retry_after_ms * 1_000, number))
+    whole = size_of(
+        [Announcement(NodeId("seed"), rows[0].peer_address, tuple(rows), False)]
+    )
+    seconds = (node.now_us - start_us) / SECOND_US
+    worst = max(spent.values())
+    return [
+        BenchRow("herd of 2,400, worst second", size, worst, "B/s", whole * HERD),
+        BenchRow("herd of 2,400 on one relay, all served", size, seconds, "s"),
+    ]
+
+
+def measure_memory(size: int) -> BenchRow:
+    """Measure the memory of rows as they come from the wire."""
+    rows = mesh_rows(size)
+    frames = [
+        CODEC.encode(DirectoryDelta(NodeId("a"), rows[0].peer_address, tuple(part)))
+        for part in (rows[start : start + 500] for start in range(0, size, 500))
+    ]
+    own = backend_row("me", "gusts")
+    own.incarnation = Incarnation(WALL_US)
+    me = SelfRow(own.node_id, own.incarnation, NORTH_1, own.peer_address)
+    del rows
+    tracemalloc.start()
+    part = build_membership(me, [], own)
+    node = Node(World(part.systems, Random(1)), part, Micros(0))
+    for frame in frames:
+        node.tick(CODEC.decode(frame))
+    used_bytes = tracemalloc.get_traced_memory()[0]
+    tracemalloc.stop()
+    return BenchRow("memory of 1,000 rows", size, used_bytes / size * 1_000 / 1e6, "MB")
--- a/packages/papayapost/src/papayapost/membership/children.py
+++ b/packages/papayapost/src/papayapost/membership/children.py
@@ -32,8 +32,10 @@
 
 _SWEEP_US = 1_000_000
 _GIVE_UP_US = 10_000_000
-_JOINS_PER_SECOND = 30
-_ANSWERS_PER_SECOND = 60
+_JOINS_PER_SECOND = 15
+_JOINS_BURST = 5
+_ANSWERS_PER_SECOND = 20
+_ANSWERS_BURST = 5
 _RETRY_MIN_MS = 500
 _RETRY_MAX_MS = 60_000
 _STALE_RETRY_MS = 200
@@ -59,8 +61,8 @@
         self._me = members.me
         self._members = members
         self._tree = tree
-        self._joins = Budget(_JOINS_PER_SECOND, _JOINS_PER_SECOND)
-        self._answers = Budget(_ANSWERS_PER_SECOND, _ANSWERS_PER_SECOND)
+        self._joins = Budget(_JOINS_PER_SECOND, _JOINS_BURST)
+        self._answers = Budget(_ANSWERS_PER_SECOND, _ANSWERS_BURST)
         self._backlog: dict[NodeId, Micros] = {}
 
     def run(self, tick: Tick) -> None:
--- a/packages/papayapost/src/papayapost/membership/spreading.py
+++ b/packages/papayapost/src/papayapost/membership/spreading.py
@@ -14,9 +14,10 @@
 
 _GATHER_US = 100_000
 _MAX_ROWS_PER_DELTA = 256
-_ROW_SENDS_PER_SECOND = 160
-_ROW_SENDS_BURST = 15_000
+_ROW_SENDS_PER_SECOND = 80
+_ROW_SENDS_BURST = 4_000
 _FLUSH_EVERY_US = 500_000
+_LARGE_FLUSH_EVERY_US = 5_000_000
 _MAX_WAITING = 512
 
 
@@ -40,7 +41,7 @@
         self._urgent: dict[NodeId, NodeId | None] = {}
         self._waiting: dict[NodeId, NodeId | None] = {}
         self._budget = Budget(_ROW_SENDS_PER_SECOND, _ROW_SENDS_BURST)
-        self._is_due = False
+        self._due_us: Micros | None = None
         self._flushed_us = Micros(-_FLUSH_EVERY_US)
 
     def run(self, tick: Tick) -> None:
@@ -53,13 +54,24 @@
             # Digests will show the difference, and a repair is cheaper.
             del self._waiting[next(iter(self._waiting))]
         if tick.take(SpreadDue):
-            self._is_due = False
+            self._due_us = None
             self._flush(tick)
-        if (self._urgent or self._waiting) and not self._is_due:
-            self._is_due = True
-            earliest_us = self._flushed_us + _FLUSH_EVERY_US
-            due_us = max(tick.now_us + _GATHER_US, earliest_us)
-            tick.set_timer("spread", Micros(due_us), SpreadDue())
+        if self._urgent or self._waiting:
+            self._schedule(tick)
+
+    def _schedule(self, tick: Tick) -> None:
+        """Flush at the due time already set, or earlier if that is allowed."""
+        due_us = self._next_flush_us(tick)
+        if self._due_us is None or due_us < self._due_us:
+            self._due_us = due_us
+            tick.set_timer("spread", due_us, SpreadDue())
+
+    def _next_flush_us(self, tick: Tick) -> Micros:
+        """Wait longer while the budget is short: large batches compress."""
+        is_short = self._budget.available(tick.now_us) < _ROW_SENDS_BURST // 2
+        waits = is_short and not self._urgent
+        pause_us = _LARGE_FLUSH_EVERY_US if waits else _FLUSH_EVERY_US
+        return Micros(max(tick.now_us + _GATHER_US, self._flushed_us + pause_us))
 
     def _flush(self, tick: Tick) -> None:
         self._flushed_us = tick.now_us
