Add papaya timeline and papaya top

Cause: operators must follow one call over its hops and one rule to the last node, and see what each node uses. Change: a gathering world asks all sources at once and names the silent ones as gaps; rows are merged, filtered, printed as text or JSON, and drawn as an HTML page with a lane for each process.

--- a/packages/papayapost-node/src/papayapost_node/exchange/answers.py
+++ b/packages/papayapost-node/src/papayapost_node/exchange/answers.py
@@ -8,6 +8,7 @@
 from papayapost.kernel import Table
 from papayapost.traffic import AnswerBegun, AnswerEnded, CallerGone
 from papayapost_node.deadline import Deadline
+from papayapost_node.exchange.call_header import call_header
 from papayapost_node.exchange.couriers import Courier
 from papayapost_node.exchange.tables import CallerRow, OfferedRow
 from papayapost_node.wire import (
@@ -71,7 +72,8 @@
         exchange = call.exchange
         if head.is_ended:
             self._finish(call)
-        exchange.begin(head.status, head.headers, head.body, is_complete, head.trailers)
+        headers = [*head.headers, call_header(self._node_id, call.call_id)]
+        exchange.begin(head.status, headers, head.body, is_complete, head.trailers)
         if head.is_ended:
             if not head.is_whole:
                 exchange.cut_short()
--- a/packages/papayapost-node/src/papayapost_node/exchange/caller_side.py
+++ b/packages/papayapost-node/src/papayapost_node/exchange/caller_side.py
@@ -18,6 +18,7 @@
     RefusalCode,
 )
 from papayapost_node.exchange.answers import AnswerForwarding
+from papayapost_node.exchange.call_header import call_header
 from papayapost_node.exchange.couriers import Courier
 from papayapost_node.exchange.outlet import BodyOutlet
 from papayapost_node.exchange.tables import CallerRow, OfferedRow
@@ -234,6 +235,7 @@
         headers = [
             (b"papayapost-outcome", effect.outcome.value.encode()),
             (b"papayapost-code", effect.code.value.encode()),
+            call_header(self._node_id, effect.call_id),
             (b"content-length", b"0"),
         ]
         if effect.retry_after_ms is not None:
--- a/packages/papayapost-operator/src/papayapost_operator/commands.py
+++ b/packages/papayapost-operator/src/papayapost_operator/commands.py
@@ -8,6 +8,8 @@
 from papayapost_operator.log import LogCommand
 from papayapost_operator.settings import StoreOptions
 from papayapost_operator.status import StatusCommand
+from papayapost_operator.timeline import TimelineCommand, TimelineOptions
+from papayapost_operator.top import TopCommand
 
 __all__ = ["Papaya"]
 
@@ -122,3 +124,71 @@
             Names parted by commas; those of the settings file if left out.
         """
         return StatusCommand(StoreOptions(store, settings), data_centres)
+
+    def timeline(
+        self,
+        nodes: str = "",
+        files: str = "",
+        call: str = "",
+        version: str = "",
+        only: str = "",
+        data_centre: str = "",
+        since: str = "",
+        until: str = "",
+        limit: str = "200",
+        html: str = "",
+        timeout_ms: str = "2000",
+    ) -> Command:
+        """Show what happened on many nodes, in causal order.
+
+        Parameters
+        ----------
+        nodes
+            Admin addresses parted by commas.
+        files
+            Paths of saved /timeline pages parted by commas.
+        call
+            Follow one call, named NODE/NUMBER as its answer's
+            papayapost-call header does.
+        version
+            Only events of this rules version.
+        only
+            Only events of these nodes, by name.
+        data_centre
+            Only events of these data centres.
+        since, until
+            Only this span, as in 2026-12-04T10:00:00.
+        limit
+            Newest events to show at most; 0 for all.
+        html
+            Path of a page to draw.
+        timeout_ms
+            Time that each node has to answer.
+        """
+        return TimelineCommand(
+            TimelineOptions(
+                nodes,
+                files,
+                call,
+                version,
+                only,
+                data_centre,
+                since,
+                until,
+                limit,
+                html,
+                timeout_ms,
+            )
+        )
+
+    def top(self, nodes: str = "", timeout_ms: str = "2000") -> Command:
+        """Show what each node holds, uses and serves.
+
+        Parameters
+        ----------
+        nodes
+            Admin addresses parted by commas.
+        timeout_ms
+            Time that each node has to answer.
+        """
+        return TopCommand(nodes, timeout_ms)
--- /dev/null
+++ b/packages/papayapost-operator/src/papayapost_operator/timeline_text.py
@@ -0,0 +1,32 @@
+"""Rows of the time line as text."""
+
+from datetime import UTC, datetime
+
+from papayapost.timeline import EventRow
+
+__all__ = ["row_line", "subject_of"]
+
+
+def subject_of(row: EventRow) -> str:
+    """Return what an event is about, in short."""
+    parts = []
+    if row.version is not None:
+        parts.append(f"version {row.version}")
+    if row.call_id is not None:
+        parts.append(f"call {row.stamp.node_id}/{row.call_id}")
+    if row.attempt_id is not None:
+        parts.append(f"attempt {row.attempt_id}")
+    if row.peer is not None:
+        parts.append(f"with {row.peer}")
+    return ", ".join(parts)
+
+
+def row_line(row: EventRow) -> str:
+    """Return an event as one line."""
+    stamp = row.stamp
+    time = datetime.fromtimestamp(stamp.wall_us / 1e6, UTC)
+    clock = time.strftime("%H:%M:%S.%f")
+    name = row.event.name.lower().replace("_", " ")
+    place = f"{row.data_centre}/{stamp.node_id}"
+    about = "; ".join(part for part in (subject_of(row), row.detail) if part)
+    return f"{clock} {place:<24} {row.event.value} {name:<22} {about}".rstrip()
--- /dev/null
+++ b/packages/papayapost-operator/src/papayapost_operator/top.py
@@ -0,0 +1,135 @@
+"""papaya top."""
+
+import asyncio
+from collections.abc import Mapping, Sequence
+from dataclasses import dataclass
+
+import msgspec
+from prometheus_client.parser import text_string_to_metric_families
+
+from papayapost.errors import UsageRefused
+from papayapost.ids import Address
+from papayapost.timeline import GapRow
+from papayapost_node.admin import NodeStatus
+from papayapost_operator.command import Command, Result
+from papayapost_operator.nodes import NodeSilent, read_page
+from papayapost_operator.numbers import whole_number
+from papayapost_operator.timeline import words_of
+
+__all__ = ["NodeOverview", "TopCommand", "TopOverview"]
+
+_MEMORY = "papayapost_memory_bytes"
+_CPU = "papayapost_cpu_seconds"
+_CALLS = "papayapost_calls_total"
+_REFUSALS = "papayapost_call_refusals_total"
+_LATENCY = "papayapost_latency_seconds"
+
+
+@dataclass(frozen=True, slots=True)
+class NodeOverview:
+    """One node's state and figures.
+
+    Parameters
+    ----------
+    urgent_p99_ms
+        Latency of urgent calls at this entry node, or None without any.
+    """
+
+    address: Address
+    status: NodeStatus
+    memory_bytes: int
+    cpu_s: float
+    calls: int
+    refusals: int
+    urgent_p99_ms: float | None
+
+
+@dataclass(frozen=True, slots=True)
+class TopOverview:
+    """Report of ``papaya top --json``."""
+
+    nodes: tuple[NodeOverview, ...]
+    gaps: tuple[GapRow, ...]
+
+
+class TopCommand(Command):
+    """Shows what each node holds, uses and serves."""
+
+    name = "top"
+
+    def __init__(self, nodes: str, timeout_ms: str):
+        self._addresses = [Address(word) for word in words_of(nodes)]
+        if not self._addresses:
+            raise UsageRefused("no node is named; give --nodes ADDRESS,...")
+        self._timeout_s = whole_number("--timeout_ms", timeout_ms) / 1_000
+
+    def run(self) -> Result:
+        """Ask all nodes at once."""
+        report = asyncio.run(_ask_all(self._addresses, self._timeout_s))
+        lines = [_HEADING, *map(_node_line, report.nodes)]
+        lines += [f"gap: {gap.source}: {gap.reason}" for gap in report.gaps]
+        return Result(report, tuple(lines))
+
+
+_HEADING = (
+    f"{'node':<20}{'version':>8}  {'role':<12}{'children':>9}{'rows':>7}"
+    f"{'slots':>6}{'MB':>7}{'cpu s':>8}{'calls':>9}{'refused':>8}{'urgent p99':>12}"
+)
+
+
+def _node_line(node: NodeOverview) -> str:
+    status = node.status
+    p99 = "-" if node.urgent_p99_ms is None else f"{node.urgent_p99_ms:.2f} ms"
+    return (
+        f"{status.node_id:<20}{status.version:>8}  {_role_of(status):<12}"
+        f"{status.children:>9}{status.directory_rows:>7}{status.free_slots:>6}"
+        f"{node.memory_bytes / (1 << 20):>7.1f}{node.cpu_s:>8.1f}"
+        f"{node.calls:>9}{node.refusals:>8}{p99:>12}"
+    )
+
+
+def _role_of(status: NodeStatus) -> str:
+    if status.is_link_relay:
+        return "link relay"
+    if status.is_relay:
+        return "relay"
+    return "parent" if status.children else "node"
+
+
+async def _ask_all(addresses: Sequence[Address], timeout_s: float) -> TopOverview:
+    answers = await asyncio.gather(*(_ask(a, timeout_s) for a in addresses))
+    nodes = tuple(answer for answer in answers if isinstance(answer, NodeOverview))
+    gaps = tuple(answer for answer in answers if isinstance(answer, GapRow))
+    return TopOverview(nodes, gaps)
+
+
+async def _ask(address: Address, timeout_s: float) -> NodeOverview | GapRow:
+    try:
+        status_body = await read_page(address, "/status", timeout_s)
+        metrics_body = await read_page(address, "/metrics", timeout_s)
+        status = msgspec.json.decode(status_body, type=NodeStatus)
+        samples = _samples_of(metrics_body.decode())
+    except (NodeSilent, ValueError) as error:
+        return GapRow(address, str(error))
+    p99_s = samples.get((_LATENCY, "entry/urgent/0.99"))
+    return NodeOverview(
+        address=address,
+        status=status,
+        memory_bytes=int(samples.get((_MEMORY, ""), 0)),
+        cpu_s=samples.get((_CPU, ""), 0.0),
+        calls=int(samples.get((_CALLS, ""), 0)),
+        refusals=int(_sum_of(samples, _REFUSALS)),
+        urgent_p99_ms=None if p99_s is None else p99_s * 1_000,
+    )
+
+
+def _samples_of(text: str) -> dict[tuple[str, str], float]:
+    return {
+        (sample.name, "/".join(sample.labels.values())): sample.value
+        for family in text_string_to_metric_families(text)
+        for sample in family.samples
+    }
+
+
+def _sum_of(samples: Mapping[tuple[str, str], float], name: str) -> float:
+    return sum(value for (other, _), value in samples.items() if other == name)
--- /dev/null
+++ b/packages/papayapost-testing/tests/test_operator_timeline.py
@@ -0,0 +1,91 @@
+from dataclasses import replace
+
+import msgspec
+
+from papayapost.ids import AttemptId, CallId, DataCentreId, Micros, NodeId
+from papayapost.observe import Event, Noted
+from papayapost.timeline import (
+    AskSource,
+    EventRing,
+    GatherAsked,
+    GatherDone,
+    HybridClock,
+    SourceAnswered,
+    build_gathering,
+)
+from papayapost_node.admin import TimelineReport
+from papayapost_operator.exits import ExitCode
+from papayapost_operator.main import run
+from papayapost_testing.ports import free_addresses
+
+NORTH = DataCentreId("north-1")
+ATTEMPT = AttemptId("n1/1/1")
+
+
+def report_of(name, *events):
+    ring, clock = EventRing(NORTH, 8), HybridClock(NodeId(name))
+    for wall_us, noted in events:
+        ring.record(clock.tick(Micros(wall_us)), noted)
+    return TimelineReport(NodeId(name), NORTH, ring.dropped, list(ring))
+
+
+ENTRY = report_of(
+    "n1",
+    (1_000, Noted(Event.CALL_ARRIVED, call_id=CallId(4), detail="GET a/gusts")),
+    (1_200, Noted(Event.ATTEMPT_OFFERED, call_id=CallId(4), attempt_id=ATTEMPT)),
+    (9_000, Noted(Event.CALL_ARRIVED, call_id=CallId(5))),
+)
+OWNER = report_of("n2", (1_500, Noted(Event.ATTEMPT_TAKEN, attempt_id=ATTEMPT)))
+
+
+def saved(folder, *reports):
+    paths = []
+    for report in reports:
+        path = folder / f"{report.node_id}.json"
+        path.write_bytes(msgspec.json.encode(report))
+        paths.append(str(path))
+    return ",".join(paths)
+
+
+def test_a_silent_node_becomes_a_named_gap_when_its_time_is_over():
+    world = build_gathering()
+    asked = GatherAsked(("a", "b"), Micros(100))
+    assert world.tick(Micros(0), [asked]) == [AskSource("a"), AskSource("b")]
+    rows = tuple(OWNER.rows)
+    answered = SourceAnswered("a", NodeId("n2"), NORTH, 0, rows)
+    assert world.tick(Micros(50), [answered, replace(answered, rows=())]) == []
+    (done,) = world.tick(Micros(100))
+    assert isinstance(done, GatherDone)
+    assert done.rows == rows
+    assert [gap.source for gap in done.gaps] == ["b"]
+
+
+def test_one_call_is_followed_over_files_of_its_nodes_and_drawn(tmp_path, capsys):
+    page = tmp_path / "call.html"
+    files = saved(tmp_path, ENTRY, OWNER)
+    words = ["timeline", f"--files={files}", "--call=n1/4", f"--html={page}"]
+    assert run(words) is ExitCode.DONE
+    lines = capsys.readouterr().out.splitlines()
+    names = [line.split("  ")[0] for line in lines]
+    assert len(names) == 4
+    assert "attempt taken" in lines[2]
+    drawn = page.read_text()
+    assert drawn.count("<circle") == 3
+    assert drawn.count("stroke-dasharray") == 1
+
+
+def test_a_node_that_refuses_connections_is_a_gap_and_not_an_error(tmp_path, capsys):
+    (address,) = free_addresses(1)
+    words = [f"--files={saved(tmp_path, OWNER)}", f"--nodes={address}"]
+    assert run(["timeline", *words]) is ExitCode.DONE
+    lines = capsys.readouterr().out.splitlines()
+    assert lines[-1].startswith(f"gap: {address}:")
+    assert run(["top", f"--nodes={address}"]) is ExitCode.DONE
+    assert f"gap: {address}:" in capsys.readouterr().out
+
+
+def test_a_mistaken_time_or_call_is_told_before_anything_is_asked(capsys):
+    for option in ("--since=yesterday", "--call=7", "--limit=many"):
+        code = run(["timeline", "--files=none.json", option])
+        assert code is not ExitCode.DONE
+        assert option.partition("=")[2] in capsys.readouterr().err
--- a/packages/papayapost/src/papayapost/timeline/__init__.py
+++ b/packages/papayapost/src/papayapost/timeline/__init__.py
@@ -1,5 +1,14 @@
 """The time line: stamps, the ring of a node, and queries over many rings."""
 
+from papayapost.timeline.gather import (
+    AskSource,
+    GapRow,
+    GatherAsked,
+    GatherDone,
+    SourceAnswered,
+    SourceFailed,
+    build_gathering,
+)
 from papayapost.timeline.query import (
     TimelineQuery,
     follow_call,
@@ -20,12 +29,19 @@
     "TRACED_EFFECTS",
     "TRACED_INPUTS",
     "TRACE_EVENTS",
+    "AskSource",
     "EventRing",
     "EventRow",
+    "GapRow",
+    "GatherAsked",
+    "GatherDone",
     "HybridClock",
+    "SourceAnswered",
+    "SourceFailed",
     "Stamp",
     "TimelineQuery",
     "Tracer",
+    "build_gathering",
     "follow_call",
     "merge_rows",
     "select_rows",
