--- a/packages/papayapost/tests/traffic/test_retries.py
+++ b/packages/papayapost/tests/traffic/test_retries.py
@@ -83,7 +83,9 @@
 def test_a_lookup_sent_to_a_lost_node_is_tried_elsewhere_at_once():
     desk = Desk()
     first = only(desk.call())
-    second = only(desk.tick(OwnerLost(first.address)))
+    effects = desk.tick(OwnerLost(first.address))
+    assert cancelled(effects) == [first.offer.attempt_id]
+    second = only(effects)
     assert second.address != first.address
     effects = desk.answer(second)
     assert ForwardAnswer(CallId(1), second.offer.attempt_id) in effects
@@ -120,6 +122,19 @@
     assert desk.is_idle()
 
 
+def test_an_answer_is_shown_as_cut_also_after_a_wrong_verdict():
+    desk = Desk()
+    offer = only(desk.call())
+    attempt_id = offer.offer.attempt_id
+    desk.tick(AnswerBegun(offer.offer.sender, attempt_id, 200, 1))
+    row = next(r for r in desk.rows if r.peer_address == offer.address)
+    for state in (BackendServerState.GONE, BackendServerState.READY):
+        row.state = state
+        assert not desk.tick(DirectoryChanged((row,)))
+    assert CutAnswer(CallId(1), attempt_id) in desk.tick(OwnerLost(offer.address))
+    assert desk.is_idle()
+
+
 def test_a_late_answer_is_dropped():
     desk = Desk()
     offer = only(desk.book())
@@ -140,6 +155,15 @@
     assert desk.is_idle()
 
 
+def test_a_node_that_wakes_after_the_deadline_makes_no_further_attempt():
+    desk = Desk()
+    desk.call()
+    effects = desk.tick(after_us=500_000)
+    assert not sent(effects)
+    assert refusal(effects).code is RefusalCode.DEADLINE
+    assert desk.is_idle()
+
+
 def test_a_hedge_wins_and_the_loser_is_cancelled():
     desk = Desk()
     first = only(desk.call("/hedged/wanli"))
