--- a/packages/papayapost-operator/src/papayapost_operator/text.py
+++ b/packages/papayapost-operator/src/papayapost_operator/text.py
@@ -24,7 +24,7 @@
 
 
 def change_lines(changes: Sequence[RuleChange]) -> list[str]:
-    """Return changes as lines led by ``+`` and ``-``, the first 200 of them."""
+    """Return the first 200 changes as lines led by ``+`` and ``-``."""
     lines = []
     for change in changes[:_MAX_CHANGES_SHOWN]:
         if change.kind is ChangeKind.MOVED:
