--- /dev/null
+++ b/packages/papayapost/tests/record/test_pages.py
@@ -0,0 +1,101 @@
+from random import Random
+
+from papayapost.ids import (
+    Micros,
+    RuleVersion,
+)
+from papayapost.record import (
+    RECORD_KEY,
+    PageDraft,
+    Proposal,
+    ProposeVersion,
+    RecordPage,
+    RecordVersion,
+    RulesText,
+    SeenVersion,
+    changes_between,
+    detail_key,
+    page_key,
+)
+from papayapost.record.questions import (
+    LogFilter,
+    LogReport,
+    QuestionAsked,
+    ReadLog,
+    build_question,
+)
+from papayapost.rules import digest_of
+
+from .stores import FakeStore, apply, ask, drive, rule
+
+
+def test_a_full_page_is_archived_once_and_nothing_is_lost():
+    store = FakeStore()
+    for number in range(205):
+        if number % 50 == 0:
+            store.lost_replies = [RECORD_KEY, page_key(1 + number // 100)]
+        apply(store, ask(rule(f"p{number}"), f"op{number}"))
+    pages = [store.objects[page_key(number)][1] for number in (1, 2)] + [store.page]
+    assert [page.number for page in pages] == [1, 2, 3]
+    assert [e.operator for page in pages for e in page.entries] == [
+        f"op{number}" for number in range(205)
+    ]
+
+
+def test_the_log_goes_back_over_pages_and_details():
+    store = FakeStore()
+    many = "\n".join(rule(f"a-long-path-name-{number}") for number in range(200))
+    apply(store, ask(many, "mei"))
+    for number in range(120):
+        apply(store, ask(rule(f"p{number}", "Bo"), f"op{number}"))
+
+    def log(**wanted) -> LogReport:
+        asked = QuestionAsked(ReadLog(LogFilter(**wanted)))
+        (answered,) = drive(build_question(Random(1)), store, asked)
+        return answered.report
+
+    newest = log(limit=110)
+    assert [e.operator for e in newest.entries[::109]] == ["op119", "op10"]
+    assert (newest.is_whole, newest.failure) == (False, "")
+    found = log(rule="name-199", owner="Ana", limit=9)
+    assert [(e.operator, len(e.changes.changes)) for e in found.entries] == [
+        ("op0", 1),
+        ("mei", 1),
+    ]
+    assert found.is_whole
+    store.down = {page_key(1)}
+    assert log(limit=110).failure == "down"
+
+
+def test_of_two_operators_with_the_same_text_the_winner_claims_the_version():
+    draft = PageDraft(RecordPage())
+    for name in ("mei", "lin"):
+        asked = ask(rule("a"), name)
+        sized = changes_between(RulesText(RuleVersion(0), ""), asked.text)
+        proposal = Proposal(
+            asked.proposal_id,
+            asked.operator,
+            asked.message,
+            RuleVersion(0),
+            digest_of(asked.text),
+            asked.asked_at_us,
+            sized.changes,
+        )
+        ProposeVersion(proposal, sized, None).apply(draft)
+    seen = SeenVersion(RuleVersion(7), rule("a"), Micros(9), "lin")
+    RecordVersion(seen, claimed=proposal).apply(draft)
+    entry = draft.page.newest
+    assert entry.operator == "lin"
+    assert [item.operator for item in entry.overtaken] == ["mei"]
+
+
+def test_changes_too_many_for_an_entry_stand_in_their_own_objects():
+    store = FakeStore()
+    text = "\n".join(rule(f"a-long-path-name-{number}") for number in range(2_000))
+    store.lost_replies = [RECORD_KEY]
+    apply(store, ask(text, "mei"))
+    changes = store.page.newest.changes
+    assert (changes.added, changes.changes) == (2_000, ())
+    details = [store.objects[detail_key(name)][1] for name in changes.details]
+    assert sum(len(detail.changes) for detail in details) == 2_000
+    assert len(details) > 1
