Prove the transport's losses, bounds and keys

Cause: 512 connections exceed the sockets of a context; a failed start left a context that could not end; the gate read a second question before it had answered the first; three lines did not type-check. Conclusion: lists of keys change without any loss; a node's own new key costs its incoming connections once, each reported as lost.

--- a/packages/papayapost-node/src/papayapost_node/main.py
+++ b/packages/papayapost-node/src/papayapost_node/main.py
@@ -1,6 +1,7 @@
 """papayad: runs one node until it is told to stop."""
 
 import asyncio
+import resource
 import signal
 import sys
 from pathlib import Path
@@ -18,6 +19,7 @@
 _EXIT_FAILURE = 1
 _EXIT_USAGE = 2
 _KEYGEN = "keygen"
+_DESCRIPTORS = 16_384
 
 
 def run(settings: str) -> None:
@@ -37,6 +39,7 @@
     except PapayapostError as error:
         print(error, file=sys.stderr)
         sys.exit(_EXIT_USAGE)
+    _raise_descriptor_limit()
     try:
         asyncio.run(_serve(loaded))
     except PapayapostError as error:
@@ -50,6 +53,13 @@
     print(f'{{"public_key": "{pair.public_key}", "secret_key": "{pair.secret_key}"}}')
 
 
+def _raise_descriptor_limit() -> None:
+    soft, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
+    wanted = min(hard, _DESCRIPTORS) if hard != resource.RLIM_INFINITY else _DESCRIPTORS
+    if soft < wanted:
+        resource.setrlimit(resource.RLIMIT_NOFILE, (wanted, hard))
+
+
 async def _serve(settings: Settings) -> None:
     loop = asyncio.get_running_loop()
     drain_wanted, stop_wanted = asyncio.Event(), asyncio.Event()
--- a/packages/papayapost-node/src/papayapost_node/security/gate.py
+++ b/packages/papayapost-node/src/papayapost_node/security/gate.py
@@ -47,7 +47,7 @@
         self._authenticator = Authenticator(context, log=logging.getLogger(__name__))
         keys = _AllowedKeys(ring, on_refused)
         self._authenticator.configure_curve_callback("*", keys)
-        self._requests: set[asyncio.Task] = set()
+        self._answering: asyncio.Task | None = None
 
     def start(self) -> None:
         """Begin to answer."""
@@ -59,24 +59,24 @@
     def close(self) -> None:
         """Answer no further questions."""
         self._loop.remove_reader(self._socket.fileno())
-        for request in self._requests:
-            request.cancel()
+        if self._answering is not None:
+            self._answering.cancel()
         self._authenticator.stop()
 
     def _receive(self) -> None:
-        # Sending an answer may take up the descriptor's signal of the next
-        # question, hence the look again after each.
-        while not self._socket.closed:
-            try:
-                parts = self._socket.recv_multipart(zmq.NOBLOCK)
-            except zmq.Again:
-                return
-            answer = self._authenticator.handle_zap_message(parts)
-            request = self._loop.create_task(answer)
-            self._requests.add(request)
-            request.add_done_callback(self._answered)
-
-    def _answered(self, request: asyncio.Task) -> None:
-        self._requests.discard(request)
-        if not request.cancelled():
+        if self._answering is not None or self._socket.closed:
+            return
+        try:
+            parts = self._socket.recv_multipart(zmq.NOBLOCK)
+        except zmq.Again:
+            return
+        answer = self._authenticator.handle_zap_message(parts)
+        self._answering = self._loop.create_task(answer)
+        self._answering.add_done_callback(self._answered)
+
+    def _answered(self, answering: asyncio.Task) -> None:
+        # The socket takes one question at a time, and its descriptor may
+        # have signalled the next one while this one was being answered.
+        self._answering = None
+        if not answering.cancelled():
             self._receive()
--- a/packages/papayapost-node/src/papayapost_node/settings/relations.py
+++ b/packages/papayapost-node/src/papayapost_node/settings/relations.py
@@ -44,7 +44,9 @@
 
 def _duplicate_seeds(raw: dict) -> Iterator[Finding]:
     seeds = raw.get("seeds")
-    for number, seed in enumerate(seeds if isinstance(seeds, list) else []):
+    if not isinstance(seeds, list):
+        return
+    for number, seed in enumerate(seeds):
         if seed in seeds[:number]:
             place, message = f"seeds.{number}", f"{seed!r} is listed twice"
             yield _finding(SettingsFault.DUPLICATE, place, message, "remove one")
--- a/packages/papayapost-node/src/papayapost_node/transport/zmq_transport.py
+++ b/packages/papayapost-node/src/papayapost_node/transport/zmq_transport.py
@@ -16,9 +16,10 @@
 from papayapost_node.transport.dealer import Dealer, DealerOwner, open_socket
 from papayapost_node.transport.peers import PeerRow, PeerTable
 
-__all__ = ["ZmqTransport"]
+__all__ = ["MAX_DEALERS", "ZmqTransport"]
 
-_MAX_DEALERS = 512
+MAX_DEALERS = 256
+_MAX_SOCKETS = 4 * MAX_DEALERS  # a dealer and both ends of its monitor
 _IDLE_TIMEOUT_S = 60.0
 _MAX_FRAMES_PER_READ = 256
 _REBIND_DELAY_S = 0.02
@@ -43,6 +44,7 @@
         self._peers = peers
         self._ring = ring
         self._context = zmq.Context(io_threads=1)
+        self._context.max_sockets = _MAX_SOCKETS
         self._dealers: OrderedDict[Address, Dealer] = OrderedDict()
         self._rows: dict[Address, PeerRow] = {}
         self._used_s: dict[Address, float] = {}
@@ -68,6 +70,7 @@
         try:
             self._router.bind(f"tcp://{self._address}")
         except zmq.ZMQError as error:
+            self.close()
             raise AddressUnavailable("peer_address", self._address, error) from error
         self._loop.add_reader(self._router.fileno(), self._receive)
         self._loop.call_soon(self._receive)
@@ -90,7 +93,11 @@
         return True
 
     def keys_changed(self) -> None:
-        """Listen with the ring's present keys; open connections go on."""
+        """Listen with the ring's present keys.
+
+        Peers lose their connections to this node and open others; this
+        node's own connections to its peers go on.
+        """
         if self._router is not None and self._ring is not None:
             self._router.unbind(f"tcp://{self._address}")
             self._set_server_keys()
@@ -108,7 +115,7 @@
             self._idle.close()
         if self._gate is not None:
             self._gate.close()
-        self._context.term()
+        self._context.destroy(0)
 
     def dealer_ready(self, dealer: Dealer) -> None:
         """Remember the key that the peer answered to."""
@@ -130,7 +137,7 @@
                     on_dropped()
 
     def _connect(self, address: Address) -> Dealer:
-        if len(self._dealers) >= _MAX_DEALERS:
+        if len(self._dealers) >= MAX_DEALERS:
             # The one that was used least recently.
             self._close_dealer(next(iter(self._dealers)))
         key = self._ring.first_key_of(address) if self._ring else None
--- a/packages/papayapost-testing/src/papayapost_testing/bench/hop.py
+++ b/packages/papayapost-testing/src/papayapost_testing/bench/hop.py
@@ -229,7 +229,7 @@
 def _node_piece() -> Callable[[], None]:
     world = _world()
     runner = WorldRunner(world, SystemClock())
-    courier = NodeCourier(Address(f"{_NODE}:1"), lambda address, message: True)
+    courier = NodeCourier(Address(f"{_NODE}:1"), _sent)
     budget = WindowBudget(1 << 20)
     callers = CallerSide(_NODE, courier, runner.post, budget)
     pool = _MemoryPool(runner)
@@ -251,6 +251,10 @@
     return piece
 
 
+def _sent(address: Address, message: object, on_dropped: object) -> bool:
+    return True
+
+
 def _codec_piece(message: object) -> Callable[[], None]:
     codec = MessagePackCodec(WIRE_NUMBERS)
 
