--- a/packages/papayapost-node/src/papayapost_node/composition.py
+++ b/packages/papayapost-node/src/papayapost_node/composition.py
@@ -136,6 +136,10 @@
         self._log.note_event(Event.NODE_DRAINING)
         await self._drain.run(self._settings.drain_limit_ms)
 
+    def note_stopped_at_once(self) -> None:
+        """Note that the drain was not waited for."""
+        self._log.note_event(Event.STOPPED_AT_ONCE)
+
     def reload_keys(self) -> None:
         """Take over the keys file as it is now, unless it has findings."""
         keys_file = self._settings.security.keys_file
--- a/packages/papayapost-node/src/papayapost_node/main.py
+++ b/packages/papayapost-node/src/papayapost_node/main.py
@@ -77,6 +77,8 @@
         loop.add_signal_handler(signal.SIGHUP, node.reload_keys)
         await drain_wanted.wait()
         await _drain_unless_stopped(node, stop_wanted)
+        if stop_wanted.is_set():
+            node.note_stopped_at_once()
     finally:
         await node.close()
 
