--- a/packages/papayapost-testing/src/papayapost_testing/bench/membership.py
+++ b/packages/papayapost-testing/src/papayapost_testing/bench/membership.py
@@ -12,7 +12,14 @@
 from dataclasses import dataclass, replace
 from random import Random
 
-from papayapost.ids import Incarnation, Micros, NodeId, RuleVersion
+from papayapost.ids import (
+    Address,
+    DataCentreId,
+    Incarnation,
+    Micros,
+    NodeId,
+    RuleVersion,
+)
 from papayapost.kernel import World
 from papayapost.membership import (
     Announcement,
@@ -94,17 +101,18 @@
 def mesh_rows(size: int, seed: int = 1) -> list[BackendServerRow]:
     """Return the rows of a mesh, a fifth of them in this data centre."""
     random = Random(seed)
-    places = [NORTH_1, NORTH_2, replace(NORTH_2, data_centre="north-3")]
-    places += [SOUTH_1, replace(SOUTH_1, data_centre="south-2")]
+    places = [NORTH_1, NORTH_2, replace(NORTH_2, data_centre=DataCentreId("north-3"))]
+    places += [SOUTH_1, replace(SOUTH_1, data_centre=DataCentreId("south-2"))]
     rows = []
     for number in range(size):
         place = places[number % len(places)]
         service = f"service-{random.randrange(SERVICES)}"
         name = f"{place.data_centre}-vm-{number:05}"
-        address = f"10.{number % 5}.{number // 250}.{number % 250}:7001"
+        ip = f"10.{number % 5}.{number // 250}.{number % 250}"
         row = backend_row(name, service, place, slots=9)
         started_us = WALL_US - random.randrange(DAY_S * SECOND_US)
-        row.incarnation, row.peer_address = Incarnation(started_us), address
+        row.incarnation = Incarnation(started_us)
+        row.peer_address = Address(f"{ip}:7001")
         rows.append(row)
     return rows
 
@@ -275,8 +283,9 @@
     ]
     queue = [(node.now_us + random.randrange(SECOND_US), n) for n in range(HERD)]
     heapq.heapify(queue)
-    start_us, spent = node.now_us, Counter()
+    start_us: int = node.now_us
     beat_us = start_us
+    spent: Counter[int] = Counter()
     while queue:
         due_us, number = heapq.heappop(queue)
         row = newcomers[number]
