Show bytes, a followed call and a followed rule in the demo

Cause: the demo should print control bytes per node and over the link, and show what operators see of a call and of a rule. Change: nodes count control bytes apart from calls and by link; the demo sums them, and runs papaya timeline for one call and for the newest rule.

--- a/packages/papayapost-node/src/papayapost_node/admin/pages.py
+++ b/packages/papayapost-node/src/papayapost_node/admin/pages.py
@@ -11,6 +11,7 @@
 from papayapost.timeline import EventRow
 from papayapost_node.http import HttpAnswer
 from papayapost_node.observe import CallMeter, EventRecorder, expose
+from papayapost_node.transport import PeerTable
 
 __all__ = [
     "AdminPage",
@@ -104,13 +105,14 @@
 
     path = "/metrics"
 
-    def __init__(self, meter: CallMeter, world: NodeWorld):
+    def __init__(self, meter: CallMeter, world: NodeWorld, peers: PeerTable):
         self._meter = meter
         self._world = world
+        self._peers = peers
 
     def render(self) -> HttpAnswer:
         """Return the page as it is now."""
-        return HttpAnswer(200, _TEXT, expose(self._meter, self._world))
+        return HttpAnswer(200, _TEXT, expose(self._meter, self._world, self._peers))
 
 
 class StatusPage(AdminPage):
--- a/packages/papayapost-node/src/papayapost_node/composition.py
+++ b/packages/papayapost-node/src/papayapost_node/composition.py
@@ -75,6 +75,7 @@
             self._me.peer_address,
             self._transport,
             StampingCodec(messages, self._log.hybrid_clock, clock),
+            self._peers,
             SenderCheck(self._ring, self.world.membership.directory),
             EventLimit(self._log.note_event, clock),
             self.runner.post,
@@ -174,7 +175,7 @@
             return None
         pages = [
             TimelinePage(self._me, self._log),
-            MetricsPage(self._meter, self.world),
+            MetricsPage(self._meter, self.world, self._peers),
             StatusPage(self._me, self.world),
         ]
         return AdminServer(Address(self._settings.admin_address), pages)
--- a/packages/papayapost-node/src/papayapost_node/observe/exposition.py
+++ b/packages/papayapost-node/src/papayapost_node/observe/exposition.py
@@ -14,6 +14,7 @@
 
 from papayapost.node import NodeWorld
 from papayapost_node.observe.meter import CallMeter, Count
+from papayapost_node.transport import PeerTable
 
 __all__ = ["expose"]
 
@@ -21,14 +22,16 @@
 
 
 class _NodeCollector(Collector):
-    def __init__(self, meter: CallMeter, world: NodeWorld):
+    def __init__(self, meter: CallMeter, world: NodeWorld, peers: PeerTable):
         self._meter = meter
         self._world = world
+        self._peers = peers
         self._process = psutil.Process()
 
     def collect(self) -> Iterator[Metric]:
         """Yield all metrics."""
         yield from self._counters()
+        yield from self._bytes()
         yield from self._latencies()
         yield from self._gauges()
 
@@ -42,6 +45,23 @@
                     family.add_metric([label], value)
             yield family
 
+    def _bytes(self) -> Iterator[Metric]:
+        peers = self._peers
+        for name, sent_bytes in (
+            ("papayapost_sent_bytes", peers.sent_bytes),
+            ("papayapost_control_sent_bytes", peers.control_sent_bytes),
+        ):
+            family = CounterMetricFamily(name, "To peers, by link", labels=["link"])
+            for link, size_bytes in sent_bytes.items():
+                label = "unknown" if link is None else link.name.lower()
+                family.add_metric([label.replace("_", "-")], size_bytes)
+            yield family
+        yield CounterMetricFamily(
+            "papayapost_control_received_bytes",
+            "From peers",
+            value=peers.control_received_bytes,
+        )
+
     def _latencies(self) -> Iterator[Metric]:
         by_hop = GaugeMetricFamily(
             "papayapost_latency_seconds",
@@ -80,8 +100,8 @@
             yield GaugeMetricFamily(f"papayapost_{name}", name, value=value)
 
 
-def expose(meter: CallMeter, world: NodeWorld) -> bytes:
+def expose(meter: CallMeter, world: NodeWorld, peers: PeerTable) -> bytes:
     """Return a node's figures as text."""
     registry = CollectorRegistry()
-    registry.register(_NodeCollector(meter, world))
+    registry.register(_NodeCollector(meter, world, peers))
     return generate_latest(registry)
--- a/packages/papayapost-node/src/papayapost_node/peer_messages.py
+++ b/packages/papayapost-node/src/papayapost_node/peer_messages.py
@@ -9,8 +9,13 @@
 from papayapost.traffic import OwnerLost
 from papayapost_node.event_limit import EventLimit
 from papayapost_node.security import PublicKey, SenderCheck
-from papayapost_node.transport import Dropped, FrameListener, PeerTransport
-from papayapost_node.wire import Codec
+from papayapost_node.transport import (
+    Dropped,
+    FrameListener,
+    PeerTable,
+    PeerTransport,
+)
+from papayapost_node.wire import CONTROL_TYPES, Codec
 
 __all__ = ["PeerMessages"]
 
@@ -23,6 +28,8 @@
 
     Parameters
     ----------
+    peers
+        Counts what carries no call.
     events
         Notes refusals, however many there are.
     post
@@ -34,6 +41,7 @@
         own_address: Address,
         transport: PeerTransport,
         codec: Codec,
+        peers: PeerTable,
         senders: SenderCheck,
         events: EventLimit,
         post: Post,
@@ -41,6 +49,7 @@
         self._own_address = own_address
         self._transport = transport
         self._codec = codec
+        self._peers = peers
         self._senders = senders
         self._events = events
         self._post = post
@@ -54,7 +63,11 @@
         self, address: Address, message: object, on_dropped: Dropped | None = None
     ) -> bool:
         """Send a message, at most once; False if it certainly stays here."""
-        return self._transport.send(address, self._codec.encode(message), on_dropped)
+        frame = self._codec.encode(message)
+        is_sent = self._transport.send(address, frame, on_dropped)
+        if is_sent and type(message) in CONTROL_TYPES:
+            self._peers.control_sent(address, len(frame))
+        return is_sent
 
     def carry_out(self, effect: PeerSend) -> None:
         """Send what the decisions emitted."""
@@ -70,6 +83,8 @@
         except FrameError as error:
             self._events.note(Event.FRAME_REFUSED, str(error))
             return
+        if type(message) in CONTROL_TYPES:
+            self._peers.control_received(len(frame))
         if not self._senders.is_genuine(message, key):
             sender = getattr(message, "sender", None)
             kind = type(message).__name__
--- a/packages/papayapost-node/src/papayapost_node/transport/peers.py
+++ b/packages/papayapost-node/src/papayapost_node/transport/peers.py
@@ -43,6 +43,8 @@
     ----------
     received_frames, received_bytes
         From all peers together.
+    control_sent_bytes, control_received_bytes
+        Of these, what keeps the mesh together and carries no call.
     """
 
     def __init__(self, link_class_of: LinkClassOf):
@@ -53,6 +55,10 @@
         )
         self.received_frames = 0
         self.received_bytes = 0
+        self.control_sent_bytes: dict[LinkClass | None, int] = dict.fromkeys(
+            [*LinkClass, None], 0
+        )
+        self.control_received_bytes = 0
 
     def connected(self, address: Address) -> PeerRow:
         """Return the peer's row, its distance brought up to date."""
@@ -75,3 +81,12 @@
         """Count a frame that came in."""
         self.received_frames += 1
         self.received_bytes += size_bytes
+
+    def control_sent(self, address: Address, size_bytes: int) -> None:
+        """Count a frame that carries no call, beside `sent`."""
+        row = self.rows.get(address)
+        self.control_sent_bytes[row.link if row else None] += size_bytes
+
+    def control_received(self, size_bytes: int) -> None:
+        """Count a frame that carried no call, beside `received`."""
+        self.control_received_bytes += size_bytes
--- a/packages/papayapost-testing/src/papayapost_testing/demo/director.py
+++ b/packages/papayapost-testing/src/papayapost_testing/demo/director.py
@@ -11,7 +11,14 @@
 from papayapost_node.clock import SystemClock
 from papayapost_node.runner import EffectHandler, WorldRunner
 from papayapost_node.store import HttpStoreClient
-from papayapost_testing.demo.control import read_account, read_json, set_faults
+from papayapost_testing.demo.control import (
+    name_of_call,
+    read_account,
+    read_json,
+    read_text,
+    set_faults,
+)
+from papayapost_testing.demo.figures import figures_of
 from papayapost_testing.demo.files import write_files
 from papayapost_testing.demo.messages import (
     Perform,
@@ -24,6 +31,7 @@
 from papayapost_testing.demo.plans import Deployment
 from papayapost_testing.demo.processes import (
     NodeProcesses,
+    run_papaya,
     start_module,
     stop_process,
 )
@@ -72,6 +80,7 @@
         self._tasks: set[asyncio.Task] = set()
         self._done = asyncio.Event()
         self._started_us = self._clock.now_us()
+        self._nodes_started_us = self._started_us
         self._failure: BaseException | None = None
         self.results = DemoResults(deployment.name, self.tables, self._load.tables)
 
@@ -116,6 +125,7 @@
             StepKind.HEAL_STORE: self._heal,
             StepKind.RESTART: self._restart,
             StepKind.FINISH: self._finish,
+            StepKind.SHOW: self._show_timeline,
             StepKind.COLLECT: self._collect,
             StepKind.STOP: self._stop,
         }
@@ -169,6 +179,7 @@
         self._runner.post(RulesApplied(version, applied_us, step.subject))
 
     async def _start_nodes(self, step: StepRow) -> None:
+        self._nodes_started_us = self._clock.now_us()
         for plan in self._files.plans:
             await self._nodes.start(plan.node_id)
 
@@ -210,12 +221,35 @@
     async def _finish(self, step: StepRow) -> None:
         await self._load.finish()
 
+    async def _show_timeline(self, step: StepRow) -> None:
+        mix = self._deployment.mixes[-1]
+        running = self._nodes.usage()
+        addresses = {n: a for n, a in self._files.addresses.items() if n in running}
+        entry = next(iter(addresses.values())).caller
+        call = await name_of_call(entry, mix.method, mix.host, mix.path)
+        newest = self.tables.newest
+        folder = self._files.folder
+        nodes = ",".join(address.admin for address in addresses.values())
+        for title, option in (
+            ("call", f"--call={call}"),
+            ("rule", f"--version={newest.version if newest else 0}"),
+        ):
+            page = f"--html={folder / title}.html"
+            lines = await run_papaya("timeline", f"--nodes={nodes}", option, page)
+            self.results.add_timeline(f"{title} {option.partition('=')[2]}", lines)
+
     async def _collect(self, step: StepRow) -> None:
         for node_id, process in self._nodes.usage().items():
             self.results.memory_bytes[node_id] = process.memory_info().rss
-        for addresses in self._files.addresses.values():
+        running = self._nodes.usage()
+        for node_id, addresses in self._files.addresses.items():
+            if node_id in running:
+                page = await read_text(addresses.admin, "/metrics")
+                self.results.add_figures(figures_of(node_id, page))
             keys = await read_json(addresses.backend, "/keys", dict[str, int])
             self.results.add_keys(keys)
+        elapsed_us = self._clock.now_us() - self._nodes_started_us
+        self.results.elapsed_s = elapsed_us / 1e6
         self.results.account = await read_account(self._store_address)
 
     async def _stop(self, step: StepRow) -> None:
--- a/packages/papayapost-testing/src/papayapost_testing/demo/processes.py
+++ b/packages/papayapost-testing/src/papayapost_testing/demo/processes.py
@@ -15,7 +15,7 @@
 from papayapost_testing.demo.messages import NodeChanged, NodeInForce
 from papayapost_testing.demo.tables import NodeRun
 
-__all__ = ["NodeProcesses", "start_module", "stop_process"]
+__all__ = ["NodeProcesses", "run_papaya", "start_module", "stop_process"]
 
 _STOP_LIMIT_S = 10
 
@@ -28,6 +28,30 @@
         )
 
 
+async def run_papaya(*arguments: str) -> list[str]:
+    """Run the operators' tool and return the lines that it printed.
+
+    Raises
+    ------
+    RuntimeError
+        If it ended with an error.
+    """
+    process = await asyncio.create_subprocess_exec(
+        sys.executable,
+        "-m",
+        "papayapost_operator.main",
+        *arguments,
+        stdout=asyncio.subprocess.PIPE,
+        stderr=asyncio.subprocess.STDOUT,
+    )
+    output, _ = await process.communicate()
+    if process.returncode:
+        raise RuntimeError(
+            f"papaya {arguments[0]} ended with {process.returncode}: {output.decode()}"
+        )
+    return output.decode().splitlines()
+
+
 async def stop_process(process: asyncio.subprocess.Process) -> None:
     """Terminate a process, and kill it if it does not end in time."""
     if process.returncode is not None:
--- a/packages/papayapost-testing/src/papayapost_testing/demo/results.py
+++ b/packages/papayapost-testing/src/papayapost_testing/demo/results.py
@@ -1,10 +1,11 @@
 """What the demo measured, and whether every promise held."""
 
 from collections import Counter
-from collections.abc import Mapping
+from collections.abc import Mapping, Sequence
 
 from papayapost.ids import NodeId
 from papayapost.states import Rank
+from papayapost_testing.demo.figures import NodeFigures
 from papayapost_testing.demo.tables import ApplicationRow, DemoTables
 from papayapost_testing.load.report import format_tallies
 from papayapost_testing.load.tables import LoadTables, Verdict
@@ -15,6 +16,8 @@
 _CONVERGENCE_LIMIT_US = 5_000_000
 _IDLE_LIMIT_CORES = 0.01
 _MEMORY_LIMIT_BYTES = 64 << 20
+_CONTROL_LIMIT_BYTES = 8_000
+_TIMELINE_LINES = 16
 
 
 class DemoResults:
@@ -26,6 +29,12 @@
         Share of a core that each node used while no call was sent.
     memory_bytes
         Resident memory of each node after the load.
+    figures
+        What each node counted that ran to the end.
+    timelines
+        What the operators' tool told, as text.
+    elapsed_s
+        Time from the start of the nodes to the end of the load.
     keys
         How often each idempotency key ran, over all backend servers.
     """
@@ -37,12 +46,26 @@
         self.idle_cores: dict[NodeId, float] = {}
         self.memory_bytes: dict[NodeId, int] = {}
         self.keys: Counter[str] = Counter()
+        self.figures: list[NodeFigures] = []
+        self.timelines: list[str] = []
+        self.elapsed_s = 1.0
         self.account = AccountRow()
 
     def add_keys(self, keys: Mapping[str, int]) -> None:
         """Add the keys that one backend server ran."""
         self.keys.update(keys)
 
+    def add_timeline(self, title: str, lines: Sequence[str]) -> None:
+        """Add what the operators' tool told of a call or a rule."""
+        shown = list(lines[:_TIMELINE_LINES])
+        if len(lines) > len(shown):
+            shown.append(f"... and {len(lines) - len(shown)} more")
+        self.timelines.append("\n".join([f"\ntime line of {title}", *shown]))
+
+    def add_figures(self, figures: NodeFigures) -> None:
+        """Add what one node counted."""
+        self.figures.append(figures)
+
     def broken_promises(self) -> list[str]:
         """Return a sentence for each promise that was broken."""
         broken = list(self._demo.broken)
@@ -63,8 +86,8 @@
         """Return the figures as text."""
         parts = [f"\n=== {self.name}", format_tallies(self._load), ""]
         parts += [self._convergence(row) for row in self._demo.applications]
-        parts += [self._resources(), self._store_calls()]
-        return "\n".join(parts)
+        parts += [self._resources(), self._bytes(), self._store_calls()]
+        return "\n".join(parts + self.timelines)
 
     def _broken_by_convergence(self) -> list[str]:
         return [
@@ -105,6 +128,18 @@
             f"(limit {_MEMORY_LIMIT_BYTES >> 20} MB)"
         )
 
+    def _bytes(self) -> str:
+        per_node = [item.control_bytes / self.elapsed_s for item in self.figures]
+        link_bytes = sum(item.link_bytes for item in self.figures)
+        control = sum(item.link_control_bytes for item in self.figures)
+        mean = sum(per_node) / max(1, len(per_node))
+        return (
+            f"control bytes per node and second: mean {mean:,.0f}, most "
+            f"{max(per_node, default=0):,.0f} (limit {_CONTROL_LIMIT_BYTES:,}); over "
+            f"the link in {self.elapsed_s:.0f} s: {control:,} of control, "
+            f"{link_bytes - control:,} of calls"
+        )
+
     def _store_calls(self) -> str:
         account = self.account
         return (
--- a/packages/papayapost-testing/src/papayapost_testing/demo/script.py
+++ b/packages/papayapost-testing/src/papayapost_testing/demo/script.py
@@ -35,6 +35,7 @@
         StepRow(StepKind.RESTART, killed),
         StepRow(StepKind.REST, rest_ms=2_000),
         StepRow(StepKind.FINISH),
+        StepRow(StepKind.SHOW),
         StepRow(StepKind.COLLECT),
         StepRow(StepKind.STOP),
     ]
--- a/packages/papayapost-testing/src/papayapost_testing/demo/tables.py
+++ b/packages/papayapost-testing/src/papayapost_testing/demo/tables.py
@@ -36,6 +36,7 @@
     HEAL_STORE = "heal the cut"
     RESTART = "start the killed node again"
     FINISH = "stop the callers and wait for their last answers"
+    SHOW = "follow one call and the newest rule with papaya timeline"
     COLLECT = "collect what the backend servers ran"
     STOP = "stop all processes"
 
