Note only the entries that a relay wrote itself

Cause: read again as a newcomer: a relay that brought several versions into the record at once noted those that others had recorded as its own, and the log told a proposal of the same text as a replaced version.

--- a/packages/papayapost-operator/src/papayapost_operator/log.py
+++ b/packages/papayapost-operator/src/papayapost_operator/log.py
@@ -3,7 +3,7 @@
 from random import Random
 
 from papayapost.errors import PapayapostError, StoreUnavailable, UsageRefused
-from papayapost.record import ChangeEntry
+from papayapost.record import Attribution, ChangeEntry
 from papayapost.record.questions import (
     LogFilter,
     LogReport,
@@ -57,7 +57,12 @@
         lines.append("  what it changed is not known")
     if entry.overtaken:
         names = ", ".join(proposal.operator for proposal in entry.overtaken)
-        lines.append(f"  may have replaced a version of {names} unseen")
+        is_applied = entry.attribution is Attribution.APPLIED
+        lines.append(
+            f"  the same text was proposed by {names}"
+            if is_applied
+            else f"  may have replaced a version of {names} unseen"
+        )
     return lines + change_lines(entry.changes.changes)
 
 
--- a/packages/papayapost/src/papayapost/record/keeper.py
+++ b/packages/papayapost/src/papayapost/record/keeper.py
@@ -12,7 +12,7 @@
 from papayapost.record.messages import PageDue, StepDone, StepFailed, StepWanted
 from papayapost.record.model import RECORD_KEY, RecordPage, detail_key, page_key
 from papayapost.record.steps import PageDraft
-from papayapost.record.tables import PageState, RecordTables, StepRow
+from papayapost.record.tables import PageRow, PageState, RecordTables, StepRow
 from papayapost.storage import (
     ObjectKey,
     ObjectSeen,
@@ -187,7 +187,7 @@
     for step_id in page.taken:
         tables.steps.pop(step_id)
         tick.post(StepDone(step_id, page.draft.page, has_changed))
-    tables.page = type(page)()
+    tables.page = PageRow()
     if len(tables.steps):
         tick.post(PageDue())
 
@@ -202,7 +202,7 @@
         for row in list(tables.steps):
             tables.steps.pop(row.step_id)
             tick.post(StepFailed(row.step_id, reason))
-        tables.page = type(page)()
+        tables.page = PageRow()
         return
     page.state = PageState.PAUSED
     pause_us = jittered_backoff_us(
--- a/packages/papayapost/src/papayapost/record/model.py
+++ b/packages/papayapost/src/papayapost/record/model.py
@@ -119,8 +119,8 @@
     recorded_by
         The operator or node that wrote the entry.
     overtaken
-        Proposals on an earlier version that may or may not have been in
-        force for a moment before this one.
+        Of an applied version, proposals of the same text; of an edited one,
+        proposals that may or may not have been in force for a moment before.
     """
 
     version: RuleVersion
--- a/packages/papayapost/src/papayapost/record/relay.py
+++ b/packages/papayapost/src/papayapost/record/relay.py
@@ -123,12 +123,13 @@
             self._forget(tick, done)
 
     def _forget(self, tick: Tick, done: StepDone) -> None:
-        for version, _ in list(self._seen.unrecorded.items()):
+        for version, row in list(self._seen.unrecorded.items()):
             if done.step_id != _step_id(version):
                 continue
             self._seen.unrecorded.pop(version)
             entry = done.page.entry_of(version)
-            if done.has_changed and entry is not None:
+            is_own = entry is not None and entry.recorded_by == row.seen_by
+            if entry is not None and is_own and done.has_changed:
                 detail = f"{entry.attribution.value} {entry.operator}".strip()
                 tick.emit(Noted(Event.CHANGE_RECORDED, version=version, detail=detail))
 
--- a/packages/papayapost/src/papayapost/record/steps.py
+++ b/packages/papayapost/src/papayapost/record/steps.py
@@ -150,7 +150,7 @@
                 proposal.proposed_at_us,
                 seen.seen_by,
                 proposal.changes,
-                _others(page, digest, proposal),
+                _same_text(page, digest, proposal),
             )
         is_valid = _compiles(seen.text)
         sized = self._changes(page) if is_valid else SizedChanges(UNKNOWN_CHANGES, {})
@@ -166,7 +166,7 @@
             seen.seen_at_us,
             seen.seen_by,
             sized.changes,
-            _bases_passed(page, seen.version),
+            _undecided(page, seen.version),
         )
 
     def _proposal_of(self, page: RecordPage, digest: str) -> Proposal | None:
@@ -239,7 +239,7 @@
     return entry if left == entry.overtaken else replace(entry, overtaken=left)
 
 
-def _others(page: RecordPage, digest: str, chosen: Proposal) -> tuple[Proposal, ...]:
+def _same_text(page: RecordPage, digest: str, chosen: Proposal) -> tuple[Proposal, ...]:
     """Return who proposed the very same text on the same base."""
     return tuple(
         proposal
@@ -250,7 +250,7 @@
     )
 
 
-def _bases_passed(page: RecordPage, version: RuleVersion) -> tuple[Proposal, ...]:
+def _undecided(page: RecordPage, version: RuleVersion) -> tuple[Proposal, ...]:
     """Return the proposals that may have been in force before the version."""
     return tuple(p for p in page.proposals if p.base_version < version)
 
