Check the core protocol in every state

Cause: the promises on versions and on charges rest on messages and restarts meeting in any order, which examples cannot cover.

Versions: a store that shows anything it ever held, a link relay with the conditional record, a relay that may be paused, a node that takes from both, lost, repeated and crossing messages, two restarts. Charges: two calls with one key, two owners, lost replies of store and owners, repeated offers, a restart. Each invariant has a variant with one guard broken that the checker must tell; a search that is cut short does not hold.

Conclusion: offers must name the owner's process: without it a restarted owner runs a repeated offer that its former process refused as not run.

--- /dev/null
+++ b/packages/papayapost-testing/src/papayapost_testing/model/__init__.py
@@ -0,0 +1,22 @@
+"""Specifications of the core protocol, for exhaustive checks."""
+
+from papayapost_testing.model.at_most_once import (
+    AT_MOST_ONCE_FAULTS,
+    AtMostOnceSpec,
+)
+from papayapost_testing.model.checking import Verdict, check
+from papayapost_testing.model.rules_protocol import (
+    BLOCKED_VARIANT,
+    RULES_FAULTS,
+    RulesSpec,
+)
+
+__all__ = [
+    "AT_MOST_ONCE_FAULTS",
+    "BLOCKED_VARIANT",
+    "RULES_FAULTS",
+    "AtMostOnceSpec",
+    "RulesSpec",
+    "Verdict",
+    "check",
+]
