--- a/packages/papayapost-testing/src/papayapost_testing/model/checking.py
+++ b/packages/papayapost-testing/src/papayapost_testing/model/checking.py
@@ -79,6 +79,7 @@
     """
     initial = spec.initial()
     state_type = type(initial)
+    state = _StateOfFields(state_type)
     protocol = Protocol(
         name=type(spec).__name__,
         candidate=False,
@@ -86,10 +87,9 @@
         initial=initial,
         transitions=spec.steps,
         invariants={
-            name: _on_fields(state_type, holds)
-            for name, holds in spec.invariants().items()
+            name: state.reads(holds) for name, holds in spec.invariants().items()
         },
-        goal=_on_fields(state_type, spec.goal),
+        goal=state.reads(spec.goal),
     )
     found = check_safety(protocol, max_states)
     broken = frozenset(
@@ -99,5 +99,20 @@
     return Verdict(found["reachable_states"], found["exhaustive"], broken, reachable)
 
 
-def _on_fields(state_type: Any, holds: Invariant) -> Callable[[dict], bool]:
-    return lambda fields: holds(state_type(**fields))
+class _StateOfFields:
+    """Turns the checker's mapping back into a state, once per mapping."""
+
+    def __init__(self, state_type: Any):
+        self._state_type = state_type
+        self._fields: dict | None = None
+        self._state: Any = None
+
+    def reads(self, holds: Invariant) -> Callable[[dict], bool]:
+        """Return the invariant as the checker calls it."""
+        return lambda fields: holds(self._of(fields))
+
+    def _of(self, fields: dict) -> Any:
+        if fields is not self._fields:
+            self._fields = fields
+            self._state = self._state_type(**fields)
+        return self._state
