--- a/packages/papayapost/src/papayapost/rules/checks.py
+++ b/packages/papayapost/src/papayapost/rules/checks.py
@@ -1,8 +1,10 @@
 """Checks that need more than one line of a rules text."""
 
 from abc import ABC, abstractmethod
+from collections.abc import Iterator
 
 from papayapost.rules.compilers import RulesDraft
+from papayapost.rules.defaults import DEFAULT_FLOORS_PERCENT
 from papayapost.rules.faults import RuleFault
 from papayapost.rules.index import RouteIndex
 from papayapost.rules.model import Route, Share
@@ -10,7 +12,7 @@
 
 __all__ = ["FILE_CHECKS", "FileCheck"]
 
-_ANY_METHOD = "*"
+_ANY_METHOD = frozenset(["*"])
 
 
 class FileCheck(ABC):
@@ -39,7 +41,7 @@
             line.report(
                 RuleFault.DUPLICATE_ROUTE,
                 column,
-                f"the route of line {first.line} by {first.owner} matches the "
+                f"the route of line {first.line} by {first.owner!r} matches the "
                 "same calls",
                 "remove one of the two",
             )
@@ -55,10 +57,10 @@
 
 def _takers_of(index: RouteIndex, route: Route) -> list[Route]:
     """Return the earlier routes that leave this one no call, or none."""
-    left = set(route.methods) or {_ANY_METHOD}
+    left = route.methods or _ANY_METHOD
     takers = []
-    for earlier in index.covering(route):
-        taken = left if not earlier.methods else left & earlier.methods
+    for earlier in _earlier(index, route):
+        taken = left & earlier.methods if earlier.methods else left
         if taken:
             takers.append(earlier)
             left = left - taken
@@ -67,13 +69,26 @@
     return []
 
 
+def _earlier(index: RouteIndex, route: Route) -> Iterator[Route]:
+    for routes in index.covering(route):
+        for earlier in routes:
+            if earlier.line >= route.line:
+                break
+            yield earlier
+
+
 class ShareSums(FileCheck):
     """Each rank has one share, and the floors fit into the whole."""
 
     def run(self, draft: RulesDraft, index: RouteIndex) -> None:
         """Report second shares of a rank and the floor that is too much."""
         first: dict[Rank, Share] = {}
-        floors_percent = 0
+        stated = {share.rank for share in draft.shares}
+        floors_percent = sum(
+            floor
+            for rank, floor in DEFAULT_FLOORS_PERCENT.items()
+            if rank not in stated
+        )
         for share in draft.shares:
             earlier = first.setdefault(share.rank, share)
             if earlier is not share:
@@ -92,7 +107,7 @@
             RuleFault.DUPLICATE_SHARE,
             line.words[1].column,
             f"rank {share.rank.name.lower()} has a share on line {earlier.line} "
-            f"by {earlier.owner}",
+            f"by {earlier.owner!r}",
             "keep one of the two",
         )
 
@@ -101,7 +116,8 @@
         line.report(
             RuleFault.FLOORS_OVER_WHOLE,
             line.words[1].column,
-            f"with this share the floors add up to {floors_percent}%",
+            f"with this share the floors add up to {floors_percent}%, defaults "
+            "of ranks without a share included",
             "lower the floors until they add up to 100% at most",
         )
 
--- a/packages/papayapost/src/papayapost/rules/compile.py
+++ b/packages/papayapost/src/papayapost/rules/compile.py
@@ -1,7 +1,5 @@
 """Compiles a rules text, whole or not at all."""
 
-from dataclasses import replace
-
 import xxhash
 
 from papayapost.errors import RulesRefused
@@ -15,7 +13,7 @@
 from papayapost.rules.route import RouteCompiler
 from papayapost.rules.ruleset import RuleSet
 from papayapost.rules.share import ShareCompiler
-from papayapost.rules.tokens import RuleLine, numbered_lines
+from papayapost.rules.tokens import MAX_LINE_CHARACTERS, RuleLine, numbered_lines
 
 __all__ = ["compile_rules", "digest_of"]
 
@@ -80,10 +78,18 @@
         if row is None:
             _read_line(RuleLine(number, raw, draft.findings), draft)
         else:
-            draft.add(row if row.line == number else replace(row, line=number))
+            draft.add(row if row.line == number else row.at_line(number))
 
 
 def _read_line(line: RuleLine, draft: RulesDraft) -> None:
+    if len(line.text) > MAX_LINE_CHARACTERS:
+        line.report(
+            RuleFault.LINE_TOO_LONG,
+            MAX_LINE_CHARACTERS + 1,
+            f"the line has {len(line.text)} characters",
+            f"keep it within {MAX_LINE_CHARACTERS}; a long reason fits on "
+            "comment lines above",
+        )
     line.require_owner()
     compiler = _COMPILERS.get(line.words[0].text)
     if compiler is None:
--- a/packages/papayapost/src/papayapost/rules/ruleset.py
+++ b/packages/papayapost/src/papayapost/rules/ruleset.py
@@ -40,7 +40,7 @@
         """Return what each line of the text compiled to."""
         lines = self.text.split("\n")
         rows: dict[str, Route | Share] = {}
-        compiled: tuple[Route | Share, ...] = self.routes + self.shares
-        for row in compiled:
+        own: tuple[Route | Share, ...] = (*self.routes, *self.shares)
+        for row in own:
             rows[lines[row.line - 1].removesuffix("\r")] = row
         return rows
--- a/packages/papayapost/src/papayapost/traffic/internal.py
+++ b/packages/papayapost/src/papayapost/traffic/internal.py
@@ -4,7 +4,16 @@
 
 from papayapost.ids import AttemptId, CallId, NodeId
 
-__all__ = ["AttemptLost", "CallDue", "EjectionOver"]
+__all__ = [
+    "AttemptLost",
+    "CallDue",
+    "DrainCheck",
+    "DrainFinished",
+    "DrainLimitPassed",
+    "EjectionOver",
+    "GraceOver",
+    "TrafficStarted",
+]
 
 
 @dataclass(slots=True)
@@ -26,3 +35,30 @@
     """Timer: an ejected upstream may be tried again."""
 
     node_id: NodeId
+
+
+@dataclass(slots=True)
+class TrafficStarted:
+    """First message: the process starts now."""
+
+
+@dataclass(slots=True)
+class GraceOver:
+    """Timer: other nodes have had time to learn of a drain."""
+
+
+@dataclass(slots=True)
+class DrainLimitPassed:
+    """Timer: the process exits with what is left."""
+
+
+@dataclass(slots=True)
+class DrainCheck:
+    """Internal: nothing seems to be left of a drain."""
+
+
+@dataclass(slots=True)
+class DrainFinished:
+    """Internal: the drain is over."""
+
+    is_clean: bool
