--- a/packages/papayapost-testing/src/papayapost_testing/bench/__main__.py
+++ b/packages/papayapost-testing/src/papayapost_testing/bench/__main__.py
@@ -14,7 +14,7 @@
 
 __all__ = ["main"]
 
-_HELPERS = frozenset(["__main__", "rows"])
+_HELPERS = frozenset(["__main__", "herd", "rows"])
 
 
 def benchmark_names() -> list[str]:
--- /dev/null
+++ b/packages/papayapost-testing/src/papayapost_testing/bench/herd.py
@@ -0,0 +1,116 @@
+"""A herd of nodes without rules that joins one relay at once."""
+
+import heapq
+from collections import Counter, deque
+from dataclasses import dataclass
+
+from papayapost.distribution import (
+    ChunkRequest,
+    RulesBusy,
+    RulesChunk,
+    TextOffered,
+)
+from papayapost.ids import Address, NodeId, RuleVersion
+from papayapost.peering import PeerSend
+from papayapost_testing.bench.rows import BenchRow
+from papayapost_testing.distribution_worlds import (
+    DistributionWorld,
+    distribution_world,
+    parent_row,
+)
+
+__all__ = ["herd_rows"]
+
+_RULES = 1_000
+_ROUND_TRIP_US = 1_000
+_SECOND_US = 1_000_000
+_PATIENCE_S = 3_600
+
+
+@dataclass(slots=True)
+class _Served:
+    """What a herd got.
+
+    Parameters
+    ----------
+    last_s
+        When the last node had the text.
+    peak_bytes
+        Most bytes of text within one second.
+    requests
+        Messages that the relay took.
+    """
+
+    last_s: float
+    peak_bytes: int
+    requests: int
+
+
+def herd_rows(nodes: int) -> list[BenchRow]:
+    """Return the peak and the end of a herd, against one served at once."""
+    text = "".join(
+        f"route GET /path-{n}/* -> gusts rank=high # Mei: reason number {n}\n"
+        for n in range(_RULES)
+    )
+    served = _serve(nodes, text)
+    at_once = nodes * len(text)
+    per_second = at_once / served.last_s
+    return [
+        BenchRow(
+            "herd: peak bytes in a second", nodes, served.peak_bytes, "B", at_once
+        ),
+        BenchRow("herd: bytes per second", nodes, per_second, "B/s"),
+        BenchRow("herd: last node served after", nodes, served.last_s, "s"),
+        BenchRow("herd: requests per node", nodes, served.requests / nodes, "messages"),
+    ]
+
+
+def _relay(text: str) -> DistributionWorld:
+    node = distribution_world("relay")
+    node.tree.parent = parent_row("link")
+    node.tick(0, *node.part.first_messages, TextOffered(RuleVersion(1), text))
+    return node
+
+
+def _serve(nodes: int, text: str) -> _Served:
+    relay = _relay(text)
+    digest = relay.part.rules.held_digest
+    due: list[tuple[int, int]] = [(0, number) for number in range(nodes)]
+    offsets = [0] * nodes
+    done = deque[int]()
+    sent: Counter[int] = Counter()
+    requests = now_us = 0
+    while len(done) < nodes and now_us < _PATIENCE_S * _SECOND_US:
+        now_us = _next_us(relay, due, now_us)
+        arrived = []
+        while due and due[0][0] <= now_us:
+            number = heapq.heappop(due)[1]
+            name = str(number)
+            arrived.append(
+                ChunkRequest(
+                    NodeId(name), Address(name), RuleVersion(1), digest, offsets[number]
+                )
+            )
+        requests += len(arrived)
+        for effect in relay.tick(now_us, *arrived):
+            if not isinstance(effect, PeerSend) or not effect.address.isdigit():
+                continue
+            number, message = int(effect.address), effect.message
+            if isinstance(message, RulesChunk):
+                sent[now_us // _SECOND_US] += len(message.data)
+                offsets[number] += len(message.data)
+                if offsets[number] >= message.size_bytes:
+                    done.append(now_us)
+                else:
+                    heapq.heappush(due, (now_us + _ROUND_TRIP_US, number))
+            elif isinstance(message, RulesBusy):
+                heapq.heappush(due, (now_us + message.retry_after_us, number))
+    return _Served(now_us / _SECOND_US, max(sent.values()), requests)
+
+
+def _next_us(relay: DistributionWorld, due: list[tuple[int, int]], now_us: int) -> int:
+    times = [due[0][0]] if due else []
+    timer_us = relay.world.next_due_us()
+    if timer_us is not None:
+        times.append(timer_us)
+    return max(now_us, min(times))
--- /dev/null
+++ b/packages/papayapost-testing/tests/test_store_client.py
@@ -0,0 +1,149 @@
+import asyncio
+
+import pytest
+import zstandard
+
+from papayapost.distribution import (
+    ACCEPTED_KEY,
+    RULES_KEY,
+    AcceptedRules,
+    LineEdit,
+    RulesDelta,
+)
+from papayapost.errors import FrameError, StoreUnavailable
+from papayapost.ids import NodeId, RuleVersion
+from papayapost.storage import (
+    ObjectKind,
+    ObjectSeen,
+    ReadObject,
+    RequestId,
+    StoreFailed,
+    UnwatchObject,
+    WatchObject,
+)
+from papayapost_node.http import ClientConnection
+from papayapost_node.store import HttpStoreClient, StoreShell
+from papayapost_node.store.values import decode_value, encode_value
+from papayapost_node.wire import CompressingCodec, MessagePackCodec
+from papayapost_node.wire.catalogue import CONTROL_TYPES, WIRE_NUMBERS
+from papayapost_testing import FaultsRow, ObjectStoreStandIn
+from papayapost_testing.ports import free_addresses
+
+TIMEOUT_S = 0.2
+
+
+def with_store(work):
+    async def run():
+        (address,) = free_addresses(1)
+        store = ObjectStoreStandIn(address)
+        await store.start()
+        client = HttpStoreClient(address, TIMEOUT_S)
+        try:
+            async with asyncio.timeout(10):
+                return await work(store, client)
+        finally:
+            client.close()
+            await store.close()
+
+    return asyncio.run(run())
+
+
+@pytest.fixture
+def opened(monkeypatch):
+    connections = []
+    open_connection = ClientConnection.open
+
+    async def open_and_count(address):
+        connections.append(address)
+        return await open_connection(address)
+
+    monkeypatch.setattr(ClientConnection, "open", open_and_count)
+    return connections
+
+
+def test_calls_one_after_the_other_share_a_connection(opened):
+    async def work(store, client):
+        version = await client.update("config", "rules", b"a", 0)
+        for _ in range(5):
+            assert (await client.read("config", "rules")).version == version
+
+    with_store(work)
+    assert len(opened) == 1
+
+
+def test_a_watch_of_a_frozen_store_is_given_up_in_time():
+    async def work(store, client):
+        store.set_faults(FaultsRow(is_frozen=True))
+        with pytest.raises(StoreUnavailable):
+            await client.watch("config", "rules", 0, wait_s=0)
+
+    with_store(work)
+
+
+def test_a_kept_connection_that_the_store_closed_is_replaced_for_a_read(opened):
+    async def work(store, client):
+        await client.read("config", "rules")
+        await store.close()
+        await store.start()
+        assert (await client.read("config", "rules")).version == 0
+
+    with_store(work)
+    assert len(opened) == 2
+
+
+def test_a_conditional_read_of_the_known_version_brings_no_value():
+    async def work(store, client):
+        version = await client.update("config", "rules", b"a", 0)
+        results = asyncio.Queue()
+        shell = StoreShell(client, results.put_nowait)
+        request = RequestId("r")
+        shell.read(ReadObject(RULES_KEY, request, unless_version=version))
+        assert await results.get() == ObjectSeen(RULES_KEY, version, None, request)
+        shell.read(ReadObject(RULES_KEY, request, unless_version=version + 1))
+        assert await results.get() == ObjectSeen(RULES_KEY, version, "a", request)
+        shell.close()
+
+    with_store(work)
+
+
+def test_a_watch_that_ends_at_once_is_a_failure_and_not_repeated_in_a_circle():
+    class Hasty(HttpStoreClient):
+        async def watch(self, kind, name, after_version, wait_s):
+            return None
+
+    async def work(store, client):
+        results = asyncio.Queue()
+        shell = StoreShell(Hasty("127.0.0.1:1"), results.put_nowait)
+        shell.watch(WatchObject(RULES_KEY, 0))
+        assert isinstance(await results.get(), StoreFailed)
+        shell.unwatch(UnwatchObject(RULES_KEY))
+        shell.close()
+
+    with_store(work)
+
+
+def test_accepted_rules_are_kept_with_their_version_and_refused_without():
+    accepted = AcceptedRules(RuleVersion(7), "route ...\n\n")
+    data = encode_value(accepted)
+    assert decode_value(ACCEPTED_KEY.kind, data) == accepted
+    with pytest.raises(ValueError, match="names no version"):
+        decode_value(ObjectKind.ACCEPTED, b"route ...\n")
+
+
+@pytest.mark.parametrize("cut", [5, 20, -1])
+def test_a_compressed_frame_is_bounded_and_refused_when_cut(cut):
+    codec = CompressingCodec(MessagePackCodec(WIRE_NUMBERS), CONTROL_TYPES)
+    edits = (LineEdit(0, 1, ("route " * 1_000,)),)
+    message = RulesDelta(NodeId("n"), RuleVersion(1), "a", RuleVersion(2), "b", edits)
+    frame = codec.encode(message)
+    assert len(frame) < 1_000
+    assert codec.decode(frame) == message
+    with pytest.raises(FrameError):
+        codec.decode(frame[:cut])
+
+
+def test_a_frame_that_claims_to_be_huge_is_refused_before_it_is_unpacked():
+    codec = CompressingCodec(MessagePackCodec(WIRE_NUMBERS), CONTROL_TYPES)
+    bomb = zstandard.ZstdCompressor().compress(bytes(5 << 20))
+    with pytest.raises(FrameError, match="at most"):
+        codec.decode(bomb)
--- a/packages/papayapost/src/papayapost/distribution/feed.py
+++ b/packages/papayapost/src/papayapost/distribution/feed.py
@@ -24,7 +24,7 @@
 __all__ = ["FeedChildren", "KeepHistory"]
 
 _MAX_STEPS = 128
-_MAX_DELTA_BYTES = 256 << 10
+_MAX_HISTORY_BYTES = 2 << 20
 _REPUSH_US = 1_500_000
 _REPUSH_EVERY = 16
 
@@ -61,7 +61,7 @@
         )
         while (
             len(history) > _MAX_STEPS
-            or sum(step.size_bytes for step in history) > _MAX_DELTA_BYTES
+            or sum(step.size_bytes for step in history) > _MAX_HISTORY_BYTES
         ):
             history.popleft()
 
@@ -195,7 +195,7 @@
     ) -> RulesDelta | RulesNotice:
         """Return the delta from a version, or the notice of the newest."""
         steps = self._steps_from(base)
-        if steps and digest in (None, steps[0].base_digest):
+        if steps and digest in (None, steps[0].base_digest) and self._is_short(steps):
             return RulesDelta(
                 self._me.node_id,
                 base,
@@ -204,15 +204,24 @@
                 self._rules.held_digest,
                 tuple(edit for step in steps for edit in step.edits),
             )
-        held = self._rules.held
-        size_bytes = len(held.rules.text.encode()) if held else 0
         return RulesNotice(
             self._me.node_id,
             self._rules.held_version,
             self._rules.held_digest,
-            size_bytes,
+            self._size_bytes(),
         )
 
+    def _is_short(self, steps: list[HistoryRow]) -> bool:
+        # One step is always sent: a rewritten text must reach all children
+        # at once, and transfers are admitted a few at a time.
+        if len(steps) == 1:
+            return True
+        return sum(step.size_bytes for step in steps) <= self._size_bytes()
+
+    def _size_bytes(self) -> int:
+        held = self._rules.held
+        return len(held.rules.text.encode()) if held else 0
+
     def _steps_from(self, base: RuleVersion) -> list[HistoryRow]:
         steps: list[HistoryRow] = []
         for step in reversed(self._relay.history):
--- a/packages/papayapost/src/papayapost/distribution/keeping.py
+++ b/packages/papayapost/src/papayapost/distribution/keeping.py
@@ -183,8 +183,11 @@
         if row.is_scheduled or row.is_asked or row.wanted == row.written:
             return
         row.is_scheduled = True
-        due_us = Micros(max(tick.now_us, earliest_us))
-        tick.set_timer((KeepDue, row.key), due_us, KeepDue(row.key))
+        if earliest_us <= tick.now_us:
+            tick.post(KeepDue(row.key))
+        else:
+            key = (KeepDue, row.key)
+            tick.set_timer(key, Micros(earliest_us), KeepDue(row.key))
 
     def _start(self, tick: Tick, row: KeptRow) -> None:
         row.is_scheduled = False
