--- a/packages/papayapost/src/papayapost/traffic/endings.py
+++ b/packages/papayapost/src/papayapost/traffic/endings.py
@@ -75,6 +75,8 @@
             self._tables.counters.late_answers += 1
             tick.emit(DropAnswer(begun.attempt_id))
             return
+        if attempt.state is AttemptState.ANSWERING:
+            return
         self._observe(tick, begun, attempt, call)
         if begun.status in _BAD_STATUSES and self._passes_over(tick, call, attempt):
             return
@@ -139,7 +141,7 @@
         for attempt_id in call.live:
             attempt = self._tables.attempts.require(attempt_id)
             service = self._upstreams.service(call.route.service, tick.now_us)
-            self._watch.failed(tick, attempt.upstream, service)
+            self._watch.silent(tick, attempt, service)
         call.is_maybe_run = call.is_maybe_run or bool(call.live)
         self._offers.withdraw(tick, call)
         refuse_call(tick, self._tables, call, RefusalCode.DEADLINE)
