--- /dev/null
+++ b/packages/papayapost/src/papayapost/membership/candidates.py
@@ -0,0 +1,51 @@
+"""Whom a node may ask to be its parent, best first."""
+
+from collections.abc import Iterable, Iterator, Sequence
+from itertools import chain
+
+from papayapost.ids import Address
+from papayapost.membership.members import Members
+from papayapost.membership.tables import TreeTables
+
+__all__ = ["Candidates"]
+
+
+class Candidates:
+    """Recommended nodes, known members, and for want of these the seeds.
+
+    Parameters
+    ----------
+    seeds
+        Peer addresses from the settings, without this node's own.
+    """
+
+    def __init__(self, members: Members, tree: TreeTables, seeds: Sequence[Address]):
+        self._me = members.me
+        self._members = members
+        self._tree = tree
+        self._seeds = seeds
+
+    def untried(self) -> Iterator[Address]:
+        """Yield the addresses that were not asked in this round."""
+        tree, seek = self._tree, self._tree.seek
+        sources: list[Iterable[Address]] = [seek.contacts, self.ranked()]
+        if tree.parent is None and (len(self._members.directory) == 1 or seek.rounds):
+            sources += [self._seeds, seek.hints]
+        for address in chain.from_iterable(sources):
+            if address not in seek.tried and address != self._me.peer_address:
+                yield address
+
+    def ranked(self) -> list[Address]:
+        """Return the known members that would be a better parent."""
+        me, ranking = self._me, self._members.ranking
+        ranked = ranking.parents_for(me.node_id, me.place)
+        parent = self._tree.parent
+        if parent is not None:
+            ranked = [
+                other
+                for other in ranked
+                if other != parent.node_id
+                and ranking.is_proper(other, me.node_id, me.place)
+            ]
+        directory = self._members.directory
+        return [directory.require(other).peer_address for other in ranked]
--- a/packages/papayapost/src/papayapost/membership/children.py
+++ b/packages/papayapost/src/papayapost/membership/children.py
@@ -11,16 +11,18 @@
     ChildAcknowledged,
     ChildJoined,
     ChildLeft,
+    DirectoryChanged,
+    MemberSuspected,
+    RowsArrived,
+)
+from papayapost.membership.peer_messages import (
     Contact,
     Detach,
-    DirectoryChanged,
     Heartbeat,
     HeartbeatAnswer,
     JoinAccepted,
     JoinRedirected,
     JoinRequest,
-    MemberSuspected,
-    RowsArrived,
 )
 from papayapost.membership.ranking import MAX_CHILDREN, order_of
 from papayapost.membership.tables import BackendServerRow, ChildRow, TreeTables
--- a/packages/papayapost/src/papayapost/membership/directory.py
+++ b/packages/papayapost/src/papayapost/membership/directory.py
@@ -6,14 +6,13 @@
 from papayapost.kernel import System, Tick
 from papayapost.membership.members import Members, Merged
 from papayapost.membership.messages import (
-    Announcement,
     DirectoryChanged,
-    DirectoryDelta,
     LeaveMesh,
     OwnRowChanged,
     RowsArrived,
     RowsToSpread,
 )
+from papayapost.membership.peer_messages import Announcement, DirectoryDelta
 from papayapost.membership.tables import BackendServerRow, TreeTables
 from papayapost.observe import Event, Noted
 from papayapost.peering import PeerSend
--- a/packages/papayapost/src/papayapost/membership/failures.py
+++ b/packages/papayapost/src/papayapost/membership/failures.py
@@ -5,16 +5,16 @@
 from papayapost.ids import Address, Micros, NodeId
 from papayapost.kernel import System, Table, Tick
 from papayapost.membership.members import Members
-from papayapost.membership.messages import (
+from papayapost.membership.messages import MemberSuspected, RowsArrived
+from papayapost.membership.peer_messages import (
     Contact,
-    MemberSuspected,
     Probe,
     ProbeAnswer,
     ProbeRequest,
     ProbeResult,
-    RowsArrived,
 )
-from papayapost.membership.tables import SuspectRow, TreeTables
+from papayapost.membership.tables import TreeTables
+from papayapost.membership.upkeep import SuspectRow
 from papayapost.observe import Event, Noted
 from papayapost.peering import PeerSend
 from papayapost.states import BackendServerState
--- a/packages/papayapost/src/papayapost/membership/heartbeats.py
+++ b/packages/papayapost/src/papayapost/membership/heartbeats.py
@@ -5,13 +5,8 @@
 from papayapost.ids import Micros
 from papayapost.kernel import System, Tick
 from papayapost.membership.members import Members
-from papayapost.membership.messages import (
-    Heartbeat,
-    HeartbeatAnswer,
-    ParentChanged,
-    ParentLost,
-    ParentVersionSeen,
-)
+from papayapost.membership.messages import ParentChanged, ParentLost, ParentVersionSeen
+from papayapost.membership.peer_messages import Heartbeat, HeartbeatAnswer
 from papayapost.membership.tables import TreeTables
 from papayapost.peering import PeerSend
 
--- a/packages/papayapost/src/papayapost/membership/part.py
+++ b/packages/papayapost/src/papayapost/membership/part.py
@@ -10,13 +10,14 @@
 from papayapost.membership.failures import AnswerProbes, ConfirmFailures
 from papayapost.membership.heartbeats import KeepParent
 from papayapost.membership.members import Members
-from papayapost.membership.publishing import PublishDirectory, WatchDirectories
+from papayapost.membership.publishing import PublishDirectory
 from papayapost.membership.repair import RepairDirectory, ServeRepairs
 from papayapost.membership.roles import AssignRoles
 from papayapost.membership.seeking import SeekDue, SeekParent
 from papayapost.membership.spreading import SpreadRows
 from papayapost.membership.tables import BackendServerRow, Directory, TreeTables
 from papayapost.membership.vouching import AuditMembers, VouchDue, VouchForChildren
+from papayapost.membership.watching import WatchDirectories
 from papayapost.place import SelfRow
 
 __all__ = ["MembershipPart", "build_membership"]
--- a/packages/papayapost/src/papayapost/membership/repair.py
+++ b/packages/papayapost/src/papayapost/membership/repair.py
@@ -8,7 +8,8 @@
 from papayapost.membership.budget import Budget
 from papayapost.membership.digests import BUCKETS
 from papayapost.membership.members import Members
-from papayapost.membership.messages import (
+from papayapost.membership.messages import ParentChanged, RowsArrived
+from papayapost.membership.peer_messages import (
     BucketDigests,
     BucketRows,
     BucketsWanted,
@@ -16,10 +17,9 @@
     DigestsOffered,
     DirectoryDelta,
     HeartbeatAnswer,
-    ParentChanged,
-    RowsArrived,
 )
-from papayapost.membership.tables import BackendServerRow, RepairRow, TreeTables
+from papayapost.membership.tables import BackendServerRow, TreeTables
+from papayapost.membership.upkeep import RepairRow
 from papayapost.observe import Event, Noted
 from papayapost.peering import PeerSend
 
--- a/packages/papayapost/src/papayapost/membership/roles.py
+++ b/packages/papayapost/src/papayapost/membership/roles.py
@@ -2,12 +2,8 @@
 
 from papayapost.kernel import System, Tick
 from papayapost.membership.members import Members
-from papayapost.membership.messages import (
-    DirectoryChanged,
-    HeartbeatAnswer,
-    ParentChanged,
-    RoleChanged,
-)
+from papayapost.membership.messages import DirectoryChanged, ParentChanged, RoleChanged
+from papayapost.membership.peer_messages import HeartbeatAnswer
 from papayapost.membership.tables import TreeTables
 from papayapost.observe import Event, Noted
 from papayapost.states import TreeLevel, TreeState
--- a/packages/papayapost/src/papayapost/membership/seeking.py
+++ b/packages/papayapost/src/papayapost/membership/seeking.py
@@ -1,24 +1,23 @@
 """Finds a parent, and a better one where the present one is not fitting."""
 
-from collections.abc import Iterable, Iterator, Sequence
+from collections.abc import Sequence
 from dataclasses import dataclass
-from itertools import chain
 
-from papayapost.ids import Address, Micros, NodeId
+from papayapost.ids import Address, Micros
 from papayapost.kernel import System, Tick
+from papayapost.membership.candidates import Candidates
 from papayapost.membership.members import Members
-from papayapost.membership.messages import (
+from papayapost.membership.messages import DirectoryChanged, ParentChanged, ParentLost
+from papayapost.membership.peer_messages import (
     Announcement,
     Detach,
-    DirectoryChanged,
     JoinAccepted,
     JoinRedirected,
     JoinRequest,
-    ParentChanged,
-    ParentLost,
 )
 from papayapost.membership.ranking import order_of
-from papayapost.membership.tables import NEVER, ParentRow, SeekRow, TreeTables
+from papayapost.membership.tables import ParentRow, TreeTables
+from papayapost.membership.upkeep import NEVER, SeekRow
 from papayapost.observe import Event, Noted
 from papayapost.peering import PeerSend
 from papayapost.states import TreeState
@@ -86,6 +85,7 @@
         self._directory_key = own_directory_key(members)
         self._is_seed = me.peer_address in seeds
         self._seeds = [seed for seed in seeds if seed != me.peer_address]
+        self._candidates = Candidates(members, tree, self._seeds)
 
     def run(self, tick: Tick) -> None:
         """Handle answers first, then begin or go on with a round."""
@@ -131,7 +131,7 @@
         seek, me = self._tree.seek, self._me
         seek.target = None
         if len(seek.tried) < _MAX_TRIES_PER_ROUND:
-            seek.target = next(self._untried(), None)
+            seek.target = next(self._candidates.untried(), None)
         if seek.target is None:
             self._end_round(tick)
             return
@@ -149,29 +149,6 @@
         due_us = Micros(tick.now_us + _ANSWER_TIMEOUT_US)
         tick.set_timer("seek answer", due_us, SeekTimedOut(seek.target))
 
-    def _untried(self) -> Iterator[Address]:
-        tree, seek = self._tree, self._tree.seek
-        sources: list[Iterable[Address]] = [seek.contacts, self._ranked()]
-        if tree.parent is None and (len(self._members.directory) == 1 or seek.rounds):
-            sources += [self._seeds, seek.hints]
-        for address in chain.from_iterable(sources):
-            if address not in seek.tried and address != self._me.peer_address:
-                yield address
-
-    def _ranked(self) -> list[Address]:
-        me, ranking = self._me, self._members.ranking
-        ranked = ranking.parents_for(me.node_id, me.place)
-        parent = self._tree.parent
-        if parent is not None:
-            ranked = [
-                other
-                for other in ranked
-                if other != parent.node_id
-                and ranking.is_proper(other, me.node_id, me.place)
-            ]
-        directory = self._members.directory
-        return [directory.require(other).peer_address for other in ranked]
-
     def _end_round(self, tick: Tick) -> None:
         tree, seek = self._tree, self._tree.seek
         seek.contacts.clear()
@@ -186,7 +163,7 @@
 
     def _may_be_root(self, tick: Tick) -> bool:
         seek = self._tree.seek
-        ranked = self._ranked()
+        ranked = self._candidates.ranked()
         if seek.answers:
             return not ranked
         is_known = len(self._members.directory) > 1
@@ -221,7 +198,7 @@
             parent_id = tree.parent.node_id
             if any(row.node_id == parent_id and row.is_gone for row in changed.rows):
                 self._lose_parent(tick, "it is gone")
-        elif tree.state is TreeState.ROOT and self._ranked():
+        elif tree.state is TreeState.ROOT and self._candidates.ranked():
             tick.set_timer("seek", self._soon(tick), SeekDue())
 
     def _see_acceptance(self, tick: Tick, accepted: JoinAccepted) -> None:
@@ -258,7 +235,7 @@
             return
         seek.answers += 1
         for contact in redirected.contacts[:_MAX_CONTACTS]:
-            if self._is_useful(contact.node_id):
+            if order_of(contact.node_id) < order_of(self._me.node_id):
                 seek.contacts.append(contact.address)
         while len(seek.contacts) > _MAX_CONTACTS:
             seek.contacts.popleft()
@@ -271,9 +248,6 @@
             return
         self._ask_next(tick)
 
-    def _is_useful(self, node_id: NodeId) -> bool:
-        return order_of(node_id) < order_of(self._me.node_id)
-
     def _see_hints(self, tick: Tick, seen: ObjectSeen) -> None:
         rows = getattr(seen.value, "rows", ())
         live = [row.peer_address for row in rows if not row.is_gone]
--- a/packages/papayapost/src/papayapost/membership/spreading.py
+++ b/packages/papayapost/src/papayapost/membership/spreading.py
@@ -6,7 +6,8 @@
 from papayapost.kernel import System, Tick
 from papayapost.membership.budget import Budget
 from papayapost.membership.members import Members
-from papayapost.membership.messages import DirectoryDelta, RowsToSpread
+from papayapost.membership.messages import RowsToSpread
+from papayapost.membership.peer_messages import DirectoryDelta
 from papayapost.membership.tables import BackendServerRow, TreeTables
 from papayapost.peering import PeerSend
 
--- a/packages/papayapost/src/papayapost/membership/tables.py
+++ b/packages/papayapost/src/papayapost/membership/tables.py
@@ -1,7 +1,6 @@
 """Tables of the other nodes: the directory and the tree of relays."""
 
-from collections import deque
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 from itertools import islice
 
 from papayapost.ids import (
@@ -16,6 +15,13 @@
 )
 from papayapost.kernel import Table
 from papayapost.membership.digests import bucket_key
+from papayapost.membership.upkeep import (
+    NEVER,
+    KnownVersion,
+    RepairRow,
+    SeekRow,
+    SuspectRow,
+)
 from papayapost.place import Place
 from papayapost.states import BackendServerState, MemberState, TreeLevel, TreeState
 
@@ -23,11 +29,7 @@
     "BackendServerRow",
     "ChildRow",
     "Directory",
-    "KnownVersion",
     "ParentRow",
-    "RepairRow",
-    "SeekRow",
-    "SuspectRow",
     "TombstoneRow",
     "TreeTables",
     "directory_table",
@@ -36,7 +38,6 @@
 _VERSION_LIFE_US = 600 * 1_000_000
 _MAX_KNOWN_VERSIONS = 5_000
 NO_VERSION = RuleVersion(0)
-NEVER = Micros(0)
 
 
 @dataclass(slots=True)
@@ -151,75 +152,6 @@
     state: MemberState = MemberState.ALIVE
 
 
-@dataclass(slots=True)
-class KnownVersion:
-    """The rules version that a node had acknowledged when last heard of."""
-
-    version: RuleVersion
-    noted_us: Micros
-
-
-@dataclass(slots=True)
-class SuspectRow:
-    """A member whose failure waits for confirmation.
-
-    Parameters
-    ----------
-    asked
-        Members that were asked to probe it.
-    denied
-        How many of them could not reach it.
-    """
-
-    node_id: NodeId
-    stamp: tuple[int, int]
-    asked: int
-    denied: int = 0
-    answered: int = 0
-
-
-@dataclass(slots=True)
-class RepairRow:
-    """A comparison of one data centre's rows with the parent.
-
-    Parameters
-    ----------
-    buckets
-        Buckets that differ and were not asked for yet.
-    """
-
-    source: Address
-    data_centre: DataCentreId
-    buckets: deque[int] = field(default_factory=deque)
-
-
-@dataclass(slots=True)
-class SeekRow:
-    """The search for a parent.
-
-    Parameters
-    ----------
-    target
-        Who was asked last and has not answered.
-    tried
-        Who was asked in this round.
-    contacts
-        Who was recommended by others, best first.
-    answers
-        Answers in this round.
-    rounds
-        Rounds since the last parent, for the back-off.
-    """
-
-    since_us: Micros = NEVER
-    target: Address | None = None
-    tried: set[Address] = field(default_factory=set)
-    contacts: deque[Address] = field(default_factory=deque)
-    hints: tuple[Address, ...] = ()
-    answers: int = 0
-    rounds: int = 0
-
-
 class TreeTables:
     """The place of this node in the tree of relays.
 
--- a/packages/papayapost/src/papayapost/membership/vouching.py
+++ b/packages/papayapost/src/papayapost/membership/vouching.py
@@ -9,9 +9,8 @@
     DirectoryChanged,
     MemberSuspected,
     RoleChanged,
-    Vouch,
-    Vouched,
 )
+from papayapost.membership.peer_messages import Vouch, Vouched
 from papayapost.membership.tables import TreeTables
 from papayapost.peering import PeerSend
 
--- a/packages/papayapost/tests/membership/test_tree.py
+++ b/packages/papayapost/tests/membership/test_tree.py
@@ -4,7 +4,6 @@
 
 from papayapost.ids import Incarnation, Micros, NodeId, RuleVersion
 from papayapost.membership import (
-    ChildJoined,
     Heartbeat,
     JoinRedirected,
     JoinRequest,
@@ -203,12 +202,10 @@
     other = next(name for name in loop.nodes if name != root)
     row = loop.nodes[root].part.members.own
     request = JoinRequest(row.node_id, row, True, RuleVersion(0), 0)
-    address = loop.nodes[other].part.members.me.peer_address
     effects = loop.nodes[other].world.tick(loop.now_us, [request])
     answers = [e.message for e in effects if isinstance(e, PeerSend)]
-    assert not any(isinstance(answer, ChildJoined) for answer in answers)
+    assert [type(answer) for answer in answers] == [JoinRedirected]
     assert row.node_id not in loop.nodes[other].part.tree.children
-    assert address
 
 
 def test_a_heartbeat_of_an_older_process_does_not_keep_a_child():
