Keep a herd from making roots and reading the store

Cause: in a trial of 1,200 nodes started at once, 57 heard nothing from the busy seeds for 20 s, became roots, and each would have written its own small directory over the stored one. Change: a node is alone only after one to two minutes without any answer; contacts are read from the store after 15 to 30 s; a new root that knows nobody leaves a stored directory that names others. Conclusion: a silent seed is taken for busy before it is taken for dead.

--- a/packages/papayapost/src/papayapost/membership/publishing.py
+++ b/packages/papayapost/src/papayapost/membership/publishing.py
@@ -35,6 +35,7 @@
 _STORED_ROW_BYTES = 25
 _WRITE_BYTES_PER_SECOND = 5_000
 _VERIFY_US = 60_000_000
+_STRANGER_US = 120_000_000
 _RETRY_MIN_US = 500_000
 _RETRY_MAX_US = 10_000_000
 _MAX_STORED_TOMBSTONES = 2_000
@@ -81,6 +82,8 @@
         self._is_busy = False
         self._earliest_us = Micros(0)
         self._failures = 0
+        self._stores_others = False
+        self._promoted_us = Micros(0)
 
     def run(self, tick: Tick) -> None:
         """Take the store's answers, then decide whether to write."""
@@ -101,6 +104,7 @@
 
     def _change_role(self, tick: Tick) -> None:
         self._version = None
+        self._promoted_us = tick.now_us
         if self._tree.is_top_relay:
             self._schedule(tick, _GATHER_US)
             tick.set_timer("verify", Micros(tick.now_us + _VERIFY_US), VerifyDue())
@@ -115,7 +119,7 @@
             self._is_busy = True
             tick.emit(ReadObject(self._key, _OWN_REQUEST))
             return
-        if not self._differs():
+        if not self._differs() or self._is_stranger(tick):
             return
         if tick.now_us < self._earliest_us:
             self._schedule(tick, 0)
@@ -127,6 +131,13 @@
         self._earliest_us = Micros(tick.now_us + interval_us)
         tick.emit(UpdateObject(self._key, _OWN_REQUEST, self._version, image))
 
+    def _is_stranger(self, tick: Tick) -> bool:
+        """Return whether the store tells more than this new root knows."""
+        members = self._members
+        knows_nobody = len(members.directory) == 1 and not members.tombstones
+        is_new = tick.now_us - self._promoted_us < _STRANGER_US
+        return knows_nobody and self._stores_others and is_new
+
     def _take_answers(self, tick: Tick) -> None:
         for seen in tick.take(ObjectSeen):
             if seen.request_id == _OWN_REQUEST:
@@ -156,8 +167,10 @@
         self._failures = 0
         self._version = seen.version
         self._stored_digest = None
+        self._stores_others = False
         if isinstance(seen.value, DataCentreImage):
             self._stored_digest = _digest_of(seen.value)
+            self._stores_others = any(not row.is_gone for row in seen.value.rows)
         if self._tree.is_top_relay and self._differs():
             self._schedule(tick, 0)
 
--- a/packages/papayapost/src/papayapost/membership/seeking.py
+++ b/packages/papayapost/src/papayapost/membership/seeking.py
@@ -31,7 +31,8 @@
 _BACKOFF_MIN_US = 500_000
 _BACKOFF_MAX_US = 15_000_000
 _CHECK_US = 10_000_000
-_ALONE_US = 20_000_000
+_ALONE_US = 60_000_000
+_HINTS_AFTER_US = 15_000_000
 _MAX_TRIES_PER_ROUND = 8
 _MAX_CONTACTS = 8
 _MAX_HINTS = 32
@@ -156,11 +157,23 @@
             if self._may_be_root(tick):
                 self._become_root(tick)
             if not seek.answers:
-                tick.emit(ReadObject(self._directory_key, HINTS_REQUEST))
+                self._read_hints(tick)
         seek.rounds += 1
         ceiling_us = _BACKOFF_MIN_US << min(seek.rounds, 6)
         self._schedule(tick, min(ceiling_us, _BACKOFF_MAX_US))
 
+    def _read_hints(self, tick: Tick) -> None:
+        """Read the stored directory, but not with a whole herd at once."""
+        seek = self._tree.seek
+        silent_us = tick.now_us - max(seek.since_us, seek.hinted_us)
+        if silent_us > _HINTS_AFTER_US + self._own_share(_HINTS_AFTER_US):
+            seek.hinted_us = tick.now_us
+            tick.emit(ReadObject(self._directory_key, HINTS_REQUEST))
+
+    def _own_share(self, span_us: int) -> int:
+        """Return a part of a span that differs from node to node."""
+        return order_of(self._me.node_id)[0] % span_us
+
     def _may_be_root(self, tick: Tick) -> bool:
         seek = self._tree.seek
         ranked = self._candidates.ranked()
@@ -173,7 +186,8 @@
             may_lead = me.node_id in ranking.relays(me.place.data_centre)
         else:
             may_lead = self._is_seed or not (self._seeds or seek.hints)
-        return may_lead or tick.now_us - seek.since_us > _ALONE_US
+        silent_us = tick.now_us - seek.since_us
+        return may_lead or silent_us > _ALONE_US + self._own_share(_ALONE_US)
 
     def _become_root(self, tick: Tick) -> None:
         if self._tree.state is TreeState.ROOT:
@@ -234,6 +248,7 @@
         if seek.target != redirected.reply_to:
             return
         seek.answers += 1
+        seek.since_us = tick.now_us
         for contact in redirected.contacts[:_MAX_CONTACTS]:
             if order_of(contact.node_id) < order_of(self._me.node_id):
                 seek.contacts.append(contact.address)
--- a/packages/papayapost/src/papayapost/membership/upkeep.py
+++ b/packages/papayapost/src/papayapost/membership/upkeep.py
@@ -58,6 +58,10 @@
 
     Parameters
     ----------
+    since_us
+        When a candidate last answered, or the search began.
+    hinted_us
+        When contacts were last read from the store.
     target
         Who was asked last and has not answered.
     tried
@@ -71,6 +75,7 @@
     """
 
     since_us: Micros = NEVER
+    hinted_us: Micros = NEVER
     target: Address | None = None
     tried: set[Address] = field(default_factory=set)
     contacts: deque[Address] = field(default_factory=deque)
