--- a/packages/papayapost-testing/src/papayapost_testing/bench/membership.py
+++ b/packages/papayapost-testing/src/papayapost_testing/bench/membership.py
@@ -108,11 +108,11 @@
         place = places[number % len(places)]
         service = f"service-{random.randrange(SERVICES)}"
         name = f"{place.data_centre}-vm-{number:05}"
-        address = f"10.{number % 5}.{number // 250}.{number % 250}:7001"
+        ip = f"10.{number % 5}.{number // 250}.{number % 250}"
         row = backend_row(name, service, place, slots=9)
         started_us = WALL_US - random.randrange(DAY_S * SECOND_US)
         row.incarnation = Incarnation(started_us)
-        row.peer_address = Address(address)
+        row.peer_address = Address(f"{ip}:7001")
         rows.append(row)
     return rows
 
@@ -283,15 +283,15 @@
     ]
     queue = [(node.now_us + random.randrange(SECOND_US), n) for n in range(HERD)]
     heapq.heapify(queue)
-    start_us = node.now_us
-    spent: Counter[int] = Counter()
+    start_us: int = node.now_us
     beat_us = start_us
+    spent: Counter[int] = Counter()
     while queue:
         due_us, number = heapq.heappop(queue)
         row = newcomers[number]
         sent = node.run_until(due_us)
         if due_us - beat_us > SECOND_US:
-            beat_us = Micros(due_us)
+            beat_us = due_us
             beats = beats_of(node)
             sent += node.tick(*beats)
             spent[(due_us - start_us) // SECOND_US] += size_of(beats)
