Measure the choice of upstreams while one is unwell

Cause: the cost of the choice was measured, its quality was not. Change: a benchmark of one entry node and eight owners in virtual time, against a random choice; build_traffic takes a balancing policy.

--- a/packages/papayapost-testing/src/papayapost_testing/bench/traffic.py
+++ b/packages/papayapost-testing/src/papayapost_testing/bench/traffic.py
@@ -22,6 +22,7 @@
     CallArrived,
     OfferSend,
 )
+from papayapost_testing.bench.balance import balance_rows
 from papayapost_testing.bench.flood import flood_rows
 from papayapost_testing.bench.retries import retry_rows
 from papayapost_testing.bench.rows import BenchRow
@@ -47,6 +48,7 @@
         for size in (10, 100, 1_000)
     ]
     rows.append(BenchRow("attempt at the owner node", 9, _owner_us(calls), "us"))
+    rows.extend(balance_rows(short))
     rows.extend(retry_rows(short))
     rows.extend(flood_rows(short))
     return rows
--- a/packages/papayapost-testing/src/papayapost_testing/worlds.py
+++ b/packages/papayapost-testing/src/papayapost_testing/worlds.py
@@ -19,7 +19,7 @@
 from papayapost.place import Place, SelfRow
 from papayapost.rules import compile_rules
 from papayapost.states import BackendServerState, StagedState
-from papayapost.traffic import RetryPolicy, TrafficPart, build_traffic
+from papayapost.traffic import BalancingPolicy, RetryPolicy, TrafficPart, build_traffic
 from papayapost.traffic.queues import QueueDiscipline
 
 __all__ = [
@@ -74,6 +74,7 @@
     rules: str = "",
     queue: QueueDiscipline | None = None,
     retries: RetryPolicy | None = None,
+    balancing: BalancingPolicy | None = None,
 ) -> TrafficWorld:
     """Return the traffic of a node that knows other nodes.
 
@@ -81,7 +82,7 @@
     ----------
     rules
         Text of the rules in force; empty for none.
-    queue, retries
+    queue, retries, balancing
         In place of the usual policies.
     """
     me = SelfRow(own.node_id, own.incarnation, own.place, own.peer_address)
@@ -90,7 +91,15 @@
         directory.put(row.node_id, row)
     if rules:
         table.in_force = _in_force(rules)
-    part = build_traffic(me, directory, table, own.slots, retries=retries, queue=queue)
+    part = build_traffic(
+        me,
+        directory,
+        table,
+        own.slots,
+        retries=retries,
+        queue=queue,
+        balancing=balancing,
+    )
     return TrafficWorld(World(part.systems, Random(1)), part, directory)
 
 
--- a/packages/papayapost/src/papayapost/traffic/part.py
+++ b/packages/papayapost/src/papayapost/traffic/part.py
@@ -6,7 +6,7 @@
 from papayapost.kernel import System
 from papayapost.membership import Directory
 from papayapost.place import SelfRow
-from papayapost.traffic.balancing import NearestOfTwo
+from papayapost.traffic.balancing import BalancingPolicy, NearestOfTwo
 from papayapost.traffic.claim_requests import ClaimRequests
 from papayapost.traffic.claim_results import SettleClaims
 from papayapost.traffic.claims import ClaimKeys
@@ -55,6 +55,7 @@
     retries: RetryPolicy | None = None,
     queue: QueueDiscipline | None = None,
     concurrency: ConcurrencyLimit | None = None,
+    balancing: BalancingPolicy | None = None,
 ) -> TrafficPart:
     """Return the traffic part of a node without any calls.
 
@@ -62,8 +63,9 @@
     ----------
     slots
         Calls that the own backend server runs at once; 0 without one.
-    retries, queue, concurrency
-        In place of `BudgetedRetries`, `RankedQueues` and `AdaptiveLimit`.
+    retries, queue, concurrency, balancing
+        In place of `BudgetedRetries`, `RankedQueues`, `AdaptiveLimit` and
+        `NearestOfTwo`.
     """
     calls = TrafficTables()
     owner = OwnerTables(slots)
@@ -72,7 +74,7 @@
     upstreams = Upstreams(me, directory)
     link = LinkBudget(me)
     drain = DrainRow()
-    offers = Offers(me, calls, upstreams, NearestOfTwo(owner), link)
+    offers = Offers(me, calls, upstreams, balancing or NearestOfTwo(owner), link)
     watch = FailureWatch(upstreams, calls)
     retries = retries or BudgetedRetries()
     systems: list[System] = [
