Give entry node, owner node and claims their own folders

Cause: 22 modules of calls stood in one folder, and the tables of claims also held their messages and pace. Change: entry, owner and claims are packages; nothing else is changed, and papayapost.traffic exports what it did.

--- a/packages/papayapost-testing/src/papayapost_testing/bench/balance.py
+++ b/packages/papayapost-testing/src/papayapost_testing/bench/balance.py
@@ -26,7 +26,7 @@
     ForwardAnswer,
     OfferSend,
 )
-from papayapost.traffic.upstreams import ServiceRow, UpstreamRow
+from papayapost.traffic.entry.upstreams import ServiceRow, UpstreamRow
 from papayapost_testing.bench.rows import BenchRow
 from papayapost_testing.worlds import backend_row, traffic_world
 
--- a/packages/papayapost-testing/src/papayapost_testing/bench/flood.py
+++ b/packages/papayapost-testing/src/papayapost_testing/bench/flood.py
@@ -26,7 +26,7 @@
     BackendCallEnded,
     BackendCallStart,
 )
-from papayapost.traffic.queues import FifoQueue
+from papayapost.traffic.owner.queues import FifoQueue
 from papayapost_testing.bench.rows import BenchRow
 from papayapost_testing.worlds import backend_row, traffic_world
 
--- a/packages/papayapost-testing/src/papayapost_testing/bench/retries.py
+++ b/packages/papayapost-testing/src/papayapost_testing/bench/retries.py
@@ -11,7 +11,7 @@
     RefusalCode,
     RetryPolicy,
 )
-from papayapost.traffic.tables import CallRow
+from papayapost.traffic.entry.tables import CallRow
 from papayapost_testing.bench.rows import BenchRow
 from papayapost_testing.worlds import backend_row, traffic_world
 
--- a/packages/papayapost-testing/src/papayapost_testing/worlds.py
+++ b/packages/papayapost-testing/src/papayapost_testing/worlds.py
@@ -20,7 +20,7 @@
 from papayapost.rules import compile_rules
 from papayapost.states import BackendServerState, StagedState
 from papayapost.traffic import BalancingPolicy, RetryPolicy, TrafficPart, build_traffic
-from papayapost.traffic.queues import QueueDiscipline
+from papayapost.traffic.owner.queues import QueueDiscipline
 
 __all__ = [
     "NORTH_1",
--- a/packages/papayapost/src/papayapost/traffic/__init__.py
+++ b/packages/papayapost/src/papayapost/traffic/__init__.py
@@ -1,9 +1,13 @@
 """Calls: routing at the entry node, admission at the owner node."""
 
-from papayapost.traffic.balancing import BalancingPolicy, NearestOfTwo
-from papayapost.traffic.claims_tables import ClaimsObject, ClaimToken
-from papayapost.traffic.endings import EndCalls
-from papayapost.traffic.entry import RouteCalls
+from papayapost.traffic.claims.tables import ClaimsObject, ClaimToken
+from papayapost.traffic.entry.balancing import BalancingPolicy, NearestOfTwo
+from papayapost.traffic.entry.endings import EndCalls
+from papayapost.traffic.entry.retries import BudgetedRetries, RetryPolicy
+from papayapost.traffic.entry.routing import RouteCalls
+from papayapost.traffic.entry.settle import SettleAttempts
+from papayapost.traffic.entry.tables import TrafficCounters, TrafficTables
+from papayapost.traffic.entry.upstreams import Upstreams
 from papayapost.traffic.messages import (
     AnswerBegun,
     AnswerEnded,
@@ -24,7 +28,8 @@
     OwnerLost,
     RefusalCode,
 )
-from papayapost.traffic.owner import AdmitAttempts
+from papayapost.traffic.owner.admission import AdmitAttempts
+from papayapost.traffic.owner.tables import OwnerTables
 from papayapost.traffic.owner_messages import (
     AttemptExpired,
     BackendCallBegun,
@@ -36,12 +41,7 @@
     DropOffer,
     OwnBackendServerSeen,
 )
-from papayapost.traffic.owner_tables import OwnerTables
 from papayapost.traffic.part import TrafficPart, build_traffic
-from papayapost.traffic.retries import BudgetedRetries, RetryPolicy
-from papayapost.traffic.settle import SettleAttempts
-from papayapost.traffic.tables import TrafficCounters, TrafficTables
-from papayapost.traffic.upstreams import Upstreams
 
 __all__ = [
     "AdmitAttempts",
--- /dev/null
+++ b/packages/papayapost/src/papayapost/traffic/claims/__init__.py
@@ -0,0 +1,1 @@
+"""Claims of idempotency keys in the object store."""
--- a/packages/papayapost/src/papayapost/traffic/claims.py
+++ b/packages/papayapost/src/papayapost/traffic/claims/keys.py
@@ -1,20 +1,22 @@
 """Claims a caller's key in the object store before its call may run."""
 
 from papayapost.kernel import System, Tick
-from papayapost.traffic.claim_requests import (
+from papayapost.traffic.claims.messages import (
+    ClaimNeeded,
+    ClaimUnused,
+    ClaimVerdict,
+    PartitionReady,
+)
+from papayapost.traffic.claims.pace import ClaimPace
+from papayapost.traffic.claims.requests import (
     ClaimRequests,
     digest_of,
     set_due,
     settle_claim,
 )
-from papayapost.traffic.claims_tables import (
-    ClaimNeeded,
-    ClaimPace,
+from papayapost.traffic.claims.tables import (
     ClaimTables,
     ClaimToken,
-    ClaimUnused,
-    ClaimVerdict,
-    PartitionReady,
     PartitionRow,
     PartitionState,
     partition_of,
--- a/packages/papayapost/src/papayapost/traffic/claim_requests.py
+++ b/packages/papayapost/src/papayapost/traffic/claims/requests.py
@@ -4,14 +4,16 @@
 from papayapost.kernel import Tick
 from papayapost.observe import Event, Noted
 from papayapost.storage import ReadObject, RequestId, UpdateObject
-from papayapost.traffic.claims_tables import (
+from papayapost.traffic.claims.messages import (
     ClaimNeeded,
     ClaimsDue,
     ClaimSettled,
+    ClaimVerdict,
+)
+from papayapost.traffic.claims.tables import (
     ClaimsObject,
     ClaimTables,
     ClaimToken,
-    ClaimVerdict,
     PartitionRow,
     PartitionState,
     digest_of_key,
--- a/packages/papayapost/src/papayapost/traffic/claim_results.py
+++ b/packages/papayapost/src/papayapost/traffic/claims/results.py
@@ -12,17 +12,15 @@
     UpdateConflicted,
     UpdateUnknown,
 )
-from papayapost.traffic.claim_requests import (
+from papayapost.traffic.claims.messages import ClaimsDue, ClaimVerdict, PartitionReady
+from papayapost.traffic.claims.requests import (
     ClaimRequests,
     digest_of,
     settle_claim,
 )
-from papayapost.traffic.claims_tables import (
-    ClaimsDue,
+from papayapost.traffic.claims.tables import (
     ClaimsObject,
     ClaimTables,
-    ClaimVerdict,
-    PartitionReady,
     PartitionRow,
     PartitionState,
 )
--- a/packages/papayapost/src/papayapost/traffic/claims_tables.py
+++ b/packages/papayapost/src/papayapost/traffic/claims/tables.py
@@ -5,7 +5,6 @@
 
 import xxhash
 
-from papayapost.distribution import RulesTable
 from papayapost.ids import (
     AttemptId,
     IdempotencyKey,
@@ -13,24 +12,15 @@
     ServiceName,
 )
 from papayapost.kernel import Table
-from papayapost.membership import Directory
 from papayapost.place import SelfRow
-from papayapost.rules import Route, RuleSet
 from papayapost.storage import ObjectKey, ObjectKind, RequestId
-from papayapost.traffic.messages import AttemptOffer
+from papayapost.traffic.claims.messages import ClaimNeeded
 
 __all__ = [
     "PARTITIONS",
-    "ClaimNeeded",
-    "ClaimPace",
-    "ClaimSettled",
     "ClaimTables",
     "ClaimToken",
-    "ClaimUnused",
-    "ClaimVerdict",
-    "ClaimsDue",
     "ClaimsObject",
-    "PartitionReady",
     "PartitionRow",
     "PartitionState",
     "digest_of_key",
@@ -40,12 +30,6 @@
 PARTITIONS = 8
 """Claims objects of each service; never to be changed while claims last."""
 
-FLEET_WRITES_PER_S = 200
-"""Writes of claims that all nodes together may ask of the store."""
-
-_BURST_WRITES = 5.0
-_WRITING_METHODS = frozenset(["POST", "PUT", "PATCH", "DELETE"])
-
 
 def digest_of_key(key: IdempotencyKey) -> str:
     """Return the 128-bit hash of a caller's key, in hexadecimal."""
@@ -86,58 +70,6 @@
     tokens: tuple[ClaimToken, ...]
 
 
-class ClaimVerdict(Enum):
-    """What became of a wish to claim a key."""
-
-    GRANTED = "granted"
-    DUPLICATE = "duplicate"
-    UNAVAILABLE = "unavailable"
-
-
-@dataclass(slots=True)
-class ClaimNeeded:
-    """Internal: this attempt may only run once its key is claimed."""
-
-    offer: AttemptOffer
-    is_maybe_written: bool = False
-
-
-@dataclass(slots=True)
-class ClaimUnused:
-    """Internal: an attempt that wished for a claim will never run."""
-
-    offer: AttemptOffer
-
-
-@dataclass(slots=True)
-class ClaimSettled:
-    """Internal: the verdict on an attempt's wish."""
-
-    attempt_id: AttemptId
-    verdict: ClaimVerdict
-
-
-@dataclass(slots=True)
-class ClaimsDue:
-    """Timer: a partition's pause is over, or its request is overdue."""
-
-    key: ObjectKey
-
-
-@dataclass(slots=True)
-class PartitionReady:
-    """Internal: nothing is under way for a claims object.
-
-    Parameters
-    ----------
-    is_due
-        Whether its timer says so.
-    """
-
-    key: ObjectKey
-    is_due: bool = False
-
-
 class PartitionState(Enum):
     """What this node is doing with a claims object."""
 
@@ -204,47 +136,3 @@
         return any(
             row.waiting or row.in_flight or row.releases for row in self.partitions
         )
-
-
-class ClaimPace:
-    """A token bucket for writes of claims.
-
-    The fleet's writes are divided among the nodes whose services have
-    routes that may change something and are not idempotent.
-    """
-
-    def __init__(self, rules: RulesTable, directory: Directory):
-        self._rules = rules
-        self._directory = directory
-        self._of: RuleSet | None = None
-        self._services: frozenset[ServiceName] = frozenset()
-        self._tokens = _BURST_WRITES
-        self._refilled_us = 0
-
-    def wait_us(self, now_us: Micros) -> int:
-        """Return how long the next write has to wait, 0 for not at all."""
-        per_us = self._writes_per_us()
-        earned = (now_us - self._refilled_us) * per_us
-        self._tokens = min(_BURST_WRITES, self._tokens + earned)
-        self._refilled_us = now_us
-        return 0 if self._tokens >= 1 else int((1 - self._tokens) / per_us) + 1
-
-    def spend(self) -> None:
-        """Take one write."""
-        self._tokens -= 1
-
-    def _writes_per_us(self) -> float:
-        in_force = self._rules.in_force
-        if in_force is not None and in_force.rules is not self._of:
-            self._of = in_force.rules
-            self._services = frozenset(
-                route.service for route in self._of.routes if _may_claim(route)
-            )
-        nodes = sum(self._directory.count("service", name) for name in self._services)
-        return FLEET_WRITES_PER_S / max(1, nodes) / 1e6
-
-
-def _may_claim(route: Route) -> bool:
-    if route.idempotent:
-        return False
-    return not route.methods or bool(route.methods & _WRITING_METHODS)
--- a/packages/papayapost/src/papayapost/traffic/drain.py
+++ b/packages/papayapost/src/papayapost/traffic/drain.py
@@ -8,7 +8,10 @@
 from papayapost.observe import Event, Noted
 from papayapost.place import SelfRow
 from papayapost.states import BackendServerState, NodeState
-from papayapost.traffic.claims_tables import ClaimTables, PartitionReady
+from papayapost.traffic.claims.messages import PartitionReady
+from papayapost.traffic.claims.tables import ClaimTables
+from papayapost.traffic.entry.tables import TrafficTables
+from papayapost.traffic.entry.upstreams import Upstreams
 from papayapost.traffic.internal import (
     AttemptLost,
     CallDue,
@@ -25,6 +28,7 @@
     CallerGone,
     CallExpired,
 )
+from papayapost.traffic.owner.tables import OwnerTables
 from papayapost.traffic.owner_messages import (
     AttemptExpired,
     BackendCallEnded,
@@ -32,9 +36,6 @@
     DrainRequested,
     OwnBackendServerSeen,
 )
-from papayapost.traffic.owner_tables import OwnerTables
-from papayapost.traffic.tables import TrafficTables
-from papayapost.traffic.upstreams import Upstreams
 
 __all__ = ["DrainRow", "FinishDrain", "StartDrain"]
 
--- a/packages/papayapost/src/papayapost/traffic/balancing.py
+++ b/packages/papayapost/src/papayapost/traffic/entry/balancing.py
@@ -6,8 +6,8 @@
 
 from papayapost.ids import Micros, NodeId
 from papayapost.states import LinkClass
-from papayapost.traffic.owner_tables import OwnerTables
-from papayapost.traffic.upstreams import ServiceRow, UpstreamRow
+from papayapost.traffic.entry.upstreams import ServiceRow, UpstreamRow
+from papayapost.traffic.owner.tables import OwnerTables
 
 __all__ = ["BalancingPolicy", "NearestOfTwo"]
 
--- a/packages/papayapost/src/papayapost/traffic/endings.py
+++ b/packages/papayapost/src/papayapost/traffic/entry/endings.py
@@ -4,32 +4,32 @@
 from papayapost.kernel import System, Tick
 from papayapost.observe import Event, Noted
 from papayapost.states import LinkClass
-from papayapost.traffic.entry import first_step
-from papayapost.traffic.link import HEAD_BYTES, LinkBudget
-from papayapost.traffic.messages import (
-    AnswerBegun,
-    AnswerEnded,
-    CallerGone,
-    CallExpired,
-    DropAnswer,
-    ForwardAnswer,
-    RefusalCode,
-)
-from papayapost.traffic.offers import (
+from papayapost.traffic.entry.link import HEAD_BYTES, LinkBudget
+from papayapost.traffic.entry.offers import (
     Offers,
     close_call,
     forget_attempt,
     refuse_call,
 )
-from papayapost.traffic.retries import RetryPolicy
-from papayapost.traffic.tables import (
+from papayapost.traffic.entry.retries import RetryPolicy
+from papayapost.traffic.entry.routing import first_step
+from papayapost.traffic.entry.tables import (
     AttemptRow,
     AttemptState,
     CallRow,
     TrafficTables,
 )
-from papayapost.traffic.track import FailureWatch
-from papayapost.traffic.upstreams import Upstreams
+from papayapost.traffic.entry.track import FailureWatch
+from papayapost.traffic.entry.upstreams import Upstreams
+from papayapost.traffic.messages import (
+    AnswerBegun,
+    AnswerEnded,
+    CallerGone,
+    CallExpired,
+    DropAnswer,
+    ForwardAnswer,
+    RefusalCode,
+)
 
 __all__ = ["EndCalls"]
 
--- a/packages/papayapost/src/papayapost/traffic/offers.py
+++ b/packages/papayapost/src/papayapost/traffic/entry/offers.py
@@ -6,10 +6,18 @@
 from papayapost.peering import PeerSend
 from papayapost.place import SelfRow
 from papayapost.states import LinkClass, Outcome
-from papayapost.traffic.balancing import BalancingPolicy
-from papayapost.traffic.claims_tables import digest_of_key, partition_of
+from papayapost.traffic.claims.tables import digest_of_key, partition_of
+from papayapost.traffic.entry.balancing import BalancingPolicy
+from papayapost.traffic.entry.link import HEAD_BYTES, LinkBudget
+from papayapost.traffic.entry.tables import (
+    AttemptRow,
+    AttemptState,
+    CallRow,
+    CallStep,
+    TrafficTables,
+)
+from papayapost.traffic.entry.upstreams import ServiceRow, UpstreamRow, Upstreams
 from papayapost.traffic.internal import CallDue
-from papayapost.traffic.link import HEAD_BYTES, LinkBudget
 from papayapost.traffic.messages import (
     AttemptCancel,
     AttemptOffer,
@@ -18,14 +26,6 @@
     OfferSend,
     RefusalCode,
 )
-from papayapost.traffic.tables import (
-    AttemptRow,
-    AttemptState,
-    CallRow,
-    CallStep,
-    TrafficTables,
-)
-from papayapost.traffic.upstreams import ServiceRow, UpstreamRow, Upstreams
 
 __all__ = ["Offers", "close_call", "forget_attempt", "refuse_call", "set_step"]
 
--- a/packages/papayapost/src/papayapost/traffic/retries.py
+++ b/packages/papayapost/src/papayapost/traffic/entry/retries.py
@@ -7,7 +7,7 @@
 from papayapost.ids import Micros, ServiceName
 from papayapost.kernel import Table
 from papayapost.states import Rank
-from papayapost.traffic.tables import CallRow
+from papayapost.traffic.entry.tables import CallRow
 
 __all__ = ["BudgetedRetries", "RetryBudgetRow", "RetryPolicy"]
 
--- a/packages/papayapost/src/papayapost/traffic/entry.py
+++ b/packages/papayapost/src/papayapost/traffic/entry/routing.py
@@ -5,9 +5,9 @@
 from papayapost.kernel import System, Tick
 from papayapost.rules import match_route
 from papayapost.states import Outcome
+from papayapost.traffic.entry.offers import Offers, set_step
+from papayapost.traffic.entry.tables import CallRow, CallStep, TrafficTables
 from papayapost.traffic.messages import CallArrived, CallRefusal, RefusalCode
-from papayapost.traffic.offers import Offers, set_step
-from papayapost.traffic.tables import CallRow, CallStep, TrafficTables
 
 __all__ = ["RouteCalls", "first_step"]
 
--- a/packages/papayapost/src/papayapost/traffic/settle.py
+++ b/packages/papayapost/src/papayapost/traffic/entry/settle.py
@@ -3,33 +3,33 @@
 from papayapost.ids import AttemptId, CallId
 from papayapost.kernel import System, Tick
 from papayapost.observe import Event, Noted
-from papayapost.traffic.entry import first_step
-from papayapost.traffic.internal import AttemptLost, CallDue
-from papayapost.traffic.messages import (
-    AttemptFailed,
-    AttemptRefused,
-    CallExpired,
-    CutAnswer,
-    OfferUndelivered,
-    RefusalCode,
-)
-from papayapost.traffic.offers import (
+from papayapost.traffic.entry.offers import (
     Offers,
     close_call,
     forget_attempt,
     refuse_call,
     set_step,
 )
-from papayapost.traffic.retries import RetryPolicy
-from papayapost.traffic.tables import (
+from papayapost.traffic.entry.retries import RetryPolicy
+from papayapost.traffic.entry.routing import first_step
+from papayapost.traffic.entry.tables import (
     AttemptRow,
     AttemptState,
     CallRow,
     CallStep,
     TrafficTables,
 )
-from papayapost.traffic.track import FailureWatch
-from papayapost.traffic.upstreams import UpstreamRow, Upstreams
+from papayapost.traffic.entry.track import FailureWatch
+from papayapost.traffic.entry.upstreams import UpstreamRow, Upstreams
+from papayapost.traffic.internal import AttemptLost, CallDue
+from papayapost.traffic.messages import (
+    AttemptFailed,
+    AttemptRefused,
+    CallExpired,
+    CutAnswer,
+    OfferUndelivered,
+    RefusalCode,
+)
 
 __all__ = ["SettleAttempts"]
 
--- a/packages/papayapost/src/papayapost/traffic/tables.py
+++ b/packages/papayapost/src/papayapost/traffic/entry/tables.py
@@ -6,8 +6,8 @@
 from papayapost.ids import AttemptId, CallId, Micros, NodeId
 from papayapost.kernel import Table
 from papayapost.rules import Route
+from papayapost.traffic.entry.upstreams import UpstreamRow
 from papayapost.traffic.messages import CallArrived, RefusalCode
-from papayapost.traffic.upstreams import UpstreamRow
 
 __all__ = [
     "AttemptRow",
--- a/packages/papayapost/src/papayapost/traffic/track.py
+++ b/packages/papayapost/src/papayapost/traffic/entry/track.py
@@ -5,11 +5,11 @@
 from papayapost.membership import BackendServerRow, Directory, DirectoryChanged
 from papayapost.observe import Event, Noted
 from papayapost.states import BackendServerState
+from papayapost.traffic.entry.link import LinkBudget
+from papayapost.traffic.entry.tables import AttemptRow, AttemptState, TrafficTables
+from papayapost.traffic.entry.upstreams import ServiceRow, UpstreamRow, Upstreams
 from papayapost.traffic.internal import AttemptLost, EjectionOver
-from papayapost.traffic.link import LinkBudget
 from papayapost.traffic.messages import LossCause, OwnerLost
-from papayapost.traffic.tables import AttemptRow, AttemptState, TrafficTables
-from papayapost.traffic.upstreams import ServiceRow, UpstreamRow, Upstreams
 
 __all__ = ["FailureWatch", "TrackUpstreams"]
 
--- /dev/null
+++ b/packages/papayapost/src/papayapost/traffic/owner/__init__.py
@@ -0,0 +1,1 @@
+"""The owner node: admission into the backend server's slots."""
--- a/packages/papayapost/src/papayapost/traffic/owner.py
+++ b/packages/papayapost/src/papayapost/traffic/owner/admission.py
@@ -5,10 +5,15 @@
 from papayapost.membership import Directory
 from papayapost.observe import Event, Noted
 from papayapost.place import SelfRow
-from papayapost.traffic.claims_tables import ClaimSettled, ClaimVerdict
-from papayapost.traffic.concurrency import ConcurrencyLimit, ServiceTimes
+from papayapost.traffic.claims.messages import ClaimSettled, ClaimVerdict
 from papayapost.traffic.messages import AttemptCancel, AttemptOffer, RefusalCode
-from papayapost.traffic.owned import WaitingAttempts
+from papayapost.traffic.owner.concurrency import ConcurrencyLimit, ServiceTimes
+from papayapost.traffic.owner.queues import QueueDiscipline
+from papayapost.traffic.owner.replies import Replies
+from papayapost.traffic.owner.seen import Novelty, SeenAttempts
+from papayapost.traffic.owner.shares import SharesInForce
+from papayapost.traffic.owner.tables import OwnedRow, OwnedState, OwnerTables
+from papayapost.traffic.owner.waiting import WaitingAttempts
 from papayapost.traffic.owner_messages import (
     AttemptExpired,
     BackendCallBegun,
@@ -17,11 +22,6 @@
     BackendCallStart,
     DropOffer,
 )
-from papayapost.traffic.owner_tables import OwnedRow, OwnedState, OwnerTables
-from papayapost.traffic.queues import QueueDiscipline
-from papayapost.traffic.replies import Replies
-from papayapost.traffic.seen import Novelty, SeenAttempts
-from papayapost.traffic.shares import SharesInForce
 
 __all__ = ["AdmitAttempts"]
 
--- a/packages/papayapost/src/papayapost/traffic/queues.py
+++ b/packages/papayapost/src/papayapost/traffic/owner/queues.py
@@ -6,8 +6,8 @@
 
 from papayapost.ids import AttemptId
 from papayapost.states import Rank
-from papayapost.traffic.owner_tables import OwnedRow
-from papayapost.traffic.shares import DEFAULT_SHARES, RankShares
+from papayapost.traffic.owner.shares import DEFAULT_SHARES, RankShares
+from papayapost.traffic.owner.tables import OwnedRow
 
 __all__ = ["FifoQueue", "QueueDiscipline", "RankedQueues"]
 
--- a/packages/papayapost/src/papayapost/traffic/replies.py
+++ b/packages/papayapost/src/papayapost/traffic/owner/replies.py
@@ -9,8 +9,8 @@
     AttemptRefused,
     RefusalCode,
 )
+from papayapost.traffic.owner.tables import OwnerTables
 from papayapost.traffic.owner_messages import DropOffer
-from papayapost.traffic.owner_tables import OwnerTables
 
 __all__ = ["Replies"]
 
--- a/packages/papayapost/src/papayapost/traffic/owned.py
+++ b/packages/papayapost/src/papayapost/traffic/owner/waiting.py
@@ -1,11 +1,11 @@
 """What befalls attempts that wait at their owner node."""
 
 from papayapost.kernel import Tick
-from papayapost.traffic.claims_tables import ClaimNeeded, ClaimUnused
+from papayapost.traffic.claims.messages import ClaimNeeded, ClaimUnused
 from papayapost.traffic.messages import RefusalCode
-from papayapost.traffic.owner_tables import OwnedRow, OwnedState, OwnerTables
-from papayapost.traffic.queues import QueueDiscipline
-from papayapost.traffic.replies import Replies
+from papayapost.traffic.owner.queues import QueueDiscipline
+from papayapost.traffic.owner.replies import Replies
+from papayapost.traffic.owner.tables import OwnedRow, OwnedState, OwnerTables
 
 __all__ = ["WaitingAttempts"]
 
--- a/packages/papayapost/src/papayapost/traffic/part.py
+++ b/packages/papayapost/src/papayapost/traffic/part.py
@@ -6,29 +6,30 @@
 from papayapost.kernel import System
 from papayapost.membership import Directory
 from papayapost.place import SelfRow
-from papayapost.traffic.balancing import BalancingPolicy, NearestOfTwo
-from papayapost.traffic.claim_requests import ClaimRequests
-from papayapost.traffic.claim_results import SettleClaims
-from papayapost.traffic.claims import ClaimKeys
-from papayapost.traffic.claims_tables import ClaimPace, ClaimTables
-from papayapost.traffic.concurrency import AdaptiveLimit, ConcurrencyLimit
+from papayapost.traffic.claims.keys import ClaimKeys
+from papayapost.traffic.claims.pace import ClaimPace
+from papayapost.traffic.claims.requests import ClaimRequests
+from papayapost.traffic.claims.results import SettleClaims
+from papayapost.traffic.claims.tables import ClaimTables
 from papayapost.traffic.drain import DrainRow, FinishDrain, StartDrain
-from papayapost.traffic.endings import EndCalls
-from papayapost.traffic.entry import RouteCalls
+from papayapost.traffic.entry.balancing import BalancingPolicy, NearestOfTwo
+from papayapost.traffic.entry.endings import EndCalls
+from papayapost.traffic.entry.link import LinkBudget
+from papayapost.traffic.entry.offers import Offers
+from papayapost.traffic.entry.retries import BudgetedRetries, RetryPolicy
+from papayapost.traffic.entry.routing import RouteCalls
+from papayapost.traffic.entry.settle import SettleAttempts
+from papayapost.traffic.entry.tables import TrafficTables
+from papayapost.traffic.entry.track import FailureWatch, TrackUpstreams
+from papayapost.traffic.entry.upstreams import Upstreams
 from papayapost.traffic.internal import TrafficStarted
-from papayapost.traffic.link import LinkBudget
-from papayapost.traffic.offers import Offers
-from papayapost.traffic.owner import AdmitAttempts
-from papayapost.traffic.owner_tables import OwnerTables
-from papayapost.traffic.queues import QueueDiscipline, RankedQueues
-from papayapost.traffic.replies import Replies
-from papayapost.traffic.retries import BudgetedRetries, RetryPolicy
-from papayapost.traffic.seen import SeenAttempts
-from papayapost.traffic.settle import SettleAttempts
-from papayapost.traffic.shares import SharesInForce
-from papayapost.traffic.tables import TrafficTables
-from papayapost.traffic.track import FailureWatch, TrackUpstreams
-from papayapost.traffic.upstreams import Upstreams
+from papayapost.traffic.owner.admission import AdmitAttempts
+from papayapost.traffic.owner.concurrency import AdaptiveLimit, ConcurrencyLimit
+from papayapost.traffic.owner.queues import QueueDiscipline, RankedQueues
+from papayapost.traffic.owner.replies import Replies
+from papayapost.traffic.owner.seen import SeenAttempts
+from papayapost.traffic.owner.shares import SharesInForce
+from papayapost.traffic.owner.tables import OwnerTables
 
 __all__ = ["TrafficPart", "build_traffic"]
 
--- a/packages/papayapost/tests/traffic/test_admission.py
+++ b/packages/papayapost/tests/traffic/test_admission.py
@@ -9,7 +9,7 @@
     DropOffer,
     RefusalCode,
 )
-from papayapost.traffic.seen import Novelty, SeenAttempts
+from papayapost.traffic.owner.seen import Novelty, SeenAttempts
 from papayapost_testing.bench.flood import CAPACITY_PER_S, Flood, run_flood
 from papayapost_testing.worlds import backend_row, traffic_world
 
@@ -181,7 +181,7 @@
 
 
 def test_a_forgotten_attempt_is_still_known_as_a_replay(monkeypatch):
-    monkeypatch.setattr("papayapost.traffic.seen._MAX_SEEN", 10)
+    monkeypatch.setattr("papayapost.traffic.owner.seen._MAX_SEEN", 10)
     owner, seen = Owner(), SeenAttempts()
     offers = [owner.offer() for _ in range(30)]
     assert {seen.classify(offer) for offer in offers} == {Novelty.NEW}
--- a/packages/papayapost/tests/traffic/test_balancing.py
+++ b/packages/papayapost/tests/traffic/test_balancing.py
@@ -12,8 +12,8 @@
     OwnerLost,
     RefusalCode,
 )
-from papayapost.traffic.link import LinkBudget
-from papayapost.traffic.upstreams import SUBSET_SIZE
+from papayapost.traffic.entry.link import LinkBudget
+from papayapost.traffic.entry.upstreams import SUBSET_SIZE
 from papayapost_testing.worlds import (
     NORTH_1,
     NORTH_2,
--- a/packages/papayapost/tests/traffic/test_claims.py
+++ b/packages/papayapost/tests/traffic/test_claims.py
@@ -2,8 +2,8 @@
 from papayapost.states import Rank
 from papayapost.storage import ObjectUpdated, ReadObject, UpdateObject
 from papayapost.traffic import BackendCallEnded, ClaimsObject, ClaimToken, RefusalCode
-from papayapost.traffic.claims import _MAX_TOKENS, RETENTION_S
-from papayapost.traffic.claims_tables import PARTITIONS
+from papayapost.traffic.claims.keys import _MAX_TOKENS, RETENTION_S
+from papayapost.traffic.claims.tables import PARTITIONS
 from papayapost_testing.worlds import backend_row, traffic_world
 
 from .owners import Owner, refusals, started
