Refuse for the deadline only what even short work would miss

Cause: a rank that mixes short and long work refused short work by the mean. Change: two decayed times; the mean counts waits and charges, a low one that falls fast and rises slowly decides whether an attempt can still finish. Conclusion: long reports no longer refuse lookups of their rank.

--- a/packages/papayapost/src/papayapost/traffic/owner/admission.py
+++ b/packages/papayapost/src/papayapost/traffic/owner/admission.py
@@ -118,9 +118,8 @@
         if code is not None:
             self._replies.refuse(tick, offer, code, 0)
             return None
-        service_us = self._times.estimate_us(offer.rank, tick.now_us)
-        wait_us = self._expected_wait_us(offer, service_us)
-        if wait_us + service_us > offer.budget_us:
+        wait_us = self._expected_wait_us(tick, offer)
+        if wait_us + self._times.short_us(offer.rank, tick.now_us) > offer.budget_us:
             self._replies.refuse(tick, offer, RefusalCode.DEADLINE, wait_us)
             return None
         needs_claim = not offer.idempotent and offer.idempotency_key is not None
@@ -149,10 +148,11 @@
             return RefusalCode.QUEUE_FULL
         return None
 
-    def _expected_wait_us(self, offer: AttemptOffer, service_us: float) -> float:
+    def _expected_wait_us(self, tick: Tick, offer: AttemptOffer) -> float:
         tables = self._tables
         if not tables.waiting:
             return 0.0
+        service_us = self._times.mean_us(offer.rank, tick.now_us)
         return self._queue.expected_wait_us(offer.rank, service_us, tables.limit)
 
     def _settle_claim(self, tick: Tick, settled: ClaimSettled) -> None:
@@ -185,15 +185,14 @@
 
     def _start(self, tick: Tick, row: OwnedRow) -> None:
         offer = row.offer
-        service_us = self._times.estimate_us(offer.rank, tick.now_us)
         left_us = row.deadline_us - tick.now_us
-        if left_us <= 0 or left_us < service_us:
+        if left_us <= 0 or left_us < self._times.short_us(offer.rank, tick.now_us):
             self._tables.counters.expired += 1
-            self._waiting.refuse(tick, row, RefusalCode.DEADLINE, service_us)
+            self._waiting.refuse(tick, row, RefusalCode.DEADLINE, 0)
             return
         row.state = OwnedState.RUNNING
         row.started_us = tick.now_us
-        self._queue.started(row, service_us)
+        self._queue.started(row, self._times.mean_us(offer.rank, tick.now_us))
         self._tables.running += 1
         self._tables.running_by_rank[offer.rank] += 1
         self._tables.counters.started[offer.rank] += 1
--- a/packages/papayapost/src/papayapost/traffic/owner/concurrency.py
+++ b/packages/papayapost/src/papayapost/traffic/owner/concurrency.py
@@ -8,6 +8,8 @@
 __all__ = ["AdaptiveLimit", "ConcurrencyLimit", "FixedLimit", "ServiceTimes"]
 
 _SAMPLE_WEIGHT = 0.2
+_SHORTER_WEIGHT = 0.3
+_LONGER_WEIGHT = 0.02
 _BASELINE_WEIGHT = 0.02
 _HALF_LIFE_US = 1_000_000
 _SHED_FACTOR = 0.7
@@ -17,33 +19,45 @@
 
 
 class ServiceTimes:
-    """Decayed time that an attempt of each rank holds its slot.
+    """Decayed times that an attempt of each rank holds its slot.
 
-    Without samples the time halves every second, so that an estimate that
+    Without samples the times halve every second, so that an estimate that
     refuses everything cannot last.
     """
 
     def __init__(self):
-        self._decayed_us = [0.0] * len(Rank)
+        self._mean_us = [0.0] * len(Rank)
+        self._short_us = [0.0] * len(Rank)
         self._seen_us = [0] * len(Rank)
 
     def sample(self, rank: Rank, held_us: int, now_us: Micros) -> None:
         """Fold in one attempt that was answered whole."""
-        decayed_us = self._decayed_us[rank]
-        if decayed_us:
-            decayed_us += _SAMPLE_WEIGHT * (held_us - decayed_us)
+        if self._mean_us[rank]:
+            self._mean_us[rank] += _SAMPLE_WEIGHT * (held_us - self._mean_us[rank])
+            above_us = held_us - self._short_us[rank]
+            weight = _LONGER_WEIGHT if above_us > 0 else _SHORTER_WEIGHT
+            self._short_us[rank] += weight * above_us
         else:
-            decayed_us = float(held_us)
-        self._decayed_us[rank] = decayed_us
+            self._mean_us[rank] = self._short_us[rank] = float(held_us)
         self._seen_us[rank] = now_us
 
-    def estimate_us(self, rank: Rank, now_us: Micros) -> float:
+    def mean_us(self, rank: Rank, now_us: Micros) -> float:
         """Return the expected time, 0 where nothing is known."""
-        decayed_us = self._decayed_us[rank]
+        return self._mean_us[rank] * self._freshness(rank, now_us)
+
+    def short_us(self, rank: Rank, now_us: Micros) -> float:
+        """Return what the shorter attempts take, 0 where nothing is known.
+
+        A rank mixes short and long work; only what even the short work
+        cannot meet is certainly too late.
+        """
+        return self._short_us[rank] * self._freshness(rank, now_us)
+
+    def _freshness(self, rank: Rank, now_us: Micros) -> float:
         age_us = now_us - self._seen_us[rank]
         if age_us < _HALF_LIFE_US:
-            return decayed_us
-        return decayed_us * 0.5 ** (age_us // _HALF_LIFE_US)
+            return 1.0
+        return 0.5 ** min(60, age_us // _HALF_LIFE_US)
 
 
 class ConcurrencyLimit(ABC):
--- a/packages/papayapost/tests/traffic/test_admission.py
+++ b/packages/papayapost/tests/traffic/test_admission.py
@@ -9,6 +9,7 @@
     DropOffer,
     RefusalCode,
 )
+from papayapost.traffic.owner.concurrency import FixedLimit
 from papayapost.traffic.owner.seen import Novelty, SeenAttempts
 from papayapost_testing.bench.flood import CAPACITY_PER_S, Flood, run_flood
 from papayapost_testing.worlds import backend_row, traffic_world
@@ -101,6 +102,23 @@
     assert started(owner.tick(after_a_pause, after_us=3_000_000))
 
 
+def test_long_work_of_a_rank_does_not_refuse_its_short_work():
+    owner = Owner(slots=2)
+    for held_us in [5_000, 400_000] * 20:
+        offer = owner.offer()
+        owner.tick(offer)
+        owner.end(offer.attempt_id, after_us=held_us)
+    short = owner.offer(budget_us=Micros(50_000))
+    assert started(owner.tick(short)) == [short.attempt_id]
+
+
+def test_a_fixed_limit_uses_all_slots_also_while_the_backend_server_sheds():
+    limit = FixedLimit(9)
+    limit.shed(Micros(1))
+    limit.ended(Rank.URGENT, 1_000_000, True, Micros(2))
+    assert limit.limit == 9
+
+
 def test_an_attempt_that_waits_past_its_deadline_is_refused_at_its_deadline():
     owner = Owner(slots=1)
     owner.tick(owner.offer())
