Begin the ramp of a cold backend server when it is ready

Cause: the ramp began when the directory said COLD, so that one that was cold for 10 s took its full share at once. Change: it begins with READY. Conclusion: the new test failed before.

--- a/packages/papayapost/src/papayapost/traffic/entry/track.py
+++ b/packages/papayapost/src/papayapost/traffic/entry/track.py
@@ -108,8 +108,11 @@
             self._lose(tick, upstream, LossCause.CONNECTION)
         elif known.state is BackendServerState.READY:
             upstream.is_draining = False
+            if upstream.is_cold:
+                upstream.is_cold = False
+                upstream.ramp_from_us = tick.now_us
         elif known.state is BackendServerState.COLD:
-            upstream.ramp_from_us = tick.now_us
+            upstream.is_cold = True
 
     def _refresh(
         self, row: BackendServerRow, service: ServiceName, upstream: UpstreamRow | None
--- a/packages/papayapost/src/papayapost/traffic/entry/upstreams.py
+++ b/packages/papayapost/src/papayapost/traffic/entry/upstreams.py
@@ -68,6 +68,7 @@
     ejections: int = 0
     is_ejected: bool = False
     is_draining: bool = False
+    is_cold: bool = False
 
     def report(self, free_slots: int, now_us: Micros) -> None:
         """Keep what the owner says of its free slots."""
--- a/packages/papayapost/tests/traffic/test_balancing.py
+++ b/packages/papayapost/tests/traffic/test_balancing.py
@@ -158,6 +158,18 @@
     assert targets(entry, 200).count("a:1") > 30
 
 
+def test_a_cold_backend_server_begins_its_ramp_when_it_is_ready():
+    rows = [backend_row(name, "gusts", slots=100) for name in "abcd"]
+    entry = Entry(rows)
+    targets(entry, 1)
+    entry.set_state(rows[0], BackendServerState.COLD)
+    assert "a:1" not in targets(entry, 40)
+    entry.tick(after_us=20_000_000)
+    entry.set_state(rows[0], BackendServerState.READY)
+    entry.tick(after_us=100_000)
+    assert targets(entry, 40).count("a:1") < 4
+
+
 def test_a_call_never_goes_to_a_draining_or_gone_backend_server():
     rows = [backend_row(name, "gusts") for name in "ab"]
     entry = Entry(rows)
