--- a/packages/papayapost/src/papayapost/traffic/track.py
+++ b/packages/papayapost/src/papayapost/traffic/entry/track.py
@@ -5,11 +5,11 @@
 from papayapost.membership import BackendServerRow, Directory, DirectoryChanged
 from papayapost.observe import Event, Noted
 from papayapost.states import BackendServerState
+from papayapost.traffic.entry.link import LinkBudget
+from papayapost.traffic.entry.tables import AttemptRow, AttemptState, TrafficTables
+from papayapost.traffic.entry.upstreams import ServiceRow, UpstreamRow, Upstreams
 from papayapost.traffic.internal import AttemptLost, EjectionOver
-from papayapost.traffic.link import LinkBudget
 from papayapost.traffic.messages import LossCause, OwnerLost
-from papayapost.traffic.tables import AttemptRow, AttemptState, TrafficTables
-from papayapost.traffic.upstreams import ServiceRow, UpstreamRow, Upstreams
 
 __all__ = ["FailureWatch", "TrackUpstreams"]
 
@@ -108,8 +108,11 @@
             self._lose(tick, upstream, LossCause.CONNECTION)
         elif known.state is BackendServerState.READY:
             upstream.is_draining = False
+            if upstream.is_cold:
+                upstream.is_cold = False
+                upstream.ramp_from_us = tick.now_us
         elif known.state is BackendServerState.COLD:
-            upstream.ramp_from_us = tick.now_us
+            upstream.is_cold = True
 
     def _refresh(
         self, row: BackendServerRow, service: ServiceName, upstream: UpstreamRow | None
