Catalogue every event, and note a drain once

The page of events lacked the eleven events of each call, held one row twice and was in no order; nothing held it to the code. A drain was noted by the shell and again by the system that starts it.

The page is now sorted and has the level of each event. The shell's second note of a drain is gone.

--- a/packages/papayapost-node/src/papayapost_node/composition.py
+++ b/packages/papayapost-node/src/papayapost_node/composition.py
@@ -134,7 +134,6 @@
 
     async def drain(self) -> None:
         """Take no new work, finish what runs, and tell the others."""
-        self._log.note_event(Event.NODE_DRAINING)
         await self._drain.run(self._settings.drain_limit_ms)
 
     def note_stopped_at_once(self) -> None:
--- /dev/null
+++ b/packages/papayapost/tests/test_event_page.py
@@ -0,0 +1,34 @@
+import re
+from pathlib import Path
+
+from papayapost.observe import Event
+from papayapost.timeline import TRACE_EVENTS
+
+ROOT = Path(__file__).parents[3]
+ROW = re.compile(r"^\| (\d+) \| (\w+) \| (\w+) \| [^|]+ \| [^|]+ \|$", re.MULTILINE)
+
+
+def test_every_event_stands_in_the_catalogue_once_in_order_and_no_other():
+    listed = ROW.findall((ROOT / "docs" / "EVENTS.md").read_text())
+    assert listed == [
+        (
+            str(event.value),
+            event.name.lower(),
+            "ring" if event in TRACE_EVENTS else "log",
+        )
+        for event in sorted(Event, key=lambda event: event.value)
+    ]
+
+
+def test_every_event_is_noted_somewhere():
+    sources = [
+        path.read_text()
+        for package in ("papayapost", "papayapost-node")
+        for path in (ROOT / "packages" / package / "src").rglob("*.py")
+    ]
+    used = re.findall(
+        r"(?:Noted\(|note\w*\(|event = |_report\(tick, |_note_once\(tick, )"
+        r"\s*Event\.(\w+)",
+        "\n".join(sources),
+    )
+    assert set(used) == {event.name for event in Event}
