Expose and catalogue every metric; count services without histograms

What the traffic part counts by itself was not exposed, no page listed the names, and papaya top showed no latency of urgent calls: it joined label values in the order of the text, which the exposition sorts by label name. The meter kept a histogram for each service of which count and sum were used.

The benchmark 'observe' compares a runner with and without observers.

--- a/packages/papayapost-node/src/papayapost_node/observe/exposition.py
+++ b/packages/papayapost-node/src/papayapost_node/observe/exposition.py
@@ -1,6 +1,8 @@
 """Exposes a node's figures in the Prometheus text format."""
 
-from collections.abc import Iterator
+import dataclasses
+from collections.abc import Iterator, Mapping
+from typing import Any
 
 import psutil
 from prometheus_client import CollectorRegistry, generate_latest
@@ -13,6 +15,7 @@
 from prometheus_client.registry import Collector
 
 from papayapost.node import NodeWorld
+from papayapost.states import Rank
 from papayapost_node.observe.meter import CallMeter, Count
 from papayapost_node.transport import PeerTable
 
@@ -31,6 +34,7 @@
     def collect(self) -> Iterator[Metric]:
         """Yield all metrics."""
         yield from self._counters()
+        yield from self._decisions()
         yield from self._bytes()
         yield from self._latencies()
         yield from self._gauges()
@@ -45,6 +49,16 @@
                     family.add_metric([label], value)
             yield family
 
+    def _decisions(self) -> Iterator[Metric]:
+        """Yield what the traffic part counts by itself."""
+        traffic = self._world.traffic
+        claims = traffic.claims
+        yield from _totals("entry", _fields_of(traffic.calls.counters))
+        yield from _totals("owner", _fields_of(traffic.owner.counters))
+        yield from _totals(
+            "claims", {"writes": claims.writes, "conflicts": claims.conflicts}
+        )
+
     def _bytes(self) -> Iterator[Metric]:
         peers = self._peers
         for name, sent_bytes in (
@@ -78,10 +92,8 @@
                 value_s = histogram.get_value_at_percentile(percentile) / 1e6
                 labels = [hop.value, rank.name.lower(), f"{percentile / 100:g}"]
                 by_hop.add_metric(labels, value_s)
-        for service, histogram in self._meter.by_service.items():
-            count = histogram.get_total_count()
-            sum_s = histogram.get_mean_value() * count / 1e6
-            totals.add_metric([service], count, sum_s)
+        for service, row in self._meter.by_service.items():
+            totals.add_metric([service], row.calls, row.total_us / 1e6)
         yield by_hop
         yield totals
 
@@ -93,6 +105,9 @@
             "directory_rows": len(world.membership.directory),
             "children": len(world.membership.tree.children),
             "free_slots": world.traffic.owner.free_slots,
+            "slot_limit": world.traffic.owner.limit,
+            "waiting_attempts": world.traffic.owner.waiting,
+            "link_budget_bytes": world.traffic.link.tokens_bytes,
             "memory_bytes": self._process.memory_info().rss,
             "cpu_seconds": times.user + times.system,
         }
@@ -100,6 +115,24 @@
             yield GaugeMetricFamily(f"papayapost_{name}", name, value=value)
 
 
+def _fields_of(counters: Any) -> dict[str, int | list[int]]:
+    names = [item.name for item in dataclasses.fields(counters)]
+    return {name: getattr(counters, name) for name in names}
+
+
+def _totals(side: str, totals: Mapping[str, int | list[int]]) -> Iterator[Metric]:
+    """Yield a counter for each total; a list is a total for each rank."""
+    for name, total in totals.items():
+        full_name = f"papayapost_{side}_{name}"
+        if isinstance(total, int):
+            yield CounterMetricFamily(full_name, name, value=total)
+            continue
+        family = CounterMetricFamily(full_name, name, labels=["rank"])
+        for rank in Rank:
+            family.add_metric([rank.name.lower()], total[rank])
+        yield family
+
+
 def expose(meter: CallMeter, world: NodeWorld, peers: PeerTable) -> bytes:
     """Return a node's figures as text."""
     registry = CollectorRegistry()
--- a/packages/papayapost-node/src/papayapost_node/observe/meter.py
+++ b/packages/papayapost-node/src/papayapost_node/observe/meter.py
@@ -24,7 +24,7 @@
 from papayapost_node.clock import Clock
 from papayapost_node.observe.observer import RunnerObserver, Watcher
 
-__all__ = ["CallMeter", "Count", "Hop"]
+__all__ = ["CallMeter", "Count", "Hop", "ServiceRow"]
 
 _HIGHEST_US = 60_000_000
 _DIGITS = 2
@@ -67,6 +67,18 @@
     started_us: Micros | None = None
 
 
+@dataclass(slots=True)
+class ServiceRow:
+    """Answered calls of one service.
+
+    A histogram for each of many hundred services would take more memory
+    than all else that a node keeps.
+    """
+
+    calls: int = 0
+    total_us: int = 0
+
+
 class CallMeter(RunnerObserver):
     """Histograms and counters of one node.
 
@@ -75,7 +87,7 @@
     by_hop
         Latency in µs by hop and rank.
     by_service
-        Latency in µs at the entry node, by service.
+        Answered calls of the entry node and their time, by service.
     counts
         By counter and label; the label is a code, a rank or empty.
     """
@@ -83,7 +95,7 @@
     def __init__(self, clock: Clock):
         self._clock = clock
         self.by_hop: dict[tuple[Hop, Rank], HdrHistogram] = {}
-        self.by_service: dict[ServiceName, HdrHistogram] = {}
+        self.by_service: dict[ServiceName, ServiceRow] = {}
         self.counts: Counter[tuple[Count, str]] = Counter()
         self._entries: dict[CallId, _EntryRow] = {}
         self._owned: dict[AttemptId, _OwnedRow] = {}
@@ -137,14 +149,14 @@
         if row is not None:
             now_us = self._clock.now_us()
             row.started_us = now_us
-            self._record(Hop.OWNER_QUEUE, row.rank, now_us - row.taken_us)
+            self.record(Hop.OWNER_QUEUE, row.rank, now_us - row.taken_us)
 
     def _backend_call_ended(self, message: BackendCallEnded) -> None:
         row = self._owned.pop(message.attempt_id, None)
         if row is not None and row.started_us is not None:
             self.counts[Count.BACKEND_CALLS, row.rank.name.lower()] += 1
             took_us = self._clock.now_us() - row.started_us
-            self._record(Hop.BACKEND, row.rank, took_us)
+            self.record(Hop.BACKEND, row.rank, took_us)
 
     def _attempt_refused(self, message: AttemptRefused) -> None:
         self.counts[Count.ATTEMPT_REFUSALS, message.code.value] += 1
@@ -158,22 +170,28 @@
         if row is None or row.service is None:
             return
         took_us = self._clock.now_us() - row.arrived_us
-        self._record(Hop.ENTRY, row.rank, took_us)
-        histogram = self.by_service.get(row.service)
-        if histogram is None:
-            histogram = self.by_service[row.service] = _new_histogram()
-        histogram.record_value(_within(took_us))
+        self.record(Hop.ENTRY, row.rank, took_us)
+        self.record_service(row.service, took_us)
 
     def _call_refused(self, effect: CallRefusal) -> None:
         self.counts[Count.CALL_REFUSALS, effect.code.value] += 1
         self._entries.pop(effect.call_id, None)
 
-    def _record(self, hop: Hop, rank: Rank, took_us: int) -> None:
+    def record(self, hop: Hop, rank: Rank, took_us: int) -> None:
+        """Take the time of one hop."""
         histogram = self.by_hop.get((hop, rank))
         if histogram is None:
             histogram = self.by_hop[hop, rank] = _new_histogram()
         histogram.record_value(_within(took_us))
 
+    def record_service(self, service: ServiceName, took_us: int) -> None:
+        """Take the time of one answered call."""
+        row = self.by_service.get(service)
+        if row is None:
+            row = self.by_service[service] = ServiceRow()
+        row.calls += 1
+        row.total_us += took_us
+
 
 def _keep(rows: dict, key: Hashable, row: object) -> None:
     # Attempts that are refused or cancelled in the queue leave no message to
--- a/packages/papayapost-operator/src/papayapost_operator/top.py
+++ b/packages/papayapost-operator/src/papayapost_operator/top.py
@@ -111,7 +111,7 @@
         samples = _samples_of(metrics_body.decode())
     except (NodeSilent, ValueError) as error:
         return GapRow(address, str(error))
-    p99_s = samples.get((_LATENCY, "entry/urgent/0.99"))
+    p99_s = samples.get((_LATENCY, "entry/0.99/urgent"))
     return NodeOverview(
         address=address,
         status=status,
@@ -124,12 +124,17 @@
 
 
 def _samples_of(text: str) -> dict[tuple[str, str], float]:
+    """Return values by name and by label values, in order of label names."""
     return {
-        (sample.name, "/".join(sample.labels.values())): sample.value
+        (sample.name, _key_of(sample.labels)): sample.value
         for family in text_string_to_metric_families(text)
         for sample in family.samples
     }
 
 
+def _key_of(labels: Mapping[str, str]) -> str:
+    return "/".join(labels[name] for name in sorted(labels))
+
+
 def _sum_of(samples: Mapping[tuple[str, str], float], name: str) -> float:
     return sum(value for (other, _), value in samples.items() if other == name)
--- /dev/null
+++ b/packages/papayapost-testing/src/papayapost_testing/bench/observe.py
@@ -0,0 +1,114 @@
+"""Time and memory that the recorder and the meter take."""
+
+import asyncio
+import statistics
+import time
+import tracemalloc
+from collections.abc import Callable, Sequence
+
+from papayapost.ids import DataCentreId, NodeId, ServiceName
+from papayapost.states import Rank
+from papayapost_node.clock import SystemClock
+from papayapost_node.observe import (
+    RING_ROWS,
+    CallMeter,
+    EventRecorder,
+    Hop,
+    RunnerObserver,
+)
+from papayapost_testing.bench.rows import BenchRow
+from papayapost_testing.observed_calls import ObservedCalls
+
+__all__ = ["run"]
+
+_ROUNDS = 15
+_WARM_UP_CALLS = 200
+_EVENTS_PER_CALL = 7
+_SERVICES = 810
+
+Observers = Callable[[], Sequence[RunnerObserver]]
+
+
+def run(short: bool) -> list[BenchRow]:
+    """Return µs per call by observers, and the memory of each when full.
+
+    The baseline of a time is the same call with nobody looking on; the
+    rounds of all variants take turns, and each figure is their median.
+
+    Parameters
+    ----------
+    short
+        Fewer calls a round.
+    """
+    calls = 300 if short else 2_000
+    rows = asyncio.run(_time_rows(calls))
+    rows.append(_memory_row("memory of the recorder, events", RING_ROWS, _full_ring))
+    rows.append(_memory_row("memory of the meter, services", _SERVICES, _full_meter))
+    return rows
+
+
+async def _time_rows(calls: int) -> list[BenchRow]:
+    variants: dict[str, Observers] = {
+        "call, nobody": list,
+        "call, recorder": lambda: [_recorder()],
+        "call, meter": lambda: [CallMeter(SystemClock())],
+        "call, recorder and meter": lambda: [_recorder(), CallMeter(SystemClock())],
+    }
+    worlds = {name: ObservedCalls(make()) for name, make in variants.items()}
+    rounds: dict[str, list[float]] = {name: [] for name in variants}
+    for world in worlds.values():
+        _call_us(world, _WARM_UP_CALLS)
+    for _ in range(_ROUNDS):
+        for name, world in worlds.items():
+            rounds[name].append(_call_us(world, calls))
+    for world in worlds.values():
+        world.close()
+    medians = {name: statistics.median(values) for name, values in rounds.items()}
+    nobody_us = medians.pop("call, nobody")
+    return [
+        BenchRow(name, calls, value, "us", nobody_us) for name, value in medians.items()
+    ]
+
+
+def _call_us(world: ObservedCalls, calls: int) -> float:
+    start_ns = time.perf_counter_ns()
+    for _ in range(calls):
+        world.run_one()
+    return (time.perf_counter_ns() - start_ns) / calls / 1_000
+
+
+def _memory_row(name: str, size: int, build: Callable[[], object]) -> BenchRow:
+    tracemalloc.start()
+    before_bytes, _ = tracemalloc.get_traced_memory()
+    kept = build()
+    after_bytes, _ = tracemalloc.get_traced_memory()
+    tracemalloc.stop()
+    del kept
+    return BenchRow(name, size, (after_bytes - before_bytes) / (1 << 20), "MB")
+
+
+def _recorder() -> EventRecorder:
+    return EventRecorder(NodeId("node"), DataCentreId("north-1"), SystemClock())
+
+
+def _full_ring() -> EventRecorder:
+    recorder = _recorder()
+    asyncio.run(_run_calls(recorder, RING_ROWS // _EVENTS_PER_CALL + 1))
+    return recorder
+
+
+async def _run_calls(recorder: EventRecorder, calls: int) -> None:
+    world = ObservedCalls([recorder])
+    for _ in range(calls):
+        world.run_one()
+    world.close()
+
+
+def _full_meter() -> CallMeter:
+    meter = CallMeter(SystemClock())
+    for hop in Hop:
+        for rank in Rank:
+            meter.record(hop, rank, 1_000)
+    for number in range(_SERVICES):
+        meter.record_service(ServiceName(f"service-{number}"), 1_000)
+    return meter
--- /dev/null
+++ b/packages/papayapost-testing/tests/test_metrics.py
@@ -0,0 +1,94 @@
+import asyncio
+import re
+from pathlib import Path
+from random import Random
+
+from prometheus_client.parser import text_string_to_metric_families
+
+from papayapost.ids import CallId
+from papayapost.node import build_node_world
+from papayapost.place import SelfRow
+from papayapost.states import LinkClass, Rank
+from papayapost.traffic import CallArrived
+from papayapost_node.admin import AdminServer, MetricsPage, StatusPage
+from papayapost_node.clock import SystemClock
+from papayapost_node.observe import CallMeter, Count, Hop, expose
+from papayapost_node.transport import PeerTable
+from papayapost_operator.exits import ExitCode
+from papayapost_operator.main import run
+from papayapost_testing.observed_calls import ObservedCalls
+from papayapost_testing.ports import free_addresses
+from papayapost_testing.worlds import backend_row
+
+PAGE = Path(__file__).parents[3] / "docs" / "METRICS.md"
+ROW = re.compile(
+    r"^\| `(papayapost_\w+)` \| (\w+) \| (\w+) \|([^|]*)\| [^|]+ \|$", re.MULTILINE
+)
+
+
+def build_node():
+    own = backend_row("n1", "gusts")
+    me = SelfRow(own.node_id, own.incarnation, own.place, own.peer_address)
+    return me, build_node_world(me, [], own, Random(1))
+
+
+async def meter_of_one_call():
+    meter = CallMeter(SystemClock())
+    calls = ObservedCalls([meter])
+    calls.run_one()
+    calls.close()
+    return meter
+
+
+def families_of(text):
+    return list(text_string_to_metric_families(text.decode()))
+
+
+def test_the_page_of_metrics_has_what_a_node_exposes_and_nothing_else():
+    _, world = build_node()
+    peers = PeerTable(lambda address: LinkClass.REGION)
+    meter = asyncio.run(meter_of_one_call())
+    for count in Count:
+        meter.counts[count, "any"] += 1
+    exposed = {
+        family.name: (family.type, {n for s in family.samples for n in s.labels})
+        for family in families_of(expose(meter, world, peers))
+    }
+    listed = ROW.findall(PAGE.read_text())
+    assert [name for name, *_ in listed] == sorted(exposed)
+    for name, kind, _, labels in listed:
+        named = set(re.findall(r"`(\w+)`", re.sub(r"\([^)]*\)", "", labels)))
+        assert (kind, named) == exposed[name], name
+
+
+def test_what_the_traffic_part_counts_is_exposed():
+    _, world = build_node()
+    world.world.tick(1, world.first_messages())
+    world.world.tick(2, [CallArrived(CallId(1), "GET", "wind", "/gusts")])
+    world.traffic.owner.counters.started[Rank.URGENT] = 3
+    world.traffic.claims.conflicts = 2
+    text = expose(CallMeter(SystemClock()), world, PeerTable(lambda _: None)).decode()
+    lines = text.splitlines()
+    assert "papayapost_entry_calls_total 1.0" in lines
+    assert "papayapost_entry_refused_calls_total 1.0" in lines
+    assert 'papayapost_owner_started_total{rank="urgent"} 3.0' in lines
+    assert "papayapost_claims_conflicts_total 2.0" in lines
+
+
+def test_top_shows_the_latency_of_urgent_calls(capsys):
+    async def main(address):
+        me, world = build_node()
+        meter = CallMeter(SystemClock())
+        meter.record(Hop.ENTRY, Rank.URGENT, 150_000)
+        peers = PeerTable(lambda _: None)
+        pages = [MetricsPage(meter, world, peers), StatusPage(me, world)]
+        server = AdminServer(address, pages)
+        await server.start()
+        code = await asyncio.to_thread(run, ["top", f"--nodes={address}"])
+        await server.close()
+        return code
+
+    assert asyncio.run(main(*free_addresses(1))) is ExitCode.DONE
+    heading, line = capsys.readouterr().out.splitlines()
+    assert heading.endswith("urgent p99")
+    assert 149 < float(line.split()[-2]) < 152
