Leave no cycles behind a call and freeze the start's objects

Cause: each call's rows pointed at each other, so that the collector ran 41 times in 2,000 calls and found 33,500 objects. Change: a finished call unlinks its rows; the objects of the start are frozen and the collector starts after 10,000 allocations.

--- a/packages/papayapost-node/src/papayapost_node/exchange/caller_side.py
+++ b/packages/papayapost-node/src/papayapost_node/exchange/caller_side.py
@@ -270,6 +270,11 @@
             call.stall.close()
         for attempt in call.attempts:
             self._forget(attempt)
+        # The rows point at each other; without these the collector would
+        # have to find them.
+        call.attempts.clear()
+        call.answering = None
+        call.exchange.context = None
 
     def _forget(self, attempt: OfferedRow) -> None:
         if self._attempts.pop(attempt.attempt_id) is not None:
--- a/packages/papayapost-node/src/papayapost_node/main.py
+++ b/packages/papayapost-node/src/papayapost_node/main.py
@@ -1,6 +1,7 @@
 """papayad: runs one node until it is told to stop."""
 
 import asyncio
+import gc
 import resource
 import signal
 import sys
@@ -20,6 +21,7 @@
 _EXIT_USAGE = 2
 _KEYGEN = "keygen"
 _DESCRIPTORS = 16_384
+_COLLECT_AFTER_ALLOCATIONS = 10_000
 
 
 def run(settings: str) -> None:
@@ -74,6 +76,7 @@
     node = await build_node(settings)
     try:
         await node.start()
+        _settle_collector()
         loop.add_signal_handler(signal.SIGHUP, node.reload_keys)
         await drain_wanted.wait()
         await _drain_unless_stopped(node, stop_wanted)
@@ -83,6 +86,16 @@
         await node.close()
 
 
+def _settle_collector() -> None:
+    """Keep the collector off what lives as long as the process.
+
+    Calls leave no cycles behind, so that it has little to find at all.
+    """
+    gc.collect()
+    gc.freeze()
+    gc.set_threshold(_COLLECT_AFTER_ALLOCATIONS, *gc.get_threshold()[1:])
+
+
 async def _drain_unless_stopped(node: Node, stop_wanted: asyncio.Event) -> None:
     tasks = [
         asyncio.create_task(node.drain()),
