--- a/packages/papayapost/src/papayapost/traffic/settle.py
+++ b/packages/papayapost/src/papayapost/traffic/settle.py
@@ -8,6 +8,7 @@
 from papayapost.traffic.messages import (
     AttemptFailed,
     AttemptRefused,
+    CallExpired,
     CutAnswer,
     OfferUndelivered,
     RefusalCode,
@@ -69,9 +70,9 @@
         for undelivered in tick.take(OfferUndelivered):
             self._undelivered(tick, undelivered.attempt_id)
         for lost in tick.take(AttemptLost):
-            self._lost(tick, lost.attempt_id)
+            self._lost(tick, lost.attempt_id, is_told=False)
         for failed in tick.take(AttemptFailed):
-            self._lost(tick, failed.attempt_id)
+            self._lost(tick, failed.attempt_id, is_told=True)
         for due in tick.take(CallDue):
             self._step(tick, due.call_id)
 
@@ -102,11 +103,16 @@
         self._failed(tick, call, attempt.upstream)
         self._not_run(tick, call, attempt_id, RefusalCode.UNREACHABLE)
 
-    def _lost(self, tick: Tick, attempt_id: AttemptId) -> None:
-        attempt = forget_attempt(self._tables, attempt_id)
+    def _lost(self, tick: Tick, attempt_id: AttemptId, is_told: bool) -> None:
+        attempt = self._tables.attempts.get(attempt_id)
         call = self._call_of(attempt)
         if attempt is None or call is None:
             return
+        if is_told:
+            forget_attempt(self._tables, attempt_id)
+        else:
+            # The offer may still be queued for delivery after a reconnect.
+            self._offers.cancel(tick, attempt_id)
         call.live.remove(attempt_id)
         call.is_maybe_run = True
         self._failed(tick, call, attempt.upstream)
@@ -176,7 +182,9 @@
         call = self._tables.calls.get(call_id)
         if call is None:
             return
-        if call.step is CallStep.HEDGE:
+        if tick.now_us >= call.deadline_us:
+            tick.post(CallExpired(call_id))
+        elif call.step is CallStep.HEDGE:
             self._hedge(tick, call)
         elif call.step is CallStep.GIVE_UP_ATTEMPT:
             self._give_up_attempt(tick, call)
@@ -207,7 +215,8 @@
             return
         for attempt_id in given_up:
             attempt = self._tables.attempts.require(attempt_id)
-            self._failed(tick, call, attempt.upstream)
+            service = self._upstreams.service(call.route.service, tick.now_us)
+            self._watch.silent(tick, attempt, service)
             self._offers.cancel(tick, attempt_id)
             call.live.remove(attempt_id)
             call.is_maybe_run = True
@@ -229,7 +238,7 @@
     def _mark_draining(self, upstream: UpstreamRow, call: CallRow | None) -> None:
         upstream.is_draining = True
         if call is not None:
-            self._upstreams.mark_stale(call.route.service)
+            self._upstreams.withdraw(call.route.service, upstream.node_id)
 
     def _failed(self, tick: Tick, call: CallRow, upstream: UpstreamRow) -> None:
         service = self._upstreams.service(call.route.service, tick.now_us)
