--- a/packages/papayapost-node/src/papayapost_node/exchange/answers.py
+++ b/packages/papayapost-node/src/papayapost_node/exchange/answers.py
@@ -9,11 +9,9 @@
 from papayapost.traffic import AnswerBegun, AnswerEnded, CallerGone
 from papayapost_node.deadline import Deadline
 from papayapost_node.exchange.call_header import call_header
-from papayapost_node.exchange.couriers import Courier
 from papayapost_node.exchange.tables import CallerRow, OfferedRow
 from papayapost_node.wire import (
     AnswerCarrier,
-    AnswerCredit,
     AnswerPart,
     InterimAnswer,
 )
@@ -42,13 +40,11 @@
     def __init__(
         self,
         node_id: NodeId,
-        courier: Courier,
         post: Callable[[object], None],
         attempts: Table[AttemptId, OfferedRow],
         finish: Callable[[CallerRow], None],
     ):
         self._node_id = node_id
-        self._courier = courier
         self._post = post
         self._attempts = attempts
         self._finish = finish
@@ -80,15 +76,13 @@
             return
         loop = asyncio.get_running_loop()
         call.stall = Deadline(loop, lambda: self._stalled(attempt))
-        self._consumed(attempt, len(head.body))
+        self._move_on(attempt)
         while attempt.held:
             self._stream(attempt, attempt.held.popleft())
 
     def credit_taken(self, attempt: OfferedRow) -> None:
         """Grant credit again for what a slow caller has now taken."""
-        size, attempt.unread_bytes = attempt.unread_bytes, 0
-        if size:
-            self._consumed(attempt, size)
+        self._move_on(attempt)
 
     def _head_arrived(self, head: AnswerCarrier) -> None:
         attempt = self._attempts.get(head.attempt_id)
@@ -133,28 +127,24 @@
             self._finish(call)
         exchange.send(part.data, part.is_ended and part.is_whole, part.trailers)
         if not part.is_ended:
-            self._consumed(attempt, len(part.data))
+            self._move_on(attempt)
         elif not part.is_whole:
             exchange.cut_short()
 
-    def _consumed(self, attempt: OfferedRow, size_bytes: int) -> None:
-        call = attempt.call
-        if not call.exchange.is_writable:
-            attempt.unread_bytes += size_bytes
+    def _move_on(self, attempt: OfferedRow) -> None:
+        stall = attempt.call.stall
+        if not attempt.call.exchange.is_writable:
             # The pace of a caller's reading is watched by its connection.
-            if call.stall is not None:
-                call.stall.clear()
+            if stall is not None:
+                stall.clear()
             return
-        if call.stall is not None:
-            call.stall.set_in(_STALL_S)
-        credit = attempt.window.consume(size_bytes)
-        if credit:
-            carrier = AnswerCredit(self._node_id, attempt.attempt_id, credit)
-            self._courier.deliver(attempt.address, carrier)
+        if stall is not None:
+            stall.set_in(_STALL_S)
+        attempt.inlet.move_on()
 
     def _receive(self, attempt: OfferedRow, size_bytes: int) -> bool:
         try:
-            attempt.window.receive(size_bytes)
+            attempt.inlet.receive(size_bytes)
         except CreditExceeded:
             self._give_up(attempt.call)
             return False
--- a/packages/papayapost-node/src/papayapost_node/exchange/backend_call.py
+++ b/packages/papayapost-node/src/papayapost_node/exchange/backend_call.py
@@ -9,9 +9,10 @@
 from papayapost.traffic import BackendCallBegun, BackendCallEnded
 from papayapost_node.deadline import Deadline
 from papayapost_node.exchange.couriers import Courier
+from papayapost_node.exchange.inlet import BodyInlet
 from papayapost_node.exchange.outlet import MAX_PART_BYTES, BodyOutlet
 from papayapost_node.exchange.tables import OwnedRequest
-from papayapost_node.exchange.windows import ReceiveWindow, SendWindow, WindowBudget
+from papayapost_node.exchange.windows import SendWindow, WindowBudget
 from papayapost_node.http import (
     AnswerSink,
     BackendConnection,
@@ -70,9 +71,8 @@
         self._due_s = loop.time() + budget_us / 1e6
         self._connection: BackendConnection | None = None
         self._outlet: BodyOutlet | None = None
-        self._request_window: ReceiveWindow | None = None
+        self._inlet: BodyInlet | None = None
         self._stall: Deadline | None = None
-        self._unsent_bytes = 0
         self._status: int | None = None
         self._headers: Headers = []
         self._first: list[bytes] = []
@@ -106,16 +106,15 @@
 
     def body_received(self, data: bytes, is_ended: bool, trailers: Headers) -> None:
         """Pass a further piece of the request's body on."""
-        connection, window = self._connection, self._request_window
-        if connection is None or window is None or not self._is_running:
+        connection, inlet = self._connection, self._inlet
+        if connection is None or inlet is None or not self._is_running:
             return
         try:
-            window.receive(len(data))
+            inlet.receive(len(data))
         except CreditExceeded:
             self.cancel()
             return
         connection.send(data, is_ended, trailers)
-        self._unsent_bytes += len(data)
         if is_ended:
             self._watch_stall(False)
         elif connection.is_writable:
@@ -139,16 +138,9 @@
 
     def request_writable(self) -> None:
         """Grant the entry node credit for what the backend server took."""
-        window = self._request_window
-        if window is None or not self._is_running:
-            return
-        size, self._unsent_bytes = self._unsent_bytes, 0
-        credit = window.consume(size)
-        self._watch_stall(True)
-        if credit:
-            self._deliver(
-                RequestCredit(self._services.node_id, self._owned.attempt_id, credit)
-            )
+        if self._inlet is not None and self._is_running:
+            self._watch_stall(True)
+            self._inlet.move_on()
 
     def answer_informed(self, status: int, headers: Headers) -> None:
         """Pass an informational answer on, but for ``100 Continue``."""
@@ -230,12 +222,13 @@
             self._after_part()
 
     def _ask_for_body(self) -> None:
-        size = self._services.budget.open()
-        self._request_window = ReceiveWindow(size)
+        self._inlet = BodyInlet(self._services.budget, self._grant_request)
         self._watch_stall(True)
-        self._deliver(
-            RequestCredit(self._services.node_id, self._owned.attempt_id, size)
-        )
+        self._grant_request(self._inlet.size_bytes)
+
+    def _grant_request(self, size_bytes: int) -> None:
+        services, attempt_id = self._services, self._owned.attempt_id
+        self._deliver(RequestCredit(services.node_id, attempt_id, size_bytes))
 
     def _send_part(self, data: bytes, is_last: bool, trailers: Headers) -> None:
         services, attempt_id = self._services, self._owned.attempt_id
@@ -293,9 +286,9 @@
         self._is_over = True
         if self._stall is not None:
             self._stall.close()
-        if self._request_window is not None:
-            self._services.budget.close(self._request_window.size_bytes)
-            self._request_window = None
+        if self._inlet is not None:
+            self._inlet.close()
+            self._inlet = None
         self._services.forget(self._owned.attempt_id)
 
 
--- a/packages/papayapost-node/src/papayapost_node/exchange/caller_side.py
+++ b/packages/papayapost-node/src/papayapost_node/exchange/caller_side.py
@@ -20,9 +20,10 @@
 from papayapost_node.exchange.answers import AnswerForwarding
 from papayapost_node.exchange.call_header import call_header
 from papayapost_node.exchange.couriers import Courier
+from papayapost_node.exchange.inlet import BodyInlet
 from papayapost_node.exchange.outlet import BodyOutlet
 from papayapost_node.exchange.tables import CallerRow, OfferedRow
-from papayapost_node.exchange.windows import ReceiveWindow, SendWindow, WindowBudget
+from papayapost_node.exchange.windows import SendWindow, WindowBudget
 from papayapost_node.http import (
     Headers,
     HttpRequest,
@@ -32,6 +33,7 @@
     forwardable,
 )
 from papayapost_node.wire import (
+    AnswerCredit,
     OfferCarrier,
     RequestCredit,
     RequestHead,
@@ -71,9 +73,7 @@
         self._call_ids = itertools.count(1)
         self._calls: Table[CallId, CallerRow] = Table("caller exchanges")
         self._attempts: Table[AttemptId, OfferedRow] = Table("offered attempts")
-        self.answers = AnswerForwarding(
-            node_id, courier, post, self._attempts, self._finish
-        )
+        self.answers = AnswerForwarding(node_id, post, self._attempts, self._finish)
 
     @property
     def open_calls(self) -> int:
@@ -171,8 +171,14 @@
             self._fail(call)
             return
         attempt_id = effect.offer.attempt_id
-        window = ReceiveWindow(self._budget.open())
-        attempt = OfferedRow(attempt_id, effect.address, call, window)
+        address = effect.address
+
+        def grant(size_bytes: int) -> None:
+            credit = AnswerCredit(self._node_id, attempt_id, size_bytes)
+            self._courier.deliver(address, credit)
+
+        inlet = BodyInlet(self._budget, grant)
+        attempt = OfferedRow(attempt_id, address, call, inlet)
         is_ended = call.is_body_over and not call.trailers
         if not is_ended:
             attempt.upload = self._upload_of(attempt)
@@ -185,7 +191,7 @@
             RequestHead(request.method, request.target, request.headers),
             request.body,
             is_ended,
-            window.size_bytes,
+            inlet.size_bytes,
         )
 
         def undelivered() -> None:
@@ -280,7 +286,7 @@
 
     def _forget(self, attempt: OfferedRow) -> None:
         if self._attempts.pop(attempt.attempt_id) is not None:
-            self._budget.close(attempt.window.size_bytes)
+            attempt.inlet.close()
 
 
 def _budget_us(headers: dict[bytes, bytes]) -> Micros | None:
--- a/packages/papayapost-node/src/papayapost_node/exchange/outlet.py
+++ b/packages/papayapost-node/src/papayapost_node/exchange/outlet.py
@@ -54,6 +54,8 @@
 
     def add(self, data: bytes) -> None:
         """Send a piece, or keep it and pause its source."""
+        if not data:
+            return
         self._waiting.append(data)
         self._send_waiting()
         if self._waiting:
--- a/packages/papayapost-node/src/papayapost_node/exchange/tables.py
+++ b/packages/papayapost-node/src/papayapost_node/exchange/tables.py
@@ -5,8 +5,8 @@
 
 from papayapost.ids import Address, AttemptId, CallId
 from papayapost_node.deadline import Deadline
+from papayapost_node.exchange.inlet import BodyInlet
 from papayapost_node.exchange.outlet import BodyOutlet
-from papayapost_node.exchange.windows import ReceiveWindow
 from papayapost_node.http import Headers, HttpRequest, ServerExchange
 from papayapost_node.wire import AnswerCarrier, AnswerPart
 
@@ -54,18 +54,15 @@
         Parts of the answer that arrived before it was chosen.
     body_bytes
         Body that arrived after the head.
-    unread_bytes
-        Body handed to the connection that the caller has not taken yet.
     """
 
     attempt_id: AttemptId
     address: Address
     call: CallerRow
-    window: ReceiveWindow
+    inlet: BodyInlet
     upload: BodyOutlet | None = None
     head: AnswerCarrier | None = None
     held: deque[AnswerPart] = field(default_factory=deque)
-    unread_bytes: int = 0
     body_bytes: int = 0
 
 
--- a/packages/papayapost-node/src/papayapost_node/http/__init__.py
+++ b/packages/papayapost-node/src/papayapost_node/http/__init__.py
@@ -2,13 +2,13 @@
 
 from papayapost_node.http.backend import AnswerSink, BackendConnection
 from papayapost_node.http.connection import ClientConnection
+from papayapost_node.http.exchange import RequestHandler, ServerExchange
 from papayapost_node.http.headers import content_length, forwardable
 from papayapost_node.http.health import HealthWatch
 from papayapost_node.http.limits import HttpLimits
 from papayapost_node.http.messages import Headers, HttpAnswer, HttpRequest
 from papayapost_node.http.pool import BackendPool
 from papayapost_node.http.server import StreamingServer
-from papayapost_node.http.server_connection import RequestHandler, ServerExchange
 from papayapost_node.http.whole import HttpServer, ServerCall
 
 __all__ = [
--- /dev/null
+++ b/packages/papayapost-node/src/papayapost_node/http/heads.py
@@ -0,0 +1,34 @@
+"""What a request's head says, and whether it may be served."""
+
+import h11
+
+from papayapost_node.http.headers import content_length
+from papayapost_node.http.messages import Headers
+
+__all__ = ["body_bytes", "refusal_status"]
+
+_BAD_REQUEST = 400
+_HEAD_TOO_LARGE = 431
+_VERSION_NOT_SUPPORTED = 505
+
+
+def body_bytes(headers: Headers) -> int | None:
+    """Return the length of a request's body, or None if it is chunked."""
+    if any(name == b"transfer-encoding" for name, _ in headers):
+        return None
+    return content_length(headers) or 0
+
+
+def refusal_status(head: h11.Request, limit_bytes: int) -> int | None:
+    """Return the status that refuses a head which parsed, or None.
+
+    The parser itself lets through a head that arrived at once, however
+    large, a length beside a transfer-encoding, and any version.
+    """
+    if not head.http_version.startswith(b"1."):
+        return _VERSION_NOT_SUPPORTED
+    names = [name for name, _ in head.headers]
+    if b"content-length" in names and b"transfer-encoding" in names:
+        return _BAD_REQUEST
+    size = len(head.target) + sum(len(n) + len(v) + 4 for n, v in head.headers)
+    return _HEAD_TOO_LARGE if size > limit_bytes else None
--- a/packages/papayapost-node/src/papayapost_node/http/server.py
+++ b/packages/papayapost-node/src/papayapost_node/http/server.py
@@ -6,8 +6,9 @@
 from papayapost.ids import Address
 from papayapost_node.addresses import split_address
 from papayapost_node.batch import Batch, NoBatch
+from papayapost_node.http.exchange import RequestHandler
 from papayapost_node.http.limits import HttpLimits
-from papayapost_node.http.server_connection import RequestHandler, ServerConnection
+from papayapost_node.http.server_connection import ServerConnection
 
 __all__ = ["StreamingServer"]
 
--- a/packages/papayapost-node/src/papayapost_node/http/server_connection.py
+++ b/packages/papayapost-node/src/papayapost_node/http/server_connection.py
@@ -3,117 +3,23 @@
 from __future__ import annotations
 
 import asyncio
-from abc import ABC, abstractmethod
-from typing import TYPE_CHECKING, Any
+from typing import TYPE_CHECKING
 
 import h11
 
-from papayapost_node.deadline import Deadline
-from papayapost_node.http.headers import content_length
+from papayapost_node.http.exchange import NO_HEADERS, ServerExchange
+from papayapost_node.http.heads import refusal_status
 from papayapost_node.http.messages import Headers
+from papayapost_node.http.pace import Pace
 
 if TYPE_CHECKING:
     from papayapost_node.http.server import StreamingServer
 
-__all__ = ["RequestHandler", "ServerConnection", "ServerExchange"]
+__all__ = ["ServerConnection"]
 
 _WRITE_BUFFER_BYTES = 64 << 10
 _LINGER_S = 1.0
-_NO_HEADERS: Headers = []
-
-
-class RequestHandler(ABC):
-    """Takes requests as they arrive, in pieces."""
-
-    @abstractmethod
-    def request_begun(self, exchange: ServerExchange) -> None:
-        """Take a request's head."""
-
-    @abstractmethod
-    def body_received(self, exchange: ServerExchange, data: bytes) -> None:
-        """Take a piece of the request's body."""
-
-    @abstractmethod
-    def body_ended(self, exchange: ServerExchange, trailers: Headers) -> None:
-        """Note that the request's body is whole."""
-
-    @abstractmethod
-    def answer_writable(self, exchange: ServerExchange) -> None:
-        """Note that a caller who fell behind has caught up."""
-
-    @abstractmethod
-    def caller_gone(self, exchange: ServerExchange) -> None:
-        """Note that the connection ended before the answer did."""
-
-
-class ServerExchange:
-    """One request and its answer on a connection.
-
-    Attributes
-    ----------
-    body_bytes
-        Length of the request's body, or None if it is not known yet.
-    waits_for_continue
-        Whether the caller sends the body only after ``100 Continue``.
-    is_writable
-        False while the caller takes the answer more slowly than it comes.
-    context
-        What the handler keeps with the exchange.
-    """
-
-    __slots__ = (
-        "body_bytes",
-        "connection",
-        "context",
-        "headers",
-        "is_writable",
-        "method",
-        "target",
-        "waits_for_continue",
-    )
-
-    def __init__(self, connection: ServerConnection, head: h11.Request, waits: bool):
-        self.connection = connection
-        self.method = head.method.decode("ascii")
-        self.target = head.target.decode("ascii")
-        self.headers: Headers = list(head.headers)
-        self.body_bytes = _body_bytes(self.headers)
-        self.waits_for_continue = waits
-        self.is_writable = True
-        self.context: Any = None
-
-    def begin(
-        self,
-        status: int,
-        headers: Headers,
-        data: bytes = b"",
-        is_ended: bool = False,
-        trailers: Headers = _NO_HEADERS,
-    ) -> None:
-        """Send the answer's head with what there is of its body."""
-        self.connection.begin(self, status, headers, data, is_ended, trailers)
-
-    def send(
-        self, data: bytes, is_ended: bool = False, trailers: Headers = _NO_HEADERS
-    ) -> None:
-        """Send a further piece of the answer's body."""
-        self.connection.send(self, data, is_ended, trailers)
-
-    def inform(self, status: int, headers: Headers) -> None:
-        """Send an informational answer ahead of the final one."""
-        self.connection.inform(self, status, headers)
-
-    def cut_short(self) -> None:
-        """End an answer that cannot be completed, visibly so."""
-        self.connection.cut_short(self)
-
-    def pause_body(self) -> None:
-        """Take no more of the request's body for now."""
-        self.connection.pause_body(self)
-
-    def resume_body(self) -> None:
-        """Take more of the request's body."""
-        self.connection.resume_body(self)
+_REQUEST_TIMEOUT = 408
 
 
 class ServerConnection(asyncio.BufferedProtocol):
@@ -132,10 +38,7 @@
         self._is_body_over = True
         self._is_unframed = False
         self._is_closing = False
-        self._received_bytes = 0
-        self._sent_bytes = 0
-        self._paced_bytes = 0
-        self._deadline = Deadline(asyncio.get_running_loop(), self._on_deadline)
+        self._pace = Pace(server.limits, self._on_late)
 
     def connection_made(self, transport) -> None:
         """Take the connection, unless there are too many."""
@@ -144,12 +47,12 @@
             transport.abort()
             return
         transport.set_write_buffer_limits(high=_WRITE_BUFFER_BYTES)
-        self._deadline.set_in(self._limits.head_timeout_ms / 1000)
+        self._pace.connected(transport)
 
     def connection_lost(self, error) -> None:
         """Tell the handler if its exchange is not over."""
         self._transport = None
-        self._deadline.close()
+        self._pace.close()
         self._server.forget(self)
         exchange, self._exchange = self._exchange, None
         if exchange is not None:
@@ -172,13 +75,13 @@
         if self._is_closing:
             return
         if self._exchange is None:
-            if not self._received_bytes:
-                self._deadline.set_in(self._limits.head_timeout_ms / 1000)
+            if not self._pace.received_bytes:
+                self._pace.expect_head()
         elif self._is_body_over and self._http.trailing_data[0]:
             # A pipelined request waits for this answer; reading further
             # would let a caller fill this node's memory.
             self._pause_reading()
-        self._received_bytes += len(data)
+        self._pace.received_bytes += len(data)
         self._http.receive_data(data)
         self._server.batch.begin()
         self._pump()
@@ -189,7 +92,7 @@
         exchange = self._exchange
         if exchange is not None:
             exchange.is_writable = False
-        self._set_pace()
+        self._pace.expect_body()
 
     def resume_writing(self) -> None:
         """Note that the caller has caught up."""
@@ -221,7 +124,7 @@
         except h11.LocalProtocolError:
             self.cut_short(exchange)
             return
-        self._write(parts, data, is_ended, _NO_HEADERS if is_framed else trailers)
+        self._write(parts, data, is_ended, NO_HEADERS if is_framed else trailers)
 
     def send(
         self, exchange: ServerExchange, data: bytes, is_ended: bool, trailers: Headers
@@ -260,13 +163,13 @@
             return
         if exchange.waits_for_continue:
             exchange.waits_for_continue = False
-            self.inform(exchange, 100, _NO_HEADERS)
-        self._set_pace()
+            self.inform(exchange, 100, NO_HEADERS)
+        self._pace.expect_body()
         self._resume_reading()
 
     def drain(self) -> None:
         """Close now if idle, else after the current answer."""
-        if self._exchange is None and not self._received_bytes:
+        if self._exchange is None and not self._pace.received_bytes:
             self.close()
 
     def close(self) -> None:
@@ -294,7 +197,7 @@
                 self.cut_short(self._exchange)
             return
         out = b"".join([part for part in parts if part])
-        self._sent_bytes += len(out)
+        self._pace.sent(len(out))
         if self._transport is not None and out:
             self._transport.write(out)
         if is_ended:
@@ -310,13 +213,14 @@
             return
         self._http.start_next_cycle()
         # Bytes that already wait are the head of a pipelined request.
-        self._received_bytes = len(self._http.trailing_data[0])
-        is_head_begun = self._received_bytes > 0
-        limits = self._limits
-        timeout_ms = limits.head_timeout_ms if is_head_begun else limits.idle_timeout_ms
-        self._deadline.set_in(timeout_ms / 1000)
-        if is_head_begun or self._is_paused:
+        self._pace.received_bytes = len(self._http.trailing_data[0])
+        if self._pace.received_bytes:
+            self._pace.expect_head()
             self._resume_reading()
+        else:
+            self._pace.expect_request()
+            if self._is_paused:
+                self._resume_reading()
 
     def _close_soon(self) -> None:
         """Close for writing first, so that no reset overtakes the answer."""
@@ -327,9 +231,9 @@
             transport.write_eof()
         self._is_closing = self._is_paused = True
         if transport.get_write_buffer_size():
-            self._set_pace()
+            self._pace.expect_body()
         else:
-            self._deadline.set_in(_LINGER_S)
+            self._pace.expect_within(_LINGER_S)
 
     def _pause_reading(self) -> None:
         if not self._is_paused and self._transport is not None:
@@ -363,7 +267,7 @@
             return True
         if type(event) is h11.EndOfMessage:
             self._is_body_over = True
-            self._deadline.clear()
+            self._pace.expect_nothing()
             if self._exchange is not None:
                 handler.body_ended(self._exchange, list(event.headers))
             # A pipelined request waits for this one's answer.
@@ -373,7 +277,7 @@
         return False
 
     def _begin_request(self, head: h11.Request) -> bool:
-        status = _refusal_status(head, self._limits.head_bytes)
+        status = refusal_status(head, self._limits.head_bytes)
         if status is not None:
             self._refuse(status)
             return False
@@ -381,7 +285,7 @@
         self._is_body_over = False
         self._exchange = ServerExchange(self, head, waits)
         if self._exchange.body_bytes != 0:
-            self._set_pace()
+            self._pace.expect_body()
         self._server.handler.request_begun(self._exchange)
         return True
 
@@ -398,25 +302,17 @@
             self._transport.write(self._http.send(head) or b"")
         self._close_soon()
 
-    def _set_pace(self) -> None:
-        self._paced_bytes = self._moved_bytes()
-        self._deadline.set_in(self._limits.pace_timeout_ms / 1000)
-
-    def _moved_bytes(self) -> int:
-        waiting = self._transport.get_write_buffer_size() if self._transport else 0
-        return self._received_bytes + self._sent_bytes - waiting
-
-    def _on_deadline(self) -> None:
+    def _on_late(self) -> None:
         exchange = self._exchange
         if self._is_closing:
             self._expire_closing()
         elif exchange is None:
             self._expire_idle()
         elif not exchange.is_writable or self._waits_for_body():
-            if self._moved_bytes() - self._paced_bytes >= self._limits.pace_bytes:
-                self._set_pace()
+            if self._pace.is_kept():
+                self._pace.expect_body()
             elif exchange.is_writable:
-                self._refuse(408)
+                self._refuse(_REQUEST_TIMEOUT)
             else:
                 self.abort()
 
@@ -424,30 +320,14 @@
         return not self._is_body_over and not self._is_paused
 
     def _expire_closing(self) -> None:
-        if self._moved_bytes() - self._paced_bytes >= self._limits.pace_bytes:
-            self._set_pace()
+        if self._pace.is_kept():
+            self._pace.expect_body()
         else:
             self.abort()
 
     def _expire_idle(self) -> None:
         is_answered = self._http.our_state is not h11.IDLE
-        if is_answered or not self._received_bytes:
+        if is_answered or not self._pace.received_bytes:
             self.abort()
         else:
-            self._refuse(408)
-
-
-def _body_bytes(headers: Headers) -> int | None:
-    if any(name == b"transfer-encoding" for name, _ in headers):
-        return None
-    return content_length(headers) or 0
-
-
-def _refusal_status(head: h11.Request, limit_bytes: int) -> int | None:
-    if not head.http_version.startswith(b"1."):
-        return 505
-    names = [name for name, _ in head.headers]
-    if b"content-length" in names and b"transfer-encoding" in names:
-        return 400
-    size = len(head.target) + sum(len(n) + len(v) + 4 for n, v in head.headers)
-    return 431 if size > limit_bytes else None
+            self._refuse(_REQUEST_TIMEOUT)
--- a/packages/papayapost-node/src/papayapost_node/http/whole.py
+++ b/packages/papayapost-node/src/papayapost_node/http/whole.py
@@ -4,15 +4,12 @@
 from dataclasses import dataclass
 
 from papayapost.ids import Address
+from papayapost_node.http.exchange import RequestHandler, ServerExchange
 from papayapost_node.http.headers import forwardable
 from papayapost_node.http.limits import HttpLimits
 from papayapost_node.http.messages import Headers, HttpAnswer, HttpRequest
 from papayapost_node.http.server import StreamingServer
-from papayapost_node.http.server_connection import (
-    RequestHandler,
-    ServerConnection,
-    ServerExchange,
-)
+from papayapost_node.http.server_connection import ServerConnection
 
 __all__ = ["HttpServer", "ServerCall"]
 
--- /dev/null
+++ b/packages/papayapost-node/tests/test_exchange.py
@@ -0,0 +1,276 @@
+import asyncio
+
+from hypothesis import given, settings, strategies as st
+
+from papayapost.ids import (
+    Address,
+    AttemptId,
+    ConnectionEpoch,
+    DataCentreId,
+    Micros,
+    NodeId,
+    ServiceName,
+)
+from papayapost.membership import directory_table
+from papayapost.observe import Event
+from papayapost.states import Rank
+from papayapost.traffic import (
+    AnswerBegun,
+    AttemptCancel,
+    AttemptOffer,
+    CallerGone,
+    ForwardAnswer,
+    OfferSend,
+    OfferUndelivered,
+    OwnerLost,
+)
+from papayapost_node.clock import Clock
+from papayapost_node.event_limit import EventLimit
+from papayapost_node.exchange import CallerSide, Courier, WindowBudget
+from papayapost_node.exchange.outlet import BodyOutlet
+from papayapost_node.exchange.windows import SendWindow
+from papayapost_node.peer_messages import PeerMessages
+from papayapost_node.security import (
+    AllowedKeyRow,
+    KeyRing,
+    SenderCheck,
+    new_key_pair,
+)
+from papayapost_node.transport import PeerTransport
+from papayapost_node.wire import (
+    WIRE_NUMBERS,
+    AnswerCarrier,
+    AnswerPart,
+    MessagePackCodec,
+    OfferCarrier,
+    RequestHead,
+)
+from papayapost_testing.worlds import backend_row
+
+OWNER, ENTRY = Address("127.0.0.1:2"), Address("127.0.0.1:1")
+CODEC = MessagePackCodec(WIRE_NUMBERS)
+
+
+@settings(derandomize=True, database=None, deadline=None)
+@given(
+    st.lists(st.binary(max_size=200_000), max_size=6),
+    st.lists(st.integers(1, 90_000), max_size=40),
+)
+def test_a_body_leaves_whole_in_order_and_never_beyond_its_credit(pieces, grants):
+    sent, granted = bytearray(), 0
+    ends = []
+
+    def send_part(data, is_last, trailers):
+        sent.extend(data)
+        ends.append(is_last)
+        assert len(sent) <= granted
+        assert len(data) <= 65_536
+
+    outlet = BodyOutlet(SendWindow(0), send_part, lambda: None, lambda: None)
+    for piece in pieces:
+        outlet.add(piece)
+    outlet.end([])
+    for grant in [*grants, 2_000_000]:
+        granted += grant
+        outlet.grant(grant)
+    assert bytes(sent) == b"".join(pieces)
+    assert ends.count(True) == 1
+    assert ends[-1]
+
+
+class Exchange:
+    """A caller's exchange that notes what it is told."""
+
+    method, target, headers = "GET", "/scan", [(b"host", b"a")]
+    body_bytes, waits_for_continue, is_writable = 0, False, True
+
+    def __init__(self):
+        self.context = None
+        self.told: list = []
+
+    def begin(self, status, headers, data=b"", is_ended=False, trailers=()):
+        self.told.append((status, data, is_ended))
+
+    def send(self, data, is_ended=False, trailers=()):
+        self.told.append((data, is_ended))
+
+    def cut_short(self):
+        self.told.append("cut")
+
+
+class Couriers(Courier):
+    is_open = True
+
+    def deliver(self, address, carrier, on_dropped=None):
+        return self.is_open
+
+
+def offer_of(number: int = 1, sender: str = "n1") -> AttemptOffer:
+    return AttemptOffer(
+        NodeId(sender),
+        ENTRY,
+        AttemptId(f"n1/1/{number}"),
+        ConnectionEpoch(1),
+        ServiceName("scans"),
+        Rank.NORMAL,
+        True,
+        Micros(1_000_000),
+        None,
+    )
+
+
+class Entry:
+    """A caller side with one call that was offered once."""
+
+    def __init__(self, is_open: bool = True):
+        self.posted: list = []
+        self.budget = WindowBudget(1 << 20)
+        courier = Couriers()
+        courier.is_open = is_open
+        self.side = CallerSide(NodeId("n1"), courier, self.posted.append, self.budget)
+        self.exchange = Exchange()
+        self.side.request_begun(self.exchange)
+        self.side.body_ended(self.exchange, [])
+        self.call_id = self.posted.pop().call_id
+        self.do(OfferSend(OWNER, self.call_id, offer_of(), False))
+
+    def do(self, effect) -> None:
+        self.side.handlers()[type(effect)](effect)
+
+    def take(self, carrier) -> None:
+        self.side.carriers()[type(carrier)](carrier)
+
+
+def head_of(body: bytes, is_ended: bool) -> AnswerCarrier:
+    attempt_id = offer_of().attempt_id
+    return AnswerCarrier(NodeId("n2"), attempt_id, 200, [], body, is_ended, True, 1, [])
+
+
+def part_of(data: bytes, is_ended: bool, is_whole: bool = True) -> AnswerPart:
+    attempt_id = offer_of().attempt_id
+    return AnswerPart(NodeId("n2"), attempt_id, data, is_ended, is_whole, [])
+
+
+def test_an_offer_that_never_left_is_posted_as_undelivered():
+    entry = Entry(is_open=False)
+    assert entry.posted == [OfferUndelivered(offer_of().attempt_id)]
+
+
+def test_an_answer_that_comes_too_late_is_dropped_and_counted():
+    entry = Entry()
+    entry.side.caller_gone(entry.exchange)
+    assert entry.posted == [CallerGone(entry.call_id)]
+    entry.take(head_of(b"late", True))
+    entry.take(part_of(b"later", True))
+    assert entry.side.answers.late_answers == 2
+    assert entry.exchange.told == []
+    assert not any(isinstance(item, AnswerBegun) for item in entry.posted)
+    assert entry.side.open_calls == 0
+    assert entry.budget.open() == WindowBudget(1 << 20).open()
+
+
+def in_loop(scenario):
+    async def main():
+        scenario()
+
+    return lambda: asyncio.run(main())
+
+
+@in_loop
+def test_a_body_without_its_end_is_cut_and_never_ended():
+    entry = Entry()
+    entry.take(head_of(b"one", False))
+    entry.do(ForwardAnswer(entry.call_id, offer_of().attempt_id))
+    entry.take(part_of(b"two", True, is_whole=False))
+    assert entry.exchange.told == [(200, b"one", False), (b"two", False), "cut"]
+    assert not entry.posted[-1].is_whole
+
+
+@in_loop
+def test_an_owner_that_sends_beyond_its_credit_is_given_up():
+    entry = Entry()
+    entry.take(head_of(b"", False))
+    entry.do(ForwardAnswer(entry.call_id, offer_of().attempt_id))
+    entry.exchange.is_writable = False
+    entry.take(part_of(bytes(300_000), False))
+    assert entry.exchange.told[-1] == "cut"
+    assert entry.posted[-1] == CallerGone(entry.call_id)
+
+
+class StillClock(Clock):
+    def now_us(self):
+        return Micros(5)
+
+    def wall_us(self):
+        return Micros(5)
+
+
+class NoTransport(PeerTransport):
+    def start(self, listener, batch):
+        raise NotImplementedError
+
+    def send(self, address, frame, on_dropped=None):
+        return True
+
+    def close(self):
+        pass
+
+
+def messages_of(ring: KeyRing | None):
+    posted, events, carriers = [], [], []
+    directory = directory_table()
+    known = backend_row("n3", "scans")
+    directory.put(known.node_id, known)
+    messages = PeerMessages(
+        ENTRY,
+        NoTransport(),
+        CODEC,
+        SenderCheck(ring, directory),
+        EventLimit(lambda event, detail: events.append(event), StillClock()),
+        posted.append,
+    )
+    messages.connect(lambda item: type(item) is OfferCarrier and carriers.append(item))
+    return messages, posted, events, carriers
+
+
+def test_malformed_frames_get_nothing_in_and_one_event_a_second():
+    messages, posted, events, carriers = messages_of(None)
+    good = CODEC.encode(AttemptCancel(NodeId("n2"), AttemptId("a")))
+    for frame in (b"", b"\x00", good[:-1], good + b"\x00", b"\x91\xcd\xff\xff"):
+        messages.frame_arrived(frame, None)
+    assert (posted, carriers, events) == ([], [], [Event.FRAME_REFUSED])
+
+
+def test_a_message_counts_only_from_the_holder_of_its_key():
+    keys = [new_key_pair().public_key for _ in range(3)]
+    rows = [
+        AllowedKeyRow(keys[0], DataCentreId("north-1"), NodeId("n2")),
+        AllowedKeyRow(keys[1], DataCentreId("south-1")),
+    ]
+    ring = KeyRing(new_key_pair(), rows, lambda address: (None, None))
+    messages, posted, events, carriers = messages_of(ring)
+
+    def came(sender: str, key: int) -> bool:
+        before = len(posted)
+        cancel = AttemptCancel(NodeId(sender), AttemptId("a"))
+        messages.frame_arrived(CODEC.encode(cancel), keys[key])
+        return len(posted) > before
+
+    assert came("n2", 0)
+    assert not came("n4", 0)
+    assert came("n9", 1)
+    assert not came("n3", 1), "the directory knows n3 in another data centre"
+    assert not came("n2", 2)
+    assert events == [Event.SENDER_REFUSED]
+    head = RequestHead("GET", "/", [])
+    for inner, expected in (("n2", 1), ("n5", 1)):
+        offer = offer_of(sender=inner)
+        carrier = OfferCarrier(NodeId("n2"), offer, head, b"", True, 1)
+        messages.frame_arrived(CODEC.encode(carrier), keys[0])
+        assert len(carriers) == expected
+
+
+def test_a_lost_connection_reaches_the_decisions():
+    messages, posted, _, _ = messages_of(None)
+    messages.peer_lost(OWNER)
+    assert posted == [OwnerLost(OWNER)]
