Read targets and hosts in every form that callers may use

Change: arrivals.py tells the decisions host and path of either form; CONNECT gets 501. The process test of keys stops by a second signal. Conclusion: routing sees one form of a request.

--- a/packages/papayapost-node/src/papayapost_node/exchange/caller_side.py
+++ b/packages/papayapost-node/src/papayapost_node/exchange/caller_side.py
@@ -3,11 +3,10 @@
 import itertools
 from collections.abc import Callable
 
-from papayapost.ids import AttemptId, CallId, IdempotencyKey, Micros, NodeId
+from papayapost.ids import AttemptId, CallId, NodeId
 from papayapost.kernel import Table
 from papayapost.states import Outcome
 from papayapost.traffic import (
-    CallArrived,
     CallerGone,
     CallRefusal,
     CutAnswer,
@@ -18,6 +17,7 @@
     RefusalCode,
 )
 from papayapost_node.exchange.answers import AnswerForwarding
+from papayapost_node.exchange.arrivals import arrival_of
 from papayapost_node.exchange.call_header import call_header
 from papayapost_node.exchange.couriers import Courier
 from papayapost_node.exchange.inlet import BodyInlet
@@ -29,7 +29,6 @@
     HttpRequest,
     RequestHandler,
     ServerExchange,
-    content_length,
     forwardable,
 )
 from papayapost_node.wire import (
@@ -146,22 +145,8 @@
     def _dispatch(self, call: CallerRow) -> None:
         call.is_dispatched = True
         request = call.request
-        headers = dict(request.headers)
+        self._post(arrival_of(call.call_id, request, call.is_body_over))
         request.headers = forwardable(request.headers)
-        host = headers.get(b"host", b"").decode("latin-1").partition(":")[0].lower()
-        key = headers.get(b"idempotency-key")
-        whole_bytes = len(request.body) if call.is_body_over else None
-        self._post(
-            CallArrived(
-                call.call_id,
-                request.method,
-                host,
-                request.target.partition("?")[0],
-                _budget_us(headers),
-                IdempotencyKey(key.decode("latin-1")) if key else None,
-                content_length(request.headers) if whole_bytes is None else whole_bytes,
-            )
-        )
 
     def _offer(self, effect: OfferSend) -> None:
         call = self._calls.get(effect.call_id)
@@ -287,8 +272,3 @@
     def _forget(self, attempt: OfferedRow) -> None:
         if self._attempts.pop(attempt.attempt_id) is not None:
             attempt.inlet.close()
-
-
-def _budget_us(headers: dict[bytes, bytes]) -> Micros | None:
-    text = headers.get(b"papayapost-timeout-ms", b"")
-    return Micros(int(text) * 1000) if text.isdigit() and len(text) < 10 else None
--- a/packages/papayapost-node/src/papayapost_node/http/heads.py
+++ b/packages/papayapost-node/src/papayapost_node/http/heads.py
@@ -9,6 +9,7 @@
 
 _BAD_REQUEST = 400
 _HEAD_TOO_LARGE = 431
+_NOT_IMPLEMENTED = 501
 _VERSION_NOT_SUPPORTED = 505
 
 
@@ -23,8 +24,10 @@
     """Return the status that refuses a head which parsed, or None.
 
     The parser itself lets through a head that arrived at once, however
-    large, a length beside a transfer-encoding, and any version.
+    large, a length beside a transfer-encoding, any version, and tunnels.
     """
+    if head.method == b"CONNECT":
+        return _NOT_IMPLEMENTED
     if not head.http_version.startswith(b"1."):
         return _VERSION_NOT_SUPPORTED
     names = [name for name, _ in head.headers]
--- a/packages/papayapost-node/tests/test_http_abuse.py
+++ b/packages/papayapost-node/tests/test_http_abuse.py
@@ -93,6 +93,7 @@
         (b"GET /a HTTP/1.1\r\nhost: a\r\nhost: b\r\n\r\n", b"400"),
         (b"GET /a HTTP/1.1\r\n\r\n", b"400"),
         (b"GET /a HTTP/2.0\r\nhost: a\r\n\r\n", b"505"),
+        (b"CONNECT a:443 HTTP/1.1\r\nhost: a\r\n\r\n", b"501"),
         (b"\x16\x03\x01\x02\x00\x01\x00\x01\xfc\x03\x03\r\n\r\n", b"400"),
     ],
 )
--- a/packages/papayapost-node/tests/test_process.py
+++ b/packages/papayapost-node/tests/test_process.py
@@ -226,6 +226,9 @@
             owner.process.send_signal(signal.SIGHUP)
             await site.until_served(entry, "/again")
             writer.close()
+            for node in (entry, owner):
+                node.process.send_signal(signal.SIGTERM)
+            await asyncio.sleep(0.1)
             for node in (entry, owner):
                 node.process.send_signal(signal.SIGTERM)
             for node in (entry, owner):
