Hold a caller who never reads, however it pipelines

Cause: the answer to a pipelined request did not know that the caller had not read the one before, and gathered in memory without a time limit; a handler's fault left the batch open, and with it the node deaf; a drain closed idle connections under requests on their way. Change: a new exchange starts with the connection's own state; the pace is kept while something is unread; batches end in any case; a draining server keeps an idle connection for 2 s and closes it with its answer. Framing of answers is a module of its own. Conclusion: a caller costs 64 KB and its windows, whatever it does.

--- a/packages/papayapost-node/src/papayapost_node/http/backend.py
+++ b/packages/papayapost-node/src/papayapost_node/http/backend.py
@@ -131,8 +131,10 @@
             return
         self._http.receive_data(data)
         self._batch.begin()
-        self._pump()
-        self._batch.end()
+        try:
+            self._pump()
+        finally:
+            self._batch.end()
 
     def pause_writing(self) -> None:
         """Note that the backend server falls behind."""
--- a/packages/papayapost-node/src/papayapost_node/http/server_connection.py
+++ b/packages/papayapost-node/src/papayapost_node/http/server_connection.py
@@ -8,6 +8,7 @@
 import h11
 
 from papayapost_node.http.exchange import NO_HEADERS, ServerExchange
+from papayapost_node.http.framing import AnswerFraming
 from papayapost_node.http.heads import refusal_status
 from papayapost_node.http.messages import Headers
 from papayapost_node.http.pace import Pace
@@ -19,6 +20,7 @@
 
 _WRITE_BUFFER_BYTES = 64 << 10
 _LINGER_S = 1.0
+_DRAIN_IDLE_S = 2.0
 _REQUEST_TIMEOUT = 408
 
 
@@ -31,13 +33,14 @@
         self._http = h11.Connection(
             h11.SERVER, max_incomplete_event_size=server.limits.head_bytes
         )
+        self._framing = AnswerFraming(self._http)
         self._transport: asyncio.Transport | None = None
         self._exchange: ServerExchange | None = None
         self._is_paused = False
         self._is_pumping = False
         self._is_body_over = True
-        self._is_unframed = False
         self._is_closing = False
+        self._is_writable = True
         self._pace = Pace(server.limits, self._on_late)
 
     def connection_made(self, transport) -> None:
@@ -84,18 +87,21 @@
         self._pace.received_bytes += len(data)
         self._http.receive_data(data)
         self._server.batch.begin()
-        self._pump()
-        self._server.batch.end()
+        try:
+            self._pump()
+        finally:
+            self._server.batch.end()
 
     def pause_writing(self) -> None:
         """Note that the caller falls behind."""
-        exchange = self._exchange
-        if exchange is not None:
-            exchange.is_writable = False
+        self._is_writable = False
+        if self._exchange is not None:
+            self._exchange.is_writable = False
         self._pace.expect_body()
 
     def resume_writing(self) -> None:
         """Note that the caller has caught up."""
+        self._is_writable = True
         exchange = self._exchange
         if exchange is not None:
             exchange.is_writable = True
@@ -115,38 +121,41 @@
             return
         if self._server.is_draining:
             headers = [*headers, (b"connection", b"close")]
-        is_framed = any(name == b"content-length" for name, _ in headers)
-        is_old = self._http.their_http_version == b"1.0"
-        self._is_unframed = is_old and not is_framed
         try:
-            head = h11.Response(status_code=status, headers=headers)
-            parts = [self._http.send(head)]
+            out = self._framing.head(status, headers)
+            out += self._framing.body(data, is_ended, trailers)
         except h11.LocalProtocolError:
             self.cut_short(exchange)
             return
-        self._write(parts, data, is_ended, NO_HEADERS if is_framed else trailers)
+        self._write(out, is_ended)
 
     def send(
         self, exchange: ServerExchange, data: bytes, is_ended: bool, trailers: Headers
     ) -> None:
         """Send a further piece of an answer's body."""
-        if exchange is self._exchange:
-            self._write([], data, is_ended, trailers)
+        if exchange is not self._exchange:
+            return
+        try:
+            out = self._framing.body(data, is_ended, trailers)
+        except h11.LocalProtocolError:
+            # More or less body than the head promised: the caller must not
+            # take it for whole.
+            self.cut_short(exchange)
+            return
+        self._write(out, is_ended)
 
     def inform(self, exchange: ServerExchange, status: int, headers: Headers) -> None:
         """Send an informational answer, if the caller knows of such."""
-        if exchange is not self._exchange or self._http.their_http_version == b"1.0":
-            return
-        if self._http.our_state is h11.SEND_RESPONSE and self._transport:
-            event = h11.InformationalResponse(status_code=status, headers=headers)
-            self._transport.write(self._http.send(event) or b"")
+        is_current = exchange is self._exchange and self._transport is not None
+        if is_current and self._framing.can_inform:
+            self._write(self._framing.informational(status, headers), False)
 
     def cut_short(self, exchange: ServerExchange) -> None:
         """Close before the promised length or the last chunk."""
         if exchange is not self._exchange or self._transport is None:
             return
         self._exchange = None
-        if self._is_unframed:
+        if self._framing.is_unframed:
             # Only a reset tells this caller that more was to come.
             self._transport.abort()
         else:
@@ -168,9 +177,13 @@
         self._resume_reading()
 
     def drain(self) -> None:
-        """Close now if idle, else after the current answer."""
+        """Close soon if idle, else after the current answer.
+
+        A request that is on its way to an idle connection would be cut by a
+        close at once.
+        """
         if self._exchange is None and not self._pace.received_bytes:
-            self.close()
+            self._pace.expect_within(_DRAIN_IDLE_S)
 
     def close(self) -> None:
         """Close once what is written has left."""
@@ -182,21 +195,7 @@
         if self._transport is not None:
             self._transport.abort()
 
-    def _write(
-        self, parts: list, data: bytes, is_ended: bool, trailers: Headers
-    ) -> None:
-        try:
-            if data:
-                parts.append(self._http.send(h11.Data(data=data)))
-            if is_ended:
-                parts.append(self._http.send(h11.EndOfMessage(headers=trailers)))
-        except h11.LocalProtocolError:
-            # More or less body than the head promised: the caller must not
-            # take it for whole.
-            if self._exchange is not None:
-                self.cut_short(self._exchange)
-            return
-        out = b"".join([part for part in parts if part])
+    def _write(self, out: bytes, is_ended: bool) -> None:
         self._pace.sent(len(out))
         if self._transport is not None and out:
             self._transport.write(out)
@@ -267,7 +266,10 @@
             return True
         if type(event) is h11.EndOfMessage:
             self._is_body_over = True
-            self._pace.expect_nothing()
+            if self._is_writable:
+                self._pace.expect_nothing()
+            else:
+                self._pace.expect_body()
             if self._exchange is not None:
                 handler.body_ended(self._exchange, list(event.headers))
             # A pipelined request waits for this one's answer.
@@ -284,6 +286,8 @@
         waits = self._http.they_are_waiting_for_100_continue
         self._is_body_over = False
         self._exchange = ServerExchange(self, head, waits)
+        # The caller may not have read the answer before this one yet.
+        self._exchange.is_writable = self._is_writable
         if self._exchange.body_bytes != 0:
             self._pace.expect_body()
         self._server.handler.request_begun(self._exchange)
@@ -296,10 +300,8 @@
             self._server.handler.caller_gone(exchange)
         if self._transport is None:
             return
-        if self._http.our_state in (h11.IDLE, h11.SEND_RESPONSE):
-            headers = [(b"content-length", b"0"), (b"connection", b"close")]
-            head = h11.Response(status_code=status, headers=headers)
-            self._transport.write(self._http.send(head) or b"")
+        if self._framing.can_refuse:
+            self._transport.write(self._framing.refusal(status))
         self._close_soon()
 
     def _on_late(self) -> None:
--- a/packages/papayapost-node/src/papayapost_node/http/whole.py
+++ b/packages/papayapost-node/src/papayapost_node/http/whole.py
@@ -73,6 +73,10 @@
         """
         await self._server.start()
 
+    def drain(self) -> None:
+        """Accept nothing new; close each connection after its answer."""
+        self._server.drain()
+
     async def close(self) -> None:
         """Stop listening and close all connections."""
         await self._server.close()
--- a/packages/papayapost-node/src/papayapost_node/transport/zmq_transport.py
+++ b/packages/papayapost-node/src/papayapost_node/transport/zmq_transport.py
@@ -212,15 +212,21 @@
         if router is None:
             return
         self._batch.begin()
+        try:
+            if self._take_waiting(router):
+                self._loop.call_soon(self._receive)
+        finally:
+            self._batch.end()
+
+    def _take_waiting(self, router: zmq.Socket) -> bool:
+        """Take what waits; return whether there may be more."""
         for _ in range(_MAX_FRAMES_PER_READ):
             try:
                 parts = router.recv_multipart(zmq.NOBLOCK, copy=self._ring is None)
             except zmq.Again:
-                break
+                return False
             self._take(parts)
-        else:
-            self._loop.call_soon(self._receive)
-        self._batch.end()
+        return True
 
     def _take(self, parts: list) -> None:
         last = parts[-1]
--- a/packages/papayapost-node/tests/test_http_abuse.py
+++ b/packages/papayapost-node/tests/test_http_abuse.py
@@ -5,7 +5,14 @@
 import pytest
 
 from papayapost_node.addresses import split_address
-from papayapost_node.http import HttpAnswer, HttpLimits, HttpServer, ServerCall
+from papayapost_node.batch import Batch
+from papayapost_node.http import (
+    HttpAnswer,
+    HttpLimits,
+    HttpServer,
+    ServerCall,
+    StreamingServer,
+)
 from papayapost_testing.ports import free_addresses
 
 LIMITS = HttpLimits(
@@ -227,3 +234,67 @@
         writer.close()
 
     run(scenario)
+
+
+def test_an_answer_behind_one_that_is_not_read_is_not_gathered_in_memory():
+    async def scenario(server):
+        server.answers = False
+        _, writer = await connect(server)
+        writer.write(GET + GET)
+        while not server.taken:
+            await asyncio.sleep(0)
+        server.taken[0].answer(HttpAnswer(200, [], bytes(16 << 20)))
+        while len(server.taken) < 2:
+            await asyncio.sleep(0)
+        assert not server.taken[1].exchange.is_writable
+        await server.lost.wait()
+        writer.close()
+
+    run(scenario)
+
+
+def test_a_draining_server_still_takes_what_is_on_its_way_to_a_connection():
+    async def scenario(server):
+        reader, writer = await connect(server)
+        writer.write(GET)
+        await reader.readuntil(b"GET 0 ")
+        server.http.drain()
+        writer.write(GET)
+        answered = await reader.read()
+        assert b"connection: close" in answered.lower()
+        with pytest.raises(OSError):
+            await connect(server)
+        writer.close()
+
+    run(scenario)
+
+
+def test_a_handler_that_fails_leaves_the_batch_ended():
+    counts = {"begun": 0, "ended": 0}
+
+    class CountingBatch(Batch):
+        def begin(self):
+            counts["begun"] += 1
+
+        def end(self):
+            counts["ended"] += 1
+
+    class Failing(HttpServer):
+        def request_begun(self, exchange):
+            raise ValueError("a fault of the handler")
+
+    async def main():
+        asyncio.get_running_loop().set_exception_handler(lambda loop, context: None)
+        (address,) = free_addresses(1)
+        server = StreamingServer(
+            address, Failing(address, lambda call: None), LIMITS, CountingBatch()
+        )
+        await server.start()
+        reader, writer = await asyncio.open_connection(*split_address(address))
+        writer.write(GET)
+        assert await reader.read() == b""
+        writer.close()
+        await server.close()
+
+    asyncio.run(main())
+    assert counts == {"begun": 1, "ended": 1}
