--- a/packages/papayapost-node/tests/test_exchange.py
+++ b/packages/papayapost-node/tests/test_exchange.py
@@ -36,7 +36,7 @@
     SenderCheck,
     new_key_pair,
 )
-from papayapost_node.transport import PeerTransport
+from papayapost_node.transport import PeerTable, PeerTransport
 from papayapost_node.wire import (
     WIRE_NUMBERS,
     AnswerCarrier,
@@ -225,6 +225,7 @@
         ENTRY,
         NoTransport(),
         CODEC,
+        PeerTable(lambda address: None),
         SenderCheck(ring, directory),
         EventLimit(lambda event, detail: events.append(event), StillClock()),
         posted.append,
