Give a body to one attempt only

Cause: with two attempts of a call open, the body went to the newest and credit from the other was taken as its own. Change: the call's row names the way of its body; a further attempt that asks for it gets none. The framing of requests stands with the headers. Figures: a test with two attempts that both ask. Conclusion: a hedged upload reaches one backend server.

--- a/packages/papayapost-node/src/papayapost_node/exchange/backend_call.py
+++ b/packages/papayapost-node/src/papayapost_node/exchange/backend_call.py
@@ -17,8 +17,8 @@
     AnswerSink,
     BackendConnection,
     Headers,
-    content_length,
     forwardable,
+    framing_of,
 )
 from papayapost_node.wire import (
     AnswerCarrier,
@@ -296,9 +296,5 @@
     """Return the headers with this connection's framing and the time left."""
     headers = [item for item in owned.request.headers if item[0] != _TIMEOUT_HEADER]
     headers.append((_TIMEOUT_HEADER, b"%d" % max(1, int(budget_s * 1000))))
-    if content_length(headers) is None:
-        if not owned.is_ended:
-            headers.append((b"transfer-encoding", b"chunked"))
-        elif owned.request.body:
-            headers.append((b"content-length", b"%d" % len(owned.request.body)))
+    headers += framing_of(headers, len(owned.request.body), owned.is_ended)
     return headers
--- a/packages/papayapost-node/src/papayapost_node/exchange/caller_side.py
+++ b/packages/papayapost-node/src/papayapost_node/exchange/caller_side.py
@@ -107,10 +107,8 @@
     def body_received(self, exchange: ServerExchange, data: bytes) -> None:
         """Hold the first bytes of a body, and stream the others."""
         call: CallerRow = exchange.context
-        if call.is_streamed:
-            upload = call.attempts[-1].upload
-            if upload is not None:
-                upload.add(data)
+        if call.upload is not None:
+            call.upload.add(data)
             return
         call.request.body += data
         if not call.is_dispatched and len(call.request.body) >= _MAX_HELD_BYTES:
@@ -124,10 +122,8 @@
         call.trailers = forwardable(trailers)
         if not call.is_dispatched:
             self._dispatch(call)
-        elif call.is_streamed:
-            upload = call.attempts[-1].upload
-            if upload is not None:
-                upload.end(call.trailers)
+        elif call.upload is not None:
+            call.upload.end(call.trailers)
 
     def answer_writable(self, exchange: ServerExchange) -> None:
         """Grant the owner credit for what the caller has taken."""
@@ -152,7 +148,7 @@
         call = self._calls.get(effect.call_id)
         if call is None:
             return
-        if call.is_streamed:
+        if call.upload is not None:
             self._fail(call)
             return
         attempt_id = effect.offer.attempt_id
@@ -209,15 +205,16 @@
         if attempt is None or attempt.upload is None:
             return
         call = attempt.call
-        is_first = not call.is_streamed
-        call.is_streamed = True
-        attempt.upload.grant(credit.size_bytes)
-        if not is_first:
-            return
-        if call.is_body_over:
-            attempt.upload.end(call.trailers)
-        else:
-            call.exchange.resume_body()
+        if call.upload is None:
+            call.upload = attempt.upload
+            call.upload.grant(credit.size_bytes)
+            if call.is_body_over:
+                call.upload.end(call.trailers)
+            else:
+                call.exchange.resume_body()
+        elif call.upload is attempt.upload:
+            call.upload.grant(credit.size_bytes)
+        # Another attempt has the body already; this one gets none and ends.
 
     def _refuse(self, effect: CallRefusal) -> None:
         call = self._calls.get(effect.call_id)
@@ -266,7 +263,7 @@
         # The rows point at each other; without these the collector would
         # have to find them.
         call.attempts.clear()
-        call.answering = None
+        call.answering = call.upload = None
         call.exchange.context = None
 
     def _forget(self, attempt: OfferedRow) -> None:
--- a/packages/papayapost-node/src/papayapost_node/exchange/tables.py
+++ b/packages/papayapost-node/src/papayapost_node/exchange/tables.py
@@ -23,9 +23,9 @@
         The head, and the body as far as it is held for a further attempt.
     is_body_over
         Whether the whole body has arrived.
-    is_streamed
-        Whether body beyond the held part has left, so that the request
-        cannot be offered again.
+    upload
+        The way of the body beyond the held part, once an attempt has asked
+        for it; the request cannot be offered again from then on.
     answering
         The attempt whose answer the caller gets, once there is one.
     """
@@ -35,7 +35,7 @@
     request: HttpRequest
     is_body_over: bool = False
     is_dispatched: bool = False
-    is_streamed: bool = False
+    upload: BodyOutlet | None = None
     trailers: Headers = field(default_factory=list)
     attempts: list["OfferedRow"] = field(default_factory=list)
     answering: "OfferedRow | None" = None
--- a/packages/papayapost-node/src/papayapost_node/http/__init__.py
+++ b/packages/papayapost-node/src/papayapost_node/http/__init__.py
@@ -3,7 +3,7 @@
 from papayapost_node.http.backend import AnswerSink, BackendConnection
 from papayapost_node.http.connection import ClientConnection
 from papayapost_node.http.exchange import RequestHandler, ServerExchange
-from papayapost_node.http.headers import content_length, forwardable
+from papayapost_node.http.headers import content_length, forwardable, framing_of
 from papayapost_node.http.health import HealthWatch
 from papayapost_node.http.limits import HttpLimits
 from papayapost_node.http.messages import Headers, HttpAnswer, HttpRequest
@@ -28,4 +28,5 @@
     "StreamingServer",
     "content_length",
     "forwardable",
+    "framing_of",
 ]
--- a/packages/papayapost-node/src/papayapost_node/http/headers.py
+++ b/packages/papayapost-node/src/papayapost_node/http/headers.py
@@ -4,7 +4,7 @@
 
 from papayapost_node.http.messages import Headers
 
-__all__ = ["content_length", "forwardable"]
+__all__ = ["content_length", "forwardable", "framing_of"]
 
 _HOP_BY_HOP = frozenset(
     [
@@ -56,3 +56,25 @@
         if name == b"content-length":
             return int(value)
     return None
+
+
+def framing_of(headers: Headers, body_bytes: int, is_whole: bool) -> Headers:
+    """Return the headers that a request still needs to frame its body.
+
+    Parameters
+    ----------
+    body_bytes
+        Length of what there is of the body.
+    is_whole
+        Whether that is all of it.
+
+    Examples
+    --------
+    >>> framing_of([], 5, True), framing_of([], 5, False), framing_of([], 0, True)
+    ([(b'content-length', b'5')], [(b'transfer-encoding', b'chunked')], [])
+    """
+    if content_length(headers) is not None:
+        return []
+    if not is_whole:
+        return [(b"transfer-encoding", b"chunked")]
+    return [(b"content-length", b"%d" % body_bytes)] if body_bytes else []
--- a/packages/papayapost-node/tests/test_exchange.py
+++ b/packages/papayapost-node/tests/test_exchange.py
@@ -43,6 +43,7 @@
     AnswerPart,
     MessagePackCodec,
     OfferCarrier,
+    RequestCredit,
     RequestHead,
 )
 from papayapost_testing.worlds import backend_row
@@ -97,11 +98,21 @@
     def cut_short(self):
         self.told.append("cut")
 
+    def pause_body(self):
+        self.told.append("pause")
+
+    def resume_body(self):
+        self.told.append("resume")
+
 
 class Couriers(Courier):
     is_open = True
 
+    def __init__(self):
+        self.carriers: list = []
+
     def deliver(self, address, carrier, on_dropped=None):
+        self.carriers.append(carrier)
         return self.is_open
 
 
@@ -125,7 +136,7 @@
     def __init__(self, is_open: bool = True):
         self.posted: list = []
         self.budget = WindowBudget(1 << 20)
-        courier = Couriers()
+        self.courier = courier = Couriers()
         courier.is_open = is_open
         self.side = CallerSide(NodeId("n1"), courier, self.posted.append, self.budget)
         self.exchange = Exchange()
@@ -197,6 +208,29 @@
     assert entry.posted[-1] == CallerGone(entry.call_id)
 
 
+def test_a_body_goes_to_the_first_attempt_that_asks_for_it_and_to_no_other():
+    entry = Entry()
+    exchange = Exchange()
+    entry.side.request_begun(exchange)
+    entry.side.body_received(exchange, bytes(20_000))
+    call_id = entry.posted.pop().call_id
+    for number in (2, 3):
+        entry.do(OfferSend(OWNER, call_id, offer_of(number), False))
+    entry.courier.carriers.clear()
+    for number in (2, 3):
+        attempt_id = offer_of(number).attempt_id
+        entry.take(RequestCredit(NodeId("n2"), attempt_id, 50_000))
+    entry.side.body_received(exchange, b"more")
+    entry.side.body_ended(exchange, [])
+    parts = entry.courier.carriers
+    assert b"".join(part.data for part in parts) == b"more"
+    assert {part.attempt_id for part in parts} == {offer_of(2).attempt_id}
+    assert exchange.told == ["pause", "resume"]
+    entry.do(OfferSend(OWNER, call_id, offer_of(4), False))
+    assert exchange.told[-1][0] == 502
+    assert entry.posted[-1] == CallerGone(call_id)
+
+
 class StillClock(Clock):
     def now_us(self):
         return Micros(5)
