Count only its own data centre where a new root knows nobody

Cause: a new root that had rows of another region took itself for informed and wrote its one row over the stored directory; the test that brings it about was missing. Change: members of its own data centre count. Conclusion: the contacts of a data centre that restarts are kept.

--- a/packages/papayapost/src/papayapost/membership/publishing.py
+++ b/packages/papayapost/src/papayapost/membership/publishing.py
@@ -134,7 +134,9 @@
     def _is_stranger(self, tick: Tick) -> bool:
         """Return whether the store tells more than this new root knows."""
         members = self._members
-        knows_nobody = len(members.directory) == 1 and not members.tombstones
+        data_centre = members.me.place.data_centre
+        live = members.directory.count("data_centre", data_centre)
+        knows_nobody = live == 1 and not members.recent_deaths(tick.now_us)
         is_new = tick.now_us - self._promoted_us < _STRANGER_US
         return knows_nobody and self._stores_others and is_new
 
--- a/packages/papayapost/tests/membership/test_stored_directory.py
+++ b/packages/papayapost/tests/membership/test_stored_directory.py
@@ -71,3 +71,17 @@
     image = stored(loop, "a")
     assert isinstance(image, DataCentreImage)
     assert [row.node_id for row in image.rows if row.is_gone] == [victim]
+
+
+def test_a_root_that_knows_nobody_leaves_the_stored_contacts_for_a_while():
+    loop = regions()
+    loop.run(40)
+    for name in list(loop.nodes):
+        loop.kill(name)
+    loop.seeds = []
+    newcomer = loop.start("a9", "a")
+    loop.run(90)
+    assert newcomer.part.tree.is_top_relay
+    assert len(stored(loop, "a").rows) == 4
+    loop.run(120)
+    assert [row.node_id for row in stored(loop, "a").rows] == ["a9"]
