--- a/packages/papayapost/src/papayapost/traffic/owner.py
+++ b/packages/papayapost/src/papayapost/traffic/owner/admission.py
@@ -5,10 +5,15 @@
 from papayapost.membership import Directory
 from papayapost.observe import Event, Noted
 from papayapost.place import SelfRow
-from papayapost.traffic.claims_tables import ClaimSettled, ClaimVerdict
-from papayapost.traffic.concurrency import ConcurrencyLimit, ServiceTimes
+from papayapost.traffic.claims.messages import ClaimSettled, ClaimVerdict
 from papayapost.traffic.messages import AttemptCancel, AttemptOffer, RefusalCode
-from papayapost.traffic.owned import WaitingAttempts
+from papayapost.traffic.owner.concurrency import ConcurrencyLimit, ServiceTimes
+from papayapost.traffic.owner.queues import QueueDiscipline
+from papayapost.traffic.owner.replies import Replies
+from papayapost.traffic.owner.seen import Novelty, SeenAttempts
+from papayapost.traffic.owner.shares import SharesInForce
+from papayapost.traffic.owner.tables import OwnedRow, OwnedState, OwnerTables
+from papayapost.traffic.owner.waiting import WaitingAttempts
 from papayapost.traffic.owner_messages import (
     AttemptExpired,
     BackendCallBegun,
@@ -17,11 +22,6 @@
     BackendCallStart,
     DropOffer,
 )
-from papayapost.traffic.owner_tables import OwnedRow, OwnedState, OwnerTables
-from papayapost.traffic.queues import QueueDiscipline
-from papayapost.traffic.replies import Replies
-from papayapost.traffic.seen import Novelty, SeenAttempts
-from papayapost.traffic.shares import SharesInForce
 
 __all__ = ["AdmitAttempts"]
 
@@ -118,9 +118,8 @@
         if code is not None:
             self._replies.refuse(tick, offer, code, 0)
             return None
-        service_us = self._times.estimate_us(offer.rank, tick.now_us)
-        wait_us = self._expected_wait_us(offer, service_us)
-        if wait_us + service_us > offer.budget_us:
+        wait_us = self._expected_wait_us(tick, offer)
+        if wait_us + self._times.short_us(offer.rank, tick.now_us) > offer.budget_us:
             self._replies.refuse(tick, offer, RefusalCode.DEADLINE, wait_us)
             return None
         needs_claim = not offer.idempotent and offer.idempotency_key is not None
@@ -149,10 +148,11 @@
             return RefusalCode.QUEUE_FULL
         return None
 
-    def _expected_wait_us(self, offer: AttemptOffer, service_us: float) -> float:
+    def _expected_wait_us(self, tick: Tick, offer: AttemptOffer) -> float:
         tables = self._tables
         if not tables.waiting:
             return 0.0
+        service_us = self._times.mean_us(offer.rank, tick.now_us)
         return self._queue.expected_wait_us(offer.rank, service_us, tables.limit)
 
     def _settle_claim(self, tick: Tick, settled: ClaimSettled) -> None:
@@ -185,15 +185,14 @@
 
     def _start(self, tick: Tick, row: OwnedRow) -> None:
         offer = row.offer
-        service_us = self._times.estimate_us(offer.rank, tick.now_us)
         left_us = row.deadline_us - tick.now_us
-        if left_us <= 0 or left_us < service_us:
+        if left_us <= 0 or left_us < self._times.short_us(offer.rank, tick.now_us):
             self._tables.counters.expired += 1
-            self._waiting.refuse(tick, row, RefusalCode.DEADLINE, service_us)
+            self._waiting.refuse(tick, row, RefusalCode.DEADLINE, 0)
             return
         row.state = OwnedState.RUNNING
         row.started_us = tick.now_us
-        self._queue.started(row, service_us)
+        self._queue.started(row, self._times.mean_us(offer.rank, tick.now_us))
         self._tables.running += 1
         self._tables.running_by_rank[offer.rank] += 1
         self._tables.counters.started[offer.rank] += 1
