--- a/packages/papayapost-testing/src/papayapost_testing/bench/distribution.py
+++ b/packages/papayapost-testing/src/papayapost_testing/bench/distribution.py
@@ -1,6 +1,8 @@
 """Cost of rules versions on their way through the tree."""
 
+import gc
 import time
+import tracemalloc
 from collections.abc import Callable
 from statistics import median
 
@@ -67,6 +69,7 @@
         rows.extend(_cost_of_changes(rules, changes))
         rows.extend(_resume_and_swap(rules, changes))
         rows.append(_convergence(rules, changes))
+        rows.append(_memory(rules, changes))
     rows.append(_store_calls(changes))
     rows.extend(herd_rows(240 if short else 2_400))
     return rows
@@ -216,6 +219,19 @@
     return BenchRow("tick that swaps a version in", rules, value_us, "us")
 
 
+def _memory(rules: int, changes: int) -> BenchRow:
+    """Return what the rules take in a relay with its history, in bytes."""
+    tracemalloc.start()
+    node = _relay(rules, _CHILDREN)
+    for change in range(2, changes + 2):
+        node.tick(change * _CHANGE_EVERY_US, _delta(rules, change))
+    gc.collect()
+    held_bytes, _ = tracemalloc.get_traced_memory()
+    tracemalloc.stop()
+    assert node.part.rules.version == changes + 1
+    return BenchRow("memory of the rules in a relay", rules, held_bytes, "B", 64e6)
+
+
 def _convergence(rules: int, changes: int) -> BenchRow:
     """Add up the way of a change to a leaf at the design size.
 
--- a/packages/papayapost/src/papayapost/distribution/feed.py
+++ b/packages/papayapost/src/papayapost/distribution/feed.py
@@ -10,12 +10,13 @@
     RulesRequest,
 )
 from papayapost.distribution.tables import FeedRow, HistoryRow, RelayTables
-from papayapost.ids import Micros, RuleVersion
+from papayapost.ids import Micros, NodeId, RuleVersion
 from papayapost.kernel import System, Tick
 from papayapost.membership import (
     ChildAcknowledged,
     ChildJoined,
     ChildLeft,
+    ChildRow,
     TreeTables,
 )
 from papayapost.peering import PeerSend
@@ -102,22 +103,13 @@
     def run(self, tick: Tick) -> None:
         """Follow the children, then push and answer."""
         for joined in tick.take(ChildJoined):
-            child = joined.child
-            row = FeedRow(child.node_id, child.address, child.version)
-            self._relay.feeds.put(child.node_id, row)
-            self._note_acked(row, child.version)
+            self._add(joined.child)
         for left in tick.take(ChildLeft):
-            # A child that left and came back within one tick is still there.
-            if left.node_id not in self._tree.children:
-                self._relay.feeds.pop(left.node_id)
-                self._relay.behind.pop(left.node_id, None)
-        acked = [(p.sender, p.held_version) for p in tick.take(RulesProgress)]
+            self._remove(left.node_id)
+        for progress in tick.take(RulesProgress):
+            self._see_version(progress.sender, progress.held_version)
         for beat in tick.take(ChildAcknowledged):
-            acked.append((beat.child.node_id, beat.child.version))
-        for node_id, version in acked:
-            child_row = self._relay.feeds.get(node_id)
-            if child_row is not None:
-                self._note_acked(child_row, version)
+            self._see_version(beat.child.node_id, beat.child.version)
         if tick.take(RulesHeld):
             self._push_to_all(tick)
         for request in tick.take(RulesRequest):
@@ -127,6 +119,22 @@
             self._repush(tick)
         self._set_repush(tick)
 
+    def _add(self, child: ChildRow) -> None:
+        row = FeedRow(child.node_id, child.address, child.version)
+        self._relay.feeds.put(child.node_id, row)
+        self._note_acked(row, child.version)
+
+    def _remove(self, node_id: NodeId) -> None:
+        # A child that left and came back within one tick is still there.
+        if node_id not in self._tree.children:
+            self._relay.feeds.pop(node_id)
+            self._relay.behind.pop(node_id, None)
+
+    def _see_version(self, node_id: NodeId, version: RuleVersion) -> None:
+        row = self._relay.feeds.get(node_id)
+        if row is not None:
+            self._note_acked(row, version)
+
     def _note_acked(self, row: FeedRow, version: RuleVersion) -> None:
         row.acked = max(row.acked, version)
         row.is_fetching = False
--- a/packages/papayapost/src/papayapost/distribution/snapshots.py
+++ b/packages/papayapost/src/papayapost/distribution/snapshots.py
@@ -61,6 +61,8 @@
             transfer = self._begin(tick, request)
             if transfer is None:
                 return
+        if not 0 <= request.offset_bytes <= len(transfer.data):
+            return
         transfer.last_request_us = tick.now_us
         part_bytes = min(CHUNK_BYTES, len(transfer.data) - request.offset_bytes)
         start_us = max(tick.now_us, self._relay.next_chunk_us)
