--- a/packages/papayapost/src/papayapost/membership/seeking.py
+++ b/packages/papayapost/src/papayapost/membership/seeking.py
@@ -1,24 +1,23 @@
 """Finds a parent, and a better one where the present one is not fitting."""
 
-from collections.abc import Iterable, Iterator, Sequence
+from collections.abc import Sequence
 from dataclasses import dataclass
-from itertools import chain
 
-from papayapost.ids import Address, Micros, NodeId
+from papayapost.ids import Address, Micros
 from papayapost.kernel import System, Tick
+from papayapost.membership.candidates import Candidates
 from papayapost.membership.members import Members
-from papayapost.membership.messages import (
+from papayapost.membership.messages import DirectoryChanged, ParentChanged, ParentLost
+from papayapost.membership.peer_messages import (
     Announcement,
     Detach,
-    DirectoryChanged,
     JoinAccepted,
     JoinRedirected,
     JoinRequest,
-    ParentChanged,
-    ParentLost,
 )
 from papayapost.membership.ranking import order_of
-from papayapost.membership.tables import NEVER, ParentRow, SeekRow, TreeTables
+from papayapost.membership.tables import ParentRow, TreeTables
+from papayapost.membership.upkeep import NEVER, SeekRow
 from papayapost.observe import Event, Noted
 from papayapost.peering import PeerSend
 from papayapost.states import TreeState
@@ -32,7 +31,8 @@
 _BACKOFF_MIN_US = 500_000
 _BACKOFF_MAX_US = 15_000_000
 _CHECK_US = 10_000_000
-_ALONE_US = 20_000_000
+_ALONE_US = 60_000_000
+_HINTS_AFTER_US = 15_000_000
 _MAX_TRIES_PER_ROUND = 8
 _MAX_CONTACTS = 8
 _MAX_HINTS = 32
@@ -86,6 +86,7 @@
         self._directory_key = own_directory_key(members)
         self._is_seed = me.peer_address in seeds
         self._seeds = [seed for seed in seeds if seed != me.peer_address]
+        self._candidates = Candidates(members, tree, self._seeds)
 
     def run(self, tick: Tick) -> None:
         """Handle answers first, then begin or go on with a round."""
@@ -131,7 +132,7 @@
         seek, me = self._tree.seek, self._me
         seek.target = None
         if len(seek.tried) < _MAX_TRIES_PER_ROUND:
-            seek.target = next(self._untried(), None)
+            seek.target = next(self._candidates.untried(), None)
         if seek.target is None:
             self._end_round(tick)
             return
@@ -149,29 +150,6 @@
         due_us = Micros(tick.now_us + _ANSWER_TIMEOUT_US)
         tick.set_timer("seek answer", due_us, SeekTimedOut(seek.target))
 
-    def _untried(self) -> Iterator[Address]:
-        tree, seek = self._tree, self._tree.seek
-        sources: list[Iterable[Address]] = [seek.contacts, self._ranked()]
-        if tree.parent is None and (len(self._members.directory) == 1 or seek.rounds):
-            sources += [self._seeds, seek.hints]
-        for address in chain.from_iterable(sources):
-            if address not in seek.tried and address != self._me.peer_address:
-                yield address
-
-    def _ranked(self) -> list[Address]:
-        me, ranking = self._me, self._members.ranking
-        ranked = ranking.parents_for(me.node_id, me.place)
-        parent = self._tree.parent
-        if parent is not None:
-            ranked = [
-                other
-                for other in ranked
-                if other != parent.node_id
-                and ranking.is_proper(other, me.node_id, me.place)
-            ]
-        directory = self._members.directory
-        return [directory.require(other).peer_address for other in ranked]
-
     def _end_round(self, tick: Tick) -> None:
         tree, seek = self._tree, self._tree.seek
         seek.contacts.clear()
@@ -179,14 +157,26 @@
             if self._may_be_root(tick):
                 self._become_root(tick)
             if not seek.answers:
-                tick.emit(ReadObject(self._directory_key, HINTS_REQUEST))
+                self._read_hints(tick)
         seek.rounds += 1
         ceiling_us = _BACKOFF_MIN_US << min(seek.rounds, 6)
         self._schedule(tick, min(ceiling_us, _BACKOFF_MAX_US))
 
+    def _read_hints(self, tick: Tick) -> None:
+        """Read the stored directory, but not with a whole herd at once."""
+        seek = self._tree.seek
+        silent_us = tick.now_us - max(seek.since_us, seek.hinted_us)
+        if silent_us > _HINTS_AFTER_US + self._own_share(_HINTS_AFTER_US):
+            seek.hinted_us = tick.now_us
+            tick.emit(ReadObject(self._directory_key, HINTS_REQUEST))
+
+    def _own_share(self, span_us: int) -> int:
+        """Return a part of a span that differs from node to node."""
+        return order_of(self._me.node_id)[0] % span_us
+
     def _may_be_root(self, tick: Tick) -> bool:
         seek = self._tree.seek
-        ranked = self._ranked()
+        ranked = self._candidates.ranked()
         if seek.answers:
             return not ranked
         is_known = len(self._members.directory) > 1
@@ -196,7 +186,8 @@
             may_lead = me.node_id in ranking.relays(me.place.data_centre)
         else:
             may_lead = self._is_seed or not (self._seeds or seek.hints)
-        return may_lead or tick.now_us - seek.since_us > _ALONE_US
+        silent_us = tick.now_us - seek.since_us
+        return may_lead or silent_us > _ALONE_US + self._own_share(_ALONE_US)
 
     def _become_root(self, tick: Tick) -> None:
         if self._tree.state is TreeState.ROOT:
@@ -221,7 +212,7 @@
             parent_id = tree.parent.node_id
             if any(row.node_id == parent_id and row.is_gone for row in changed.rows):
                 self._lose_parent(tick, "it is gone")
-        elif tree.state is TreeState.ROOT and self._ranked():
+        elif tree.state is TreeState.ROOT and self._candidates.ranked():
             tick.set_timer("seek", self._soon(tick), SeekDue())
 
     def _see_acceptance(self, tick: Tick, accepted: JoinAccepted) -> None:
@@ -257,8 +248,9 @@
         if seek.target != redirected.reply_to:
             return
         seek.answers += 1
+        seek.since_us = tick.now_us
         for contact in redirected.contacts[:_MAX_CONTACTS]:
-            if self._is_useful(contact.node_id):
+            if order_of(contact.node_id) < order_of(self._me.node_id):
                 seek.contacts.append(contact.address)
         while len(seek.contacts) > _MAX_CONTACTS:
             seek.contacts.popleft()
@@ -271,9 +263,6 @@
             return
         self._ask_next(tick)
 
-    def _is_useful(self, node_id: NodeId) -> bool:
-        return order_of(node_id) < order_of(self._me.node_id)
-
     def _see_hints(self, tick: Tick, seen: ObjectSeen) -> None:
         rows = getattr(seen.value, "rows", ())
         live = [row.peer_address for row in rows if not row.is_gone]
