--- a/packages/papayapost-node/src/papayapost_node/exchange/caller_side.py
+++ b/packages/papayapost-node/src/papayapost_node/exchange/caller_side.py
@@ -3,11 +3,10 @@
 import itertools
 from collections.abc import Callable
 
-from papayapost.ids import AttemptId, CallId, IdempotencyKey, Micros, NodeId
+from papayapost.ids import AttemptId, CallId, NodeId
 from papayapost.kernel import Table
 from papayapost.states import Outcome
 from papayapost.traffic import (
-    CallArrived,
     CallerGone,
     CallRefusal,
     CutAnswer,
@@ -18,20 +17,22 @@
     RefusalCode,
 )
 from papayapost_node.exchange.answers import AnswerForwarding
+from papayapost_node.exchange.arrivals import arrival_of
 from papayapost_node.exchange.call_header import call_header
 from papayapost_node.exchange.couriers import Courier
+from papayapost_node.exchange.inlet import BodyInlet
 from papayapost_node.exchange.outlet import BodyOutlet
 from papayapost_node.exchange.tables import CallerRow, OfferedRow
-from papayapost_node.exchange.windows import ReceiveWindow, SendWindow, WindowBudget
+from papayapost_node.exchange.windows import SendWindow, WindowBudget
 from papayapost_node.http import (
     Headers,
     HttpRequest,
     RequestHandler,
     ServerExchange,
-    content_length,
     forwardable,
 )
 from papayapost_node.wire import (
+    AnswerCredit,
     OfferCarrier,
     RequestCredit,
     RequestHead,
@@ -71,9 +72,7 @@
         self._call_ids = itertools.count(1)
         self._calls: Table[CallId, CallerRow] = Table("caller exchanges")
         self._attempts: Table[AttemptId, OfferedRow] = Table("offered attempts")
-        self.answers = AnswerForwarding(
-            node_id, courier, post, self._attempts, self._finish
-        )
+        self.answers = AnswerForwarding(node_id, post, self._attempts, self._finish)
 
     @property
     def open_calls(self) -> int:
@@ -108,10 +107,8 @@
     def body_received(self, exchange: ServerExchange, data: bytes) -> None:
         """Hold the first bytes of a body, and stream the others."""
         call: CallerRow = exchange.context
-        if call.is_streamed:
-            upload = call.attempts[-1].upload
-            if upload is not None:
-                upload.add(data)
+        if call.upload is not None:
+            call.upload.add(data)
             return
         call.request.body += data
         if not call.is_dispatched and len(call.request.body) >= _MAX_HELD_BYTES:
@@ -125,10 +122,8 @@
         call.trailers = forwardable(trailers)
         if not call.is_dispatched:
             self._dispatch(call)
-        elif call.is_streamed:
-            upload = call.attempts[-1].upload
-            if upload is not None:
-                upload.end(call.trailers)
+        elif call.upload is not None:
+            call.upload.end(call.trailers)
 
     def answer_writable(self, exchange: ServerExchange) -> None:
         """Grant the owner credit for what the caller has taken."""
@@ -146,33 +141,25 @@
     def _dispatch(self, call: CallerRow) -> None:
         call.is_dispatched = True
         request = call.request
-        headers = dict(request.headers)
+        self._post(arrival_of(call.call_id, request, call.is_body_over))
         request.headers = forwardable(request.headers)
-        host = headers.get(b"host", b"").decode("latin-1").partition(":")[0].lower()
-        key = headers.get(b"idempotency-key")
-        whole_bytes = len(request.body) if call.is_body_over else None
-        self._post(
-            CallArrived(
-                call.call_id,
-                request.method,
-                host,
-                request.target.partition("?")[0],
-                _budget_us(headers),
-                IdempotencyKey(key.decode("latin-1")) if key else None,
-                content_length(request.headers) if whole_bytes is None else whole_bytes,
-            )
-        )
 
     def _offer(self, effect: OfferSend) -> None:
         call = self._calls.get(effect.call_id)
         if call is None:
             return
-        if call.is_streamed:
+        if call.upload is not None:
             self._fail(call)
             return
         attempt_id = effect.offer.attempt_id
-        window = ReceiveWindow(self._budget.open())
-        attempt = OfferedRow(attempt_id, effect.address, call, window)
+        address = effect.address
+
+        def grant(size_bytes: int) -> None:
+            credit = AnswerCredit(self._node_id, attempt_id, size_bytes)
+            self._courier.deliver(address, credit)
+
+        inlet = BodyInlet(self._budget, grant)
+        attempt = OfferedRow(attempt_id, address, call, inlet)
         is_ended = call.is_body_over and not call.trailers
         if not is_ended:
             attempt.upload = self._upload_of(attempt)
@@ -185,7 +172,7 @@
             RequestHead(request.method, request.target, request.headers),
             request.body,
             is_ended,
-            window.size_bytes,
+            inlet.size_bytes,
         )
 
         def undelivered() -> None:
@@ -218,15 +205,16 @@
         if attempt is None or attempt.upload is None:
             return
         call = attempt.call
-        is_first = not call.is_streamed
-        call.is_streamed = True
-        attempt.upload.grant(credit.size_bytes)
-        if not is_first:
-            return
-        if call.is_body_over:
-            attempt.upload.end(call.trailers)
-        else:
-            call.exchange.resume_body()
+        if call.upload is None:
+            call.upload = attempt.upload
+            call.upload.grant(credit.size_bytes)
+            if call.is_body_over:
+                call.upload.end(call.trailers)
+            else:
+                call.exchange.resume_body()
+        elif call.upload is attempt.upload:
+            call.upload.grant(credit.size_bytes)
+        # Another attempt has the body already; this one gets none and ends.
 
     def _refuse(self, effect: CallRefusal) -> None:
         call = self._calls.get(effect.call_id)
@@ -272,12 +260,12 @@
             call.stall.close()
         for attempt in call.attempts:
             self._forget(attempt)
+        # The rows point at each other; without these the collector would
+        # have to find them.
+        call.attempts.clear()
+        call.answering = call.upload = None
+        call.exchange.context = None
 
     def _forget(self, attempt: OfferedRow) -> None:
         if self._attempts.pop(attempt.attempt_id) is not None:
-            self._budget.close(attempt.window.size_bytes)
-
-
-def _budget_us(headers: dict[bytes, bytes]) -> Micros | None:
-    text = headers.get(b"papayapost-timeout-ms", b"")
-    return Micros(int(text) * 1000) if text.isdigit() and len(text) < 10 else None
+            attempt.inlet.close()
--- a/packages/papayapost-node/src/papayapost_node/exchange/tables.py
+++ b/packages/papayapost-node/src/papayapost_node/exchange/tables.py
@@ -5,8 +5,8 @@
 
 from papayapost.ids import Address, AttemptId, CallId
 from papayapost_node.deadline import Deadline
+from papayapost_node.exchange.inlet import BodyInlet
 from papayapost_node.exchange.outlet import BodyOutlet
-from papayapost_node.exchange.windows import ReceiveWindow
 from papayapost_node.http import Headers, HttpRequest, ServerExchange
 from papayapost_node.wire import AnswerCarrier, AnswerPart
 
@@ -23,9 +23,9 @@
         The head, and the body as far as it is held for a further attempt.
     is_body_over
         Whether the whole body has arrived.
-    is_streamed
-        Whether body beyond the held part has left, so that the request
-        cannot be offered again.
+    upload
+        The way of the body beyond the held part, once an attempt has asked
+        for it; the request cannot be offered again from then on.
     answering
         The attempt whose answer the caller gets, once there is one.
     """
@@ -35,7 +35,7 @@
     request: HttpRequest
     is_body_over: bool = False
     is_dispatched: bool = False
-    is_streamed: bool = False
+    upload: BodyOutlet | None = None
     trailers: Headers = field(default_factory=list)
     attempts: list["OfferedRow"] = field(default_factory=list)
     answering: "OfferedRow | None" = None
@@ -54,18 +54,15 @@
         Parts of the answer that arrived before it was chosen.
     body_bytes
         Body that arrived after the head.
-    unread_bytes
-        Body handed to the connection that the caller has not taken yet.
     """
 
     attempt_id: AttemptId
     address: Address
     call: CallerRow
-    window: ReceiveWindow
+    inlet: BodyInlet
     upload: BodyOutlet | None = None
     head: AnswerCarrier | None = None
     held: deque[AnswerPart] = field(default_factory=deque)
-    unread_bytes: int = 0
     body_bytes: int = 0
 
 
--- a/packages/papayapost-node/src/papayapost_node/http/server_connection.py
+++ b/packages/papayapost-node/src/papayapost_node/http/server_connection.py
@@ -3,117 +3,25 @@
 from __future__ import annotations
 
 import asyncio
-from abc import ABC, abstractmethod
-from typing import TYPE_CHECKING, Any
+from typing import TYPE_CHECKING
 
 import h11
 
-from papayapost_node.deadline import Deadline
-from papayapost_node.http.headers import content_length
+from papayapost_node.http.exchange import NO_HEADERS, ServerExchange
+from papayapost_node.http.framing import AnswerFraming
+from papayapost_node.http.heads import refusal_status
 from papayapost_node.http.messages import Headers
+from papayapost_node.http.pace import Pace
 
 if TYPE_CHECKING:
     from papayapost_node.http.server import StreamingServer
 
-__all__ = ["RequestHandler", "ServerConnection", "ServerExchange"]
+__all__ = ["ServerConnection"]
 
 _WRITE_BUFFER_BYTES = 64 << 10
 _LINGER_S = 1.0
-_NO_HEADERS: Headers = []
-
-
-class RequestHandler(ABC):
-    """Takes requests as they arrive, in pieces."""
-
-    @abstractmethod
-    def request_begun(self, exchange: ServerExchange) -> None:
-        """Take a request's head."""
-
-    @abstractmethod
-    def body_received(self, exchange: ServerExchange, data: bytes) -> None:
-        """Take a piece of the request's body."""
-
-    @abstractmethod
-    def body_ended(self, exchange: ServerExchange, trailers: Headers) -> None:
-        """Note that the request's body is whole."""
-
-    @abstractmethod
-    def answer_writable(self, exchange: ServerExchange) -> None:
-        """Note that a caller who fell behind has caught up."""
-
-    @abstractmethod
-    def caller_gone(self, exchange: ServerExchange) -> None:
-        """Note that the connection ended before the answer did."""
-
-
-class ServerExchange:
-    """One request and its answer on a connection.
-
-    Attributes
-    ----------
-    body_bytes
-        Length of the request's body, or None if it is not known yet.
-    waits_for_continue
-        Whether the caller sends the body only after ``100 Continue``.
-    is_writable
-        False while the caller takes the answer more slowly than it comes.
-    context
-        What the handler keeps with the exchange.
-    """
-
-    __slots__ = (
-        "body_bytes",
-        "connection",
-        "context",
-        "headers",
-        "is_writable",
-        "method",
-        "target",
-        "waits_for_continue",
-    )
-
-    def __init__(self, connection: ServerConnection, head: h11.Request, waits: bool):
-        self.connection = connection
-        self.method = head.method.decode("ascii")
-        self.target = head.target.decode("ascii")
-        self.headers: Headers = list(head.headers)
-        self.body_bytes = _body_bytes(self.headers)
-        self.waits_for_continue = waits
-        self.is_writable = True
-        self.context: Any = None
-
-    def begin(
-        self,
-        status: int,
-        headers: Headers,
-        data: bytes = b"",
-        is_ended: bool = False,
-        trailers: Headers = _NO_HEADERS,
-    ) -> None:
-        """Send the answer's head with what there is of its body."""
-        self.connection.begin(self, status, headers, data, is_ended, trailers)
-
-    def send(
-        self, data: bytes, is_ended: bool = False, trailers: Headers = _NO_HEADERS
-    ) -> None:
-        """Send a further piece of the answer's body."""
-        self.connection.send(self, data, is_ended, trailers)
-
-    def inform(self, status: int, headers: Headers) -> None:
-        """Send an informational answer ahead of the final one."""
-        self.connection.inform(self, status, headers)
-
-    def cut_short(self) -> None:
-        """End an answer that cannot be completed, visibly so."""
-        self.connection.cut_short(self)
-
-    def pause_body(self) -> None:
-        """Take no more of the request's body for now."""
-        self.connection.pause_body(self)
-
-    def resume_body(self) -> None:
-        """Take more of the request's body."""
-        self.connection.resume_body(self)
+_DRAIN_IDLE_S = 2.0
+_REQUEST_TIMEOUT = 408
 
 
 class ServerConnection(asyncio.BufferedProtocol):
@@ -125,17 +33,15 @@
         self._http = h11.Connection(
             h11.SERVER, max_incomplete_event_size=server.limits.head_bytes
         )
+        self._framing = AnswerFraming(self._http)
         self._transport: asyncio.Transport | None = None
         self._exchange: ServerExchange | None = None
         self._is_paused = False
         self._is_pumping = False
         self._is_body_over = True
-        self._is_unframed = False
         self._is_closing = False
-        self._received_bytes = 0
-        self._sent_bytes = 0
-        self._paced_bytes = 0
-        self._deadline = Deadline(asyncio.get_running_loop(), self._on_deadline)
+        self._is_writable = True
+        self._pace = Pace(server.limits, self._on_late)
 
     def connection_made(self, transport) -> None:
         """Take the connection, unless there are too many."""
@@ -144,12 +50,12 @@
             transport.abort()
             return
         transport.set_write_buffer_limits(high=_WRITE_BUFFER_BYTES)
-        self._deadline.set_in(self._limits.head_timeout_ms / 1000)
+        self._pace.connected(transport)
 
     def connection_lost(self, error) -> None:
         """Tell the handler if its exchange is not over."""
         self._transport = None
-        self._deadline.close()
+        self._pace.close()
         self._server.forget(self)
         exchange, self._exchange = self._exchange, None
         if exchange is not None:
@@ -172,27 +78,30 @@
         if self._is_closing:
             return
         if self._exchange is None:
-            if not self._received_bytes:
-                self._deadline.set_in(self._limits.head_timeout_ms / 1000)
+            if not self._pace.received_bytes:
+                self._pace.expect_head()
         elif self._is_body_over and self._http.trailing_data[0]:
             # A pipelined request waits for this answer; reading further
             # would let a caller fill this node's memory.
             self._pause_reading()
-        self._received_bytes += len(data)
+        self._pace.received_bytes += len(data)
         self._http.receive_data(data)
         self._server.batch.begin()
-        self._pump()
-        self._server.batch.end()
+        try:
+            self._pump()
+        finally:
+            self._server.batch.end()
 
     def pause_writing(self) -> None:
         """Note that the caller falls behind."""
-        exchange = self._exchange
-        if exchange is not None:
-            exchange.is_writable = False
-        self._set_pace()
+        self._is_writable = False
+        if self._exchange is not None:
+            self._exchange.is_writable = False
+        self._pace.expect_body()
 
     def resume_writing(self) -> None:
         """Note that the caller has caught up."""
+        self._is_writable = True
         exchange = self._exchange
         if exchange is not None:
             exchange.is_writable = True
@@ -212,38 +121,41 @@
             return
         if self._server.is_draining:
             headers = [*headers, (b"connection", b"close")]
-        is_framed = any(name == b"content-length" for name, _ in headers)
-        is_old = self._http.their_http_version == b"1.0"
-        self._is_unframed = is_old and not is_framed
         try:
-            head = h11.Response(status_code=status, headers=headers)
-            parts = [self._http.send(head)]
+            out = self._framing.head(status, headers)
+            out += self._framing.body(data, is_ended, trailers)
         except h11.LocalProtocolError:
             self.cut_short(exchange)
             return
-        self._write(parts, data, is_ended, _NO_HEADERS if is_framed else trailers)
+        self._write(out, is_ended)
 
     def send(
         self, exchange: ServerExchange, data: bytes, is_ended: bool, trailers: Headers
     ) -> None:
         """Send a further piece of an answer's body."""
-        if exchange is self._exchange:
-            self._write([], data, is_ended, trailers)
+        if exchange is not self._exchange:
+            return
+        try:
+            out = self._framing.body(data, is_ended, trailers)
+        except h11.LocalProtocolError:
+            # More or less body than the head promised: the caller must not
+            # take it for whole.
+            self.cut_short(exchange)
+            return
+        self._write(out, is_ended)
 
     def inform(self, exchange: ServerExchange, status: int, headers: Headers) -> None:
         """Send an informational answer, if the caller knows of such."""
-        if exchange is not self._exchange or self._http.their_http_version == b"1.0":
-            return
-        if self._http.our_state is h11.SEND_RESPONSE and self._transport:
-            event = h11.InformationalResponse(status_code=status, headers=headers)
-            self._transport.write(self._http.send(event) or b"")
+        is_current = exchange is self._exchange and self._transport is not None
+        if is_current and self._framing.can_inform:
+            self._write(self._framing.informational(status, headers), False)
 
     def cut_short(self, exchange: ServerExchange) -> None:
         """Close before the promised length or the last chunk."""
         if exchange is not self._exchange or self._transport is None:
             return
         self._exchange = None
-        if self._is_unframed:
+        if self._framing.is_unframed:
             # Only a reset tells this caller that more was to come.
             self._transport.abort()
         else:
@@ -260,14 +172,18 @@
             return
         if exchange.waits_for_continue:
             exchange.waits_for_continue = False
-            self.inform(exchange, 100, _NO_HEADERS)
-        self._set_pace()
+            self.inform(exchange, 100, NO_HEADERS)
+        self._pace.expect_body()
         self._resume_reading()
 
     def drain(self) -> None:
-        """Close now if idle, else after the current answer."""
-        if self._exchange is None and not self._received_bytes:
-            self.close()
+        """Close soon if idle, else after the current answer.
+
+        A request that is on its way to an idle connection would be cut by a
+        close at once.
+        """
+        if self._exchange is None and not self._pace.received_bytes:
+            self._pace.expect_within(_DRAIN_IDLE_S)
 
     def close(self) -> None:
         """Close once what is written has left."""
@@ -279,22 +195,8 @@
         if self._transport is not None:
             self._transport.abort()
 
-    def _write(
-        self, parts: list, data: bytes, is_ended: bool, trailers: Headers
-    ) -> None:
-        try:
-            if data:
-                parts.append(self._http.send(h11.Data(data=data)))
-            if is_ended:
-                parts.append(self._http.send(h11.EndOfMessage(headers=trailers)))
-        except h11.LocalProtocolError:
-            # More or less body than the head promised: the caller must not
-            # take it for whole.
-            if self._exchange is not None:
-                self.cut_short(self._exchange)
-            return
-        out = b"".join([part for part in parts if part])
-        self._sent_bytes += len(out)
+    def _write(self, out: bytes, is_ended: bool) -> None:
+        self._pace.sent(len(out))
         if self._transport is not None and out:
             self._transport.write(out)
         if is_ended:
@@ -310,13 +212,14 @@
             return
         self._http.start_next_cycle()
         # Bytes that already wait are the head of a pipelined request.
-        self._received_bytes = len(self._http.trailing_data[0])
-        is_head_begun = self._received_bytes > 0
-        limits = self._limits
-        timeout_ms = limits.head_timeout_ms if is_head_begun else limits.idle_timeout_ms
-        self._deadline.set_in(timeout_ms / 1000)
-        if is_head_begun or self._is_paused:
+        self._pace.received_bytes = len(self._http.trailing_data[0])
+        if self._pace.received_bytes:
+            self._pace.expect_head()
             self._resume_reading()
+        else:
+            self._pace.expect_request()
+            if self._is_paused:
+                self._resume_reading()
 
     def _close_soon(self) -> None:
         """Close for writing first, so that no reset overtakes the answer."""
@@ -327,9 +230,9 @@
             transport.write_eof()
         self._is_closing = self._is_paused = True
         if transport.get_write_buffer_size():
-            self._set_pace()
+            self._pace.expect_body()
         else:
-            self._deadline.set_in(_LINGER_S)
+            self._pace.expect_within(_LINGER_S)
 
     def _pause_reading(self) -> None:
         if not self._is_paused and self._transport is not None:
@@ -363,7 +266,10 @@
             return True
         if type(event) is h11.EndOfMessage:
             self._is_body_over = True
-            self._deadline.clear()
+            if self._is_writable:
+                self._pace.expect_nothing()
+            else:
+                self._pace.expect_body()
             if self._exchange is not None:
                 handler.body_ended(self._exchange, list(event.headers))
             # A pipelined request waits for this one's answer.
@@ -373,15 +279,17 @@
         return False
 
     def _begin_request(self, head: h11.Request) -> bool:
-        status = _refusal_status(head, self._limits.head_bytes)
+        status = refusal_status(head, self._limits.head_bytes)
         if status is not None:
             self._refuse(status)
             return False
         waits = self._http.they_are_waiting_for_100_continue
         self._is_body_over = False
         self._exchange = ServerExchange(self, head, waits)
+        # The caller may not have read the answer before this one yet.
+        self._exchange.is_writable = self._is_writable
         if self._exchange.body_bytes != 0:
-            self._set_pace()
+            self._pace.expect_body()
         self._server.handler.request_begun(self._exchange)
         return True
 
@@ -392,31 +300,21 @@
             self._server.handler.caller_gone(exchange)
         if self._transport is None:
             return
-        if self._http.our_state in (h11.IDLE, h11.SEND_RESPONSE):
-            headers = [(b"content-length", b"0"), (b"connection", b"close")]
-            head = h11.Response(status_code=status, headers=headers)
-            self._transport.write(self._http.send(head) or b"")
+        if self._framing.can_refuse:
+            self._transport.write(self._framing.refusal(status))
         self._close_soon()
 
-    def _set_pace(self) -> None:
-        self._paced_bytes = self._moved_bytes()
-        self._deadline.set_in(self._limits.pace_timeout_ms / 1000)
-
-    def _moved_bytes(self) -> int:
-        waiting = self._transport.get_write_buffer_size() if self._transport else 0
-        return self._received_bytes + self._sent_bytes - waiting
-
-    def _on_deadline(self) -> None:
+    def _on_late(self) -> None:
         exchange = self._exchange
         if self._is_closing:
             self._expire_closing()
         elif exchange is None:
             self._expire_idle()
         elif not exchange.is_writable or self._waits_for_body():
-            if self._moved_bytes() - self._paced_bytes >= self._limits.pace_bytes:
-                self._set_pace()
+            if self._pace.is_kept():
+                self._pace.expect_body()
             elif exchange.is_writable:
-                self._refuse(408)
+                self._refuse(_REQUEST_TIMEOUT)
             else:
                 self.abort()
 
@@ -424,30 +322,14 @@
         return not self._is_body_over and not self._is_paused
 
     def _expire_closing(self) -> None:
-        if self._moved_bytes() - self._paced_bytes >= self._limits.pace_bytes:
-            self._set_pace()
+        if self._pace.is_kept():
+            self._pace.expect_body()
         else:
             self.abort()
 
     def _expire_idle(self) -> None:
         is_answered = self._http.our_state is not h11.IDLE
-        if is_answered or not self._received_bytes:
+        if is_answered or not self._pace.received_bytes:
             self.abort()
         else:
-            self._refuse(408)
-
-
-def _body_bytes(headers: Headers) -> int | None:
-    if any(name == b"transfer-encoding" for name, _ in headers):
-        return None
-    return content_length(headers) or 0
-
-
-def _refusal_status(head: h11.Request, limit_bytes: int) -> int | None:
-    if not head.http_version.startswith(b"1."):
-        return 505
-    names = [name for name, _ in head.headers]
-    if b"content-length" in names and b"transfer-encoding" in names:
-        return 400
-    size = len(head.target) + sum(len(n) + len(v) + 4 for n, v in head.headers)
-    return 431 if size > limit_bytes else None
+            self._refuse(_REQUEST_TIMEOUT)
--- a/packages/papayapost-node/src/papayapost_node/http/whole.py
+++ b/packages/papayapost-node/src/papayapost_node/http/whole.py
@@ -4,15 +4,12 @@
 from dataclasses import dataclass
 
 from papayapost.ids import Address
+from papayapost_node.http.exchange import RequestHandler, ServerExchange
 from papayapost_node.http.headers import forwardable
 from papayapost_node.http.limits import HttpLimits
 from papayapost_node.http.messages import Headers, HttpAnswer, HttpRequest
 from papayapost_node.http.server import StreamingServer
-from papayapost_node.http.server_connection import (
-    RequestHandler,
-    ServerConnection,
-    ServerExchange,
-)
+from papayapost_node.http.server_connection import ServerConnection
 
 __all__ = ["HttpServer", "ServerCall"]
 
@@ -76,6 +73,10 @@
         """
         await self._server.start()
 
+    def drain(self) -> None:
+        """Accept nothing new; close each connection after its answer."""
+        self._server.drain()
+
     async def close(self) -> None:
         """Stop listening and close all connections."""
         await self._server.close()
