Name the owner's process in every offer

Cause: the model check found a second run: a late copy of an offer that a former process of the owner had refused as not run could start in its successor, while the call had gone on elsewhere. Ruled out: relying on the transport alone, which hands a frame to one process but is outside the decisions. Change: offers carry the owner's incarnation; a successor answers one that is not idempotent as "may have run", and runs the others. Measured: the new test fails without the check (the charge starts) and passes with it. Conclusion: a charge that meets a restart ends as unknown at once instead of running; a repeat with its key is guarded by the claim.

--- a/packages/papayapost/src/papayapost/traffic/entry/offers.py
+++ b/packages/papayapost/src/papayapost/traffic/entry/offers.py
@@ -173,6 +173,7 @@
             self._sequence,
             arrived.content_bytes,
             tuple(call.refused),
+            upstream.incarnation,
         )
 
 
--- a/packages/papayapost/src/papayapost/traffic/messages.py
+++ b/packages/papayapost/src/papayapost/traffic/messages.py
@@ -171,6 +171,9 @@
         owner tells a replay by them.
     content_bytes
         Length of the body, or None if the caller did not say.
+    owner_incarnation
+        Of the owner's process that the offer is meant for; another process
+        runs it only where running twice does no harm.
     refused_attempts
         Earlier attempts of the same call that were refused as not run; this
         attempt may take over what they claimed.
@@ -189,6 +192,7 @@
     sequence: int = 0
     content_bytes: int | None = 0
     refused_attempts: tuple[AttemptId, ...] = ()
+    owner_incarnation: Incarnation = NO_INCARNATION
 
 
 @dataclass(slots=True)
--- a/packages/papayapost/src/papayapost/traffic/owner/admission.py
+++ b/packages/papayapost/src/papayapost/traffic/owner/admission.py
@@ -6,7 +6,12 @@
 from papayapost.observe import Event, Noted
 from papayapost.place import SelfRow
 from papayapost.traffic.claims.messages import ClaimSettled, ClaimVerdict
-from papayapost.traffic.messages import AttemptCancel, AttemptOffer, RefusalCode
+from papayapost.traffic.messages import (
+    NO_INCARNATION,
+    AttemptCancel,
+    AttemptOffer,
+    RefusalCode,
+)
 from papayapost.traffic.owner.concurrency import ConcurrencyLimit, ServiceTimes
 from papayapost.traffic.owner.queues import QueueDiscipline
 from papayapost.traffic.owner.replies import Replies
@@ -90,6 +95,9 @@
 
     def _receive(self, tick: Tick, offer: AttemptOffer) -> OwnedRow | None:
         """Admit an offer to the queue, or decide on it at once."""
+        if self._is_for_another_process(offer):
+            self._fail(tick, offer)
+            return None
         novelty = self._seen.classify(offer)
         if novelty is Novelty.NEW:
             return self._admit(tick, offer)
@@ -102,6 +110,24 @@
             self._replies.refuse(tick, offer, RefusalCode.STALE_EPOCH, 0)
         return None
 
+    def _is_for_another_process(self, offer: AttemptOffer) -> bool:
+        # A former process of this node may have refused this very offer as
+        # not run, whereupon the call went on elsewhere: if a late copy ran
+        # here, the call would run twice.
+        meant_for = offer.owner_incarnation
+        is_other = meant_for not in (NO_INCARNATION, self._me.incarnation)
+        return is_other and not offer.idempotent
+
+    def _fail(self, tick: Tick, offer: AttemptOffer) -> None:
+        self._tables.counters.misdirected += 1
+        tick.emit(
+            Noted(
+                Event.OFFER_MISDIRECTED, attempt_id=offer.attempt_id, peer=offer.sender
+            )
+        )
+        tick.emit(DropOffer(offer.attempt_id))
+        self._replies.fail(tick, offer)
+
     def _drop_replay(self, tick: Tick, offer: AttemptOffer) -> None:
         """Say nothing of a repeated offer: the first one may have run."""
         self._tables.counters.replayed += 1
--- a/packages/papayapost/src/papayapost/traffic/owner/tables.py
+++ b/packages/papayapost/src/papayapost/traffic/owner/tables.py
@@ -70,6 +70,7 @@
     evicted: int = 0
     expired: int = 0
     replayed: int = 0
+    misdirected: int = 0
     stale_epochs: int = 0
     duplicates: int = 0
     offers_after_grace: int = 0
--- a/packages/papayapost/tests/traffic/test_admission.py
+++ b/packages/papayapost/tests/traffic/test_admission.py
@@ -1,6 +1,6 @@
 import pytest
 
-from papayapost.ids import ConnectionEpoch, Incarnation, Micros
+from papayapost.ids import ConnectionEpoch, Incarnation, Micros, NodeId
 from papayapost.states import Rank
 from papayapost.traffic import (
     AttemptFailed,
@@ -231,3 +231,19 @@
     assert [m.attempt_id for m in told(effects, AttemptFailed)] == [sent.attempt_id]
     effects = owner.tick(BackendCallEnded(unsent.attempt_id, False, False))
     assert refusals(effects) == {unsent.attempt_id: RefusalCode.UNREACHABLE}
+
+
+def test_an_offer_to_a_former_process_runs_only_where_twice_does_no_harm():
+    owner = Owner()
+    own = owner.node.directory.require(NodeId("owner"))
+    former = Incarnation(own.incarnation - 1)
+    charge = owner.offer(idempotent=False, owner_incarnation=former)
+    effects = owner.tick(charge)
+    assert DropOffer(charge.attempt_id) in effects
+    assert [m.attempt_id for m in told(effects, AttemptFailed)] == [charge.attempt_id]
+    assert not refusals(effects)
+    assert not started(effects)
+    lookup = owner.offer(owner_incarnation=former)
+    assert started(owner.tick(lookup)) == [lookup.attempt_id]
+    meant = owner.offer(idempotent=False, owner_incarnation=Incarnation(former + 1))
+    assert started(owner.tick(meant)) == [meant.attempt_id]
