--- a/packages/papayapost-node/src/papayapost_node/http/headers.py
+++ b/packages/papayapost-node/src/papayapost_node/http/headers.py
@@ -70,8 +70,10 @@
 
     Examples
     --------
-    >>> framing_of([], 5, True), framing_of([], 5, False), framing_of([], 0, True)
-    ([(b'content-length', b'5')], [(b'transfer-encoding', b'chunked')], [])
+    >>> framing_of([], 5, True), framing_of([], 0, True)
+    ([(b'content-length', b'5')], [])
+    >>> framing_of([], 5, False)
+    [(b'transfer-encoding', b'chunked')]
     """
     if content_length(headers) is not None:
         return []
