--- a/packages/papayapost-testing/src/papayapost_testing/bench/rules.py
+++ b/packages/papayapost-testing/src/papayapost_testing/bench/rules.py
@@ -43,6 +43,7 @@
         text = _text_of(size)
         whole_ms = _compile_ms(text, None, repetitions)
         rows.append(BenchRow("compilation of a text, lines", size, whole_ms, "ms"))
+        rows.append(BenchRow("size of a text, lines", size, len(text.encode()), "B"))
         rest = text.partition("\n")[2]
         line = "route GET /new -> gusts # Mei: wind desk\n"
         for name, edited in (("changed", line + rest), ("added", line + text)):
--- /dev/null
+++ b/packages/papayapost-testing/src/papayapost_testing/capacity/__init__.py
@@ -0,0 +1,1 @@
+"""Works out docs/CAPACITY.md from the benchmarks' results."""
--- /dev/null
+++ b/packages/papayapost-testing/src/papayapost_testing/capacity/page.py
@@ -0,0 +1,67 @@
+"""Puts the tables into the page of capacity."""
+
+from collections.abc import Sequence
+from pathlib import Path
+
+from papayapost_testing.capacity.roles import RoleRow
+from papayapost_testing.capacity.verdicts import VerdictRow
+
+__all__ = ["replace_tables", "roles_table", "verdicts_table"]
+
+
+def roles_table(rows: Sequence[RoleRow]) -> str:
+    """Return the roles as a Markdown table."""
+    lines = [
+        "| role | state | messages/s | bytes/s | % of a core | MB "
+        "| mechanism | bench |",
+        "| --- | --- | --- | --- | --- | --- | --- | --- |",
+    ]
+    for row in rows:
+        lines.append(
+            f"| {row.role} | {row.state} | {row.messages_per_s:.1f} | "
+            f"{row.bytes_per_s:,.0f} | {row.core_percent:.2f} | "
+            f"{row.memory_mb:.1f} | {row.mechanism} | {row.benches} |"
+        )
+    return "\n".join(lines)
+
+
+def verdicts_table(rows: Sequence[VerdictRow]) -> str:
+    """Return the budgets as a Markdown table."""
+    lines = [
+        "| budget | limit | reached | verdict | bench |",
+        "| --- | --- | --- | --- | --- |",
+    ]
+    for row in rows:
+        lines.append(
+            f"| {row.budget} | {row.limit:,.2f} {row.unit} | {row.reached:,.2f} | "
+            f"{row.verdict} | {row.source} |"
+        )
+    return "\n".join(lines)
+
+
+def replace_tables(path: Path, tables: dict[str, str]) -> None:
+    """Replace the tables between their markers.
+
+    Parameters
+    ----------
+    tables
+        By the name in ``<!-- table NAME -->`` and ``<!-- end NAME -->``.
+
+    Raises
+    ------
+    ValueError
+        If the page has no such markers.
+    """
+    text = path.read_text()
+    for name, table in tables.items():
+        begin, end = f"<!-- table {name} -->", f"<!-- end {name} -->"
+        count = text.count(begin) * text.count(end)
+        if count != 1:
+            raise ValueError(
+                f"{path} has {count} places for table {name!r}; put "
+                f"{begin!r} and {end!r} into it once"
+            )
+        before, _, rest = text.partition(begin)
+        _, _, after = rest.partition(end)
+        text = f"{before}{begin}\n{table}\n{end}{after}"
+    path.write_text(text)
