Compare the exposed version with the one the store gave

Change: it compares with the version of its own update. Conclusion: the check is as strict and no longer depends on the order.

--- a/packages/papayapost-testing/tests/test_whole_path.py
+++ b/packages/papayapost-testing/tests/test_whole_path.py
@@ -62,6 +62,7 @@
     unknown: HttpAnswer
     metrics: str
     timelines: list[TimelineReport]
+    version: int
 
 
 async def serve_one_rule() -> Served:
@@ -80,7 +81,7 @@
     for node in nodes:
         await node.start()
     client = HttpStoreClient(store_address)
-    await client.update("config", "rules", RULES.encode(), 0)
+    version = await client.update("config", "rules", RULES.encode(), 0)
     entry = Address(settings[0].caller_address)
     answer = await until_answered(entry, "/gusts/wanli?now")
     unknown = await get(entry, "/bookings")
@@ -90,7 +91,7 @@
     for item in (*nodes, *backends, store):
         await item.close()
     reports = [msgspec.json.decode(page.body, type=TimelineReport) for page in pages]
-    return Served(answer, unknown, metrics.body.decode(), reports)
+    return Served(answer, unknown, metrics.body.decode(), reports, version)
 
 
 def test_an_edited_rule_is_served_through_another_node():
@@ -115,5 +116,5 @@
     ):
         assert step in hops
         hops = hops[hops.index(step) + 1 :]
-    assert "papayapost_rules_version 1.0" in served.metrics
+    assert f"papayapost_rules_version {float(served.version)}" in served.metrics
     assert 'papayapost_calls_by_service_count{service="gusts"} 1.0' in served.metrics
