--- a/Makefile
+++ b/Makefile
@@ -21,7 +21,7 @@
 	$(BIN)/ruff check --fix packages
 
 bench: .venv/ready
-	$(BIN)/python -m papayapost_testing.bench
+	$(BIN)/python -m papayapost_testing.bench $(ARGS)
 
 clean:
 	rm -rf .venv
