Measure floods over real processes

Cause: service by rank in a flood was known in virtual time only. The load generator can go on from an earlier one's call numbers, so that keys differ between floods.

--- a/packages/papayapost-testing/src/papayapost_testing/demo/director.py
+++ b/packages/papayapost-testing/src/papayapost_testing/demo/director.py
@@ -1,13 +1,14 @@
 """Carries out the steps of the demo's script for one deployment."""
 
 import asyncio
+from collections.abc import Awaitable, Callable, Sequence
 from pathlib import Path
 from random import Random
 
 import psutil
 
 from papayapost.ids import DataCentreId, Micros, NodeId, RuleVersion
-from papayapost.kernel import World
+from papayapost.kernel import System, World
 from papayapost_node.clock import SystemClock
 from papayapost_node.runner import EffectHandler, WorldRunner
 from papayapost_node.store import HttpStoreClient
@@ -43,6 +44,8 @@
 
 __all__ = ["Director"]
 
+StepWork = Callable[[StepRow], Awaitable[None]]
+
 _RATE_PER_S = 120.0
 _SEED = 20
 _IDLE_S = 3.0
@@ -55,9 +58,17 @@
     ----------
     folder
         An empty folder for settings files and logs.
+    systems
+        Systems that run beside the director's own.
     """
 
-    def __init__(self, deployment: Deployment, steps: list[StepRow], folder: Path):
+    def __init__(
+        self,
+        deployment: Deployment,
+        steps: list[StepRow],
+        folder: Path,
+        systems: Sequence[System] = (),
+    ):
         self._deployment = deployment
         self._files = write_files(deployment, folder)
         self._edits = list(deployment.edits)
@@ -65,13 +76,13 @@
         for plan in self._files.plans:
             row = NodeRow(plan.node_id, plan.place.data_centre)
             self.tables.nodes.put(plan.node_id, row)
-        systems = [FollowNodes(self.tables), RunScript(self.tables)]
+        own = [FollowNodes(self.tables), RunScript(self.tables)]
         handlers: dict[type, EffectHandler] = {
             Perform: self._perform,
             Progress: self._show,
             ScriptDone: self._end,
         }
-        world = World(systems, Random(_SEED))
+        world = World([*own, *systems], Random(_SEED))
         self._clock = SystemClock()
         self._runner = WorldRunner(world, self._clock, handlers)
         self._nodes = NodeProcesses(folder, self._runner.post)
@@ -112,8 +123,9 @@
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
 
-    async def _carry_out(self, step: StepRow) -> None:
-        work = {
+    def _work(self) -> dict[StepKind, StepWork]:
+        """Return what carries out each kind of step; others only rest."""
+        return {
             StepKind.START_PLATFORM: self._start_platform,
             StepKind.APPLY: self._apply,
             StepKind.START_NODES: self._start_nodes,
@@ -129,6 +141,9 @@
             StepKind.COLLECT: self._collect,
             StepKind.STOP: self._stop,
         }
+
+    async def _carry_out(self, step: StepRow) -> None:
+        work = self._work()
         try:
             if step.kind in work:
                 await work[step.kind](step)
--- /dev/null
+++ b/packages/papayapost-testing/src/papayapost_testing/floods/__init__.py
@@ -0,0 +1,14 @@
+"""Floods of calls of one rank against a deployment of real processes."""
+
+from papayapost_testing.floods.director import FloodDirector
+from papayapost_testing.floods.plans import build_flood_script, flood_deployment
+from papayapost_testing.floods.tables import FloodName, FloodRow, FloodTables
+
+__all__ = [
+    "FloodDirector",
+    "FloodName",
+    "FloodRow",
+    "FloodTables",
+    "build_flood_script",
+    "flood_deployment",
+]
--- /dev/null
+++ b/packages/papayapost-testing/src/papayapost_testing/floods/systems.py
@@ -0,0 +1,48 @@
+"""Systems of the flood benchmark."""
+
+from papayapost.kernel import System, Tick
+from papayapost_testing.floods.messages import FloodBegun, FloodEnded
+from papayapost_testing.floods.tables import FloodRow, FloodTables, NodeReading
+
+__all__ = ["MeasureFloods"]
+
+
+class MeasureFloods(System):
+    """Works out what each flood did to calls, nodes and keys."""
+
+    consumes = (FloodBegun, FloodEnded)
+
+    def __init__(self, tables: FloodTables):
+        self._tables = tables
+
+    def run(self, tick: Tick) -> None:
+        """Take the readings from before and after each flood."""
+        for begun in tick.take(FloodBegun):
+            flood = self._tables.floods.require(begun.name)
+            flood.before = begun.readings
+            flood.begun_us = tick.now_us
+        for ended in tick.take(FloodEnded):
+            flood = self._tables.floods.require(ended.name)
+            flood.ended_us = tick.now_us
+            flood.tallies = ended.load.tallies
+            self._sum_readings(flood, ended)
+            self._check_keys(flood, ended)
+
+    def _sum_readings(self, flood: FloodRow, ended: FloodEnded) -> None:
+        used = [
+            ended.readings[node_id].since(before)
+            for node_id, before in flood.before.items()
+            if node_id in ended.readings
+        ]
+        flood.used = NodeReading(
+            sum(reading.calls for reading in used),
+            sum(reading.attempts for reading in used),
+            sum(reading.cpu_s for reading in used),
+        )
+
+    def _check_keys(self, flood: FloodRow, ended: FloodEnded) -> None:
+        keys = ended.keys
+        refused, whole = ended.load.not_run_keys, ended.load.whole_keys
+        flood.untrue_refusals = sum(key in keys for key in refused)
+        flood.missing_runs = sum(key not in keys for key in whole)
+        self._tables.doubled_keys = sum(runs > 1 for runs in keys.values())
--- a/packages/papayapost-testing/src/papayapost_testing/load/shell.py
+++ b/packages/papayapost-testing/src/papayapost_testing/load/shell.py
@@ -41,14 +41,16 @@
         Kinds of calls, with their weights.
     seed
         Seed of the arrivals.
+    calls_before
+        Calls of earlier generators, so that no idempotency key comes twice.
     """
 
-    def __init__(self, mixes: Sequence[MixRow], seed: int):
+    def __init__(self, mixes: Sequence[MixRow], seed: int, calls_before: int = 0):
         self.tables = LoadTables()
         self.tables.mixes = list(mixes)
         systems = [
             KeepEntries(self.tables),
-            GenerateCalls(self.tables),
+            GenerateCalls(self.tables, calls_before),
             SettleCalls(self.tables),
         ]
         handlers: dict[type, EffectHandler] = {CallSend: self._send}
--- a/packages/papayapost-testing/src/papayapost_testing/load/systems.py
+++ b/packages/papayapost-testing/src/papayapost_testing/load/systems.py
@@ -51,10 +51,10 @@
 
     consumes = (RateSet, ArrivalDue)
 
-    def __init__(self, tables: LoadTables):
+    def __init__(self, tables: LoadTables, calls_before: int = 0):
         self._tables = tables
         self._next_us = 0.0
-        self._count = 0
+        self._count = calls_before
 
     def run(self, tick: Tick) -> None:
         """Send the calls that are due and set the timer of the next."""
