--- a/packages/papayapost-testing/src/papayapost_testing/floods/director.py
+++ b/packages/papayapost-testing/src/papayapost_testing/floods/director.py
@@ -1,6 +1,6 @@
 """Carries out the steps of a flood run."""
 
-from collections import Counter
+from collections import Counter, defaultdict
 from collections.abc import Sequence
 from pathlib import Path
 
@@ -97,7 +97,7 @@
 
 
 def _reading_of(metrics: str) -> NodeReading:
-    sums: Counter[str] = Counter()
+    sums: defaultdict[str, float] = defaultdict(float)
     for family in text_string_to_metric_families(metrics):
         for sample in family.samples:
             sums[sample.name] += sample.value
