Compare floods over real processes with one queue

Cause: the figures by rank had no baseline over real processes. Change: build_node and build_node_world take a queue discipline, and a test process runs a node with FifoQueue, in the long form alone. The rate of answers counts from the first call to the last answer.

--- a/packages/papayapost-node/src/papayapost_node/composition.py
+++ b/packages/papayapost-node/src/papayapost_node/composition.py
@@ -19,6 +19,7 @@
 from papayapost.place import Place, SelfRow
 from papayapost.states import BackendServerState, LinkClass
 from papayapost.storage import ReadObject, UnwatchObject, UpdateObject, WatchObject
+from papayapost.traffic.owner.queues import QueueDiscipline
 from papayapost_node.admin import (
     AdminServer,
     MetricsPage,
@@ -53,7 +54,9 @@
 class Node:
     """One running node; `build_node` wires it."""
 
-    def __init__(self, settings: Settings, clock: Clock):
+    def __init__(
+        self, settings: Settings, clock: Clock, queue: QueueDiscipline | None = None
+    ):
         self._settings = settings
         self._clock = clock
         self._me = _self_row(settings, clock)
@@ -62,6 +65,7 @@
             [Address(seed) for seed in settings.seeds],
             _own_row(settings, self._me),
             Random(self._me.incarnation),
+            queue,
         )
         self._log = EventRecorder(self._me.node_id, self._me.place.data_centre, clock)
         self._meter = CallMeter(clock)
@@ -232,9 +236,19 @@
         return self._me.place.distance_to(row.place) if row else None
 
 
-async def build_node(settings: Settings, clock: Clock | None = None) -> Node:
-    """Wire a node; it listens only after `Node.start`."""
-    return Node(settings, clock or SystemClock())
+async def build_node(
+    settings: Settings,
+    clock: Clock | None = None,
+    queue: QueueDiscipline | None = None,
+) -> Node:
+    """Wire a node; it listens only after `Node.start`.
+
+    Parameters
+    ----------
+    queue
+        In place of `RankedQueues`.
+    """
+    return Node(settings, clock or SystemClock(), queue)
 
 
 def _self_row(settings: Settings, clock: Clock) -> SelfRow:
--- a/packages/papayapost-testing/src/papayapost_testing/bench/floods.py
+++ b/packages/papayapost-testing/src/papayapost_testing/bench/floods.py
@@ -2,8 +2,7 @@
 
 The backend servers' few slots and long service time are the bottleneck, so
 that one load generator and a few cores can offer several times the capacity.
-The baseline of one queue for all ranks is in the benchmark ``traffic``, in
-virtual time.
+The long form compares with nodes that have one queue for all ranks.
 """
 
 import asyncio
@@ -23,6 +22,10 @@
 _PERCENTILES = (50, 99, 99.9)
 _FLOODING = (Rank.BULK, Rank.URGENT)
 _FAULT_LOAD = 2.0
+_SHORT_MS = 2_000
+_LONG_MS = 8_000
+_NODE_MODULE = "papayapost_node.main"
+_FIFO_MODULE = "papayapost_testing.floods.fifo_node"
 
 
 def run(short: bool) -> list[BenchRow]:
@@ -33,22 +36,35 @@
     short
         Shorter floods, and none of five times the capacity.
     """
+    baseline = FloodTables([])
+    if not short:
+        floods = [FloodRow(rank, 2.0, _LONG_MS) for rank in _FLOODING]
+        baseline = _run(floods, _FIFO_MODULE).floods
+    director = _run(_plan(short), _NODE_MODULE)
+    rows: list[BenchRow] = []
+    for flood in director.floods.floods:
+        rows += _rows_of(flood, baseline.floods.get(flood.name))
+    broken = len(director.tables.broken)
+    rows.append(BenchRow("must be 0: late steps and exits", 0, broken, ""))
+    return [*rows, *_zero_rows(director.floods)]
+
+
+def _run(floods: list[FloodRow], node_module: str) -> FloodDirector:
     with tempfile.TemporaryDirectory() as folder:
-        return asyncio.run(_run(_plan(short), Path(folder)))
+        return asyncio.run(_direct(floods, Path(folder), node_module))
 
 
-async def _run(floods: list[FloodRow], folder: Path) -> list[BenchRow]:
-    director = FloodDirector(floods, folder)
+async def _direct(
+    floods: list[FloodRow], folder: Path, node_module: str
+) -> FloodDirector:
+    director = FloodDirector(floods, folder, node_module)
     await director.run()
-    rows = [row for flood in director.floods.floods for row in _rows_of(flood)]
-    broken = len(director.tables.broken)
-    rows.append(BenchRow("must be 0: late steps and exits", 0, broken, ""))
-    return [*rows, *_zero_rows(director.floods)]
+    return director
 
 
 def _plan(short: bool) -> list[FloodRow]:
     loads = (0.5, 1.0, 2.0) if short else (0.5, 1.0, 2.0, 5.0)
-    duration_ms = 2_000 if short else 8_000
+    duration_ms = _SHORT_MS if short else _LONG_MS
     fault = FloodFault.KILL_AND_SLOW_STORE
     floods = [FloodRow(Rank.NORMAL, 1.5, duration_ms, others_load=0.0)]
     for rank in _FLOODING:
@@ -57,14 +73,15 @@
     return floods
 
 
-def _rows_of(flood: FloodRow) -> Iterator[BenchRow]:
+def _rows_of(flood: FloodRow, baseline: FloodRow | None) -> Iterator[BenchRow]:
     size = int(flood.load * 100)
     tallies = [tally for tally in flood.tallies.values() if tally.arrived]
     arrived = sum(tally.arrived for tally in tallies)
     whole = sum(tally.verdicts[Verdict.WHOLE] for tally in tallies)
     repeated = sum(tally.repeated for tally in tallies)
     for tally in tallies:
-        yield from _rank_rows(flood, tally)
+        other = baseline.tallies[tally.rank] if baseline else None
+        yield from _rank_rows(flood, tally, other)
     rate = whole * 1e6 / (flood.ended_us - flood.begun_us)
     yield BenchRow(f"{flood.name}: answered", size, rate, "calls/s", CAPACITY_PER_S)
     per_call = flood.used.attempts / max(1, flood.used.calls)
@@ -74,14 +91,25 @@
     yield BenchRow(f"{flood.name}: calls per core", size, per_core, "calls/s")
 
 
-def _rank_rows(flood: FloodRow, tally: TallyRow) -> Iterator[BenchRow]:
+def _rank_rows(
+    flood: FloodRow, tally: TallyRow, baseline: TallyRow | None
+) -> Iterator[BenchRow]:
     size = int(flood.load * 100)
     name = f"{flood.name}: {tally.rank.name.lower()}"
-    goodput = 100 * tally.verdicts[Verdict.WHOLE] / tally.arrived
-    yield BenchRow(f"{name} goodput", size, goodput, "%")
+    other = _goodput(baseline) if baseline else None
+    yield BenchRow(f"{name} goodput", size, _goodput(tally), "%", other)
     for percentile in _PERCENTILES:
-        value_ms = tally.latency_us.get_value_at_percentile(percentile) / 1_000
-        yield BenchRow(f"{name} p{percentile:g}", size, value_ms, "ms")
+        other = _latency_ms(baseline, percentile) if baseline else None
+        value = _latency_ms(tally, percentile)
+        yield BenchRow(f"{name} p{percentile:g}", size, value, "ms", other)
+
+
+def _goodput(tally: TallyRow) -> float:
+    return 100 * tally.verdicts[Verdict.WHOLE] / max(1, tally.arrived)
+
+
+def _latency_ms(tally: TallyRow, percentile: float) -> float:
+    return tally.latency_us.get_value_at_percentile(percentile) / 1_000
 
 
 def _zero_rows(tables: FloodTables) -> Iterator[BenchRow]:
@@ -99,8 +127,9 @@
     for name, value in zeros.items():
         yield BenchRow(f"must be 0: {name}", len(floods), value, "")
     for flood in floods:
-        if flood.rank is not Rank.URGENT and Rank.URGENT in flood.tallies:
-            urgent = flood.tallies[Rank.URGENT]
-            missed = urgent.arrived - urgent.verdicts[Verdict.WHOLE]
-            name = f"must be 0: urgent unanswered, {flood.name}"
-            yield BenchRow(name, urgent.arrived, missed, "")
+        urgent = flood.tallies.get(Rank.URGENT)
+        if flood.rank is Rank.URGENT or urgent is None or not urgent.arrived:
+            continue
+        missed = urgent.arrived - urgent.verdicts[Verdict.WHOLE]
+        name = f"must be 0: urgent unanswered, {flood.name}"
+        yield BenchRow(name, urgent.arrived, missed, "")
--- a/packages/papayapost-testing/src/papayapost_testing/demo/director.py
+++ b/packages/papayapost-testing/src/papayapost_testing/demo/director.py
@@ -60,6 +60,8 @@
         An empty folder for settings files and logs.
     systems
         Systems that run beside the director's own.
+    node_module
+        What each node's process runs.
     """
 
     def __init__(
@@ -68,6 +70,7 @@
         steps: list[StepRow],
         folder: Path,
         systems: Sequence[System] = (),
+        node_module: str = "papayapost_node.main",
     ):
         self._deployment = deployment
         self._files = write_files(deployment, folder)
@@ -85,7 +88,7 @@
         world = World([*own, *systems], Random(_SEED))
         self._clock = SystemClock()
         self._runner = WorldRunner(world, self._clock, handlers)
-        self._nodes = NodeProcesses(folder, self._runner.post)
+        self._nodes = NodeProcesses(folder, self._runner.post, node_module)
         self._load = LoadGenerator(deployment.mixes, _SEED)
         self._platform: asyncio.subprocess.Process | None = None
         self._tasks: set[asyncio.Task] = set()
--- a/packages/papayapost-testing/src/papayapost_testing/demo/processes.py
+++ b/packages/papayapost-testing/src/papayapost_testing/demo/processes.py
@@ -79,9 +79,17 @@
         Where settings files and logs are kept.
     post
         Takes the nodes' doings as typed messages.
+    module
+        What each node's process runs.
     """
 
-    def __init__(self, folder: Path, post: Callable[[object], None]):
+    def __init__(
+        self,
+        folder: Path,
+        post: Callable[[object], None],
+        module: str = "papayapost_node.main",
+    ):
+        self._module = module
         self._folder = folder
         self._post = post
         self._clock = SystemClock()
@@ -94,7 +102,7 @@
         process = await asyncio.create_subprocess_exec(
             sys.executable,
             "-m",
-            "papayapost_node.main",
+            self._module,
             f"--settings={self._folder / node_id}.json",
             stderr=asyncio.subprocess.PIPE,
         )
--- a/packages/papayapost-testing/src/papayapost_testing/floods/director.py
+++ b/packages/papayapost-testing/src/papayapost_testing/floods/director.py
@@ -40,9 +40,16 @@
     ----------
     folder
         An empty folder for settings files and logs.
+    node_module
+        What each node's process runs.
     """
 
-    def __init__(self, floods: Sequence[FloodRow], folder: Path):
+    def __init__(
+        self,
+        floods: Sequence[FloodRow],
+        folder: Path,
+        node_module: str = "papayapost_node.main",
+    ):
         deployment = flood_deployment()
         self.floods = FloodTables(floods)
         self._calls_before = 0
@@ -51,6 +58,7 @@
             build_flood_script(deployment, floods),
             folder,
             [MeasureFloods(self.floods)],
+            node_module,
         )
 
     def _work(self) -> dict[StepKind, StepWork]:
--- a/packages/papayapost/src/papayapost/node.py
+++ b/packages/papayapost/src/papayapost/node.py
@@ -15,6 +15,7 @@
 from papayapost.place import SelfRow
 from papayapost.record import RecordPart, build_record
 from papayapost.traffic import TrafficPart, build_traffic
+from papayapost.traffic.owner.queues import QueueDiscipline
 
 __all__ = ["NodeWorld", "build_node_world"]
 
@@ -43,6 +44,7 @@
     seeds: Sequence[Address],
     own: BackendServerRow,
     random: Random,
+    queue: QueueDiscipline | None = None,
 ) -> NodeWorld:
     """Return the world of a node that knows nothing but itself.
 
@@ -52,10 +54,14 @@
         Peer addresses to announce to.
     own
         The node's own row.
+    queue
+        In place of `RankedQueues`.
     """
     membership = build_membership(me, seeds, own)
     distribution = build_distribution(me, membership.directory, membership.tree)
-    traffic = build_traffic(me, membership.directory, distribution.rules, own.slots)
+    traffic = build_traffic(
+        me, membership.directory, distribution.rules, own.slots, queue=queue
+    )
     record = build_record(me, membership.tree, distribution.rules)
     systems = [
         *membership.systems,
