Run restarts, pauses and a failing store over real processes

Cause: the demo showed one of each fault, with callers that repeat, so refusals during a rolling restart stayed hidden.

Change: `--script waves|pauses|outage` runs further steps with the same director. Callers leave an address once it refuses or answers with `Connection: close`, and the summary counts refusals by code.

--- a/packages/papayapost-testing/src/papayapost_testing/demo/director.py
+++ b/packages/papayapost-testing/src/papayapost_testing/demo/director.py
@@ -1,6 +1,7 @@
 """Carries out the steps of the demo's script for one deployment."""
 
 import asyncio
+from dataclasses import replace
 from pathlib import Path
 from random import Random
 
@@ -18,6 +19,7 @@
     read_text,
     set_faults,
 )
+from papayapost_testing.demo.fault_steps import FaultSteps
 from papayapost_testing.demo.figures import figures_of
 from papayapost_testing.demo.files import write_files
 from papayapost_testing.demo.messages import (
@@ -36,7 +38,8 @@
     stop_process,
 )
 from papayapost_testing.demo.results import DemoResults
-from papayapost_testing.demo.systems import FollowNodes, RunScript
+from papayapost_testing.demo.script import Script
+from papayapost_testing.demo.systems import CheckAttempts, FollowNodes, RunScript
 from papayapost_testing.demo.tables import DemoTables, NodeRow, StepKind, StepRow
 from papayapost_testing.load import LoadGenerator
 from papayapost_testing.store import FaultsRow, ListenerId
@@ -57,15 +60,19 @@
         An empty folder for settings files and logs.
     """
 
-    def __init__(self, deployment: Deployment, steps: list[StepRow], folder: Path):
+    def __init__(self, deployment: Deployment, script: Script, folder: Path):
         self._deployment = deployment
         self._files = write_files(deployment, folder)
         self._edits = list(deployment.edits)
-        self.tables = DemoTables(steps)
+        self.tables = DemoTables(script.build(deployment))
         for plan in self._files.plans:
             row = NodeRow(plan.node_id, plan.place.data_centre)
             self.tables.nodes.put(plan.node_id, row)
-        systems = [FollowNodes(self.tables), RunScript(self.tables)]
+        systems = [
+            FollowNodes(self.tables),
+            CheckAttempts(self.tables),
+            RunScript(self.tables),
+        ]
         handlers: dict[type, EffectHandler] = {
             Perform: self._perform,
             Progress: self._show,
@@ -75,14 +82,21 @@
         self._clock = SystemClock()
         self._runner = WorldRunner(world, self._clock, handlers)
         self._nodes = NodeProcesses(folder, self._runner.post)
-        self._load = LoadGenerator(deployment.mixes, _SEED)
+        self._load = LoadGenerator(
+            [replace(mix, repeats=script.repeats) for mix in deployment.mixes], _SEED
+        )
+        self._faults = FaultSteps(
+            self._files, self._nodes, self._load, self._runner.post
+        )
         self._platform: asyncio.subprocess.Process | None = None
         self._tasks: set[asyncio.Task] = set()
         self._done = asyncio.Event()
         self._started_us = self._clock.now_us()
         self._nodes_started_us = self._started_us
         self._failure: BaseException | None = None
-        self.results = DemoResults(deployment.name, self.tables, self._load.tables)
+        self.results = DemoResults(
+            deployment.name, script, self.tables, self._load.tables
+        )
 
     async def run(self) -> DemoResults:
         """Run the script; whatever happens, no process is left."""
@@ -121,6 +135,11 @@
             StepKind.IDLE: self._measure_idle,
             StepKind.KILL: self._kill,
             StepKind.DRAIN: self._drain,
+            StepKind.RESTART_WAVE: self._faults.restart_wave,
+            StepKind.PAUSE: self._faults.pause,
+            StepKind.RESUME: self._faults.resume,
+            StepKind.SET_FAULTS: self._faults.set_faults,
+            StepKind.TRY_APPLY: self._try_apply,
             StepKind.CUT_STORE: self._cut,
             StepKind.HEAL_STORE: self._heal,
             StepKind.RESTART: self._restart,
@@ -178,6 +197,9 @@
         applied_us = Micros(account.written_us["/objects/config/rules"])
         self._runner.post(RulesApplied(version, applied_us, step.subject))
 
+    async def _try_apply(self, step: StepRow) -> None:
+        await self._faults.try_apply(step, self._edits.pop(0))
+
     async def _start_nodes(self, step: StepRow) -> None:
         self._nodes_started_us = self._clock.now_us()
         for plan in self._files.plans:
--- a/packages/papayapost-testing/src/papayapost_testing/demo/messages.py
+++ b/packages/papayapost-testing/src/papayapost_testing/demo/messages.py
@@ -3,15 +3,20 @@
 from dataclasses import dataclass
 
 from papayapost.ids import Micros, NodeId, RuleVersion
+from papayapost.record.apply import ApplyOutcome
 from papayapost_testing.demo.tables import NodeRun, StepRow
 
 __all__ = [
     "NodeChanged",
     "NodeInForce",
+    "NodeJoined",
+    "OfferedToLeaver",
     "Perform",
     "Progress",
     "RestOver",
     "RulesApplied",
+    "RulesStored",
+    "RulesTried",
     "ScriptDone",
     "ScriptStarted",
     "StepLate",
@@ -47,6 +52,36 @@
     at_us: Micros
 
 
+@dataclass(slots=True)
+class RulesTried:
+    """Input: ``papaya apply`` ended while the store had faults."""
+
+    line: str
+    outcome: ApplyOutcome
+
+
+@dataclass(slots=True)
+class RulesStored:
+    """Input: the text that a healthy store holds."""
+
+    text: str
+
+
+@dataclass(slots=True)
+class NodeJoined:
+    """Input: a node logged that it has a parent."""
+
+    node_id: NodeId
+    at_us: Micros
+
+
+@dataclass(slots=True)
+class OfferedToLeaver:
+    """Input: a node logged that it offered work to a leaving owner."""
+
+    node_id: NodeId
+
+
 @dataclass(slots=True)
 class NodeChanged:
     """Input: a node's process was started, signalled or has ended."""
--- a/packages/papayapost-testing/src/papayapost_testing/demo/plans.py
+++ b/packages/papayapost-testing/src/papayapost_testing/demo/plans.py
@@ -113,6 +113,10 @@
         "# Marta Soto: opening hours on the web page",
         "route GET records.oleaje/photos/* -> records rank=bulk idempotent=yes "
         "# Ana Pizarro: resin cure photographs",
+        "route GET counter.oleaje/prices -> counter rank=normal idempotent=yes "
+        "# Marta Soto: price list on the web page",
+        "route GET records.oleaje/moulds/* -> records rank=bulk idempotent=yes "
+        "# Ana Pizarro: mould drawings",
     ),
     (
         _mix("status", Rank.URGENT, "GET counter.oleaje/status/7", 5),
@@ -139,6 +143,10 @@
         "# Yu Wang: tides beside the stations",
         "route GET wind.fengzheng/squalls/* -> flyer rank=urgent idempotent=yes "
         "# Mei Chen: squall warnings",
+        "route GET wind.fengzheng/dunes/* -> flyer rank=normal idempotent=yes "
+        "# Yu Wang: state of the dunes",
+        "route GET wind.fengzheng/fields/* -> flyer rank=normal idempotent=yes "
+        "# Mei Chen: fields past Hsinchu",
     ),
     (
         _mix("gusts", Rank.URGENT, "GET wind.fengzheng/gusts/wanli", 6),
--- a/packages/papayapost-testing/src/papayapost_testing/demo/processes.py
+++ b/packages/papayapost-testing/src/papayapost_testing/demo/processes.py
@@ -12,10 +12,15 @@
 from papayapost.ids import NodeId, RuleVersion
 from papayapost.observe import Event
 from papayapost_node.clock import SystemClock
-from papayapost_testing.demo.messages import NodeChanged, NodeInForce
+from papayapost_testing.demo.messages import (
+    NodeChanged,
+    NodeInForce,
+    NodeJoined,
+    OfferedToLeaver,
+)
 from papayapost_testing.demo.tables import NodeRun
 
-__all__ = ["NodeProcesses", "run_papaya", "start_module", "stop_process"]
+__all__ = ["NodeProcesses", "ask_papaya", "run_papaya", "start_module", "stop_process"]
 
 _STOP_LIMIT_S = 10
 
@@ -28,6 +33,19 @@
         )
 
 
+async def ask_papaya(*arguments: str) -> bytes:
+    """Run the operators' tool and return its output, however it ended."""
+    process = await asyncio.create_subprocess_exec(
+        sys.executable,
+        "-m",
+        "papayapost_operator.main",
+        *arguments,
+        stdout=asyncio.subprocess.PIPE,
+    )
+    output, _ = await process.communicate()
+    return output
+
+
 async def run_papaya(*arguments: str) -> list[str]:
     """Run the operators' tool and return the lines that it printed.
 
@@ -114,6 +132,20 @@
         self._post(NodeChanged(node_id, NodeRun.DRAINING))
         self._processes[node_id].send_signal(signal.SIGTERM)
 
+    def pause(self, node_id: NodeId) -> None:
+        """Stop a node's process without its notice."""
+        self._post(NodeChanged(node_id, NodeRun.PAUSED))
+        self._processes[node_id].send_signal(signal.SIGSTOP)
+
+    def resume(self, node_id: NodeId) -> None:
+        """Let a paused process go on."""
+        self._processes[node_id].send_signal(signal.SIGCONT)
+        self._post(NodeChanged(node_id, NodeRun.RUNNING))
+
+    async def wait(self, node_id: NodeId) -> None:
+        """Wait until a node's process has ended."""
+        await self._processes[node_id].wait()
+
     def usage(self) -> dict[NodeId, psutil.Process]:
         """Return the processes that still run, for their CPU and memory."""
         return {
@@ -127,6 +159,8 @@
         for node_id, process in self._processes.items():
             if process.returncode is None:
                 self._post(NodeChanged(node_id, NodeRun.DRAINING))
+                # A paused process takes no SIGTERM before it goes on.
+                process.send_signal(signal.SIGCONT)
         await asyncio.gather(*map(stop_process, self._processes.values()))
         if self._followers:
             await asyncio.wait(self._followers)
@@ -151,3 +185,7 @@
         if event.number == Event.RULES_IN_FORCE.value:
             version = RuleVersion(event.version)
             self._post(NodeInForce(node_id, version, self._clock.now_us()))
+        elif event.number == Event.PARENT_FOUND.value:
+            self._post(NodeJoined(node_id, self._clock.now_us()))
+        elif event.number == Event.OFFER_TO_DRAINING.value:
+            self._post(OfferedToLeaver(node_id))
--- a/packages/papayapost-testing/src/papayapost_testing/demo/results.py
+++ b/packages/papayapost-testing/src/papayapost_testing/demo/results.py
@@ -6,6 +6,7 @@
 from papayapost.ids import NodeId
 from papayapost.states import Rank
 from papayapost_testing.demo.figures import NodeFigures
+from papayapost_testing.demo.script import Script
 from papayapost_testing.demo.tables import ApplicationRow, DemoTables
 from papayapost_testing.load.report import format_tallies
 from papayapost_testing.load.tables import LoadTables, Verdict
@@ -39,8 +40,9 @@
         How often each idempotency key ran, over all backend servers.
     """
 
-    def __init__(self, name: str, demo: DemoTables, load: LoadTables):
+    def __init__(self, name: str, script: Script, demo: DemoTables, load: LoadTables):
         self.name = name
+        self._script = script
         self._demo = demo
         self._load = load
         self.idle_cores: dict[NodeId, float] = {}
@@ -80,6 +82,7 @@
         if missing:
             broken.append(f"{len(missing)} answers to what never ran")
         broken += self._broken_by_answers()
+        broken += self._script.broken_promises(self._load, self._demo)
         return broken
 
     def summary(self) -> str:
@@ -87,6 +90,12 @@
         parts = [f"\n=== {self.name}", format_tallies(self._load), ""]
         parts += [self._convergence(row) for row in self._demo.applications]
         parts += [self._resources(), self._bytes(), self._store_calls()]
+        if self._load.refusals:
+            refusals = sorted(self._load.refusals.items())
+            cells = ", ".join(f"{code} {count}" for code, count in refusals)
+            parts.append(f"refusals by code: {cells}")
+        if self._demo.rejoin_us:
+            parts.append(self._rejoins())
         return "\n".join(parts + self.timelines)
 
     def _broken_by_convergence(self) -> list[str]:
@@ -119,6 +128,14 @@
         ]
         return f"version {row.version} ({row.title}): " + "; ".join(cells)
 
+    def _rejoins(self) -> str:
+        delays_us = self._demo.rejoin_us.values()
+        return (
+            f"{len(delays_us)} restarted nodes: rules in force at most "
+            f"{max(delays_us) / 1e3:.0f} ms after they joined; "
+            f"{self._demo.offers_to_leavers} offers to known leavers"
+        )
+
     def _resources(self) -> str:
         idle = max(self.idle_cores.values(), default=0.0)
         memory_mb = max(self.memory_bytes.values(), default=0) / (1 << 20)
--- a/packages/papayapost-testing/src/papayapost_testing/demo/systems.py
+++ b/packages/papayapost-testing/src/papayapost_testing/demo/systems.py
@@ -2,13 +2,18 @@
 
 from papayapost.ids import Micros
 from papayapost.kernel import System, Tick
+from papayapost.record.apply import ApplyOutcome
 from papayapost_testing.demo.messages import (
     NodeChanged,
     NodeInForce,
+    NodeJoined,
+    OfferedToLeaver,
     Perform,
     Progress,
     RestOver,
     RulesApplied,
+    RulesStored,
+    RulesTried,
     ScriptDone,
     ScriptStarted,
     StepLate,
@@ -16,6 +21,7 @@
 )
 from papayapost_testing.demo.tables import (
     ApplicationRow,
+    AttemptRow,
     DemoTables,
     NodeRow,
     NodeRun,
@@ -24,13 +30,22 @@
     StepState,
 )
 
-__all__ = ["FollowNodes", "RunScript"]
+__all__ = ["CheckAttempts", "FollowNodes", "RunScript"]
+
+
+_REJOIN_LIMIT_US = 5_000_000
 
 
 class FollowNodes(System):
     """Keeps what each node's process does and holds."""
 
-    consumes = (NodeChanged, NodeInForce, RulesApplied)
+    consumes = (
+        NodeChanged,
+        NodeInForce,
+        NodeJoined,
+        OfferedToLeaver,
+        RulesApplied,
+    )
 
     def __init__(self, tables: DemoTables):
         self._tables = tables
@@ -38,7 +53,11 @@
     def run(self, tick: Tick) -> None:
         """Take the news and check that no node moves back."""
         for changed in tick.take(NodeChanged):
-            self._change(changed)
+            self._change(changed, tick.now_us)
+        for joined in tick.take(NodeJoined):
+            node = self._tables.nodes.require(joined.node_id)
+            node.joined_us = node.joined_us or joined.at_us
+        self._tables.offers_to_leavers += len(tick.take(OfferedToLeaver))
         for applied in tick.take(RulesApplied):
             row = self._expect(applied)
             for node in self._tables.nodes:
@@ -47,9 +66,11 @@
         for seen in tick.take(NodeInForce):
             self._see(seen)
 
-    def _change(self, changed: NodeChanged) -> None:
+    def _change(self, changed: NodeChanged, now_us: Micros) -> None:
         node = self._tables.nodes.require(changed.node_id)
         was, node.run = node.run, changed.run
+        if changed.run is NodeRun.RUNNING and was is not NodeRun.PAUSED:
+            node.started_us, node.joined_us = now_us, None
         if changed.run is NodeRun.EXITED:
             node.exit_code = changed.exit_code
             if was is NodeRun.KILLED:
@@ -63,12 +84,21 @@
         node = self._tables.nodes.require(seen.node_id)
         if seen.version < node.version:
             self._break(f"{node.node_id} moved back to version {seen.version}")
+        if node.in_force_us < node.started_us and node.version:
+            self._measure_rejoin(node, seen)
         node.version = seen.version
         node.in_force_us = seen.at_us
         row = self._tables.applications.get(seen.version)
         if row is not None:
             self._measure(row, node)
 
+    def _measure_rejoin(self, node: NodeRow, seen: NodeInForce) -> None:
+        joined_us = seen.at_us if node.joined_us is None else node.joined_us
+        delay_us = Micros(seen.at_us - joined_us)
+        self._tables.rejoin_us[node.node_id] = delay_us
+        if delay_us > _REJOIN_LIMIT_US:
+            self._break(f"{node.node_id} joined {delay_us / 1e6:.1f} s before force")
+
     def _expect(self, applied: RulesApplied) -> ApplicationRow:
         serving = self._tables.serving()
         expected = serving or list(self._tables.nodes)
@@ -90,6 +120,33 @@
         self._tables.broken.append(text)
 
 
+class CheckAttempts(System):
+    """Compares what ``papaya apply`` said with what the store holds."""
+
+    consumes = (RulesTried, RulesStored)
+
+    def __init__(self, tables: DemoTables):
+        self._tables = tables
+
+    def run(self, tick: Tick) -> None:
+        """Keep the tool's answers until a healthy store shows its text."""
+        for tried in tick.take(RulesTried):
+            self._tables.attempts.append(AttemptRow(tried.line, tried.outcome))
+        for stored in tick.take(RulesStored):
+            for attempt in self._tables.attempts:
+                self._check(attempt, attempt.line in stored.text)
+            self._tables.attempts.clear()
+
+    def _check(self, attempt: AttemptRow, is_stored: bool) -> None:
+        untold = (ApplyOutcome.UNKNOWN, ApplyOutcome.UNCHANGED)
+        if attempt.outcome in untold:
+            return
+        if is_stored is not (attempt.outcome is ApplyOutcome.ACCEPTED):
+            held = "holds" if is_stored else "does not hold"
+            text = f"papaya said {attempt.outcome.value}, the store {held} the edit"
+            self._tables.broken.append(text)
+
+
 class RunScript(System):
     """Carries out the steps one after the other."""
 
@@ -144,7 +201,15 @@
         self._begin(tick)
 
     def _is_seen(self, tick: Tick, step: StepRow) -> bool:
-        if step.kind in (StepKind.APPLY, StepKind.START_NODES, StepKind.RESTART):
+        if step.kind is StepKind.RESTART_WAVE:
+            nodes = [self._tables.nodes.require(name) for name in step.nodes]
+            return all(node.in_force_us > node.started_us for node in nodes)
+        if step.kind in (
+            StepKind.APPLY,
+            StepKind.START_NODES,
+            StepKind.RESTART,
+            StepKind.RESUME,
+        ):
             return all(self._holds_newest(node) for node in self._tables.serving())
         if step.kind is StepKind.DRAIN:
             nodes = [row for row in self._tables.nodes if row.node_id == step.subject]
--- a/packages/papayapost-testing/src/papayapost_testing/demo/tables.py
+++ b/packages/papayapost-testing/src/papayapost_testing/demo/tables.py
@@ -5,9 +5,12 @@
 
 from papayapost.ids import DataCentreId, Micros, NodeId, RuleVersion
 from papayapost.kernel import Table
+from papayapost.record.apply import ApplyOutcome
+from papayapost_testing.store import FaultsRow
 
 __all__ = [
     "ApplicationRow",
+    "AttemptRow",
     "DemoTables",
     "NodeRow",
     "NodeRun",
@@ -32,6 +35,11 @@
     IDLE = "measure idle nodes"
     KILL = "kill a node"
     DRAIN = "drain a node"
+    RESTART_WAVE = "drain nodes and start them again"
+    PAUSE = "pause a node"
+    RESUME = "let the paused node go on"
+    SET_FAULTS = "set the store's faults"
+    TRY_APPLY = "apply the rules file under faults"
     CUT_STORE = "cut a data centre from the store"
     HEAL_STORE = "heal the cut"
     RESTART = "start the killed node again"
@@ -57,6 +65,7 @@
     ABSENT = "absent"
     RUNNING = "running"
     KILLED = "killed"
+    PAUSED = "paused"
     DRAINING = "draining"
     EXITED = "exited"
 
@@ -70,6 +79,8 @@
     run: NodeRun = NodeRun.ABSENT
     version: RuleVersion = _NO_VERSION
     in_force_us: Micros = _START
+    started_us: Micros = _START
+    joined_us: Micros | None = None
     exit_code: int | None = None
 
 
@@ -85,12 +96,18 @@
         Time that the step goes on after it was carried out.
     limit_ms
         Time within which the step's effect must be seen.
+    nodes
+        Nodes that are restarted at the same time.
+    faults
+        Faults that the object store has from this step on.
     """
 
     kind: StepKind
     subject: str = ""
     rest_ms: int = 0
     limit_ms: int = 15_000
+    nodes: tuple[NodeId, ...] = ()
+    faults: FaultsRow | None = None
     state: StepState = StepState.WAITING
 
 
@@ -116,6 +133,14 @@
     delays_us: dict[NodeId, Micros] = field(default_factory=dict)
 
 
+@dataclass(slots=True)
+class AttemptRow:
+    """What ``papaya apply`` said of an edit that it wrote under faults."""
+
+    line: str
+    outcome: ApplyOutcome
+
+
 class DemoTables:
     """All tables of the director."""
 
@@ -126,6 +151,9 @@
             "nodes", {"data_centre": lambda row: row.data_centre}
         )
         self.applications: Table[RuleVersion, ApplicationRow] = Table("applications")
+        self.attempts: list[AttemptRow] = []
+        self.rejoin_us: dict[NodeId, Micros] = {}
+        self.offers_to_leavers = 0
         self.broken: list[str] = []
 
     @property
--- a/packages/papayapost-testing/src/papayapost_testing/load/messages.py
+++ b/packages/papayapost-testing/src/papayapost_testing/load/messages.py
@@ -56,8 +56,14 @@
     ----------
     is_entry_refused
         Whether the entry node did not even accept the connection.
+    is_entry_leaving
+        Whether the entry node said that it closes the connection.
+    code
+        The entry node's reason for a refusal, or empty.
     """
 
     number: CallNumber
     verdict: Verdict
     is_entry_refused: bool = False
+    is_entry_leaving: bool = False
+    code: str = ""
--- a/packages/papayapost-testing/src/papayapost_testing/load/shell.py
+++ b/packages/papayapost-testing/src/papayapost_testing/load/shell.py
@@ -96,17 +96,22 @@
             self._runner.post(ended)
             return
         verdict = Verdict.NO_ANSWER
+        is_leaving = False
+        code = ""
         try:
             async with asyncio.timeout(_GIVE_UP_S):
                 answer = await connection.call(_request_of(call))
             verdict = _judge(call, answer)
+            code = (answer.header(b"papayapost-code") or b"").decode()
+            is_leaving = (answer.header(b"connection") or b"").lower() == b"close"
         except (OSError, h11.RemoteProtocolError):
             pass
         if verdict is Verdict.WHOLE and connection.is_reusable:
             self._idle[entry].append(connection)
         else:
             connection.close()
-        self._runner.post(CallEnded(call.number, verdict))
+        ended = CallEnded(call.number, verdict, is_entry_leaving=is_leaving, code=code)
+        self._runner.post(ended)
 
     async def _connect(self, address: Address) -> ClientConnection:
         idle = self._idle[address]
--- a/packages/papayapost-testing/src/papayapost_testing/load/systems.py
+++ b/packages/papayapost-testing/src/papayapost_testing/load/systems.py
@@ -26,10 +26,11 @@
 class KeepEntries(System):
     """Keeps the list of nodes that callers know."""
 
-    consumes = (EntryOpened, EntryClosed)
+    consumes = (EntryOpened, EntryClosed, CallEnded)
 
     def __init__(self, tables: LoadTables):
         self._entries = tables.entries
+        self._calls = tables.calls
 
     def run(self, tick: Tick) -> None:
         """Open and close entries."""
@@ -37,6 +38,15 @@
             self._entries.put(opened.address, EntryRow(opened.address))
         for closed in tick.take(EntryClosed):
             self._entries.pop(closed.address)
+        for ended in tick.take(CallEnded):
+            if ended.is_entry_refused or ended.is_entry_leaving:
+                self._leave(ended)
+
+    def _leave(self, ended: CallEnded) -> None:
+        call = self._calls.get(ended.number)
+        # The last known entry stays: callers have no other.
+        if call is not None and call.entry is not None and len(self._entries) > 1:
+            self._entries.pop(call.entry)
 
 
 def choose_entry(tables: LoadTables, tick: Tick, avoid: Address | None) -> Address:
@@ -98,6 +108,8 @@
             call = self._tables.calls.get(ended.number)
             if call is None:
                 continue
+            if ended.code:
+                self._tables.refusals[ended.code] += 1
             if self._may_repeat(call, ended):
                 self._repeat(tick, call, ended)
             else:
--- a/packages/papayapost-testing/src/papayapost_testing/load/tables.py
+++ b/packages/papayapost-testing/src/papayapost_testing/load/tables.py
@@ -1,5 +1,6 @@
 """Tables of the load generator."""
 
+from collections import Counter
 from dataclasses import dataclass, field
 from enum import Enum
 from typing import NewType
@@ -120,4 +121,5 @@
         self.tallies = {rank: TallyRow(rank) for rank in Rank}
         self.not_run_keys: set[IdempotencyKey] = set()
         self.whole_keys: set[IdempotencyKey] = set()
+        self.refusals: Counter[str] = Counter()
         self.rate_per_s = 0.0
