--- a/packages/papayapost-testing/src/papayapost_testing/demo/scripts.py
+++ b/packages/papayapost-testing/src/papayapost_testing/demo/scripts.py
@@ -69,7 +69,7 @@
             *opening(),
             StepRow(StepKind.PAUSE, LINK_RELAY, rest_ms=1_000),
             edit,
-            StepRow(StepKind.REST, rest_ms=6_000),
+            StepRow(StepKind.REST, rest_ms=3_000),
             StepRow(StepKind.RESUME, LINK_RELAY, limit_ms=limit_ms),
             StepRow(StepKind.REST, rest_ms=2_000),
             StepRow(StepKind.PAUSE, owner, rest_ms=8_000),
