--- a/packages/papayapost-testing/src/papayapost_testing/floods/director.py
+++ b/packages/papayapost-testing/src/papayapost_testing/floods/director.py
@@ -13,7 +13,7 @@
 from papayapost_testing.floods.messages import FloodBegun, FloodEnded
 from papayapost_testing.floods.plans import (
     CAPACITY_PER_S,
-    build_flood_script,
+    FloodScript,
     flood_deployment,
     flood_mixes,
 )
@@ -55,7 +55,7 @@
         self._calls_before = 0
         super().__init__(
             deployment,
-            build_flood_script(deployment, floods),
+            FloodScript(floods),
             folder,
             [MeasureFloods(self.floods)],
             node_module,
--- a/packages/papayapost-testing/src/papayapost_testing/floods/plans.py
+++ b/packages/papayapost-testing/src/papayapost_testing/floods/plans.py
@@ -12,13 +12,14 @@
     ServicePlan,
     plan_nodes,
 )
+from papayapost_testing.demo.script import Script
 from papayapost_testing.demo.tables import StepKind, StepRow
 from papayapost_testing.floods.tables import FloodFault, FloodRow
 from papayapost_testing.load import MixRow
 
 __all__ = [
     "CAPACITY_PER_S",
-    "build_flood_script",
+    "FloodScript",
     "flood_deployment",
     "flood_mixes",
 ]
@@ -72,20 +73,26 @@
     return [mix for mix in (*mixes, extra) if mix.weight]
 
 
-def build_flood_script(
-    deployment: Deployment, floods: Iterable[FloodRow]
-) -> list[StepRow]:
-    """Return the steps: start all, flood again and again, stop all."""
-    killed = plan_nodes(deployment)[-1].node_id
-    steps = [
-        StepRow(StepKind.START_PLATFORM),
-        StepRow(StepKind.APPLY, "before the nodes start"),
-        StepRow(StepKind.START_NODES),
-        StepRow(StepKind.REST, rest_ms=500),
-    ]
-    for flood in floods:
-        steps += _steps_of(flood, killed)
-    return [*steps, StepRow(StepKind.STOP)]
+class FloodScript(Script):
+    """Starts everything, floods again and again, and stops everything."""
+
+    name = "floods"
+
+    def __init__(self, floods: Iterable[FloodRow]):
+        self._floods = list(floods)
+
+    def build(self, deployment: Deployment) -> list[StepRow]:
+        """Return the steps for a deployment."""
+        killed = plan_nodes(deployment)[-1].node_id
+        steps = [
+            StepRow(StepKind.START_PLATFORM),
+            StepRow(StepKind.APPLY, "before the nodes start"),
+            StepRow(StepKind.START_NODES),
+            StepRow(StepKind.REST, rest_ms=500),
+        ]
+        for flood in self._floods:
+            steps += _steps_of(flood, killed)
+        return [*steps, StepRow(StepKind.STOP)]
 
 
 def _steps_of(flood: FloodRow, killed: str) -> list[StepRow]:
--- a/packages/papayapost-testing/tests/test_floods.py
+++ b/packages/papayapost-testing/tests/test_floods.py
@@ -6,8 +6,8 @@
 from papayapost_testing.demo.tables import StepKind
 from papayapost_testing.floods import (
     FloodRow,
+    FloodScript,
     FloodTables,
-    build_flood_script,
     flood_deployment,
 )
 from papayapost_testing.floods.messages import FloodBegun, FloodEnded
@@ -59,7 +59,7 @@
 def test_a_killed_node_is_back_before_the_next_flood():
     fault = FloodFault.KILL_AND_SLOW_STORE
     floods = [FloodRow(Rank.BULK, 2.0, 900, fault), FloodRow(Rank.URGENT, 2.0, 900)]
-    kinds = [step.kind for step in build_flood_script(flood_deployment(), floods)]
+    kinds = [step.kind for step in FloodScript(floods).build(flood_deployment())]
     assert kinds.index(StepKind.KILL) < kinds.index(StepKind.MEASURE)
     next_flood = len(kinds) - kinds[::-1].index(StepKind.FLOOD) - 1
     for healed in (StepKind.HEAL_STORE, StepKind.RESTART):
