--- a/packages/papayapost-testing/src/papayapost_testing/bench/floods.py
+++ b/packages/papayapost-testing/src/papayapost_testing/bench/floods.py
@@ -98,6 +98,9 @@
     name = f"{flood.name}: {tally.rank.name.lower()}"
     other = _goodput(baseline) if baseline else None
     yield BenchRow(f"{name} goodput", size, _goodput(tally), "%", other)
+    for verdict, calls in tally.verdicts.items():
+        if calls and verdict is not Verdict.WHOLE:
+            yield BenchRow(f"{name} {verdict.value}", size, calls, "calls")
     for percentile in _PERCENTILES:
         other = _latency_ms(baseline, percentile) if baseline else None
         value = _latency_ms(tally, percentile)
