Hold calls for a moment while there is no way for them

Cause: restarting the fleet in waves, callers saw 83 of 4,725 calls refused as not run: a restarted node takes connections before rules are in force (54), and for a moment no backend server of a service was known in reach (29). Ruled out: binding the callers' address late, which was tried and left addresses refusing. Change: such calls are held, 256 at most, for 2 s without rules and 1 s without a backend server, never past their own budget, and are routed when rules or the directory change.

--- a/packages/papayapost-testing/src/papayapost_testing/worlds.py
+++ b/packages/papayapost-testing/src/papayapost_testing/worlds.py
@@ -66,6 +66,7 @@
     world: World
     traffic: TrafficPart
     directory: Directory
+    rules: RulesTable
 
 
 def traffic_world(
@@ -100,7 +101,7 @@
         queue=queue,
         balancing=balancing,
     )
-    return TrafficWorld(World(part.systems, Random(1)), part, directory)
+    return TrafficWorld(World(part.systems, Random(1)), part, directory, table)
 
 
 def _in_force(rules: str) -> VersionRow:
--- a/packages/papayapost-testing/tests/test_metrics.py
+++ b/packages/papayapost-testing/tests/test_metrics.py
@@ -65,6 +65,7 @@
     _, world = build_node()
     world.world.tick(1, world.first_messages())
     world.world.tick(2, [CallArrived(CallId(1), "GET", "wind", "/gusts")])
+    world.world.tick(2_000_002)
     world.traffic.owner.counters.started[Rank.URGENT] = 3
     world.traffic.claims.conflicts = 2
     text = expose(CallMeter(SystemClock()), world, PeerTable(lambda _: None)).decode()
--- a/packages/papayapost/src/papayapost/traffic/drain.py
+++ b/packages/papayapost/src/papayapost/traffic/drain.py
@@ -168,7 +168,8 @@
 
     def _is_idle(self) -> bool:
         calls, owner = self._calls, self._owner
-        is_serving = len(calls.calls) or len(calls.attempts) or len(owner.attempts)
+        is_entry = len(calls.calls) or len(calls.attempts) or len(calls.held)
+        is_serving = is_entry or len(owner.attempts)
         return not is_serving and not self._claims.is_busy()
 
     def _finish_if_still_idle(self, tick: Tick) -> None:
--- a/packages/papayapost/src/papayapost/traffic/entry/routing.py
+++ b/packages/papayapost/src/papayapost/traffic/entry/routing.py
@@ -1,25 +1,43 @@
 """Systems of the entry node: from a caller's request to its first attempt."""
 
-from papayapost.distribution import RulesTable
+from papayapost.distribution import RulesInForce, RulesTable
 from papayapost.ids import CallId, Micros
 from papayapost.kernel import System, Tick
+from papayapost.membership import DirectoryChanged
 from papayapost.rules import match_route
 from papayapost.states import Outcome
 from papayapost.traffic.entry.offers import Offers, set_step
-from papayapost.traffic.entry.tables import CallRow, CallStep, TrafficTables
-from papayapost.traffic.messages import CallArrived, CallRefusal, RefusalCode
+from papayapost.traffic.entry.tables import CallRow, CallStep, HeldRow, TrafficTables
+from papayapost.traffic.internal import HoldOver
+from papayapost.traffic.messages import (
+    CallArrived,
+    CallerGone,
+    CallRefusal,
+    RefusalCode,
+)
 
 __all__ = ["RouteCalls", "first_step"]
 
 _NOT_FOUND = 404
 _UNAVAILABLE = 503
 _RETRY_AFTER_MS = 1_000
+_MAX_HELD_CALLS = 256
+_HOLD_US = {
+    RefusalCode.NO_RULES: 2_000_000,
+    RefusalCode.NO_BACKEND_SERVER: 1_000_000,
+}
 
 
 class RouteCalls(System):
-    """Finds the rule of each new call and makes its first attempt."""
+    """Finds the rule of each new call and makes its first attempt.
 
-    consumes = (CallArrived,)
+    A call for which there are no rules yet, or no backend server in reach,
+    is held for a moment: a node that has just started, or a service whose
+    backend servers restart one after the other, then costs callers time and
+    not an error.
+    """
+
+    consumes = (CallArrived, CallerGone, DirectoryChanged, HoldOver, RulesInForce)
 
     def __init__(self, rules: RulesTable, tables: TrafficTables, offers: Offers):
         self._rules = rules
@@ -27,32 +45,61 @@
         self._offers = offers
 
     def run(self, tick: Tick) -> None:
-        """Route the calls that arrived."""
+        """Route the calls that arrived, and those that were held."""
+        held = self._tables.held
+        for gone in tick.take(CallerGone):
+            self._release(tick, gone.call_id)
         for arrived in tick.take(CallArrived):
-            self._route(tick, arrived)
+            self._tables.counters.calls += 1
+            self._route(tick, arrived, tick.now_us)
+        has_rules, has_members = tick.take(RulesInForce), tick.take(DirectoryChanged)
+        if has_rules or has_members:
+            for row in list(held):
+                self._route(tick, row.arrived, row.arrived_us)
+        for over in tick.take(HoldOver):
+            late = held.pop(over.call_id)
+            if late is not None:
+                self._refuse(tick, over.call_id, _UNAVAILABLE, late.code)
 
-    def _route(self, tick: Tick, arrived: CallArrived) -> None:
-        self._tables.counters.calls += 1
+    def _route(self, tick: Tick, arrived: CallArrived, arrived_us: Micros) -> None:
         in_force = self._rules.in_force
         if in_force is None:
-            self._refuse(tick, arrived.call_id, _UNAVAILABLE, RefusalCode.NO_RULES)
+            self._hold(tick, arrived, arrived_us, RefusalCode.NO_RULES)
             return
         route = match_route(in_force.rules, arrived.method, arrived.host, arrived.path)
         if route is None:
+            self._release(tick, arrived.call_id)
             self._refuse(tick, arrived.call_id, _NOT_FOUND, RefusalCode.NO_ROUTE)
             return
         budget_us = route.timeout_ms * 1000
         if arrived.budget_us is not None:
             budget_us = min(budget_us, arrived.budget_us)
-        call = CallRow(arrived.call_id, arrived, route, Micros(tick.now_us + budget_us))
+        call = CallRow(arrived.call_id, arrived, route, Micros(arrived_us + budget_us))
         if not self._offers.offer(tick, call):
-            self._refuse(
-                tick, call.call_id, _UNAVAILABLE, RefusalCode.NO_BACKEND_SERVER
-            )
+            self._hold(tick, arrived, arrived_us, RefusalCode.NO_BACKEND_SERVER)
             return
+        self._release(tick, arrived.call_id)
         self._tables.calls.put(call.call_id, call)
         first_step(tick, call)
 
+    def _hold(
+        self, tick: Tick, arrived: CallArrived, arrived_us: Micros, code: RefusalCode
+    ) -> None:
+        held = self._tables.held
+        call_id = arrived.call_id
+        if call_id not in held and len(held) >= _MAX_HELD_CALLS:
+            self._refuse(tick, call_id, _UNAVAILABLE, code)
+            return
+        held.put(call_id, HeldRow(arrived, arrived_us, code))
+        until_us = arrived_us + _HOLD_US[code]
+        if arrived.budget_us is not None:
+            until_us = min(until_us, arrived_us + arrived.budget_us)
+        tick.set_timer(("held", call_id), Micros(until_us), HoldOver(call_id))
+
+    def _release(self, tick: Tick, call_id: CallId) -> None:
+        if self._tables.held.pop(call_id) is not None:
+            tick.cancel_timer(("held", call_id))
+
     def _refuse(
         self, tick: Tick, call_id: CallId, status: int, code: RefusalCode
     ) -> None:
--- a/packages/papayapost/src/papayapost/traffic/entry/tables.py
+++ b/packages/papayapost/src/papayapost/traffic/entry/tables.py
@@ -14,6 +14,7 @@
     "AttemptState",
     "CallRow",
     "CallStep",
+    "HeldRow",
     "TrafficCounters",
     "TrafficTables",
 ]
@@ -100,10 +101,26 @@
     offers_to_draining: int = 0
 
 
+@dataclass(slots=True)
+class HeldRow:
+    """A call that waits for rules, or for a backend server to be known.
+
+    Parameters
+    ----------
+    code
+        What the caller is told if nothing comes.
+    """
+
+    arrived: CallArrived
+    arrived_us: Micros
+    code: RefusalCode
+
+
 class TrafficTables:
     """Calls and attempts of the entry side."""
 
     def __init__(self):
         self.calls: Table[CallId, CallRow] = Table("calls")
+        self.held: Table[CallId, HeldRow] = Table("held calls")
         self.attempts: Table[AttemptId, AttemptRow] = Table("attempts")
         self.counters = TrafficCounters()
--- a/packages/papayapost/src/papayapost/traffic/internal.py
+++ b/packages/papayapost/src/papayapost/traffic/internal.py
@@ -12,6 +12,7 @@
     "DrainLimitPassed",
     "EjectionOver",
     "GraceOver",
+    "HoldOver",
     "TrafficStarted",
 ]
 
@@ -23,6 +24,13 @@
     call_id: CallId
 
 
+@dataclass(slots=True)
+class HoldOver:
+    """Timer: a held call has waited long enough for a way to be found."""
+
+    call_id: CallId
+
+
 @dataclass(slots=True)
 class AttemptLost:
     """Internal: the attempt may have run, and its owner is gone."""
--- /dev/null
+++ b/packages/papayapost/tests/traffic/test_held_calls.py
@@ -0,0 +1,70 @@
+from papayapost.distribution import RulesInForce, VersionRow
+from papayapost.ids import CallId, Micros, RuleVersion
+from papayapost.membership import DirectoryChanged
+from papayapost.rules import compile_rules
+from papayapost.states import BackendServerState, StagedState
+from papayapost.traffic import (
+    CallArrived,
+    CallerGone,
+    OfferSend,
+    RefusalCode,
+)
+from papayapost_testing.worlds import backend_row, traffic_world
+
+RULES = "route GET /gusts -> gusts idempotent=yes # Mei: wind desk\n"
+HELD_AT_MOST = 256
+
+
+def call(number, budget_us=None):
+    return CallArrived(CallId(number), "GET", "wind", "/gusts", budget_us)
+
+
+def starting_node(upstreams):
+    return traffic_world(backend_row("entry", None), upstreams)
+
+
+def bring_rules_into_force(node):
+    row = VersionRow(RuleVersion(1), compile_rules(RULES), StagedState.IN_FORCE)
+    node.rules.in_force = row
+    return RulesInForce(row.version)
+
+
+def test_a_call_at_a_starting_node_is_answered_once_rules_are_in_force():
+    node = starting_node([backend_row("a", "gusts")])
+    assert node.world.tick(Micros(0), [call(1)]) == []
+    in_force = bring_rules_into_force(node)
+    (sent,) = node.world.tick(Micros(900_000), [in_force])
+    assert isinstance(sent, OfferSend)
+    assert sent.call_id == 1
+    assert node.world.tick(Micros(990_000)) == []
+
+
+def test_a_held_call_goes_to_the_first_backend_server_that_comes_back():
+    leaving = backend_row("a", "gusts", state=BackendServerState.DRAINING)
+    node = starting_node([leaving])
+    node.world.tick(Micros(0), [bring_rules_into_force(node)])
+    assert node.world.tick(Micros(10), [call(1)]) == []
+    back = backend_row("b", "gusts")
+    node.directory.put(back.node_id, back)
+    effects = node.world.tick(Micros(500_000), [DirectoryChanged((back,))])
+    assert [effect.address for effect in effects] == [back.peer_address]
+
+
+def test_a_held_call_is_refused_as_not_run_when_its_own_time_is_over():
+    node = starting_node([])
+    node.world.tick(Micros(0), [call(1, Micros(300_000)), call(2)])
+    (first,) = node.world.tick(Micros(300_000))
+    assert (first.call_id, first.code) == (1, RefusalCode.NO_RULES)
+    (second,) = node.world.tick(Micros(2_000_000))
+    assert (second.call_id, second.code) == (2, RefusalCode.NO_RULES)
+
+
+def test_held_calls_are_bounded_and_forgotten_when_their_caller_goes():
+    node = starting_node([])
+    arrivals = [call(number) for number in range(HELD_AT_MOST + 1)]
+    (refused,) = node.world.tick(Micros(0), arrivals)
+    assert refused.call_id == HELD_AT_MOST
+    gone = [CallerGone(CallId(number)) for number in range(HELD_AT_MOST)]
+    node.world.tick(Micros(1), gone)
+    assert node.world.tick(Micros(2_000_000)) == []
+    assert len(node.traffic.calls.held) == 0
