--- a/packages/papayapost-node/src/papayapost_node/drain.py
+++ b/packages/papayapost-node/src/papayapost_node/drain.py
@@ -51,6 +51,9 @@
         self._post(DrainRequested(limit_ms))
         await self._complete.wait()
         self._server.stop_accepting()
+        # Nobody else can reach the backend server of this VM before the next
+        # process is there: callers who kept a connection are not waited for.
+        self._server.close_idle()
         # Answers that were handed to connections still have to leave.
         left_s = max(_MIN_LAST_WRITES_S, due_s - loop.time())
         await self._server.wait_until_empty(min(_LAST_WRITES_S, left_s))
--- a/packages/papayapost-node/src/papayapost_node/http/server.py
+++ b/packages/papayapost-node/src/papayapost_node/http/server.py
@@ -113,6 +113,11 @@
         for connection in list(self._connections):
             connection.drain()
 
+    def close_idle(self) -> None:
+        """Close the connections on which no request has begun."""
+        for connection in list(self._connections):
+            connection.close_if_idle()
+
     async def close(self) -> None:
         """Stop listening and close all connections at once."""
         if self._server is not None:
--- a/packages/papayapost-node/src/papayapost_node/http/server_connection.py
+++ b/packages/papayapost-node/src/papayapost_node/http/server_connection.py
@@ -191,9 +191,14 @@
         A request that is on its way to an idle connection would be cut by a
         close at once.
         """
-        if self._lanes.is_idle and not self._pace.received_bytes:
+        if self._is_idle:
             self._pace.expect_within(_DRAIN_IDLE_S)
 
+    def close_if_idle(self) -> None:
+        """Close unless a request has begun to arrive."""
+        if self._is_idle:
+            self.close()
+
     def close(self) -> None:
         """Close once what is written has left."""
         if self._transport is not None:
@@ -204,6 +209,10 @@
         if self._transport is not None:
             self._transport.abort()
 
+    @property
+    def _is_idle(self) -> bool:
+        return self._lanes.is_idle and not self._pace.received_bytes
+
     def _is_last_answer(self, lane: Lane) -> bool:
         """Return whether the connection is to end with a lane's answer.
 
