Refuse at once what would wait at its owner in vain

What stands ahead of an attempt says little of its wait: more urgent ones keep coming before it. Change: the wait of the oldest attempt of a rank counts as the expected wait of a new one. An attempt that would reach the limit of its wait is refused at once, and every refusal says that wait.

--- a/packages/papayapost/src/papayapost/traffic/owner/admission.py
+++ b/packages/papayapost/src/papayapost/traffic/owner/admission.py
@@ -152,7 +152,7 @@
             self._replies.refuse(tick, offer, code, 0)
             return None
         wait_us = self._expected_wait_us(tick, offer)
-        if wait_us + self._times.short_us(offer.rank, tick.now_us) > offer.budget_us:
+        if self._is_hopeless(tick, offer, wait_us):
             self._replies.refuse(tick, offer, RefusalCode.DEADLINE, wait_us)
             return None
         needs_claim = not offer.idempotent and offer.idempotency_key is not None
@@ -185,12 +185,21 @@
             return RefusalCode.QUEUE_FULL
         return None
 
+    def _is_hopeless(self, tick: Tick, offer: AttemptOffer, wait_us: float) -> bool:
+        """Return whether an offer that queued would be refused in the end."""
+        short_us = self._times.short_us(offer.rank, tick.now_us)
+        if wait_us + short_us > offer.budget_us:
+            return True
+        has_target = offer.target_us is not None
+        return has_target and wait_us > offer.budget_us * _MAX_WAIT_SHARE
+
     def _expected_wait_us(self, tick: Tick, offer: AttemptOffer) -> float:
         tables = self._tables
         if not tables.waiting:
             return 0.0
         service_us = self._times.mean_us(offer.rank, tick.now_us)
-        return self._queue.expected_wait_us(offer.rank, service_us, tables.limit)
+        ahead_us = self._queue.expected_wait_us(offer.rank, service_us, tables.limit)
+        return max(ahead_us, self._queue.oldest_wait_us(offer.rank, tick.now_us))
 
     def _settle_claim(self, tick: Tick, settled: ClaimSettled) -> None:
         row = self._tables.attempts.get(settled.attempt_id)
@@ -303,7 +312,8 @@
 
     def _refuse_late(self, tick: Tick) -> None:
         for row in self._queue.advance(tick.now_us):
-            self._waiting.refuse(tick, row, RefusalCode.QUEUE_FULL, 0)
+            wait_us = self._expected_wait_us(tick, row.offer)
+            self._waiting.refuse(tick, row, RefusalCode.QUEUE_FULL, wait_us)
         self._tables.waiting = len(self._queue)
 
     def _refuse_waiting(self, tick: Tick) -> None:
@@ -316,8 +326,9 @@
         if row is None or row.state is OwnedState.RUNNING:
             return
         self._tables.counters.expired += 1
+        wait_us = self._expected_wait_us(tick, row.offer)
         self._waiting.take_out(row)
-        self._waiting.refuse(tick, row, RefusalCode.DEADLINE, 0)
+        self._waiting.refuse(tick, row, RefusalCode.DEADLINE, wait_us)
 
 
 def _is_waiting(row: OwnedRow) -> bool:
--- a/packages/papayapost/src/papayapost/traffic/owner/queues.py
+++ b/packages/papayapost/src/papayapost/traffic/owner/queues.py
@@ -75,6 +75,14 @@
     def expected_wait_us(self, rank: Rank, service_us: float, limit: int) -> float:
         """Return the least time that a new attempt of a rank would wait."""
 
+    def oldest_wait_us(self, rank: Rank, now_us: Micros) -> int:
+        """Return how long the oldest attempt of a rank has waited; 0 without one.
+
+        What is ahead of a new attempt does not tell what more urgent ones
+        will still come before it; how the rank has fared lately does.
+        """
+        return 0
+
     @abstractmethod
     def set_shares(self, shares: RankShares) -> None:
         """Use other floors and ceilings from now on."""
--- a/packages/papayapost/src/papayapost/traffic/owner/targeted.py
+++ b/packages/papayapost/src/papayapost/traffic/owner/targeted.py
@@ -100,6 +100,11 @@
         ahead = sum(len(self._timely[other]) for other in range(rank + 1))
         return ahead * service_us / max(1, limit)
 
+    def oldest_wait_us(self, rank: Rank, now_us: Micros) -> int:
+        """Return how long the oldest timely attempt of a rank has waited."""
+        oldest = next(iter(self._timely[rank].values()), None)
+        return 0 if oldest is None else now_us - oldest.arrived_us
+
     def set_shares(self, shares: RankShares) -> None:
         """Change nothing: every rank keeps the same small part."""
 
@@ -128,7 +133,10 @@
             return False
         rank = row.offer.rank
         service_us = self._service_us[rank]
-        wait_us = self.expected_wait_us(rank, service_us, self._slots)
+        wait_us = max(
+            self.expected_wait_us(rank, service_us, self._slots),
+            self.oldest_wait_us(rank, row.arrived_us),
+        )
         return row.arrived_us + wait_us + service_us >= due_us
 
     def _late_count(self) -> int:
--- a/packages/papayapost/tests/traffic/test_targets.py
+++ b/packages/papayapost/tests/traffic/test_targets.py
@@ -5,7 +5,7 @@
 from papayapost.traffic import RefusalCode, TrafficOptions
 from papayapost_testing.worlds import backend_row, traffic_world
 
-from .owners import RULES, Owner, refusals, started
+from .owners import RULES, Owner, refusals, started, told
 
 
 class Targeted(Owner):
@@ -83,3 +83,35 @@
     effects = owner.tick(after_us=750_000)
     assert refusals(effects) == {waiting.attempt_id: RefusalCode.DEADLINE}
     assert not len([row for row in owner.tables.attempts if row.offer is waiting])
+
+
+def test_what_would_wait_as_long_as_its_rank_does_is_refused_at_once():
+    owner = Targeted(slots=1)
+    owner.busy()
+    owner.tick(owner.aimed(1_500))
+    offer = owner.aimed(900, budget_ms=1_000)
+    effects = owner.tick(offer, after_us=700_000)
+    (refused,) = told(effects)
+    assert (refused.attempt_id, refused.code) == (
+        offer.attempt_id,
+        RefusalCode.DEADLINE,
+    )
+    assert refused.retry_after_ms >= 500
+
+
+def test_a_short_queue_refuses_nobody():
+    owner = Targeted(slots=1)
+    owner.busy()
+    owner.tick(owner.aimed(1_500))
+    assert not told(owner.tick(owner.aimed(900), after_us=100_000))
+
+
+def test_an_attempt_that_waited_in_vain_says_when_to_come_back():
+    owner = Targeted(slots=1)
+    owner.busy()
+    first, second = owner.aimed(1_500), owner.aimed(1_500)
+    owner.tick(first)
+    owner.tick(second, after_us=200_000)
+    refused = told(owner.tick(after_us=1_100_000))
+    assert first.attempt_id in [message.attempt_id for message in refused]
+    assert all(message.retry_after_ms >= 500 for message in refused)
