Count a target from the caller's first call

Change: the entry node estimates from the time that a caller gives what is gone of it, by the longest time that calls of the same route have given lately, and takes it off the target. The budget of calls by service in place of by route took patient callers of one route for the measure of another's.

--- a/packages/papayapost/src/papayapost/traffic/entry/offers.py
+++ b/packages/papayapost/src/papayapost/traffic/entry/offers.py
@@ -220,7 +220,7 @@
         target_ms = call.route.target_ms
         if target_ms is None:
             return None
-        due_us = call.arrived_us + target_ms * 1000
+        due_us = call.arrived_us - call.spent_us + target_ms * 1000
         return Micros(max(0, due_us - tick.now_us - margin_us))
 
 
--- a/packages/papayapost/src/papayapost/traffic/entry/routing.py
+++ b/packages/papayapost/src/papayapost/traffic/entry/routing.py
@@ -10,6 +10,7 @@
 from papayapost.traffic.entry.offers import Offers
 from papayapost.traffic.entry.parts import PartChooser
 from papayapost.traffic.entry.retries import RetryPolicy
+from papayapost.traffic.entry.spent import SpentTimes
 from papayapost.traffic.entry.tables import CallRow, HeldRow, TrafficTables
 from papayapost.traffic.internal import HoldOver
 from papayapost.traffic.messages import (
@@ -62,6 +63,7 @@
         self._hold_us = hold_us
         self._drain = drain or DrainRow()
         self._parts = PartChooser()
+        self._spent = SpentTimes()
 
     def run(self, tick: Tick) -> None:
         """Route the calls that arrived, and those that were held."""
@@ -102,6 +104,7 @@
             budget_us = min(budget_us, arrived.budget_us)
         call = CallRow(arrived.call_id, arrived, route, Micros(arrived_us + budget_us))
         call.arrived_us = arrived_us
+        call.spent_us = self._spent.spent_us(route, arrived.budget_us)
         call.version = in_force.version
         call.part = self._parts.choose(route, tick.random)
         if call.deadline_us <= tick.now_us or not self._offers.offer(tick, call):
--- a/packages/papayapost/src/papayapost/traffic/entry/tables.py
+++ b/packages/papayapost/src/papayapost/traffic/entry/tables.py
@@ -57,6 +57,8 @@
         Whether an attempt that is no longer waited for may have run.
     arrived_us
         When its head came in.
+    spent_us
+        Estimate of what its caller had waited before, with earlier calls.
     version
         Version of the rules that decided.
     part
@@ -78,6 +80,7 @@
     last_code: RefusalCode = RefusalCode.NO_BACKEND_SERVER
     retry_after_ms: int | None = None
     arrived_us: Micros = Micros(0)  # noqa: RUF009
+    spent_us: Micros = Micros(0)  # noqa: RUF009
     version: RuleVersion = RuleVersion(0)  # noqa: RUF009
     part: ServiceName | None = None
 
--- a/packages/papayapost/src/papayapost/traffic/owner/queues.py
+++ b/packages/papayapost/src/papayapost/traffic/owner/queues.py
@@ -76,7 +76,7 @@
         """Return the least time that a new attempt of a rank would wait."""
 
     def oldest_wait_us(self, rank: Rank, now_us: Micros) -> int:
-        """Return how long the oldest attempt of a rank has waited; 0 without one.
+        """Return the wait of the oldest attempt of a rank, 0 without one.
 
         What is ahead of a new attempt does not tell what more urgent ones
         will still come before it; how the rank has fared lately does.
--- a/packages/papayapost/tests/traffic/test_targets.py
+++ b/packages/papayapost/tests/traffic/test_targets.py
@@ -1,12 +1,22 @@
 """What a slot is given to when targets count."""
 
-from papayapost.ids import Micros
+from papayapost.ids import CallId, Micros
 from papayapost.states import Rank
-from papayapost.traffic import RefusalCode, TrafficOptions
+from papayapost.traffic import (
+    CallArrived,
+    OfferSend,
+    RefusalCode,
+    TrafficOptions,
+)
 from papayapost_testing.worlds import backend_row, traffic_world
 
 from .owners import RULES, Owner, refusals, started, told
 
+AIMED = """\
+route GET /gusts/* -> gusts idempotent=yes timeout_ms=2000 target_ms=700 # Mei: desk
+route GET /looks/* -> gusts idempotent=yes timeout_ms=2000 target_ms=700 # Mei: desk
+"""
+
 
 class Targeted(Owner):
     def __init__(self, slots=1):
@@ -115,3 +125,31 @@
     refused = told(owner.tick(after_us=1_100_000))
     assert first.attempt_id in [message.attempt_id for message in refused]
     assert all(message.retry_after_ms >= 500 for message in refused)
+
+
+def lefts(*calls):
+    """Offer calls of a path and a time in ms; return the targets left."""
+    owner = backend_row("owner", "gusts", slots=9)
+    world = traffic_world(backend_row("entry", None), [owner], AIMED).world
+    left_ms = []
+    for number, (path, budget_ms) in enumerate(calls, 1):
+        budget_us = Micros(budget_ms * 1000)
+        arrived = CallArrived(CallId(number), "GET", "wind", path, budget_us)
+        effects = world.tick(Micros(number * 1000), [arrived])
+        (offered,) = (e for e in effects if isinstance(e, OfferSend))
+        left_ms.append(offered.offer.target_us // 1000)
+    return left_ms
+
+
+def test_a_caller_who_comes_back_has_used_up_a_part_of_its_target():
+    first, patient, second, last = lefts(
+        ("/gusts/a", 2_000), ("/gusts/a", 1_800), ("/gusts/a", 1_500), ("/gusts/a", 600)
+    )
+    assert first == patient
+    assert 0 < second < first // 2
+    assert last == 0
+
+
+def test_patient_callers_of_one_route_say_nothing_of_another():
+    _, first = lefts(("/looks/a", 3_000), ("/gusts/a", 2_000))
+    assert first > 600
