--- a/packages/papayapost/src/papayapost/roster/beats.py
+++ b/packages/papayapost/src/papayapost/roster/beats.py
@@ -37,6 +37,11 @@
 _FAR_SILENCE_US = 4_800_000
 """Three beats in a row may be lost before a peer is."""
 
+_EARLY_PROBE_EVERY_US = 500_000
+_EARLY_PROBES_US = 15_000_000
+"""Time in which most nodes that were restarted are back. A node that starts
+while the store is away knows nobody until somebody speaks to it."""
+
 _PROBE_EVERY_US = 2_000_000
 _FORGET_AFTER_US = 120_000_000
 _SUSPICION_US = 400_000
@@ -222,9 +227,12 @@
             self._lose(tick, peer, "it is silent")
 
     def _probe(self, tick: Tick, peer: PeerRow) -> None:
-        if tick.now_us - peer.met_us > _FORGET_AFTER_US:
+        lost_for_us = tick.now_us - peer.met_us
+        is_early = lost_for_us < _EARLY_PROBES_US
+        every_us = _EARLY_PROBE_EVERY_US if is_early else _PROBE_EVERY_US
+        if lost_for_us > _FORGET_AFTER_US:
             self._roster.peers.pop(peer.node_id)
-        elif _is_due(peer.beaten_us, tick.now_us, _PROBE_EVERY_US):
+        elif _is_due(peer.beaten_us, tick.now_us, every_us):
             peer.beaten_us = tick.now_us
             self._send_hello(tick, peer.address, wants_reply=True)
 
--- a/packages/papayapost/tests/roster/test_roster.py
+++ b/packages/papayapost/tests/roster/test_roster.py
@@ -247,6 +247,20 @@
     assert Event.DEATH_REFUTED in again.noted
 
 
+def test_a_node_restarted_without_the_store_is_met_within_a_second():
+    mesh, (a, b, c) = three()
+    mesh.run(5 * SECOND_US)
+    mesh._deliver(b.me.peer_address, LeaveMesh(), 0)
+    mesh.run(300_000)
+    mesh.stop(b)
+    mesh.turned_away.add(b.me.peer_address)
+    mesh.run(300_000)
+    again = mesh.start("b", NORTH_2)
+    mesh.run(700_000)
+    assert a.known == c.known == again.known == {"a", "b", "c"}
+    assert again.rules.in_force is not None
+
+
 def test_a_node_that_the_store_turns_away_takes_new_rules_from_a_peer():
     mesh, (_, _, c) = three()
     mesh.run(SECOND_US)
