Take the settings' way into the decisions out of the composition root

Change: world.py builds the decisions from the settings, owner_services.py has what the calls to a backend server share. Nothing else changes.

--- a/packages/papayapost-node/src/papayapost_node/composition.py
+++ b/packages/papayapost-node/src/papayapost_node/composition.py
@@ -1,24 +1,18 @@
 """The composition root: wires one node from its settings."""
 
 from pathlib import Path
-from random import Random
 
 from papayapost.errors import SettingsRefused
 from papayapost.ids import (
     Address,
     DataCentreId,
-    Incarnation,
     InstanceId,
     NodeId,
-    RegionId,
-    ServiceName,
 )
 from papayapost.membership import BackendServerRow
-from papayapost.node import NodeWorld, build_node_world, build_roster_world
 from papayapost.observe import Event, Noted
 from papayapost.peering import PeerSend
-from papayapost.place import Place, SelfRow
-from papayapost.states import BackendServerState, LinkClass
+from papayapost.states import LinkClass
 from papayapost.storage import (
     ListObjects,
     ReadObject,
@@ -26,7 +20,6 @@
     UpdateObject,
     WatchObject,
 )
-from papayapost.traffic import SharedBudget, TrafficOptions
 from papayapost.traffic.owner.queues import QueueDiscipline
 from papayapost_node.admin import (
     AdminServer,
@@ -46,8 +39,6 @@
 from papayapost_node.runner import WorldRunner
 from papayapost_node.security import KeyRing, SenderCheck
 from papayapost_node.settings import (
-    Discovery,
-    QueueOrder,
     SecurityMode,
     Settings,
     load_keys,
@@ -63,6 +54,7 @@
     MessagePackCodec,
     StampingCodec,
 )
+from papayapost_node.world import build_world, self_row
 
 __all__ = ["Node", "build_node"]
 
@@ -79,10 +71,10 @@
     ):
         self._settings = settings
         self._clock = clock
-        self._me = _self_row(settings, clock)
+        self._me = self_row(settings, clock)
         self._surroundings = load_surroundings(settings.surroundings)
         self._dialect = self._surroundings.dialect(settings)
-        self.world = _build_world(settings, self._me, queue)
+        self.world = build_world(settings, self._me, queue)
         self._log = EventRecorder(self._me.node_id, self._me.place.data_centre, clock)
         self._meter = CallMeter(clock)
         observers = [self._log, self._meter]
@@ -312,58 +304,3 @@
         In place of `RankedQueues`.
     """
     return Node(settings, clock or SystemClock(), queue)
-
-
-def _self_row(settings: Settings, clock: Clock) -> SelfRow:
-    place = Place(DataCentreId(settings.data_centre), RegionId(settings.region))
-    return SelfRow(
-        NodeId(settings.node_id),
-        Incarnation(clock.wall_us()),
-        place,
-        Address(settings.peer_address),
-    )
-
-
-def _build_world(
-    settings: Settings, me: SelfRow, queue: QueueDiscipline | None
-) -> NodeWorld:
-    own, random = _own_row(settings, me), Random(me.incarnation)
-    options = _traffic_options(settings)
-    if settings.discovery is Discovery.ROSTER:
-        return build_roster_world(me, own, random, queue, options)
-    seeds = [Address(seed) for seed in settings.seeds]
-    return build_node_world(me, seeds, own, random, queue, options)
-
-
-def _traffic_options(settings: Settings) -> TrafficOptions:
-    budget, shared = settings.retry_budget, None
-    if budget is not None:
-        shared = SharedBudget(budget.ratio, budget.slack, budget.window_ms * 1000)
-    backend = settings.backend_server
-    default = TrafficOptions()
-    return TrafficOptions(
-        shared,
-        settings.hold_ms * 1000,
-        backend.report_interval_ms * 1000 if backend else default.report_interval_us,
-        settings.drain_grace_ms * 1000,
-        settings.queue is QueueOrder.TARGETS,
-        settings.report_address is not None,
-    )
-
-
-def _own_row(settings: Settings, me: SelfRow) -> BackendServerRow:
-    backend = settings.backend_server
-    # A backend server that reports itself is not there before it has.
-    is_reported = backend is not None and backend.slots is None
-    state = BackendServerState.COLD if is_reported else BackendServerState.READY
-    return BackendServerRow(
-        node_id=me.node_id,
-        incarnation=me.incarnation,
-        revision=1,
-        service=ServiceName(backend.service) if backend else None,
-        data_centre=me.place.data_centre,
-        region=me.place.region,
-        peer_address=me.peer_address,
-        slots=(backend.slots or 0) if backend else 0,
-        state=state,
-    )
--- a/packages/papayapost-node/src/papayapost_node/exchange/backend_call.py
+++ b/packages/papayapost-node/src/papayapost_node/exchange/backend_call.py
@@ -1,24 +1,17 @@
 """One call to the backend server and its answer's way to the entry node."""
 
 import asyncio
-from collections.abc import Callable
-from dataclasses import dataclass, field
 
 from papayapost.errors import CreditExceeded
-from papayapost.ids import AttemptId, InstanceId, Micros, NodeId
+from papayapost.ids import Micros
 from papayapost.traffic import BackendCallBegun, BackendCallEnded
 from papayapost_node.deadline import Deadline
-from papayapost_node.exchange.couriers import Courier
-from papayapost_node.exchange.dialect import (
-    AnswerVerdict,
-    BackendTerms,
-    Dialect,
-    NativeDialect,
-)
+from papayapost_node.exchange.dialect import AnswerVerdict, BackendTerms
 from papayapost_node.exchange.inlet import BodyInlet
 from papayapost_node.exchange.outlet import MAX_PART_BYTES, BodyOutlet
+from papayapost_node.exchange.owner_services import OwnerServices
 from papayapost_node.exchange.tables import OwnedRequest
-from papayapost_node.exchange.windows import SendWindow, WindowBudget
+from papayapost_node.exchange.windows import SendWindow
 from papayapost_node.http import (
     AnswerReading,
     AnswerSink,
@@ -35,7 +28,7 @@
     RequestCredit,
 )
 
-__all__ = ["BackendCall", "OwnerServices"]
+__all__ = ["BackendCall"]
 
 _STALL_S = 30.0
 _ANSWER_SLACK_S = 0.03
@@ -44,41 +37,6 @@
 _CONTINUE = 100
 
 
-def _no_instance() -> InstanceId | None:
-    return None
-
-
-@dataclass(slots=True)
-class OwnerServices:
-    """What every call of an owner node uses.
-
-    Parameters
-    ----------
-    post
-        Hands a message to the next tick.
-    free_slots
-        Says how many slots of the backend server are free.
-    forget
-        Drops a call that is over.
-    dialect
-        Spells the headers of requests and answers.
-    instance
-        Says which backend server is to run a request; None for any.
-    hold_bytes
-        Answers up to this size are passed on once they are whole.
-    """
-
-    node_id: NodeId
-    courier: Courier
-    post: Callable[[object], None]
-    free_slots: Callable[[], int]
-    budget: WindowBudget
-    forget: Callable[[AttemptId], None]
-    dialect: Dialect = field(default_factory=NativeDialect)
-    instance: Callable[[], InstanceId | None] = _no_instance
-    hold_bytes: int = 0
-
-
 class BackendCall(AnswerSink):
     """Runs one admitted request.
 
--- a/packages/papayapost-node/src/papayapost_node/exchange/owner_side.py
+++ b/packages/papayapost-node/src/papayapost_node/exchange/owner_side.py
@@ -10,9 +10,10 @@
     BackendCallStart,
     DropOffer,
 )
-from papayapost_node.exchange.backend_call import BackendCall, OwnerServices
+from papayapost_node.exchange.backend_call import BackendCall
 from papayapost_node.exchange.couriers import Courier
 from papayapost_node.exchange.dialect import Dialect, NativeDialect
+from papayapost_node.exchange.owner_services import OwnerServices
 from papayapost_node.exchange.tables import OwnedRequest
 from papayapost_node.exchange.windows import WindowBudget
 from papayapost_node.http import BackendPool, HttpRequest
--- /dev/null
+++ b/packages/papayapost-node/src/papayapost_node/world.py
@@ -0,0 +1,85 @@
+"""Builds a node's decisions from its settings."""
+
+from random import Random
+
+from papayapost.ids import (
+    Address,
+    DataCentreId,
+    Incarnation,
+    NodeId,
+    RegionId,
+    ServiceName,
+)
+from papayapost.membership import BackendServerRow
+from papayapost.node import NodeWorld, build_node_world, build_roster_world
+from papayapost.place import Place, SelfRow
+from papayapost.states import BackendServerState
+from papayapost.traffic import SharedBudget, TrafficOptions
+from papayapost.traffic.owner.queues import QueueDiscipline
+from papayapost_node.clock import Clock
+from papayapost_node.settings import Discovery, QueueOrder, Settings
+
+__all__ = ["build_world", "self_row"]
+
+
+def self_row(settings: Settings, clock: Clock) -> SelfRow:
+    """Return the row of the node itself, of a new incarnation."""
+    place = Place(DataCentreId(settings.data_centre), RegionId(settings.region))
+    return SelfRow(
+        NodeId(settings.node_id),
+        Incarnation(clock.wall_us()),
+        place,
+        Address(settings.peer_address),
+    )
+
+
+def build_world(
+    settings: Settings, me: SelfRow, queue: QueueDiscipline | None
+) -> NodeWorld:
+    """Return the decisions of a node, as its settings want them.
+
+    Parameters
+    ----------
+    queue
+        In place of the discipline that the settings name.
+    """
+    own, random = _own_row(settings, me), Random(me.incarnation)
+    options = _traffic_options(settings)
+    if settings.discovery is Discovery.ROSTER:
+        return build_roster_world(me, own, random, queue, options)
+    seeds = [Address(seed) for seed in settings.seeds]
+    return build_node_world(me, seeds, own, random, queue, options)
+
+
+def _traffic_options(settings: Settings) -> TrafficOptions:
+    budget, shared = settings.retry_budget, None
+    if budget is not None:
+        shared = SharedBudget(budget.ratio, budget.slack, budget.window_ms * 1000)
+    backend = settings.backend_server
+    default = TrafficOptions()
+    return TrafficOptions(
+        shared,
+        settings.hold_ms * 1000,
+        backend.report_interval_ms * 1000 if backend else default.report_interval_us,
+        settings.drain_grace_ms * 1000,
+        settings.queue is QueueOrder.TARGETS,
+        settings.report_address is not None,
+    )
+
+
+def _own_row(settings: Settings, me: SelfRow) -> BackendServerRow:
+    backend = settings.backend_server
+    # A backend server that reports itself is not there before it has.
+    is_reported = backend is not None and backend.slots is None
+    state = BackendServerState.COLD if is_reported else BackendServerState.READY
+    return BackendServerRow(
+        node_id=me.node_id,
+        incarnation=me.incarnation,
+        revision=1,
+        service=ServiceName(backend.service) if backend else None,
+        data_centre=me.place.data_centre,
+        region=me.place.region,
+        peer_address=me.peer_address,
+        slots=(backend.slots or 0) if backend else 0,
+        state=state,
+    )
--- a/packages/papayapost-node/tests/test_answers_of_others.py
+++ b/packages/papayapost-node/tests/test_answers_of_others.py
@@ -11,7 +11,8 @@
     NativeDialect,
     WindowBudget,
 )
-from papayapost_node.exchange.backend_call import BackendCall, OwnerServices
+from papayapost_node.exchange.backend_call import BackendCall
+from papayapost_node.exchange.owner_services import OwnerServices
 from papayapost_node.exchange.tables import OwnedRequest
 from papayapost_node.http import BackendPool, HttpRequest
 from papayapost_node.wire import AnswerCarrier
--- a/packages/papayapost-node/tests/test_backend_calls.py
+++ b/packages/papayapost-node/tests/test_backend_calls.py
@@ -4,7 +4,8 @@
 from papayapost.traffic import BackendCallBegun, BackendCallEnded
 from papayapost_node.batch import NoBatch
 from papayapost_node.exchange import Courier, WindowBudget
-from papayapost_node.exchange.backend_call import BackendCall, OwnerServices
+from papayapost_node.exchange.backend_call import BackendCall
+from papayapost_node.exchange.owner_services import OwnerServices
 from papayapost_node.exchange.tables import OwnedRequest
 from papayapost_node.http import BackendPool, HttpRequest
 from papayapost_testing.ports import free_addresses
