Say when a node announces that it leaves, and keep to it

Cause: the log of a restart shows the node draining and, 0.8 s later, its backend server ready again: a report took back the announcement, and peers sent work until they were refused. That suited the deployment by accident, since nobody else can reach that backend server while callers take 2 s to leave.

--- a/packages/papayapost-node/src/papayapost_node/settings/model.py
+++ b/packages/papayapost-node/src/papayapost_node/settings/model.py
@@ -182,6 +182,8 @@
         learned that it is not ready.
     drain_grace_ms
         Time for which it still takes attempts of other nodes then.
+    drain_announce_ms
+        Time after which it asks other nodes to send no more.
     surroundings
         Importable module that speaks the platform's protocols, or null for
         the product's own.
@@ -216,6 +218,7 @@
     drain_limit_ms: int = Field(default=30_000, ge=0, le=3_600_000)
     drain_accept_ms: int = Field(default=0, ge=0, le=600_000)
     drain_grace_ms: int = Field(default=3_000, ge=0, le=600_000)
+    drain_announce_ms: int = Field(default=0, ge=0, le=600_000)
     surroundings: str | None = None
     discovery: Annotated[Discovery, Field(strict=False)] = Discovery.TREE
     readiness_address: AddressText | None = None
--- a/packages/papayapost-node/src/papayapost_node/world.py
+++ b/packages/papayapost-node/src/papayapost_node/world.py
@@ -62,6 +62,7 @@
         settings.hold_ms * 1000,
         backend.report_interval_ms * 1000 if backend else default.report_interval_us,
         settings.drain_grace_ms * 1000,
+        settings.drain_announce_ms * 1000,
         settings.queue is QueueOrder.TARGETS,
         settings.report_address is not None,
     )
--- a/packages/papayapost/src/papayapost/traffic/drain.py
+++ b/packages/papayapost/src/papayapost/traffic/drain.py
@@ -14,6 +14,7 @@
 from papayapost.traffic.entry.tables import TrafficTables
 from papayapost.traffic.entry.upstreams import Upstreams
 from papayapost.traffic.internal import (
+    AnnounceDue,
     AttemptLost,
     CallDue,
     DrainCheck,
@@ -49,9 +50,18 @@
 
     Offers that were sent before their entry node learned of the drain are
     served during a grace period.
+
+    Parameters
+    ----------
+    grace_us
+        Length of that period in µs.
+    announce_us
+        Time in µs from the request to the announcement. Callers may need
+        longer to leave than other nodes do, and until then no other node can
+        use the backend server of this VM.
     """
 
-    consumes = (DrainRequested, OwnBackendServerSeen, GraceOver)
+    consumes = (AnnounceDue, DrainRequested, OwnBackendServerSeen, GraceOver)
 
     def __init__(
         self,
@@ -61,8 +71,10 @@
         owner: OwnerTables,
         drain: DrainRow,
         grace_us: int = GRACE_US,
+        announce_us: int = 0,
     ):
         self._grace_us = grace_us
+        self._announce_us = announce_us
         self._me = me
         self._directory = directory
         self._upstreams = upstreams
@@ -77,6 +89,8 @@
         for requested in tick.take(DrainRequested):
             if self._drain.state is NodeState.SERVING:
                 self._drain_node(tick, requested)
+        if tick.take(AnnounceDue):
+            self._announce_leaving(tick)
         if tick.take(GraceOver):
             self._owner.is_refusing = True
             self._drain.is_grace_over = self._drain.state is NodeState.DRAINING
@@ -92,12 +106,20 @@
 
     def _drain_node(self, tick: Tick, requested: DrainRequested) -> None:
         self._drain.state = NodeState.DRAINING
-        self._announce(tick, BackendServerState.DRAINING)
+        if self._announce_us:
+            due_us = Micros(tick.now_us + self._announce_us)
+            tick.set_timer("drain announcement", due_us, AnnounceDue())
+        else:
+            self._announce_leaving(tick)
         self._set_grace(tick)
         limit_us = Micros(tick.now_us + requested.limit_ms * 1000)
         tick.set_timer("drain limit", limit_us, DrainLimitPassed())
         tick.emit(Noted(Event.NODE_DRAINING))
 
+    def _announce_leaving(self, tick: Tick) -> None:
+        self._drain.is_announced = True
+        self._announce(tick, BackendServerState.DRAINING)
+
     def _set_grace(self, tick: Tick) -> None:
         due_us = Micros(tick.now_us + self._grace_us)
         tick.set_timer("drain grace", due_us, GraceOver())
--- a/packages/papayapost/src/papayapost/traffic/drain_row.py
+++ b/packages/papayapost/src/papayapost/traffic/drain_row.py
@@ -13,9 +13,12 @@
 
     Parameters
     ----------
+    is_announced
+        Whether the own row says that this node takes no more work of others.
     is_grace_over
         Whether callers and other nodes have had time to learn of it.
     """
 
     state: NodeState = NodeState.SERVING
+    is_announced: bool = False
     is_grace_over: bool = False
--- a/packages/papayapost/src/papayapost/traffic/internal.py
+++ b/packages/papayapost/src/papayapost/traffic/internal.py
@@ -5,6 +5,7 @@
 from papayapost.ids import AttemptId, CallId, NodeId
 
 __all__ = [
+    "AnnounceDue",
     "AttemptLost",
     "CallDue",
     "DrainCheck",
@@ -50,6 +51,11 @@
     """First message: the process starts now."""
 
 
+@dataclass(slots=True)
+class AnnounceDue:
+    """Timer: other nodes are to send no more work from now on."""
+
+
 @dataclass(slots=True)
 class GraceOver:
     """Timer: other nodes have had time to learn of a drain."""
--- a/packages/papayapost/src/papayapost/traffic/owner/backend_server.py
+++ b/packages/papayapost/src/papayapost/traffic/owner/backend_server.py
@@ -8,6 +8,7 @@
 from papayapost.observe import Event, Noted
 from papayapost.place import SelfRow
 from papayapost.states import BackendServerState
+from papayapost.traffic.drain_row import DrainRow
 from papayapost.traffic.entry.upstreams import Upstreams
 from papayapost.traffic.owner.concurrency import ConcurrencyLimit
 from papayapost.traffic.owner.queues import QueueDiscipline
@@ -61,6 +62,7 @@
         owner: OwnerTables,
         queue: QueueDiscipline,
         concurrency: ConcurrencyLimit,
+        drain: DrainRow,
         interval_us: int,
     ):
         self._me = me
@@ -69,6 +71,7 @@
         self._owner = owner
         self._queue = queue
         self._concurrency = concurrency
+        self._drain = drain
         self._silence_us = max(_MIN_SILENCE_US, _SILENT_INTERVALS * interval_us)
 
     def run(self, tick: Tick) -> None:
@@ -143,7 +146,8 @@
         if is_leaving and not self._owner.is_closed:
             tick.post(WaitingRefused())
         self._owner.is_closed = is_leaving
-        if own.state is BackendServerState.DRAINING and self._owner.is_refusing:
+        if self._drain.is_announced:
+            # The node leaves, whatever its backend server does.
             return
         if (own.service, own.slots, own.state) == (service, slots, state):
             return
--- a/packages/papayapost/src/papayapost/traffic/part.py
+++ b/packages/papayapost/src/papayapost/traffic/part.py
@@ -73,6 +73,8 @@
         any.
     drain_grace_us
         Time in µs for which a node that leaves still takes attempts.
+    drain_announce_us
+        Time in µs after which it asks the others to send no more.
     has_targets
         Whether to serve first what can still meet its rule's target.
     has_exact_slots
@@ -84,6 +86,7 @@
     hold_us: int = HOLD_US
     report_interval_us: int = _REPORT_INTERVAL_US
     drain_grace_us: int = GRACE_US
+    drain_announce_us: int = 0
     has_targets: bool = False
     has_exact_slots: bool = False
 
@@ -129,7 +132,15 @@
         reports = options.has_exact_slots
         concurrency = FixedLimit(slots) if reports else AdaptiveLimit(slots)
     systems: list[System] = [
-        StartDrain(me, directory, upstreams, owner, drain, options.drain_grace_us),
+        StartDrain(
+            me,
+            directory,
+            upstreams,
+            owner,
+            drain,
+            options.drain_grace_us,
+            options.drain_announce_us,
+        ),
         FollowBackendServer(
             me,
             directory,
@@ -137,6 +148,7 @@
             owner,
             queue,
             concurrency,
+            drain,
             options.report_interval_us,
         ),
         TrackUpstreams(directory, upstreams, calls, link),
--- a/packages/papayapost/tests/traffic/test_backend_server.py
+++ b/packages/papayapost/tests/traffic/test_backend_server.py
@@ -7,6 +7,7 @@
 from papayapost.traffic import (
     BackendServerLeft,
     BackendServerReported,
+    DrainRequested,
     RefusalCode,
     ReportTaken,
     TrafficOptions,
@@ -133,3 +134,12 @@
     assert owner.runs() is True
     owner.report()
     assert owner.state is READY
+
+
+def test_a_report_does_not_bring_back_a_node_that_leaves():
+    owner = Reporting()
+    owner.report()
+    owner.tick(DrainRequested())
+    assert owner.state is DRAINING
+    owner.report()
+    assert owner.state is DRAINING
--- a/packages/papayapost/tests/traffic/test_drain.py
+++ b/packages/papayapost/tests/traffic/test_drain.py
@@ -10,11 +10,12 @@
     DrainRequested,
     OwnBackendServerSeen,
     RefusalCode,
+    TrafficOptions,
 )
 from papayapost.traffic.drain import GRACE_US
-from papayapost_testing.worlds import backend_row
+from papayapost_testing.worlds import backend_row, traffic_world
 
-from .owners import Owner, refusals, started
+from .owners import RULES, Owner, refusals, started
 from .stores import FakeStore
 from .test_balancing import Entry, only, sent
 from .test_claims import Claimer
@@ -42,6 +43,20 @@
     assert owner.node.world.next_due_us() is None
 
 
+def test_a_node_works_for_others_until_it_announces_that_it_leaves():
+    own = backend_row("owner", "gusts", slots=2)
+    options = TrafficOptions(drain_announce_us=1_000_000)
+    owner = Owner(node=traffic_world(own, [], RULES, options=options))
+    owner.tick(DrainRequested())
+    assert own_row(owner).state is BackendServerState.READY
+    offer = owner.offer()
+    assert started(owner.tick(offer, after_us=900_000))
+    owner.end(offer.attempt_id)
+    owner.tick(after_us=100_000)
+    assert own_row(owner).state is BackendServerState.DRAINING
+    assert completed(owner.tick(after_us=GRACE_US)) == [DrainComplete(True)]
+
+
 def test_an_idle_node_stays_for_the_grace_period():
     owner = Owner()
     assert not completed(owner.tick(DrainRequested()))
