Print each finding of papaya check once

Cause: the list of findings went to standard output, and the error that ends the command carried the same list to standard error. Change: where a report has told the findings, the error is one line that counts them.

--- a/packages/papayapost-operator/src/papayapost_operator/main.py
+++ b/packages/papayapost-operator/src/papayapost_operator/main.py
@@ -10,6 +10,7 @@
 from fire.core import FireExit
 
 from papayapost.errors import (
+    FindingsError,
     InternalError,
     Interrupted,
     PapayapostError,
@@ -121,8 +122,11 @@
 def _print_text(result: Result) -> None:
     for line in result.lines:
         print(line)
-    if result.error is not None:
-        print(result.error, file=sys.stderr)
+    error = result.error
+    if isinstance(error, FindingsError) and result.lines:
+        print(error.summary, file=sys.stderr)
+    elif error is not None:
+        print(error, file=sys.stderr)
 
 
 if __name__ == "__main__":
--- a/packages/papayapost-operator/tests/test_command_line.py
+++ b/packages/papayapost-operator/tests/test_command_line.py
@@ -90,6 +90,10 @@
         ("2:3", "R019"),
         ("3:7", "R004"),
     ]
+    assert run(["check", str(bad)]) == 2
+    told = capsys.readouterr()
+    assert [line.count("R007") for line in told.out.splitlines()] == [1, 0, 0, 0]
+    assert told.err == "PP101: 4 findings\n"
     bad.write_bytes(b"#" * 2_000_000)
     assert run(["check", str(bad)]) == 2
     assert "R020" in capsys.readouterr().out
--- a/packages/papayapost/src/papayapost/errors.py
+++ b/packages/papayapost/src/papayapost/errors.py
@@ -83,6 +83,12 @@
         self.findings = tuple(findings)
         super().__init__("\n".join(str(finding) for finding in self.findings))
 
+    @property
+    def summary(self) -> str:
+        """One line, for where the findings are told already."""
+        count = len(self.findings)
+        return f"{self.code}: {count} finding{'s' if count > 1 else ''}"
+
 
 class RulesRefused(FindingsError):
     """A rules text has findings and is refused whole."""
