--- a/packages/papayapost-testing/src/papayapost_testing/model/__init__.py
+++ b/packages/papayapost-testing/src/papayapost_testing/model/__init__.py
@@ -5,11 +5,8 @@
     AtMostOnceSpec,
 )
 from papayapost_testing.model.checking import Verdict, check
-from papayapost_testing.model.rules_protocol import (
-    BLOCKED_VARIANT,
-    RULES_FAULTS,
-    RulesSpec,
-)
+from papayapost_testing.model.rules_faults import BLOCKED_VARIANT, RULES_FAULTS
+from papayapost_testing.model.rules_protocol import RulesSpec
 
 __all__ = [
     "AT_MOST_ONCE_FAULTS",
--- a/packages/papayapost-testing/src/papayapost_testing/model/rules_protocol.py
+++ b/packages/papayapost-testing/src/papayapost_testing/model/rules_protocol.py
@@ -14,19 +14,20 @@
 from papayapost_testing.model.checking import Spec
 
 __all__ = [
-    "BLOCKED_VARIANT",
-    "RULES_FAULTS",
+    "SNAPSHOT",
     "Held",
     "LateService",
     "Message",
     "RulesSpec",
     "RulesState",
+    "Steps",
+    "knows_service",
 ]
 
 LATE = 1
 BAD = 2
 NEWEST = 3
-_SNAPSHOT = -1
+SNAPSHOT = -1
 _CORRUPT = -1
 
 
@@ -139,11 +140,11 @@
         """Return whether a message may be applied to what is held."""
         if message.version <= held.version:
             return False
-        return message.base in (_SNAPSHOT, held.version)
+        return message.base in (SNAPSHOT, held.version)
 
     def may_swap(self, state: RulesState) -> bool:
         """Return whether the held version may be put in force."""
-        is_known = _knows(state, state.held.version)
+        is_known = knows_service(state, state.held.version)
         return is_known and state.held.version >= state.floor
 
     def may_stage(self, state: RulesState) -> bool:
@@ -201,7 +202,7 @@
         if len(state.wire) >= self._wire_slots:
             return
         for version in {state.link, state.relay} - {0}:
-            bases = {_SNAPSHOT, state.held.version, 1} - {0, version}
+            bases = {SNAPSHOT, state.held.version, 1} - {0, version}
             for base in bases:
                 yield (
                     "send",
@@ -219,7 +220,7 @@
             if is_staged and not self.may_stage(state):
                 continue
             if self.fits(state.held, message):
-                is_right = message.base in (_SNAPSHOT, state.held.version)
+                is_right = message.base in (SNAPSHOT, state.held.version)
                 text = message.version if is_right else _CORRUPT
                 held = Held(message.version, text)
                 yield "deliver", state._replace(held=held, wire=rest)
@@ -286,79 +287,13 @@
 
 
 def _knows_services(state: RulesState) -> bool:
-    return _knows(state, state.in_force.version)
+    return knows_service(state, state.in_force.version)
 
 
-def _knows(state: RulesState, version: int) -> bool:
+def knows_service(state: RulesState, version: int) -> bool:
+    """Return whether the node knows the service that a version names."""
     return version != LATE or state.late is LateService.KNOWN
 
 
 def _is_recorded(state: RulesState) -> bool:
     return max(state.link, state.relay, state.held.version) <= state.record
-
-
-class _TakesOlder(RulesSpec):
-    def fits(self, held: Held, message: Message) -> bool:
-        return message.base in (_SNAPSHOT, held.version)
-
-
-class _ForgetsFloor(RulesSpec):
-    def may_swap(self, state: RulesState) -> bool:
-        return _knows(state, state.held.version)
-
-
-class _RemembersNothingSent(RulesSpec):
-    def remembers(self, state: RulesState, version: int) -> int:
-        return max(state.remembered, state.in_force.version)
-
-
-class _TrustsReads(RulesSpec):
-    def updates_record(self, state: RulesState) -> bool:
-        return True
-
-
-class _IgnoresBase(RulesSpec):
-    def fits(self, held: Held, message: Message) -> bool:
-        return message.version > held.version
-
-
-class _AppliesBad(RulesSpec):
-    def compiles(self, version: int) -> bool:
-        return True
-
-
-class _SwapsEarly(RulesSpec):
-    def may_swap(self, state: RulesState) -> bool:
-        return state.held.version >= state.floor
-
-
-class _SkipsRecord(RulesSpec):
-    def _read(self, state: RulesState) -> Steps:
-        yield from super()._read(state)
-        if state.candidate:
-            best = max(state.candidate, state.link_best)
-            yield (
-                "hold unrecorded",
-                state._replace(link=state.candidate, candidate=0, link_best=best),
-            )
-
-
-class _BlocksBehindStaged(RulesSpec):
-    def may_stage(self, state: RulesState) -> bool:
-        return state.in_force == state.held
-
-
-RULES_FAULTS: Mapping[type[RulesSpec], str] = {
-    _TakesOlder: "a node never moves back",
-    _ForgetsFloor: "a node never moves back",
-    _RemembersNothingSent: "a node never moves back",
-    _TrustsReads: "a link relay never moves back",
-    _IgnoresBase: "a version is applied whole",
-    _AppliesBad: "a bad version is never applied",
-    _SwapsEarly: "every route's service is known",
-    _SkipsRecord: "what is in force is recorded as accepted",
-}
-"""Variants with one guard broken, and the invariant that must tell."""
-
-BLOCKED_VARIANT: type[RulesSpec] = _BlocksBehindStaged
-"""Variant in which the newest version can become out of reach."""
