Read metrics pages in one place

Cause: papaya top, the flood's director and the demo's figures each read the Prometheus text in a loop of their own. Change: Samples of the operators' package reads a page; the three ask it.

--- /dev/null
+++ b/packages/papayapost-operator/src/papayapost_operator/samples.py
@@ -0,0 +1,59 @@
+"""Reads the metrics page of a node."""
+
+from collections.abc import Mapping
+
+from prometheus_client.parser import text_string_to_metric_families
+
+__all__ = ["Samples"]
+
+
+class Samples:
+    r"""The values of one metrics page, by name and label values.
+
+    Parameters
+    ----------
+    text
+        The page, in the Prometheus text format.
+
+    Raises
+    ------
+    ValueError
+        If the text is not in that format.
+
+    Examples
+    --------
+    >>> samples = Samples('sent{link="across"} 3.5\nsent{link="self"} 4.5\n')
+    >>> samples.value("sent", "across"), samples.total("sent")
+    (3.5, 8.0)
+    >>> samples.get("received") is None
+    True
+    """
+
+    def __init__(self, text: str):
+        self._values = {
+            (sample.name, _key_of(sample.labels)): sample.value
+            for family in text_string_to_metric_families(text)
+            for sample in family.samples
+        }
+
+    def get(self, name: str, labels: str = "") -> float | None:
+        """Return one value, or None where the node has not counted it.
+
+        Parameters
+        ----------
+        labels
+            The label values in order of the labels' names, joined by ``/``.
+        """
+        return self._values.get((name, labels))
+
+    def value(self, name: str, labels: str = "") -> float:
+        """Return one value; what a node never counted is 0."""
+        return self._values.get((name, labels), 0.0)
+
+    def total(self, name: str) -> float:
+        """Return the sum over all label values of a name."""
+        return sum(value for (other, _), value in self._values.items() if other == name)
+
+
+def _key_of(labels: Mapping[str, str]) -> str:
+    return "/".join(labels[name] for name in sorted(labels))
--- a/packages/papayapost-operator/src/papayapost_operator/top.py
+++ b/packages/papayapost-operator/src/papayapost_operator/top.py
@@ -1,11 +1,10 @@
 """papaya top."""
 
 import asyncio
-from collections.abc import Mapping, Sequence
+from collections.abc import Sequence
 from dataclasses import dataclass
 
 import msgspec
-from prometheus_client.parser import text_string_to_metric_families
 
 from papayapost.errors import UsageRefused
 from papayapost.ids import Address
@@ -14,6 +13,7 @@
 from papayapost_operator.command import Command, Result
 from papayapost_operator.nodes import NodeSilent, read_page
 from papayapost_operator.numbers import whole_number
+from papayapost_operator.samples import Samples
 from papayapost_operator.timeline import words_of
 
 __all__ = ["NodeOverview", "TopCommand", "TopOverview"]
@@ -108,33 +108,16 @@
         status_body = await read_page(address, "/status", timeout_s)
         metrics_body = await read_page(address, "/metrics", timeout_s)
         status = msgspec.json.decode(status_body, type=NodeStatus)
-        samples = _samples_of(metrics_body.decode())
+        samples = Samples(metrics_body.decode())
     except (NodeSilent, ValueError) as error:
         return GapRow(address, str(error))
-    p99_s = samples.get((_LATENCY, "entry/0.99/urgent"))
+    p99_s = samples.get(_LATENCY, "entry/0.99/urgent")
     return NodeOverview(
         address=address,
         status=status,
-        memory_bytes=int(samples.get((_MEMORY, ""), 0)),
-        cpu_s=samples.get((_CPU, ""), 0.0),
-        calls=int(samples.get((_CALLS, ""), 0)),
-        refusals=int(_sum_of(samples, _REFUSALS)),
+        memory_bytes=int(samples.value(_MEMORY)),
+        cpu_s=samples.value(_CPU),
+        calls=int(samples.value(_CALLS)),
+        refusals=int(samples.total(_REFUSALS)),
         urgent_p99_ms=None if p99_s is None else p99_s * 1_000,
     )
-
-
-def _samples_of(text: str) -> dict[tuple[str, str], float]:
-    """Return values by name and by label values, in order of label names."""
-    return {
-        (sample.name, _key_of(sample.labels)): sample.value
-        for family in text_string_to_metric_families(text)
-        for sample in family.samples
-    }
-
-
-def _key_of(labels: Mapping[str, str]) -> str:
-    return "/".join(labels[name] for name in sorted(labels))
-
-
-def _sum_of(samples: Mapping[tuple[str, str], float], name: str) -> float:
-    return sum(value for (other, _), value in samples.items() if other == name)
--- a/packages/papayapost-testing/src/papayapost_testing/demo/figures.py
+++ b/packages/papayapost-testing/src/papayapost_testing/demo/figures.py
@@ -1,11 +1,9 @@
 """Reads the nodes' own figures from their metrics pages."""
 
-from collections.abc import Mapping
 from dataclasses import dataclass
 
-from prometheus_client.parser import text_string_to_metric_families
-
 from papayapost.ids import NodeId
+from papayapost_operator.samples import Samples
 
 __all__ = ["NodeFigures", "figures_of"]
 
@@ -30,21 +28,12 @@
 
 def figures_of(node_id: NodeId, metrics: str) -> NodeFigures:
     """Return a node's figures from the text of its metrics page."""
-    samples = _samples_of(metrics)
+    samples = Samples(metrics)
     sent, control = "papayapost_sent_bytes_total", "papayapost_control_sent_bytes_total"
-    received = samples.get(("papayapost_control_received_bytes_total", ""), 0.0)
-    control_sent = sum(value for (name, _), value in samples.items() if name == control)
+    received = samples.value("papayapost_control_received_bytes_total")
     return NodeFigures(
         node_id,
-        int(control_sent + received),
-        int(samples.get((sent, "across"), 0)),
-        int(samples.get((control, "across"), 0)),
+        int(samples.total(control) + received),
+        int(samples.value(sent, "across")),
+        int(samples.value(control, "across")),
     )
-
-
-def _samples_of(metrics: str) -> Mapping[tuple[str, str], float]:
-    return {
-        (sample.name, sample.labels.get("link", "")): sample.value
-        for family in text_string_to_metric_families(metrics)
-        for sample in family.samples
-    }
--- a/packages/papayapost-testing/src/papayapost_testing/floods/director.py
+++ b/packages/papayapost-testing/src/papayapost_testing/floods/director.py
@@ -1,12 +1,11 @@
 """Carries out the steps of a flood run."""
 
-from collections import Counter, defaultdict
+from collections import Counter
 from collections.abc import Sequence
 from pathlib import Path
 
-from prometheus_client.parser import text_string_to_metric_families
-
 from papayapost.ids import NodeId
+from papayapost_operator.samples import Samples
 from papayapost_testing.demo.control import read_json, read_text, set_faults
 from papayapost_testing.demo.director import Director, StepWork
 from papayapost_testing.demo.tables import StepKind, StepRow
@@ -105,12 +104,9 @@
 
 
 def _reading_of(metrics: str) -> NodeReading:
-    sums: defaultdict[str, float] = defaultdict(float)
-    for family in text_string_to_metric_families(metrics):
-        for sample in family.samples:
-            sums[sample.name] += sample.value
+    samples = Samples(metrics)
     return NodeReading(
-        int(sums["papayapost_calls_total"]),
-        int(sums["papayapost_attempts_offered_total"]),
-        sums["papayapost_cpu_seconds"],
+        int(samples.total("papayapost_calls_total")),
+        int(samples.total("papayapost_attempts_offered_total")),
+        samples.total("papayapost_cpu_seconds"),
     )
