Offer calls without queueing first, so that free slots are found

Cause: an entry node counts an upstream as full by its own outstanding attempts. Of 66 entry nodes each has one or two there, so no upstream ever looks full, calls queue at the owners of the own data centre, and free slots elsewhere in the region stay unused. With 12 entry nodes the own attempts were a fair estimate; the class of fault is a share of a whole that is taken for the whole.

Change: up to four attempts of a call may not queue. The owner, which alone knows its slots, starts such an attempt at once or refuses it with its expected wait; no backend server sees it, so it costs no retry. The fifth may queue, where the wait is shortest. Across regions only if the near wait is longer than the round trip.

--- a/packages/papayapost-testing/src/papayapost_testing/bench/balance.py
+++ b/packages/papayapost-testing/src/papayapost_testing/bench/balance.py
@@ -5,30 +5,16 @@
 exponential, and each message between nodes takes half a millisecond.
 """
 
-import heapq
 from collections.abc import Container
-from dataclasses import dataclass
 from enum import Enum
 from random import Random
 
 from papayapost.ids import CallId, Micros, NodeId
-from papayapost.kernel import World
-from papayapost.peering import PeerSend
 from papayapost.states import LinkClass
-from papayapost.traffic import (
-    AnswerBegun,
-    AnswerEnded,
-    AttemptOffer,
-    BackendCallBegun,
-    BackendCallEnded,
-    BackendCallStart,
-    BalancingPolicy,
-    CallArrived,
-    ForwardAnswer,
-    OfferSend,
-)
+from papayapost.traffic import BalancingPolicy, CallArrived
 from papayapost.traffic.entry.upstreams import ServiceRow, UpstreamRow
 from papayapost_testing.bench.rows import BenchRow
+from papayapost_testing.simulated_calls import BackendAnswer, SimulatedCalls
 from papayapost_testing.traffic_worlds import backend_row, traffic_world
 
 __all__ = ["BackendFault", "RandomNearest", "balance_rows"]
@@ -41,6 +27,8 @@
 _LOAD_OF_CAPACITY = 0.5
 _SLOWDOWN_FACTOR = 10
 _FAULTY_NODE = NodeId("u0")
+_FAILURE_US = 200
+_OK = 200
 
 
 class BackendFault(Enum):
@@ -72,98 +60,51 @@
                 return random.choice(untried)
         return None
 
-
-@dataclass(order=True, slots=True)
-class _Arrival:
-    """Messages that reach a node in one tick, with their virtual time."""
-
-    at_us: int
-    sequence: int
-    node_id: NodeId
-    messages: tuple
+    def is_full(self, row: UpstreamRow, now_us: Micros) -> bool:
+        """Return False: every attempt may be refused for want of a slot."""
+        return False
 
 
 class _Simulation:
-    """Simulation of an entry node, its owner nodes and messages in transit."""
+    """Simulation of an entry node and its owner nodes."""
 
     def __init__(self, fault: BackendFault, balancing: BalancingPolicy | None):
         self._fault = fault
-        self._random = Random(11)
-        self._queue: list[_Arrival] = []
-        self._sequence = 0
-        self._offers: dict[str, AttemptOffer] = {}
-        self._arrived_us: dict[CallId, int] = {}
-        self._statuses: dict[str, int] = {}
-        self.answer_times_us: list[int] = []
         rows = [
             backend_row(f"u{number}", "gusts", slots=_SLOTS)
             for number in range(_OWNERS)
         ]
         entry = backend_row("entry", None)
-        self._worlds: dict[NodeId, World] = {
-            row.node_id: traffic_world(row).world for row in rows
-        }
-        self._worlds[entry.node_id] = traffic_world(
-            entry, rows, _RULES, balancing=balancing
-        ).world
+        nodes = {row.node_id: traffic_world(row) for row in rows}
+        nodes[entry.node_id] = traffic_world(entry, rows, _RULES, balancing=balancing)
+        self._calls = SimulatedCalls(nodes, self._backend)
+
+    @property
+    def answer_times_us(self) -> list[int]:
+        """Times in µs from arrival to answer of well answered calls."""
+        return [
+            call.ended_us - call.arrived_us
+            for call in self._calls.calls.values()
+            if call.ended_us is not None and call.status == _OK
+        ]
 
     def run(self, calls: int) -> None:
         """Simulate calls until no message is in transit."""
         rate_per_us = _LOAD_OF_CAPACITY * _OWNERS * _SLOTS / _SERVICE_US
         at_us = 0.0
         for number in range(calls):
-            at_us += self._random.expovariate(rate_per_us)
-            call_id = CallId(number)
-            self._arrived_us[call_id] = int(at_us)
-            arrived = CallArrived(call_id, "GET", "wind", "/gusts/wanli")
-            self._send(int(at_us), NodeId("entry"), arrived)
-        while self._queue:
-            arrival = heapq.heappop(self._queue)
-            world = self._worlds[arrival.node_id]
-            for effect in world.tick(Micros(arrival.at_us), arrival.messages):
-                self._apply_effect(arrival.at_us, arrival.node_id, effect)
-
-    def _send(self, at_us: int, node_id: NodeId, *messages: object) -> None:
-        self._sequence += 1
-        arrival = _Arrival(at_us, self._sequence, node_id, messages)
-        heapq.heappush(self._queue, arrival)
-
-    def _apply_effect(self, now_us: int, node_id: NodeId, effect: object) -> None:
-        if isinstance(effect, OfferSend):
-            self._offers[effect.offer.attempt_id] = effect.offer
-            self._send(now_us + _HOP_US, _node_of(effect.address), effect.offer)
-        elif isinstance(effect, PeerSend):
-            self._send(now_us + _HOP_US, _node_of(effect.address), effect.message)
-        elif isinstance(effect, BackendCallStart):
-            self._run_backend(now_us, node_id, effect)
-        elif isinstance(effect, ForwardAnswer) and self._is_success(effect):
-            self.answer_times_us.append(now_us - self._arrived_us[effect.call_id])
-
-    def _is_success(self, effect: ForwardAnswer) -> bool:
-        return self._statuses[effect.attempt_id] == 200
-
-    def _run_backend(
-        self, now_us: int, node_id: NodeId, start: BackendCallStart
-    ) -> None:
-        service_us, status = self._random.expovariate(1 / _SERVICE_US), 200
+            at_us += self._calls.random.expovariate(rate_per_us)
+            arrived = CallArrived(CallId(number), "GET", "wind", "/gusts/wanli")
+            self._calls.arrive(int(at_us), NodeId("entry"), arrived)
+        self._calls.run()
+
+    def _backend(self, node_id: NodeId, random: Random) -> BackendAnswer:
+        service_us = random.expovariate(1 / _SERVICE_US)
         if node_id == _FAULTY_NODE and self._fault is BackendFault.SLOW:
             service_us *= _SLOWDOWN_FACTOR
         elif node_id == _FAULTY_NODE and self._fault is BackendFault.FAILING:
-            service_us, status = 200.0, 503
-        done_us, attempt_id = now_us + 1 + int(service_us), start.attempt_id
-        self._statuses[attempt_id] = status
-        self._send(
-            done_us,
-            node_id,
-            BackendCallBegun(attempt_id, status),
-            BackendCallEnded(attempt_id, True, True),
-        )
-        self._send(
-            done_us + _HOP_US,
-            self._offers[attempt_id].sender,
-            AnswerBegun(node_id, attempt_id, status, 0),
-            AnswerEnded(node_id, attempt_id, True),
-        )
+            return BackendAnswer(_FAILURE_US, 503)
+        return BackendAnswer(int(service_us))
 
 
 def balance_rows(short: bool) -> list[BenchRow]:
@@ -196,7 +137,3 @@
 
 def _good_percent(calls: int):
     return lambda run: 100 * len(run.answer_times_us) / calls
-
-
-def _node_of(address: str) -> NodeId:
-    return NodeId(address.partition(":")[0])
--- a/packages/papayapost/src/papayapost/traffic/entry/balancing.py
+++ b/packages/papayapost/src/papayapost/traffic/entry/balancing.py
@@ -18,6 +18,9 @@
 """Failure rate above which a backend server counts as full, so that one
 farther away that has room is preferred."""
 
+_ACROSS_ROUND_TRIP_US = 60_000
+"""Time of a message between regions and its answer."""
+
 _RAMP_US = 10_000_000
 _RAMP_MIN_SHARE = 0.1
 
@@ -50,15 +53,21 @@
             Source of the random choice.
         """
 
+    @abstractmethod
+    def is_full(self, row: UpstreamRow, now_us: Micros) -> bool:
+        """Return whether an attempt at an upstream would probably wait."""
+
 
 class NearestOfTwo(BalancingPolicy):
     """Chooses the better of two random upstreams at the nearest distance.
 
     This is balancing by two random choices: the upstream with the lower
     expected wait is used. Distances at which no upstream has a free slot are
-    passed over. The expected wait at an upstream follows from the attempts
-    that this node has outstanding there, from the number of free slots that
-    its owner node last reported, and from its decayed latency.
+    passed over, but the link between regions is used only if the wait at the
+    nearer upstreams is longer than the way there and back. The expected wait
+    at an upstream follows from the attempts that this node has outstanding
+    there, from what its owner node last reported, and from its decayed
+    latency.
 
     Parameters
     ----------
@@ -96,7 +105,9 @@
             best = self._choose_in_tier(service, tier, tried, now_us, random)
             if best is None:
                 continue
-            if not self._is_full(best, now_us):
+            if distance == LinkClass.ACROSS and _is_wait_short(full_upstreams, now_us):
+                break
+            if not self.is_full(best, now_us):
                 return best
             full_upstreams.append(best)
         if not full_upstreams:
@@ -123,17 +134,18 @@
                 service, first, now_us
             ):
                 first = second
-            if first.node_id not in tried and not self._is_full(first, now_us):
+            if first.node_id not in tried and not self.is_full(first, now_us):
                 return first
         untried = [row for row in tier if row.node_id not in tried]
-        with_room = [row for row in untried if not self._is_full(row, now_us)]
+        with_room = [row for row in untried if not self.is_full(row, now_us)]
         return min(
             with_room or untried,
             key=lambda row: self._score(service, row, now_us),
             default=None,
         )
 
-    def _is_full(self, row: UpstreamRow, now_us: Micros) -> bool:
+    def is_full(self, row: UpstreamRow, now_us: Micros) -> bool:
+        """Return whether an attempt at an upstream would probably wait."""
         if now_us < row.full_until_us:
             return True
         if row.failure_rate_at(now_us) > self._max_failure_rate:
@@ -164,7 +176,18 @@
     )
     if row.ramp_start_us is not None:
         score /= _ramp_share(row, now_us)
-    return score
+    return score + _expected_wait_us(row, now_us)
+
+
+def _expected_wait_us(row: UpstreamRow, now_us: Micros) -> int:
+    """Return the reported wait, less the time since the report."""
+    return max(0, row.expected_wait_us - (now_us - row.reported_us))
+
+
+def _is_wait_short(rows: list[UpstreamRow], now_us: Micros) -> bool:
+    return any(
+        0 < _expected_wait_us(row, now_us) <= _ACROSS_ROUND_TRIP_US for row in rows
+    )
 
 
 def _ramp_share(row: UpstreamRow, now_us: Micros) -> float:
--- a/packages/papayapost/src/papayapost/traffic/entry/failed_attempts.py
+++ b/packages/papayapost/src/papayapost/traffic/entry/failed_attempts.py
@@ -33,7 +33,14 @@
 __all__ = ["HandleFailedAttempts"]
 
 _MAX_FULL_PAUSE_US = 100_000
-_FULL_CODES = frozenset([RefusalCode.QUEUE_FULL, RefusalCode.EVICTED, RefusalCode.SHED])
+_FULL_CODES = frozenset(
+    [
+        RefusalCode.EVICTED,
+        RefusalCode.NO_FREE_SLOT,
+        RefusalCode.QUEUE_FULL,
+        RefusalCode.SHED,
+    ]
+)
 _FAILURE_CODES = frozenset([RefusalCode.UNREACHABLE, RefusalCode.WRONG_SERVICE])
 
 
@@ -86,6 +93,7 @@
             return
         upstream = attempt.upstream
         upstream.report(refused.free_slots, tick.now_us)
+        upstream.expected_wait_us = refused.retry_after_ms * 1000
         if refused.code in _FULL_CODES:
             pause_us = min(refused.retry_after_ms * 1000, _MAX_FULL_PAUSE_US)
             upstream.full_until_us = tick.now_us + pause_us
@@ -97,6 +105,9 @@
         if call is None:
             return
         call.retry_after_ms = refused.retry_after_ms
+        if refused.code is RefusalCode.NO_FREE_SLOT:
+            # The attempt did not wait there, so a later one may.
+            call.tried.remove(upstream.node_id)
         if refused.code in _FAILURE_CODES:
             self._record_failure(tick, call, upstream)
         self._record_not_run(tick, call, refused.attempt_id, refused.code)
--- a/packages/papayapost/src/papayapost/traffic/entry/offers.py
+++ b/packages/papayapost/src/papayapost/traffic/entry/offers.py
@@ -52,6 +52,11 @@
 _MIN_REMAINING_SHARE = 0.3
 """Least time for a further attempt, as a fraction of the call's budget."""
 
+_MAX_PROBES = 4
+"""Largest number of attempts of a call that the owner node must start at once
+or refuse. The next attempt may queue, so that the number of messages for each
+call stays bounded when all slots are taken."""
+
 _STATUS_BY_CODE = {
     RefusalCode.NO_ROUTE: 404,
     RefusalCode.DUPLICATE: 409,
@@ -128,7 +133,10 @@
             tick.emit(Noted(Event.OFFER_TO_DRAINING, peer=upstream.node_id))
         self._sequence += 1
         attempt_id = AttemptId(f"{self._prefix}{self._sequence:x}")
-        offer = self._build_offer(tick, call, attempt_id, upstream)
+        may_queue = len(call.refused) >= _MAX_PROBES or self._policy.is_full(
+            upstream, tick.now_us
+        )
+        offer = self._build_offer(tick, call, attempt_id, upstream, may_queue)
         call.tried.append(upstream.node_id)
         call.outstanding.append(attempt_id)
         upstream.attempts[attempt_id] = None
@@ -205,6 +213,7 @@
         call: CallRow,
         attempt_id: AttemptId,
         upstream: UpstreamRow,
+        may_queue: bool,
     ) -> AttemptOffer:
         route, arrived = call.route, call.arrived
         remaining_us = call.deadline_us - tick.now_us
@@ -227,6 +236,7 @@
             tuple(call.refused),
             upstream.incarnation,
             self._target_remaining_us(tick, call, margin_us),
+            may_queue,
         )
 
     def _target_remaining_us(
--- a/packages/papayapost/src/papayapost/traffic/entry/retries.py
+++ b/packages/papayapost/src/papayapost/traffic/entry/retries.py
@@ -105,12 +105,13 @@
         """Do nothing, because only successes earn budget."""
 
     def costs_no_retry(self, call: CallRow, code: RefusalCode) -> bool:
-        """Return whether the owner node refused because it drains.
+        """Return whether the owner node drains or had no free slot.
 
-        Such refusals are few: after the first one, the entry node sends that
-        owner node no more attempts.
+        Such refusals are few: after the first one, the entry node sends a
+        draining owner node no more attempts, and each call has few attempts
+        that may not queue.
         """
-        return code is RefusalCode.DRAINING
+        return code in (RefusalCode.DRAINING, RefusalCode.NO_FREE_SLOT)
 
     def may_retry(self, call: CallRow) -> bool:
         """Return whether the rule's limit and the budget allow a retry."""
--- a/packages/papayapost/src/papayapost/traffic/entry/tables.py
+++ b/packages/papayapost/src/papayapost/traffic/entry/tables.py
@@ -45,7 +45,8 @@
     deadline_us
         Time of the tick clock in µs by which the caller must have an answer.
     tried
-        Owner nodes that the call was offered to, in order.
+        Owner nodes that the call was offered to, in order, without those that
+        refused because it would have had to wait.
     outstanding
         Attempts that were offered and may still be answered.
     refused
--- a/packages/papayapost/src/papayapost/traffic/entry/upstreams.py
+++ b/packages/papayapost/src/papayapost/traffic/entry/upstreams.py
@@ -53,6 +53,9 @@
         Number of free slots that the owner node last reported, time of the
         report, and number of outstanding attempts of this entry node at that
         time.
+    expected_wait_us
+        Time in µs that an attempt would have had to wait for a slot, as the
+        owner node estimated it at the time of its last report.
     full_until_us
         Time until which the upstream counts as full after a refusal.
     failure_rate, failure_rate_sampled_us
@@ -79,6 +82,7 @@
     free_slots: int = 0
     reported_us: int = -(1 << 60)
     outstanding_at_report: int = 0
+    expected_wait_us: int = 0
     full_until_us: int = 0
     failure_rate: float = 0.0
     failure_rate_sampled_us: Micros = Micros(0)  # noqa: RUF009
@@ -94,6 +98,7 @@
         self.free_slots = free_slots
         self.reported_us = now_us
         self.outstanding_at_report = len(self.attempts)
+        self.expected_wait_us = 0
 
     def sample_outcome(self, is_good: bool, now_us: Micros) -> None:
         """Update the decayed failure rate with the outcome of one attempt."""
--- a/packages/papayapost/src/papayapost/traffic/messages.py
+++ b/packages/papayapost/src/papayapost/traffic/messages.py
@@ -71,6 +71,7 @@
     DUPLICATE = "duplicate"
     CLAIMS_UNAVAILABLE = "claims-unavailable"
     WRONG_SERVICE = "wrong-service"
+    NO_FREE_SLOT = "no-free-slot"
 
 
 class LossCause(Enum):
@@ -230,6 +231,9 @@
     target_us
         Time in µs, counted from the arrival of the offer, within which an
         answer meets the latency target; None if the rule sets no target.
+    may_queue
+        Whether the attempt may wait for a slot. If not, the owner node refuses
+        it unless it can start at once.
     """
 
     sender: NodeId
@@ -247,6 +251,7 @@
     refused_attempts: tuple[AttemptId, ...] = ()
     owner_incarnation: Incarnation = NO_INCARNATION
     target_us: Micros | None = None
+    may_queue: bool = True
 
 
 @dataclass(slots=True)
--- a/packages/papayapost/src/papayapost/traffic/owner/admission.py
+++ b/packages/papayapost/src/papayapost/traffic/owner/admission.py
@@ -165,6 +165,9 @@
             self._replies.refuse(tick, offer, code, 0)
             return None
         wait_us = self._expected_wait_us(tick, offer)
+        if not (offer.may_queue or self._has_free_slot()):
+            self._replies.refuse(tick, offer, RefusalCode.NO_FREE_SLOT, wait_us)
+            return None
         if self._would_expire_in_queue(tick, offer, wait_us):
             self._replies.refuse(tick, offer, RefusalCode.DEADLINE, wait_us)
             return None
@@ -213,15 +216,23 @@
         has_target = offer.target_us is not None
         return has_target and wait_us > offer.budget_us * _MAX_WAIT_FRACTION
 
+    def _has_free_slot(self) -> bool:
+        tables = self._tables
+        return tables.running + tables.waiting < self._concurrency.limit
+
     def _expected_wait_us(self, tick: Tick, offer: AttemptOffer) -> float:
         tables = self._tables
-        if not tables.waiting:
+        if self._has_free_slot():
             return 0.0
         service_us = self._service_times.mean_us(offer.rank, tick.now_us)
+        next_slot_us = service_us / max(1, self._concurrency.limit)
+        if not tables.waiting:
+            return next_slot_us
         queue_wait_us = self._queue.expected_wait_us(
             offer.rank, service_us, tables.limit
         )
-        return max(queue_wait_us, self._queue.oldest_wait_us(offer.rank, tick.now_us))
+        oldest_wait_us = self._queue.oldest_wait_us(offer.rank, tick.now_us)
+        return max(queue_wait_us + next_slot_us, oldest_wait_us)
 
     def _apply_claim_verdict(self, tick: Tick, settled: ClaimSettled) -> None:
         row = self._tables.attempts.get(settled.attempt_id)
