Use the time until the kill for answers on their way

Callers saw a 200 whose connection closed in the middle of its body, 5.2 s after SIGTERM, while the platform granted 6 s: the drain limit (5,000 ms), the time for sending what is buffered (0.2 s) and the cap on it (5 s) were constants, and no setting told the node when it is killed.

The limits for running calls and for sending are derived from it.

The case of test_settings that named drain_limit_ms now names stop_limit_s and is equally strict, as the old key is gone.

Evidence: before the fix, test_an_answer_that_its_caller_still_reads_at_the_limit_is_sent_whole (there without flush_ms, which did not exist) failed with "assert not True": the drain had ended 0.2 s after its limit with 8 MiB unread. It passes now.

--- a/packages/papayapost-node/src/papayapost_node/composition.py
+++ b/packages/papayapost-node/src/papayapost_node/composition.py
@@ -28,7 +28,7 @@
     TimelinePage,
 )
 from papayapost_node.clock import Clock, SystemClock
-from papayapost_node.drain import Drain
+from papayapost_node.drain import Drain, StopTimes
 from papayapost_node.event_limit import EventRateLimit
 from papayapost_node.exchange import (
     EntrySide,
@@ -177,7 +177,8 @@
     async def drain(self) -> None:
         """Finish the running calls and ask the peers to send no new ones."""
         settings = self._settings
-        await self._drain.run(settings.drain_limit_ms, settings.drain_accept_ms)
+        times = StopTimes.within(settings.stop_limit_s)
+        await self._drain.run(times.work_ms, settings.drain_accept_ms, times.flush_ms)
 
     def note_stopped_at_once(self) -> None:
         """Record that the node stops before its drain is complete."""
--- a/packages/papayapost-node/src/papayapost_node/drain.py
+++ b/packages/papayapost-node/src/papayapost_node/drain.py
@@ -2,14 +2,49 @@
 
 import asyncio
 from collections.abc import Callable
+from dataclasses import dataclass
 
 from papayapost.traffic import DrainComplete, DrainRequested
 from papayapost_node.http import StreamingServer
 
-__all__ = ["Drain"]
+__all__ = ["Drain", "StopTimes"]
 
-_FLUSH_TIMEOUT_S = 5.0
-_MIN_FLUSH_TIMEOUT_S = 0.2
+_EXIT_SHARE = 0.05
+_MAX_EXIT_S = 0.5
+_FLUSH_SHARE = 0.02
+
+
+@dataclass(frozen=True, slots=True)
+class StopTimes:
+    """Division of the time in which a node must stop.
+
+    Parameters
+    ----------
+    work_ms
+        Time in ms for the calls that are running.
+    flush_ms
+        Further time in ms to tell the peers of the departure and to send what
+        is buffered. What `work_ms` leaves over is added to it.
+    """
+
+    work_ms: int
+    flush_ms: int
+
+    @classmethod
+    def within(cls, stop_limit_s: float) -> "StopTimes":
+        """Divide the time until the process is killed, less that of its exit.
+
+        Examples
+        --------
+        >>> StopTimes.within(6)
+        StopTimes(work_ms=5580, flush_ms=120)
+        >>> StopTimes.within(30)
+        StopTimes(work_ms=28900, flush_ms=600)
+        """
+        exit_s = min(_MAX_EXIT_S, stop_limit_s * _EXIT_SHARE)
+        flush_s = stop_limit_s * _FLUSH_SHARE
+        work_ms = round((stop_limit_s - exit_s - flush_s) * 1000)
+        return cls(work_ms, round(flush_s * 1000))
 
 
 class Drain:
@@ -30,8 +65,8 @@
         """Return the handler of the effect that reports a complete drain."""
         return {DrainComplete: lambda effect: self._complete.set()}
 
-    async def run(self, limit_ms: int, accept_ms: int = 0) -> None:
-        """Drain the node, and return when all running calls have ended.
+    async def run(self, limit_ms: int, accept_ms: int = 0, flush_ms: int = 0) -> None:
+        """Drain the node, and return when all answers have been sent.
 
         Parameters
         ----------
@@ -40,6 +75,9 @@
         accept_ms
             Time in ms for which new connections are still accepted, for
             callers that have not learned of the drain yet.
+        flush_ms
+            Further time in ms after `limit_ms` for answers that are being
+            sent to their callers.
         """
         self._server.drain()
         loop = asyncio.get_running_loop()
@@ -47,7 +85,7 @@
             loop.call_later(accept_ms / 1000, self._server.stop_accepting)
         else:
             self._server.stop_accepting()
-        due_s = loop.time() + limit_ms / 1000
+        due_s = loop.time() + (limit_ms + flush_ms) / 1000
         self._post(DrainRequested(limit_ms))
         await self._complete.wait()
         self._server.stop_accepting()
@@ -55,5 +93,4 @@
         # reach the backend server of this VM until the next process runs.
         self._server.close_idle()
         # Give connections time to send the answers that they have buffered.
-        remaining_s = max(_MIN_FLUSH_TIMEOUT_S, due_s - loop.time())
-        await self._server.wait_until_empty(min(_FLUSH_TIMEOUT_S, remaining_s))
+        await self._server.wait_until_empty(max(0.0, due_s - loop.time()))
--- a/packages/papayapost-node/src/papayapost_node/settings/model.py
+++ b/packages/papayapost-node/src/papayapost_node/settings/model.py
@@ -185,9 +185,10 @@
         disables these pages.
     http
         Limits on the HTTP connections and requests of callers.
-    drain_limit_ms
-        Maximum duration of a drain, counted from the request to stop. After
-        it the node stops even if calls are still running.
+    stop_limit_s
+        Time in s from the request to stop until the platform kills the
+        process. The node uses nearly all of it for answers that are still on
+        their way, and stops as soon as none are left.
     drain_accept_ms
         Time from the start of a drain during which the node still accepts
         new connections, so that callers have time to learn that the node is
@@ -235,7 +236,7 @@
     backend_server: BackendServerSettings | None = None
     admin_address: AddressText | None = None
     http: HttpSettings = HttpSettings()
-    drain_limit_ms: int = Field(default=30_000, ge=0, le=3_600_000)
+    stop_limit_s: float = Field(default=30.0, ge=0.1, le=3_600)
     drain_accept_ms: int = Field(default=0, ge=0, le=600_000)
     drain_grace_ms: int = Field(default=3_000, ge=0, le=600_000)
     drain_announce_ms: int = Field(default=0, ge=0, le=600_000)
--- a/packages/papayapost-node/tests/test_drain_connections.py
+++ b/packages/papayapost-node/tests/test_drain_connections.py
@@ -101,3 +101,24 @@
         await draining
 
     run_scenario(scenario)
+
+
+def test_an_answer_that_its_caller_still_reads_at_the_limit_is_sent_whole():
+    async def scenario(address, server, drain, posted):
+        body = bytes(8 << 20)
+        reader, writer = await asyncio.open_connection(*address)
+        writer.write(GET)
+        await server.handler.begun.wait()
+        headers = [(b"content-length", b"%d" % len(body))]
+        server.handler.exchanges[0].begin(200, headers, body, is_ended=True)
+        draining = asyncio.create_task(drain.run(limit_ms=200, flush_ms=3_000))
+        await asyncio.sleep(0.2)
+        complete_drain(drain)
+        # The caller reads on after more time than a drain once gave it.
+        await asyncio.sleep(0.5)
+        assert not draining.done()
+        assert (await reader.read()).endswith(body)
+        writer.close()
+        await draining
+
+    run_scenario(scenario)
--- a/packages/papayapost-node/tests/test_settings.py
+++ b/packages/papayapost-node/tests/test_settings.py
@@ -66,7 +66,7 @@
         ({"http": {"connections": "many"}}, "S005 http.connections"),
         (with_backend_server(slots=0), "S006 backend_server.slots"),
         (with_backend_server(slots=True), "S005 backend_server.slots"),
-        ({"drain_limit_ms": -1}, "S006 drain_limit_ms"),
+        ({"stop_limit_s": -1}, "S006 stop_limit_s"),
         ({"caller_address": "localhost:80"}, "S007 caller_address"),
         ({"caller_address": "127.0.0.1:99999"}, "S007 caller_address"),
         ({"seeds": ["127.0.0.1:1", "127.0.0.1"]}, "S007 seeds.1"),
