Count an answer that waits for credit as work of the owner's drain

Callers could see an answer break off when the node next to the backend server stopped: a backend call ends for the world when the backend server has ended its answer, while up to http.hold_answer_bytes of that answer still wait at the owner node for credit of the entry node. FinishDrain saw no attempt left, and the process exited with these parts. A call that the caller had left kept them for the 30 s of the stall limit, because a cancel of an ended backend call was not passed on.

The process now posts AnswerBlocked and AnswerUnblocked around that wait, FinishDrain counts blocked answers, and a cancel ends them at once. Answers that fit the credit, which is the usual case, need no message.

Evidence: without the count and the post, test_a_drain_waits_for_an_answer_whose_entry_node_grants_no_credit_yet and test_an_answer_that_waits_for_credit_is_posted_as_blocked_until_it_is_sent failed (the drain was complete; no message came within 5 s).

--- a/packages/papayapost-node/src/papayapost_node/exchange/backend_call.py
+++ b/packages/papayapost-node/src/papayapost_node/exchange/backend_call.py
@@ -4,7 +4,12 @@
 
 from papayapost.errors import CreditExceeded
 from papayapost.ids import Micros
-from papayapost.traffic import BackendCallBegun, BackendCallEnded
+from papayapost.traffic import (
+    AnswerBlocked,
+    AnswerUnblocked,
+    BackendCallBegun,
+    BackendCallEnded,
+)
 from papayapost_node.deadline import DeadlineTimer
 from papayapost_node.exchange.body_receiver import BodyReceiver
 from papayapost_node.exchange.body_sender import MAX_PART_BYTES, BodySender
@@ -82,6 +87,7 @@
         self._is_finished = False
         self._is_truncated = False
         self._is_held = False
+        self._is_blocked = False
         self._verdict = AnswerVerdict.ANSWER
 
     def connection_ready(self, connection: BackendConnection | None) -> None:
@@ -303,6 +309,9 @@
             # The call waits for credit from the entry node or for data from
             # the backend server; the stall timeout limits both.
             self._set_stall_deadline(True)
+            if not self._is_running and not self._is_blocked:
+                self._is_blocked = True
+                self._services.post(AnswerBlocked(self._owned.attempt_id))
 
     def _pause(self) -> None:
         if self._connection is not None:
@@ -369,4 +378,6 @@
         if self._body_receiver is not None:
             self._body_receiver.close()
             self._body_receiver = None
+        if self._is_blocked:
+            self._services.post(AnswerUnblocked(self._owned.attempt_id))
         self._services.remove_call(self._owned.attempt_id)
--- a/packages/papayapost-node/tests/test_backend_calls.py
+++ b/packages/papayapost-node/tests/test_backend_calls.py
@@ -3,7 +3,12 @@
 import asyncio
 
 from papayapost.ids import Address, AttemptId, Micros, NodeId
-from papayapost.traffic import BackendCallBegun, BackendCallEnded
+from papayapost.traffic import (
+    AnswerBlocked,
+    AnswerUnblocked,
+    BackendCallBegun,
+    BackendCallEnded,
+)
 from papayapost_node.batch import NoBatching
 from papayapost_node.exchange import CarrierDelivery, WindowBudget
 from papayapost_node.exchange.backend_call import BackendCall
@@ -180,3 +185,31 @@
         await server.ended.wait()
 
     run_scenario(scenario, script)
+
+
+def test_an_answer_that_waits_for_credit_is_posted_as_blocked_until_it_is_sent():
+    body = bytes(90_000)
+
+    async def script(reader, writer):
+        await reader.readuntil(b"\r\n\r\n")
+        head = b"HTTP/1.1 200 OK\r\ncontent-length: %d\r\n\r\n" % len(body)
+        writer.write(head + body)
+
+    async def scenario(owner, server):
+        await server.start()
+        owner.services.hold_bytes = 1 << 20
+        call = owner.start()
+        attempt_id = AttemptId("n1/1")
+        while AnswerBlocked(attempt_id) not in owner.posted:
+            await asyncio.sleep(0.01)
+        assert owner.posted[-2:] == [
+            BackendCallEnded(attempt_id, True, True),
+            AnswerBlocked(attempt_id),
+        ]
+        call.grant(10_000)
+        assert owner.posted[-1] == AnswerBlocked(attempt_id)
+        call.grant(len(body))
+        assert owner.posted[-1] == AnswerUnblocked(attempt_id)
+        assert await owner.finished.get() == attempt_id
+
+    run_scenario(scenario, script)
--- a/packages/papayapost/src/papayapost/traffic/__init__.py
+++ b/packages/papayapost/src/papayapost/traffic/__init__.py
@@ -33,6 +33,8 @@
 from papayapost.traffic.owner.admission import AdmitAttempts
 from papayapost.traffic.owner.tables import OwnerTables
 from papayapost.traffic.owner_messages import (
+    AnswerBlocked,
+    AnswerUnblocked,
     AttemptExpired,
     BackendCallBegun,
     BackendCallCancel,
@@ -51,7 +53,9 @@
 __all__ = [
     "AdmitAttempts",
     "AnswerBegun",
+    "AnswerBlocked",
     "AnswerEnded",
+    "AnswerUnblocked",
     "AttemptCancel",
     "AttemptExpired",
     "AttemptFailed",
--- a/packages/papayapost/src/papayapost/traffic/drain.py
+++ b/packages/papayapost/src/papayapost/traffic/drain.py
@@ -32,6 +32,8 @@
 )
 from papayapost.traffic.owner.tables import OwnerTables
 from papayapost.traffic.owner_messages import (
+    AnswerBlocked,
+    AnswerUnblocked,
     AttemptExpired,
     BackendCallEnded,
     BackendServerPolled,
@@ -147,7 +149,9 @@
     """Lets the process exit when no work is left or the time limit passed."""
 
     consumes = (
+        AnswerBlocked,
         AnswerEnded,
+        AnswerUnblocked,
         AttemptCancel,
         AttemptExpired,
         AttemptFailed,
@@ -177,7 +181,7 @@
         self._claims = claims
 
     def run(self, tick: Tick) -> None:
-        """Check whether any calls, attempts or claims are left."""
+        """Check whether any calls, attempts, answers or claims are left."""
         if self._drain.state is not NodeState.DRAINING:
             return
         for finished in tick.take(DrainFinished):
@@ -192,7 +196,7 @@
     def _is_idle(self) -> bool:
         calls, owner = self._calls, self._owner
         has_calls = len(calls.calls) or len(calls.attempts) or len(calls.held)
-        has_work = has_calls or len(owner.attempts)
+        has_work = has_calls or len(owner.attempts) or owner.blocked_answers
         return not has_work and not self._claims.is_busy()
 
     def _finish_if_still_idle(self, tick: Tick) -> None:
--- a/packages/papayapost/src/papayapost/traffic/owner/admission.py
+++ b/packages/papayapost/src/papayapost/traffic/owner/admission.py
@@ -20,6 +20,8 @@
 from papayapost.traffic.owner.tables import OwnedRow, OwnedState, OwnerTables
 from papayapost.traffic.owner.waiting import WaitingAttempts
 from papayapost.traffic.owner_messages import (
+    AnswerBlocked,
+    AnswerUnblocked,
     AttemptExpired,
     BackendCallBegun,
     BackendCallCancel,
@@ -50,6 +52,8 @@
     """
 
     consumes = (
+        AnswerBlocked,
+        AnswerUnblocked,
         AttemptCancel,
         AttemptExpired,
         BackendCallBegun,
@@ -83,6 +87,10 @@
 
     def run(self, tick: Tick) -> None:
         """Release the slots of ended calls first, then fill the free slots."""
+        blocked_answers = self._tables.blocked_answers
+        blocked_answers.update(a.attempt_id for a in tick.take(AnswerBlocked))
+        for unblocked in tick.take(AnswerUnblocked):
+            blocked_answers.discard(unblocked.attempt_id)
         for cancel in tick.take(AttemptCancel):
             self._cancel(tick, cancel.attempt_id)
         for begun in tick.take(BackendCallBegun):
@@ -327,6 +335,8 @@
         row = self._tables.attempts.get(attempt_id)
         if row is None:
             self._seen.cancel(attempt_id)
+            if attempt_id in self._tables.blocked_answers:
+                tick.emit(BackendCallCancel(attempt_id))
             return
         row.is_cancelled = True
         if row.state is OwnedState.RUNNING:
--- a/packages/papayapost/src/papayapost/traffic/owner/tables.py
+++ b/packages/papayapost/src/papayapost/traffic/owner/tables.py
@@ -157,6 +157,9 @@
         Whether the backend server has reported that it drains or has left.
     backend
         The backend server's last report; None before the first.
+    blocked_answers
+        Attempts that hold no slot any more, but whose answer waits for credit
+        of its entry node.
     """
 
     def __init__(self, slots: int):
@@ -170,6 +173,7 @@
         self.is_backend_draining = False
         self.backend: OwnBackendRow | None = None
         self.attempts: Table[AttemptId, OwnedRow] = Table("owned attempts")
+        self.blocked_answers: set[AttemptId] = set()
         self.counters = OwnerCounters()
 
     @property
--- a/packages/papayapost/src/papayapost/traffic/owner_messages.py
+++ b/packages/papayapost/src/papayapost/traffic/owner_messages.py
@@ -6,6 +6,8 @@
 from papayapost.states import BackendServerState
 
 __all__ = [
+    "AnswerBlocked",
+    "AnswerUnblocked",
     "AttemptExpired",
     "BackendCallBegun",
     "BackendCallCancel",
@@ -75,6 +77,23 @@
     is_refused: bool = False
 
 
+@dataclass(slots=True)
+class AnswerBlocked:
+    """Input at the owner node: parts of an ended call's answer are unsent.
+
+    They wait for credit of the entry node. `AnswerUnblocked` follows.
+    """
+
+    attempt_id: AttemptId
+
+
+@dataclass(slots=True)
+class AnswerUnblocked:
+    """Input at the owner node: no part of a blocked answer is left to send."""
+
+    attempt_id: AttemptId
+
+
 @dataclass(slots=True)
 class DropOffer:
     """Effect at the owner node: discard a request that will not be run."""
--- a/packages/papayapost/tests/traffic/test_drain.py
+++ b/packages/papayapost/tests/traffic/test_drain.py
@@ -3,7 +3,10 @@
 from papayapost.states import BackendServerState, Outcome
 from papayapost.traffic import (
     AnswerBegun,
+    AnswerBlocked,
     AnswerEnded,
+    AnswerUnblocked,
+    BackendCallCancel,
     BackendCallEnded,
     BackendServerPolled,
     CallRefusal,
@@ -80,6 +83,31 @@
     assert owner.tables.counters.started[2] == 3
 
 
+def test_a_drain_waits_for_an_answer_whose_entry_node_grants_no_credit_yet():
+    owner = Owner()
+    offer = owner.offer()
+    owner.tick(offer)
+    owner.tick(DrainRequested())
+    ended = BackendCallEnded(offer.attempt_id, True, True)
+    owner.tick(ended, AnswerBlocked(offer.attempt_id))
+    assert not completions(owner.tick(after_us=GRACE_US))
+    assert not completions(owner.tick(after_us=1_000_000))
+    effects = owner.tick(AnswerUnblocked(offer.attempt_id))
+    assert completions(effects) == [DrainComplete(True)]
+
+
+def test_a_blocked_answer_that_is_cancelled_does_not_delay_a_drain():
+    owner = Owner()
+    offer = owner.offer()
+    owner.tick(offer)
+    owner.tick(DrainRequested())
+    ended = BackendCallEnded(offer.attempt_id, True, True)
+    owner.tick(ended, AnswerBlocked(offer.attempt_id))
+    assert BackendCallCancel(offer.attempt_id) in owner.cancel(offer)
+    owner.tick(AnswerUnblocked(offer.attempt_id))
+    assert completions(owner.tick(after_us=GRACE_US)) == [DrainComplete(True)]
+
+
 def test_an_entry_node_finishes_its_calls_before_its_drain_completes():
     entry = Entry([backend_row("a", "gusts"), backend_row("b", "gusts")])
     offer = only(entry.call())
