Wait for the last answers of a node that exits after its drain

Callers saw an answer cut, or a 502 for a call that was answered, when the owner node of their call stopped in the usual way. Offers travel on the entry node's connection to the owner node, answers on the owner's own. When the owner exits, the end of the first may be seen while the last answers are still on the second, behind other bytes of a slow link; the entry node took all of them for lost.

A node whose row says that it drains sends its answers before it exits, so the entry node now gives them 1 s from the end of the connection. A lost connection to any other node counts at once, as before.

Evidence: test_an_answer_goes_on_after_its_draining_owner_has_closed_its_connections failed before: the tick with OwnerConnectionLost gave CutAnswer. The wait ends, test_an_answer_that_a_draining_owner_does_not_complete_is_cut_in_time.

--- a/packages/papayapost/src/papayapost/traffic/entry/upstream_tracking.py
+++ b/packages/papayapost/src/papayapost/traffic/entry/upstream_tracking.py
@@ -8,7 +8,7 @@
 from papayapost.traffic.entry.link_budget import LinkBudget
 from papayapost.traffic.entry.tables import AttemptRow, AttemptState, EntryTables
 from papayapost.traffic.entry.upstreams import ServiceRow, UpstreamRow, Upstreams
-from papayapost.traffic.internal import AttemptLost, EjectionEnded
+from papayapost.traffic.internal import AttemptLost, EjectionEnded, LastAnswersDue
 from papayapost.traffic.messages import LossCause, OwnerConnectionLost
 
 __all__ = ["OutlierEjector", "TrackUpstreams"]
@@ -18,6 +18,8 @@
 _MIN_ANSWER_TIME_LATENCIES = 3
 _EJECTION_MIN_US = 5_000_000
 _EJECTION_MAX_US = 60_000_000
+_LAST_ANSWERS_WAIT_US = 1_000_000
+"""Time for the last answers of a node that exited after its drain."""
 
 
 class OutlierEjector:
@@ -78,7 +80,7 @@
 class TrackUpstreams(System):
     """Applies directory changes, lost connections and ends of ejections."""
 
-    consumes = (DirectoryChanged, OwnerConnectionLost, EjectionEnded)
+    consumes = (DirectoryChanged, OwnerConnectionLost, EjectionEnded, LastAnswersDue)
 
     def __init__(
         self,
@@ -100,7 +102,14 @@
                 self._apply_row(tick, row)
         for lost in tick.take(OwnerConnectionLost):
             for upstream in self._upstreams.rows.find("address", lost.address):
-                self._report_lost_attempts(tick, upstream, lost.cause)
+                if upstream.is_draining and lost.cause is LossCause.CONNECTION:
+                    self._await_last_answers(tick, upstream)
+                else:
+                    self._report_lost_attempts(tick, upstream, lost.cause)
+        for due in tick.take(LastAnswersDue):
+            for attempt_id in due.attempt_ids:
+                if attempt_id in self._tables.attempts:
+                    tick.post(AttemptLost(attempt_id))
         for ended in tick.take(EjectionEnded):
             self._readmit(tick, ended)
 
@@ -123,6 +132,8 @@
                 upstream.ramp_start_us = tick.now_us
         elif known.state is BackendServerState.COLD:
             upstream.is_cold = True
+        elif known.state is BackendServerState.DRAINING:
+            upstream.is_draining = True
 
     def _update_service(
         self, row: BackendServerRow, service: ServiceName, upstream: UpstreamRow | None
@@ -159,6 +170,19 @@
                 tick.post(AttemptLost(attempt_id))
         return has_answer_arriving
 
+    def _await_last_answers(self, tick: Tick, upstream: UpstreamRow) -> None:
+        """Report the attempts at a draining node as lost after some time.
+
+        Offers and answers travel on different connections. A node that exits
+        after its drain has sent all answers, but the last ones may arrive
+        after the connection that carried their offers has closed.
+        """
+        upstream.epoch = self._upstreams.next_epoch()
+        if upstream.attempts:
+            due_us = Micros(tick.now_us + _LAST_ANSWERS_WAIT_US)
+            due = LastAnswersDue(tuple(upstream.attempts))
+            tick.set_timer(("last answers", upstream.node_id), due_us, due)
+
     def _readmit(self, tick: Tick, ended: EjectionEnded) -> None:
         upstream = self._upstreams.rows.get(ended.node_id)
         if upstream is None or not upstream.is_ejected:
--- a/packages/papayapost/src/papayapost/traffic/internal.py
+++ b/packages/papayapost/src/papayapost/traffic/internal.py
@@ -14,6 +14,7 @@
     "EjectionEnded",
     "GracePeriodEnded",
     "HoldExpired",
+    "LastAnswersDue",
     "TrafficStarted",
 ]
 
@@ -56,6 +57,13 @@
     """Timer: this node must ask other nodes to send no more attempts."""
 
 
+@dataclass(slots=True)
+class LastAnswersDue:
+    """Timer: answers still missing from a node that exited are lost."""
+
+    attempt_ids: tuple[AttemptId, ...]
+
+
 @dataclass(slots=True)
 class GracePeriodEnded:
     """Timer: the grace period in which other nodes learn of a drain ended."""
--- a/packages/papayapost/tests/traffic/test_retries.py
+++ b/packages/papayapost/tests/traffic/test_retries.py
@@ -137,6 +137,38 @@
     assert entry.is_idle()
 
 
+def test_an_answer_goes_on_after_its_draining_owner_has_closed_its_connections():
+    for state in (BackendServerState.DRAINING, BackendServerState.GONE):
+        entry = RetryEntry()
+        offer = only(entry.call())
+        sender, attempt_id = offer.offer.sender, offer.offer.attempt_id
+        row = next(r for r in entry.rows if r.peer_address == offer.address)
+        row.state = BackendServerState.DRAINING
+        entry.tick(DirectoryChanged((row,)))
+        entry.tick(AnswerBegun(sender, attempt_id, 200, 1))
+        row.state = state
+        entry.tick(DirectoryChanged((row,)))
+        # The connection to the owner closes before the frames have arrived
+        # that the owner sent on its own connection to this node.
+        assert not entry.tick(OwnerConnectionLost(offer.address))
+        assert not entry.tick(AnswerEnded(sender, attempt_id, True), after_us=900_000)
+        assert not entry.tick(after_us=10_000_000)
+        assert entry.is_idle()
+
+
+def test_an_answer_that_a_draining_owner_does_not_complete_is_cut_in_time():
+    entry = RetryEntry()
+    offer = only(entry.call())
+    attempt_id = offer.offer.attempt_id
+    row = next(r for r in entry.rows if r.peer_address == offer.address)
+    row.state = BackendServerState.DRAINING
+    entry.tick(DirectoryChanged((row,)))
+    entry.tick(AnswerBegun(offer.offer.sender, attempt_id, 200, 1))
+    entry.tick(OwnerConnectionLost(offer.address))
+    assert CutAnswer(CallId(1), attempt_id) in entry.tick(after_us=1_000_000)
+    assert entry.is_idle()
+
+
 def test_a_late_answer_is_dropped():
     entry = RetryEntry()
     offer = only(entry.call_not_idempotent())
