Start flow-control windows small, so that a download lets others pass

Cause: a new window had up to 256 KB, so that a download of 90 KB went into the queue of its VM's link (3.5 Mbit/s) at once, ahead of every small answer and heartbeat for 200 ms; several downloads at a time make it half a second.

Change: a window starts with 32 KB and grows to a quarter of what has been received, up to 256 KB: messages wait behind 75 ms for each running download, and a long body still gets a window for the round trip between regions.

--- a/packages/papayapost-node/src/papayapost_node/exchange/body_receiver.py
+++ b/packages/papayapost-node/src/papayapost_node/exchange/body_receiver.py
@@ -18,13 +18,14 @@
         Sends the given number of bytes as credit to the sender.
     """
 
-    __slots__ = ("_budget", "_grant", "_held_bytes", "_window")
+    __slots__ = ("_budget", "_grant", "_held_bytes", "_received_bytes", "_window")
 
     def __init__(self, budget: WindowBudget, grant: Callable[[int], None]):
         self._budget = budget
         self._grant = grant
         self._window = ReceiveWindow(budget.open())
         self._held_bytes = 0
+        self._received_bytes = 0
 
     @property
     def size_bytes(self) -> int:
@@ -41,10 +42,14 @@
         """
         self._window.receive(size_bytes)
         self._held_bytes += size_bytes
+        self._received_bytes += size_bytes
 
     def consume_all(self) -> None:
         """Record that all received bytes were forwarded, and grant credit."""
         size, self._held_bytes = self._held_bytes, 0
+        if size:
+            added = self._budget.grow(self._window.size_bytes, self._received_bytes)
+            self._window.grow(added)
         credit = self._window.consume(size) if size else 0
         if credit:
             self._grant(credit)
--- a/packages/papayapost-node/src/papayapost_node/exchange/windows.py
+++ b/packages/papayapost-node/src/papayapost_node/exchange/windows.py
@@ -5,6 +5,12 @@
 __all__ = ["ReceiveWindow", "SendWindow", "WindowBudget"]
 
 _MAX_WINDOW_BYTES = 256 << 10
+_FIRST_WINDOW_BYTES = 32 << 10
+"""Size of a new window. On a link of 3.5 Mbit/s, messages behind that many
+bytes wait 75 ms; it is also what such a link carries in a round trip between
+regions."""
+_GROWTH_DIVISOR = 4
+"""A window grows to this fraction of the bytes received, one quarter."""
 _MIN_WINDOW_BYTES = 16 << 10
 _BUDGET_DIVISOR = 8
 """A new window gets this fraction of the free budget, one eighth."""
@@ -87,10 +93,19 @@
         self._granted_bytes += grant
         return grant
 
+    def grow(self, size_bytes: int) -> None:
+        """Enlarge the window; the next credit includes the added bytes."""
+        self._ungranted_bytes += size_bytes
+        self.size_bytes += size_bytes
+
 
 class WindowBudget:
     """Divides a limit on memory among the windows of all bodies.
 
+    A window is small at first, so that a short body does not fill the queue of
+    a slow link at once and delay the messages behind it. It grows with the
+    bytes received, as a long body needs a window for the whole round trip.
+
     Parameters
     ----------
     limit_bytes
@@ -100,8 +115,11 @@
     Examples
     --------
     >>> budget = WindowBudget(1 << 20)
-    >>> [budget.open() >> 10 for _ in range(3)]
-    [128, 112, 98]
+    >>> budget.open() >> 10
+    32
+    >>> received_kb = (64, 160, 9999)
+    >>> [budget.grow(32 << 10, size << 10) >> 10 for size in received_kb]
+    [0, 8, 123]
     """
 
     def __init__(self, limit_bytes: int):
@@ -110,10 +128,26 @@
     def open(self) -> int:
         """Reserve one more window and return its size in bytes."""
         share = self._free_bytes // _BUDGET_DIVISOR
-        size = max(_MIN_WINDOW_BYTES, min(_MAX_WINDOW_BYTES, share))
+        size = max(_MIN_WINDOW_BYTES, min(_FIRST_WINDOW_BYTES, share))
         self._free_bytes -= size
         return size
 
+    def grow(self, size_bytes: int, received_bytes: int) -> int:
+        """Reserve more for a window and return the number of bytes added.
+
+        Parameters
+        ----------
+        size_bytes
+            Present size of the window.
+        received_bytes
+            Length of the part of the body that has been received.
+        """
+        share = self._free_bytes // _BUDGET_DIVISOR
+        wanted = min(_MAX_WINDOW_BYTES, received_bytes // _GROWTH_DIVISOR)
+        added = max(0, min(wanted - size_bytes, share))
+        self._free_bytes -= added
+        return added
+
     def close(self, size_bytes: int) -> None:
         """Return a window of this size to the budget."""
         self._free_bytes += size_bytes
