Count unsent answers against free slots, so that a slow link shows

What callers saw: calls in la-puntilla went on to the two owner nodes of their data centre whose links were full with downloads, while three owners in the other data centre of the region answered in 8 to 124 ms.

Cause: an owner node reported free slots by what its backend server ran. Answers that waited for the link counted for nothing, so no entry node learned that the link was the bottleneck.

Change: an attempt that may not queue is refused while running, waiting and unsent answers together take all slots. Attempts that may queue are admitted as before, so that slow callers cannot keep slots empty.

Evidence: test_an_owner_on_a_slow_link_takes_no_attempts_behind_its_unsent_answers fails without the count.

--- a/packages/papayapost/src/papayapost/traffic/owner/admission.py
+++ b/packages/papayapost/src/papayapost/traffic/owner/admission.py
@@ -225,8 +225,15 @@
         return has_target and wait_us > offer.budget_us * _MAX_WAIT_FRACTION
 
     def _has_free_slot(self) -> bool:
+        """Return whether an attempt can start now and be answered soon.
+
+        Answers that wait for credit hold no slot. They show that the link of
+        this VM is slow, and an answer to a further attempt would wait behind
+        them.
+        """
         tables = self._tables
-        return tables.running + tables.waiting < self._concurrency.limit
+        taken = tables.running + tables.waiting + len(tables.blocked_answers)
+        return taken < self._concurrency.limit
 
     def _expected_wait_us(self, tick: Tick, offer: AttemptOffer) -> float:
         tables = self._tables
--- a/packages/papayapost/tests/traffic/test_admission.py
+++ b/packages/papayapost/tests/traffic/test_admission.py
@@ -1,8 +1,12 @@
+from dataclasses import replace
+
 import pytest
 
 from papayapost.ids import ConnectionEpoch, Incarnation, Micros, NodeId
 from papayapost.states import Rank
 from papayapost.traffic import (
+    AnswerBlocked,
+    AnswerUnblocked,
     AttemptFailed,
     BackendCallCancel,
     BackendCallEnded,
@@ -51,6 +55,32 @@
     assert order == [offer.attempt_id for offer in reversed(waiting)]
 
 
+def test_an_attempt_that_may_not_queue_is_refused_unless_it_can_start_at_once():
+    owner = Owner(slots=1)
+    first, second = (replace(owner.offer(), may_queue=False) for _ in range(2))
+    assert started(owner.tick(first)) == [first.attempt_id]
+    (refused,) = sent_messages(owner.tick(second))
+    assert (refused.attempt_id, refused.code) == (
+        second.attempt_id,
+        RefusalCode.NO_FREE_SLOT,
+    )
+    assert refused.retry_after_ms > 0
+
+
+def test_an_owner_on_a_slow_link_takes_no_attempts_behind_its_unsent_answers():
+    owner = Owner(slots=1)
+    offers = [replace(owner.offer(), may_queue=False) for _ in range(3)]
+    owner.tick(offers[0])
+    owner.end(offers[0].attempt_id)
+    owner.tick(AnswerBlocked(offers[0].attempt_id))
+    assert refusals(owner.tick(offers[1]))
+    may_queue = owner.offer()
+    assert started(owner.tick(may_queue)) == [may_queue.attempt_id]
+    owner.end(may_queue.attempt_id)
+    owner.tick(AnswerUnblocked(offers[0].attempt_id))
+    assert started(owner.tick(offers[2])) == [offers[2].attempt_id]
+
+
 def test_a_full_queue_evicts_only_for_a_more_urgent_attempt():
     owner = Owner(slots=1)
     owner.tick(owner.offer())
