Let a backend server that joins take part from the start of its ramp

Cause: the ramp divided the score of an upstream by its share. With few calls a node, the others have nothing outstanding, so ten times the score never wins against any of them: the share of a tenth was in fact none for most of 10 s.

Change: the share is the probability with which a draw of the upstream counts.

Evidence: test_a_backend_server_that_joins_gets_a_part_of_few_calls_during_its_ramp failed before: 0 of 800 calls over 40 entry nodes, bound 10 (half of a tenth of a quarter).

--- a/packages/papayapost/src/papayapost/traffic/entry/balancing.py
+++ b/packages/papayapost/src/papayapost/traffic/entry/balancing.py
@@ -21,7 +21,7 @@
 _ACROSS_ROUND_TRIP_US = 60_000
 """Time of a message between regions and its answer."""
 
-_RAMP_US = 10_000_000
+_RAMP_US = 5_000_000
 _RAMP_MIN_SHARE = 0.1
 
 
@@ -130,9 +130,16 @@
             position = int(random.random() * size)
             first = tier[position]
             second = tier[position - 1 - int(random.random() * (size - 1))]
-            if self._score(service, second, now_us) < self._score(
+            is_second_better = self._score(service, second, now_us) < self._score(
                 service, first, now_us
-            ):
+            )
+            # Little is known yet of an upstream in its ramp, so that its share
+            # alone decides whether its draw counts.
+            if first.ramp_start_us is not None:
+                is_second_better = _is_passed_over(first, now_us, random)
+            elif _is_passed_over(second, now_us, random):
+                is_second_better = False
+            if is_second_better:
                 first = second
             if first.node_id not in tried and not self.is_full(first, now_us):
                 return first
@@ -174,11 +181,16 @@
     score = (
         load * latency_us / row.slots * (1 + failure_cost * row.failure_rate_at(now_us))
     )
-    if row.ramp_start_us is not None:
-        score /= _ramp_share(row, now_us)
     return score + _expected_wait_us(row, now_us)
 
 
+def _is_passed_over(row: UpstreamRow, now_us: Micros, random: Random) -> bool:
+    """Return whether a draw of an upstream in its ramp does not count."""
+    if row.ramp_start_us is None:
+        return False
+    return random.random() >= _ramp_share(row, now_us)
+
+
 def _expected_wait_us(row: UpstreamRow, now_us: Micros) -> int:
     """Return the reported wait, less the time since the report."""
     return max(0, row.expected_wait_us - (now_us - row.reported_us))
--- a/packages/papayapost/tests/traffic/test_balancing.py
+++ b/packages/papayapost/tests/traffic/test_balancing.py
@@ -1,3 +1,5 @@
+from random import Random
+
 from papayapost.ids import Address, CallId, Incarnation, Micros
 from papayapost.membership import DirectoryChanged
 from papayapost.states import BackendServerState, LinkClass, Outcome, Rank
@@ -30,6 +32,7 @@
 
 
 HOLD_US = 1_000_000
+RAMP_MIN_SHARE = 0.1
 
 
 class Entry:
@@ -161,6 +164,26 @@
     assert targets(entry, 200).count("a:1") > 30
 
 
+def test_a_backend_server_that_joins_gets_a_part_of_few_calls_during_its_ramp():
+    random, calls_to_new = Random(5), 0
+    for number in range(40):
+        rows = [backend_row(name, "gusts") for name in "abcd"]
+        entry = Entry(rows[:3], own=backend_row(f"entry-{number}", None))
+
+        def call(entry=entry):
+            offer = only(entry.call())
+            entry.answer(offer, after_us=random.randrange(10_000, 30_000), free_slots=9)
+            return offer.address
+
+        for _ in range(20 + number):  # another part of the seeded draws each
+            call()
+        entry.node.directory.put(rows[3].node_id, rows[3])
+        entry.tick(DirectoryChanged((rows[3],)))
+        entry.tick(after_us=random.randrange(100_000, 200_000))
+        calls_to_new += sum(call() == rows[3].peer_address for _ in range(20))
+    assert calls_to_new >= 40 * 20 / 4 * RAMP_MIN_SHARE / 2
+
+
 def test_a_cold_backend_server_starts_its_ramp_when_it_is_ready():
     rows = [backend_row(name, "gusts", slots=100) for name in "abcd"]
     entry = Entry(rows)
