Send the frames that ZeroMQ still holds before a drained node exits

Callers could see an answer break off, or a 502, when the owner node of their call exited: ZeroMQ writes frames in a thread of its own, and all sockets were closed with LINGER 0, so that frames which a slow link or a connection that was only being made had kept back were dropped. The message that tells peers of the departure could be lost in the same way.

A drained node now closes its transport with what is left of its time, at most 1 s so that a peer that does not read cannot hold up the restart. It waits in a thread that ZeroMQ blocks. LINGER stays 0 for every other close: a frame must not arrive after its connection was reported as lost.

--- a/packages/papayapost-node/src/papayapost_node/composition.py
+++ b/packages/papayapost-node/src/papayapost_node/composition.py
@@ -66,6 +66,9 @@
 _BODY_WINDOWS_BYTES = 12 << 20
 """Memory for the flow-control windows of all request and answer bodies."""
 
+_LAST_FRAMES_TIMEOUT_S = 1.0
+"""Longest time in which the last frames to peers are sent."""
+
 _MAX_BACKEND_CONNECTIONS = 1_024
 """Limit of backend server connections if the settings give none.
 
@@ -175,10 +178,16 @@
         self._recorder.note_event(Event.NODE_STARTED)
 
     async def drain(self) -> None:
-        """Finish the running calls and ask the peers to send no new ones."""
+        """Finish the running calls, and send the last frames to the peers."""
         settings = self._settings
         times = StopTimes.within(settings.stop_limit_s)
-        await self._drain.run(times.work_ms, settings.drain_accept_ms, times.flush_ms)
+        left_s = await self._drain.run(
+            times.work_ms, settings.drain_accept_ms, times.flush_ms
+        )
+        # The last answers to peers may still be queued. A peer that does not
+        # read must not delay the exit for long.
+        self.runner.close()
+        await self._transport.finish_sending(min(left_s, _LAST_FRAMES_TIMEOUT_S))
 
     def note_stopped_at_once(self) -> None:
         """Record that the node stops before its drain is complete."""
--- a/packages/papayapost-node/src/papayapost_node/drain.py
+++ b/packages/papayapost-node/src/papayapost_node/drain.py
@@ -65,7 +65,7 @@
         """Return the handler of the effect that reports a complete drain."""
         return {DrainComplete: lambda effect: self._complete.set()}
 
-    async def run(self, limit_ms: int, accept_ms: int = 0, flush_ms: int = 0) -> None:
+    async def run(self, limit_ms: int, accept_ms: int = 0, flush_ms: int = 0) -> float:
         """Drain the node, and return when all answers have been sent.
 
         Parameters
@@ -78,6 +78,11 @@
         flush_ms
             Further time in ms after `limit_ms` for answers that are being
             sent to their callers.
+
+        Returns
+        -------
+        float
+            Time in s that is left of both.
         """
         self._server.drain()
         loop = asyncio.get_running_loop()
@@ -94,3 +99,4 @@
         self._server.close_idle()
         # Give connections time to send the answers that they have buffered.
         await self._server.wait_until_empty(max(0.0, due_s - loop.time()))
+        return max(0.0, due_s - loop.time())
--- a/packages/papayapost-node/src/papayapost_node/transport/base.py
+++ b/packages/papayapost-node/src/papayapost_node/transport/base.py
@@ -77,6 +77,15 @@
             True does not mean that the peer receives the frame.
         """
 
+    async def finish_sending(self, timeout_s: float) -> None:
+        """Send all queued frames, for a limited time, and close.
+
+        Returns as soon as all frames were handed to the operating system. No
+        frame can be sent or received afterwards. A transport that has no
+        queue of its own only closes.
+        """
+        self.close()
+
     @abstractmethod
     def close(self) -> None:
         """Drop all queued frames and close all connections."""
--- a/packages/papayapost-node/src/papayapost_node/transport/dealer.py
+++ b/packages/papayapost-node/src/papayapost_node/transport/dealer.py
@@ -123,15 +123,21 @@
         self.unsent_frames.append((frame, on_dropped))
         return True
 
-    def close(self) -> None:
-        """Close the connection and drop all frames that were not sent."""
+    def close(self, linger_ms: int = 0) -> None:
+        """Close the connection and drop the frames that were not sent.
+
+        Parameters
+        ----------
+        linger_ms
+            Time in ms for which ZeroMQ still sends the frames that it holds.
+        """
         if self.state is DealerState.ENDED:
             return
         self.state = DealerState.ENDED
         self._loop.remove_reader(self._monitor.fileno())
         self._socket.disable_monitor()
         self._monitor.close(0)
-        self._socket.close(0)
+        self._socket.close(linger_ms)
 
     def _send_now(self, frame: bytes) -> bool:
         try:
--- a/packages/papayapost-node/src/papayapost_node/transport/zmq_transport.py
+++ b/packages/papayapost-node/src/papayapost_node/transport/zmq_transport.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections import OrderedDict
+from contextlib import suppress
 
 import zmq
 
@@ -52,6 +53,7 @@
         self._last_used_s: dict[Address, float] = {}
         self._router: zmq.Socket | None = None
         self._zap_handler: ZapHandler | None = None
+        self._dealer_changed = asyncio.Event()
 
     @property
     def connection_count(self) -> int:
@@ -107,22 +109,26 @@
             self._set_server_keys()
             self._rebind(_REBIND_ATTEMPTS)
 
+    async def finish_sending(self, timeout_s: float) -> None:
+        """Send all queued frames, for a limited time, and close."""
+        due_s = self._loop.time() + timeout_s
+        with suppress(TimeoutError):
+            async with asyncio.timeout_at(due_s):
+                while any(dealer.unsent_frames for dealer in self._dealers.values()):
+                    self._dealer_changed.clear()
+                    await self._dealer_changed.wait()
+        self._close_sockets(round(max(0.0, due_s - self._loop.time()) * 1000))
+        # Waits until ZeroMQ has written the frames, in a thread of its own.
+        await self._loop.run_in_executor(None, self._context.term)
+
     def close(self) -> None:
         """Drop all queued frames and close all connections."""
-        for dealer in self._dealers.values():
-            dealer.close()
-        self._dealers.clear()
-        if self._router is not None:
-            self._loop.remove_reader(self._router.fileno())
-            self._router.close(0)
-            self._router = None
-            self._idle_check.close()
-        if self._zap_handler is not None:
-            self._zap_handler.close()
+        self._close_sockets(linger_ms=0)
         self._context.destroy(0)
 
     def dealer_ready(self, dealer: Dealer) -> None:
         """Record that the peer has proved that it holds the expected key."""
+        self._dealer_changed.set()
         if self._key_ring is not None and dealer.peer_key is not None:
             self._key_ring.record_verified_key(dealer.address, dealer.peer_key)
 
@@ -132,6 +138,7 @@
         If no other key of the peer is left to try, the queued frames are
         dropped.
         """
+        self._dealer_changed.set()
         address = dealer.address
         if self._dealers.get(address) is dealer:
             self._remove_dealer(address)
@@ -144,6 +151,19 @@
                 if on_dropped is not None:
                     on_dropped()
 
+    def _close_sockets(self, linger_ms: int) -> None:
+        for dealer in self._dealers.values():
+            dealer.close(linger_ms)
+        self._dealers.clear()
+        if self._router is not None:
+            self._loop.remove_reader(self._router.fileno())
+            self._router.close(0)
+            self._router = None
+            self._idle_check.close()
+        if self._zap_handler is not None:
+            self._zap_handler.close()
+            self._zap_handler = None
+
     def _connect(self, address: Address) -> Dealer:
         if len(self._dealers) >= MAX_DEALERS:
             # The first entry of the dict is the least recently used one.
--- a/packages/papayapost-node/tests/test_transport.py
+++ b/packages/papayapost-node/tests/test_transport.py
@@ -8,6 +8,7 @@
 from papayapost.errors import AddressUnavailable
 from papayapost.ids import Address, DataCentreId, NodeId
 from papayapost.states import LinkClass
+from papayapost_node.addresses import split_address
 from papayapost_node.batch import NoBatching
 from papayapost_node.security import AllowedKeyRow, KeyPair, KeyRing, new_key_pair
 from papayapost_node.transport import FrameListener, PeerTable, ZmqTransport
@@ -92,6 +93,41 @@
     run_with_peers(scenario)
 
 
+@pytest.mark.parametrize("is_connected", [True, False])
+def test_frames_queued_at_a_close_with_time_to_send_are_delivered(is_connected):
+    async def scenario(start):
+        sender, receiver = (start(address) for address in free_addresses(2))
+        if is_connected:
+            sender.transport.send(receiver.address, b"first")
+            await receiver.listener.frames.get()
+        frames = [bytes(1 << 20)] * 64
+        for frame in frames:
+            assert sender.transport.send(receiver.address, frame)
+        sending = asyncio.create_task(sender.transport.finish_sending(5.0))
+        received = [(await receiver.listener.frames.get())[0] for _ in frames]
+        assert received == frames
+        await sending
+
+    run_with_peers(scenario)
+
+
+def test_a_peer_that_does_not_read_delays_a_close_only_until_the_limit():
+    async def scenario(start):
+        own, address = free_addresses(2)
+        sender = start(own)
+        # A listener that accepts connections and never answers the handshake.
+        server = await asyncio.start_server(
+            lambda reader, writer: None, *split_address(address)
+        )
+        assert sender.transport.send(address, bytes(1 << 20))
+        begun_s = time.monotonic()
+        await sender.transport.finish_sending(0.3)
+        assert 0.25 < time.monotonic() - begun_s < 1.5
+        server.close()
+
+    run_with_peers(scenario)
+
+
 def test_a_frame_to_an_unreachable_address_is_reported_as_dropped():
     async def scenario(start):
         own, unreachable = free_addresses(2)
