Refuse a call that may outlast a draining process at once

Callers whose call arrived two seconds after SIGTERM got a 200 that broke off: a node that drains took every call in its grace period, whatever time the answer would need, and the process ended first. Such a call can still be refused truthfully, as it was not run.

An entry node that drains now takes a call only if the call's time budget, or twice the time that the slowest recent calls of its route took, ends before the drain's limit. A route without an answer so far counts with its whole budget. The refusal asks the caller to come back when the grace period is over, at the soonest in 200 ms; it said 1 s always, at which the caller met the same node again.

--- a/packages/papayapost/src/papayapost/traffic/drain.py
+++ b/packages/papayapost/src/papayapost/traffic/drain.py
@@ -114,8 +114,9 @@
         else:
             self._announce_drain(tick)
         self._start_grace_period(tick)
-        limit_us = Micros(tick.now_us + requested.limit_ms * 1000)
-        tick.set_timer("drain limit", limit_us, DrainLimitPassed())
+        self._drain.grace_end_us = Micros(tick.now_us + self._grace_us)
+        self._drain.end_us = Micros(tick.now_us + requested.limit_ms * 1000)
+        tick.set_timer("drain limit", self._drain.end_us, DrainLimitPassed())
         tick.emit(Noted(Event.NODE_DRAINING))
 
     def _announce_drain(self, tick: Tick) -> None:
--- a/packages/papayapost/src/papayapost/traffic/drain_row.py
+++ b/packages/papayapost/src/papayapost/traffic/drain_row.py
@@ -2,6 +2,7 @@
 
 from dataclasses import dataclass
 
+from papayapost.ids import Micros
 from papayapost.states import NodeState
 
 __all__ = ["DrainRow"]
@@ -21,8 +22,13 @@
     is_grace_period_over
         Whether the grace period has ended in which callers and other nodes
         learn of the drain.
+    grace_end_us, end_us
+        Times of the tick clock in µs at which that period ends and at which
+        the process stops even if calls are left; 0 before a drain.
     """
 
     state: NodeState = NodeState.SERVING
     is_announced: bool = False
     is_grace_period_over: bool = False
+    grace_end_us: Micros = Micros(0)  # noqa: RUF009
+    end_us: Micros = Micros(0)  # noqa: RUF009
--- a/packages/papayapost/src/papayapost/traffic/entry/call_endings.py
+++ b/packages/papayapost/src/papayapost/traffic/entry/call_endings.py
@@ -4,6 +4,7 @@
 from papayapost.kernel import System, Tick
 from papayapost.observe import Event, Noted
 from papayapost.states import LinkClass
+from papayapost.traffic.entry.answer_times import AnswerTimes
 from papayapost.traffic.entry.link_budget import HEAD_BYTES, LinkBudget
 from papayapost.traffic.entry.offers import (
     Offers,
@@ -49,6 +50,7 @@
         retries: RetryPolicy,
         ejector: OutlierEjector,
         link: LinkBudget,
+        answer_times: AnswerTimes,
     ):
         self._tables = tables
         self._upstreams = upstreams
@@ -56,6 +58,7 @@
         self._retries = retries
         self._ejector = ejector
         self._link = link
+        self._answer_times = answer_times
 
     def run(self, tick: Tick) -> None:
         """Process answers, expired calls and callers that left."""
@@ -144,6 +147,8 @@
             self._link.charge(HEAD_BYTES + ended.body_bytes)
         call = self._tables.calls.get(attempt.call_id)
         if call is not None:
+            duration_us = tick.now_us - call.arrived_us
+            self._answer_times.add_sample(call.route, duration_us)
             close_call(tick, self._tables, call)
 
     def _expire_call(self, tick: Tick, call_id: CallId) -> None:
--- a/packages/papayapost/src/papayapost/traffic/entry/routing.py
+++ b/packages/papayapost/src/papayapost/traffic/entry/routing.py
@@ -5,8 +5,9 @@
 from papayapost.kernel import System, Tick
 from papayapost.membership import DirectoryChanged
 from papayapost.rules import match_route
-from papayapost.states import Outcome
+from papayapost.states import NodeState, Outcome
 from papayapost.traffic.drain_row import DrainRow
+from papayapost.traffic.entry.answer_times import AnswerTimes
 from papayapost.traffic.entry.caller_wait import CallerWaitEstimator
 from papayapost.traffic.entry.offers import Offers
 from papayapost.traffic.entry.retries import RetryPolicy
@@ -25,6 +26,11 @@
 _NOT_FOUND = 404
 _UNAVAILABLE = 503
 _RETRY_AFTER_MS = 1_000
+_MIN_DRAIN_RETRY_AFTER_MS = 200
+_ANSWER_TIME_MARGIN = 2.0
+"""Time allowed for a call in a drain, in multiples of the time that the
+slowest calls of its route took."""
+
 _MAX_HELD_CALLS = 256
 HOLD_US = 2_000_000
 """Default of the longest time for which a call is held."""
@@ -44,6 +50,8 @@
         Longest time in µs for which a call is held.
     drain
         Progress of this node's drain.
+    answer_times
+        Times that calls of each route took.
     """
 
     consumes = (CallArrived, CallerGone, DirectoryChanged, HoldExpired, RulesInForce)
@@ -56,6 +64,7 @@
         retries: RetryPolicy,
         hold_us: int = HOLD_US,
         drain: DrainRow | None = None,
+        answer_times: AnswerTimes | None = None,
     ):
         self._rules = rules
         self._tables = tables
@@ -63,6 +72,7 @@
         self._retries = retries
         self._hold_us = hold_us
         self._drain = drain or DrainRow()
+        self._answer_times = answer_times or AnswerTimes()
         self._service_chooser = WeightedServiceChooser()
         self._wait_estimator = CallerWaitEstimator()
 
@@ -107,6 +117,11 @@
         call = CallRow(arrived.call_id, arrived, route, Micros(arrived_us + budget_us))
         call.arrived_us = arrived_us
         call.waited_us = self._wait_estimator.waited_us(route, arrived.budget_us)
+        if self._may_outlast_process(tick, call):
+            self._end_hold(tick, arrived.call_id)
+            code = RefusalCode.DRAINING
+            self._refuse(tick, arrived.call_id, _UNAVAILABLE, code)
+            return
         call.version = in_force.version
         call.chosen_service = self._service_chooser.choose(route, tick.random)
         if call.deadline_us <= tick.now_us or not self._offers.offer(tick, call):
@@ -118,6 +133,20 @@
         self._retries.record_call_start(call, tick.now_us)
         self._offers.set_next_step(tick, call)
 
+    def _may_outlast_process(self, tick: Tick, call: CallRow) -> bool:
+        """Return whether this process may stop before it has the answer.
+
+        The call may take its whole time budget, unless earlier calls of its
+        route show that it needs less.
+        """
+        if self._drain.state is NodeState.SERVING:
+            return False
+        needed_us: float = call.deadline_us - tick.now_us
+        slowest_us = self._answer_times.slowest_us(call.route)
+        if slowest_us is not None:
+            needed_us = min(needed_us, slowest_us * _ANSWER_TIME_MARGIN)
+        return tick.now_us + needed_us > self._drain.end_us
+
     def _hold(
         self,
         tick: Tick,
@@ -144,5 +173,11 @@
         self, tick: Tick, call_id: CallId, status: int, code: RefusalCode
     ) -> None:
         self._tables.counters.refused_calls += 1
-        retry_after_ms = None if code is RefusalCode.NO_ROUTE else _RETRY_AFTER_MS
+        retry_after_ms: int | None = _RETRY_AFTER_MS
+        if code is RefusalCode.NO_ROUTE:
+            retry_after_ms = None
+        elif code is RefusalCode.DRAINING:
+            # Callers have left for other nodes when the grace period ends.
+            grace_ms = -((tick.now_us - self._drain.grace_end_us) // 1000)
+            retry_after_ms = max(_MIN_DRAIN_RETRY_AFTER_MS, grace_ms)
         tick.emit(CallRefusal(call_id, status, code, Outcome.NOT_RUN, retry_after_ms))
--- a/packages/papayapost/src/papayapost/traffic/part.py
+++ b/packages/papayapost/src/papayapost/traffic/part.py
@@ -12,6 +12,7 @@
 from papayapost.traffic.claims.results import ApplyClaimResults
 from papayapost.traffic.claims.tables import ClaimTables
 from papayapost.traffic.drain import GRACE_US, DrainRow, FinishDrain, StartDrain
+from papayapost.traffic.entry.answer_times import AnswerTimes
 from papayapost.traffic.entry.balancing import BalancingPolicy, NearestOfTwo
 from papayapost.traffic.entry.call_endings import EndCalls
 from papayapost.traffic.entry.failed_attempts import HandleFailedAttempts
@@ -135,6 +136,7 @@
     upstreams = Upstreams(me, directory)
     link = LinkBudget(me)
     drain = DrainRow()
+    answer_times = AnswerTimes()
     ejector = OutlierEjector(upstreams, calls)
     if retries is None and options.shared_budget is not None:
         retries = WindowedRetries(options.shared_budget, directory)
@@ -167,7 +169,7 @@
             options.report_interval_us,
         ),
         TrackUpstreams(directory, upstreams, calls, link),
-        RouteCalls(rules, calls, offers, retries, options.hold_us, drain),
+        RouteCalls(rules, calls, offers, retries, options.hold_us, drain, answer_times),
         ApplyClaimResults(claims, requests),
         ClaimKeys(claims, ClaimRateLimit(rules, directory), requests),
         AdmitAttempts(
@@ -181,7 +183,7 @@
             Replies(me, owner),
         ),
         HandleFailedAttempts(calls, upstreams, offers, retries, ejector),
-        EndCalls(calls, upstreams, offers, retries, ejector, link),
+        EndCalls(calls, upstreams, offers, retries, ejector, link, answer_times),
         FinishDrain(drain, calls, owner, claims),
     ]
     return TrafficPart(
--- a/packages/papayapost/tests/traffic/test_drain.py
+++ b/packages/papayapost/tests/traffic/test_drain.py
@@ -131,6 +131,40 @@
     assert refused.outcome is Outcome.NOT_RUN
 
 
+def drain_refusal(effects):
+    (refused,) = [item for item in effects if isinstance(item, CallRefusal)]
+    assert (refused.code, refused.status) == (RefusalCode.DRAINING, 503)
+    assert refused.outcome is Outcome.NOT_RUN
+    return refused
+
+
+def test_a_call_that_may_outlast_the_process_is_refused_as_not_run():
+    rules = "route GET /gusts/* -> gusts idempotent=yes timeout_ms=5000 # Mei: desk\n"
+    entry = Entry([backend_row("a", "gusts"), backend_row("b", "gusts")], rules)
+    entry.tick(DrainRequested(limit_ms=5_580))
+    # Nothing is known yet of how long calls of this route take.
+    assert offers_sent(entry.call())
+    entry.tick(after_us=600_000)
+    refused = drain_refusal(entry.call())
+    # Callers have the grace period to leave for another node.
+    assert refused.retry_after_ms == (GRACE_US - 600_000) // 1000
+
+
+def test_a_call_is_taken_late_in_a_drain_if_calls_of_its_route_end_in_time():
+    rules = "route GET /gusts/* -> gusts idempotent=yes timeout_ms=5000 # Mei: desk\n"
+    entry = Entry([backend_row("a", "gusts"), backend_row("b", "gusts")], rules)
+    entry.answer(only(entry.call()), after_us=500_000)
+    entry.tick(DrainRequested(limit_ms=4_000))
+    entry.answer(only(entry.call()), after_us=2_500_000)
+    drain_refusal(entry.call())
+
+    entry = Entry([backend_row("a", "gusts"), backend_row("b", "gusts")], rules)
+    entry.answer(only(entry.call()), after_us=500_000)
+    entry.tick(DrainRequested(limit_ms=4_000))
+    entry.tick(after_us=2_500_000)
+    assert offers_sent(entry.call())
+
+
 def test_a_drain_that_ends_at_its_time_limit_with_work_left_is_not_clean():
     owner = Owner()
     owner.tick(owner.offer())
