Send a buffered answer before an idle connection is closed

Callers that read slowly saw a 200 whose connection closed in the middle of its body, 2 s after SIGTERM, or after idle_timeout_ms at any time. A connection counts as idle when the last byte of its answer is in the write buffer, and the time limit of an idle connection aborted it with that buffer.

Such a connection now closes when the buffer is sent, under the same minimum rate as any body. One with nothing left to send is closed at once, as before.

Evidence: test_a_buffered_answer_outlasts_the_time_limit_of_an_idle_connection failed in both cases (drain and idle time): the body read was shorter than its Content-Length. test_a_caller_that_stops_reading_a_buffered_answer_is_disconnected shows that the limit on callers that do not read remains.

--- a/packages/papayapost-node/src/papayapost_node/http/server_connection.py
+++ b/packages/papayapost-node/src/papayapost_node/http/server_connection.py
@@ -309,6 +309,18 @@
         else:
             self._timer.expect_within(_LINGER_S)
 
+    def _close_after_output(self) -> None:
+        """Close an idle connection, whose caller may still read an answer."""
+        transport = self._transport
+        if transport is None:
+            return
+        if transport.get_write_buffer_size():
+            self._is_closing = self._is_paused = True
+            self._timer.expect_body()
+            transport.close()
+        else:
+            transport.abort()
+
     def _pause_reading(self) -> None:
         if not self._is_paused and self._transport is not None:
             self._is_paused = True
@@ -436,6 +448,6 @@
     def _expire_idle(self) -> None:
         is_answered = self._pipeline.last.http.our_state is not h11.IDLE
         if is_answered or not self._timer.received_bytes:
-            self.abort()
+            self._close_after_output()
         else:
             self._refuse(_REQUEST_TIMEOUT)
--- a/packages/papayapost-node/tests/test_drain_connections.py
+++ b/packages/papayapost-node/tests/test_drain_connections.py
@@ -2,6 +2,8 @@
 
 import asyncio
 
+import pytest
+
 from papayapost.traffic import DrainComplete, DrainRequested
 from papayapost_node.addresses import split_address
 from papayapost_node.drain import Drain
@@ -122,3 +124,38 @@
         await draining
 
     run_scenario(scenario)
+
+
+@pytest.mark.parametrize("is_draining", [True, False])
+def test_a_buffered_answer_outlasts_the_time_limit_of_an_idle_connection(is_draining):
+    async def scenario(address, server, drain, posted):
+        server.limits = HttpLimits(idle_timeout_ms=60_000 if is_draining else 500)
+        body = bytes(8 << 20)
+        reader, writer = await asyncio.open_connection(*address)
+        writer.write(GET)
+        await server.handler.begun.wait()
+        headers = [(b"content-length", b"%d" % len(body))]
+        server.handler.exchanges[0].begin(200, headers, body, is_ended=True)
+        if is_draining:
+            server.drain()
+        # The caller pauses for longer than an idle connection may last.
+        await asyncio.sleep(2.2 if is_draining else 0.7)
+        assert (await reader.read()).endswith(body)
+        writer.close()
+
+    run_scenario(scenario)
+
+
+def test_a_caller_that_stops_reading_a_buffered_answer_is_disconnected():
+    async def scenario(address, server, drain, posted):
+        server.limits = HttpLimits(idle_timeout_ms=100, pace_timeout_ms=200)
+        body = bytes(8 << 20)
+        reader, writer = await asyncio.open_connection(*address)
+        writer.write(GET)
+        await server.handler.begun.wait()
+        headers = [(b"content-length", b"%d" % len(body))]
+        server.handler.exchanges[0].begin(200, headers, body, is_ended=True)
+        assert await server.wait_until_empty(2.0)
+        writer.close()
+
+    run_scenario(scenario)
