--- a/packages/papayapost-node/src/papayapost_node/composition.py
+++ b/packages/papayapost-node/src/papayapost_node/composition.py
@@ -187,6 +187,8 @@
         # The last answers to peers may still be queued. A peer that does not
         # read must not delay the exit for long.
         self.runner.close()
+        if self._reports is not None:
+            await self._reports.close()
         await self._transport.finish_sending(min(left_s, _LAST_FRAMES_TIMEOUT_S))
 
     def note_stopped_at_once(self) -> None:
--- a/packages/papayapost-node/tests/test_drain_connections.py
+++ b/packages/papayapost-node/tests/test_drain_connections.py
@@ -150,7 +150,7 @@
     async def scenario(address, server, drain, posted):
         server.limits = HttpLimits(idle_timeout_ms=100, pace_timeout_ms=200)
         body = bytes(8 << 20)
-        reader, writer = await asyncio.open_connection(*address)
+        _, writer = await asyncio.open_connection(*address)
         writer.write(GET)
         await server.handler.begun.wait()
         headers = [(b"content-length", b"%d" % len(body))]
