Give the last frames and answers of a drain the time that links take

A drained node now sends its last frames until the end of its time, and an entry node waits 5 s for the last answers. A frame without a connection, most likely for a peer that is down, delays the exit by 0.5 s at most.

--- a/packages/papayapost-node/src/papayapost_node/composition.py
+++ b/packages/papayapost-node/src/papayapost_node/composition.py
@@ -66,9 +66,6 @@
 _BODY_WINDOWS_BYTES = 12 << 20
 """Memory for the flow-control windows of all request and answer bodies."""
 
-_LAST_FRAMES_TIMEOUT_S = 1.0
-"""Longest time in which the last frames to peers are sent."""
-
 _MAX_BACKEND_CONNECTIONS = 1_024
 """Limit of backend server connections if the settings give none.
 
@@ -184,12 +181,11 @@
         left_s = await self._drain.run(
             times.work_ms, settings.drain_accept_ms, times.flush_ms
         )
-        # The last answers to peers may still be queued. A peer that does not
-        # read must not delay the exit for long.
+        # The last answers to peers may still be queued for a slow link.
         self.runner.close()
         if self._reports is not None:
             await self._reports.close()
-        await self._transport.finish_sending(min(left_s, _LAST_FRAMES_TIMEOUT_S))
+        await self._transport.finish_sending(left_s)
 
     def note_stopped_at_once(self) -> None:
         """Record that the node stops before its drain is complete."""
--- a/packages/papayapost-node/src/papayapost_node/transport/zmq_transport.py
+++ b/packages/papayapost-node/src/papayapost_node/transport/zmq_transport.py
@@ -24,6 +24,7 @@
 _MAX_SOCKETS = 4 * MAX_DEALERS
 _IDLE_TIMEOUT_S = 60.0
 _MAX_FRAMES_PER_READ = 256
+_LAST_CONNECTIONS_WAIT_S = 0.5
 _REBIND_DELAY_S = 0.02
 _REBIND_ATTEMPTS = 100
 
@@ -113,7 +114,9 @@
         """Send all queued frames, for a limited time, and close."""
         due_s = self._loop.time() + timeout_s
         with suppress(TimeoutError):
-            async with asyncio.timeout_at(due_s):
+            # A frame that waits for a connection is most likely for a peer
+            # that is down, which must not delay the exit for long.
+            async with asyncio.timeout(min(timeout_s, _LAST_CONNECTIONS_WAIT_S)):
                 while any(dealer.unsent_frames for dealer in self._dealers.values()):
                     self._dealer_changed.clear()
                     await self._dealer_changed.wait()
--- a/packages/papayapost/src/papayapost/traffic/entry/upstream_tracking.py
+++ b/packages/papayapost/src/papayapost/traffic/entry/upstream_tracking.py
@@ -18,7 +18,7 @@
 _MIN_ANSWER_TIME_LATENCIES = 3
 _EJECTION_MIN_US = 5_000_000
 _EJECTION_MAX_US = 60_000_000
-_LAST_ANSWERS_WAIT_US = 1_000_000
+_LAST_ANSWERS_WAIT_US = 5_000_000
 """Time for the last answers of a node that exited after its drain."""
 
 
