Tell entry nodes which attempts end with a process at its drain limit

An entry node waits 5 s for the last answers of a node that exits after its drain. Callers whose calls still ran or were queued there at the limit would have waited in vain, and before they learned of it by the lost connection only, with an unknown outcome also for calls that had never started.

At the limit the owner node now refuses queued attempts as not run and reports running ones of other nodes as failed, with the messages that exist.

Evidence: test_entry_nodes_are_told_which_attempts_end_with_the_process failed before with "not enough values to unpack (expected 1, got 0)".

--- a/packages/papayapost/src/papayapost/traffic/drain.py
+++ b/packages/papayapost/src/papayapost/traffic/drain.py
@@ -30,7 +30,8 @@
     CallerGone,
     CallExpired,
 )
-from papayapost.traffic.owner.tables import OwnerTables
+from papayapost.traffic.owner.replies import Replies
+from papayapost.traffic.owner.tables import OwnedState, OwnerTables
 from papayapost.traffic.owner_messages import (
     AnswerBlocked,
     AnswerUnblocked,
@@ -39,6 +40,7 @@
     BackendServerPolled,
     DrainComplete,
     DrainRequested,
+    RefuseQueuedAttempts,
 )
 
 __all__ = ["DrainRow", "FinishDrain", "StartDrain"]
@@ -175,7 +177,11 @@
         calls: EntryTables,
         owner: OwnerTables,
         claims: ClaimTables,
+        me: SelfRow,
+        replies: Replies,
     ):
+        self._me = me
+        self._replies = replies
         self._drain = drain
         self._calls = calls
         self._owner = owner
@@ -190,6 +196,7 @@
             return
         is_idle = self._is_idle()
         if tick.take(DrainLimitPassed):
+            self._end_attempts(tick)
             self._finish(tick, is_idle)
         elif self._drain.is_grace_period_over and is_idle:
             self._finish_if_still_idle(tick)
@@ -200,6 +207,17 @@
         has_work = has_calls or len(owner.attempts) or owner.blocked_answers
         return not has_work and not self._claims.is_busy()
 
+    def _end_attempts(self, tick: Tick) -> None:
+        """Tell the entry nodes which of their attempts end with the process.
+
+        Without it they would wait for the last answers of this node.
+        """
+        tick.post(RefuseQueuedAttempts())
+        for row in self._owner.attempts:
+            is_running = row.state is OwnedState.RUNNING
+            if is_running and row.offer.sender != self._me.node_id:
+                self._replies.fail(tick, row.offer)
+
     def _finish_if_still_idle(self, tick: Tick) -> None:
         """Finish the drain if a second check in the next pass finds no work.
 
--- a/packages/papayapost/src/papayapost/traffic/part.py
+++ b/packages/papayapost/src/papayapost/traffic/part.py
@@ -135,6 +135,7 @@
     requests = ClaimStoreRequests(claims)
     upstreams = Upstreams(me, directory)
     link = LinkBudget(me)
+    replies = Replies(me, owner)
     drain = DrainRow()
     answer_times = AnswerTimes()
     ejector = OutlierEjector(upstreams, calls)
@@ -180,11 +181,11 @@
             queue,
             concurrency,
             ActiveShares(rules),
-            Replies(me, owner),
+            replies,
         ),
         HandleFailedAttempts(calls, upstreams, offers, retries, ejector),
         EndCalls(calls, upstreams, offers, retries, ejector, link, answer_times),
-        FinishDrain(drain, calls, owner, claims),
+        FinishDrain(drain, calls, owner, claims, me, replies),
     ]
     return TrafficPart(
         calls, upstreams, owner, claims, link, drain, systems, [TrafficStarted()]
--- a/packages/papayapost/tests/traffic/test_drain.py
+++ b/packages/papayapost/tests/traffic/test_drain.py
@@ -1,4 +1,4 @@
-from papayapost.ids import CallId
+from papayapost.ids import CallId, Micros
 from papayapost.membership import DirectoryChanged
 from papayapost.states import BackendServerState, Outcome
 from papayapost.traffic import (
@@ -6,6 +6,7 @@
     AnswerBlocked,
     AnswerEnded,
     AnswerUnblocked,
+    AttemptFailed,
     BackendCallCancel,
     BackendCallEnded,
     BackendServerPolled,
@@ -18,7 +19,7 @@
 from papayapost.traffic.drain import GRACE_US
 from papayapost_testing.traffic_worlds import backend_row, traffic_world
 
-from .owners import RULES, Owner, refusals, started
+from .owners import RULES, Owner, refusals, sent_messages, started
 from .stores import FakeStore
 from .test_balancing import Entry, offers_sent, only
 from .test_claims import KeyedOwner
@@ -173,6 +174,19 @@
     assert completions(owner.tick(after_us=2_000_000)) == [DrainComplete(False)]
 
 
+def test_entry_nodes_are_told_which_attempts_end_with_the_process():
+    owner = Owner(slots=1)
+    budget_us = Micros(9_000_000)
+    running, queued = (owner.offer(budget_us=budget_us) for _ in range(2))
+    owner.tick(running, queued)
+    owner.tick(DrainRequested(limit_ms=5_000))
+    effects = owner.tick(after_us=5_000_000)
+    assert completions(effects) == [DrainComplete(False)]
+    (failed,) = sent_messages(effects, AttemptFailed)
+    assert failed.attempt_id == running.attempt_id
+    assert refusals(effects) == {queued.attempt_id: RefusalCode.DRAINING}
+
+
 def test_calls_at_a_draining_node_are_offered_to_other_nodes():
     own = backend_row("entry", "gusts")
     entry = Entry([backend_row("a", "gusts")], own=own)
