Do not break a call off because its owner node is silent

Callers got 502 for calls at which a sound backend server was at work.

A listing as gone now only puts the attempts in doubt: an idempotent call goes to another upstream if it may; any other waits for the answer, the end of the connection or its deadline. A broken connection still counts at once.

--- a/packages/papayapost/src/papayapost/traffic/entry/failed_attempts.py
+++ b/packages/papayapost/src/papayapost/traffic/entry/failed_attempts.py
@@ -20,7 +20,7 @@
 )
 from papayapost.traffic.entry.upstream_tracking import OutlierEjector
 from papayapost.traffic.entry.upstreams import UpstreamRow, Upstreams
-from papayapost.traffic.internal import AttemptLost, CallStepDue
+from papayapost.traffic.internal import AttemptDoubted, AttemptLost, CallStepDue
 from papayapost.traffic.messages import (
     AttemptFailed,
     AttemptRefused,
@@ -48,6 +48,7 @@
     consumes = (
         AttemptRefused,
         OfferUndelivered,
+        AttemptDoubted,
         AttemptLost,
         AttemptFailed,
         CallStepDue,
@@ -73,6 +74,8 @@
             self._handle_refusal(tick, refused)
         for undelivered in tick.take(OfferUndelivered):
             self._handle_undelivered(tick, undelivered.attempt_id)
+        for doubted in tick.take(AttemptDoubted):
+            self._replace_doubted(tick, doubted.attempt_id)
         for lost in tick.take(AttemptLost):
             self._handle_lost(tick, lost.attempt_id, is_reported_by_owner=False)
         for failed in tick.take(AttemptFailed):
@@ -131,6 +134,18 @@
             return
         self._continue_call(tick, call, RefusalCode.LOST)
 
+    def _replace_doubted(self, tick: Tick, attempt_id: AttemptId) -> None:
+        """Try another upstream if the call may run again, or wait on.
+
+        Without another attempt, an answer that comes late is better than an
+        error that says nothing about the outcome.
+        """
+        call = self._call_of(self._tables.attempts.get(attempt_id))
+        if call is None or call.outstanding != [attempt_id]:
+            return
+        if call.route.idempotent and self._has_time(tick, call):
+            self._give_up_attempt(tick, call)
+
     def _record_not_run(
         self, tick: Tick, call: CallRow, attempt_id: AttemptId, code: RefusalCode
     ) -> None:
--- a/packages/papayapost/src/papayapost/traffic/entry/upstream_tracking.py
+++ b/packages/papayapost/src/papayapost/traffic/entry/upstream_tracking.py
@@ -8,7 +8,12 @@
 from papayapost.traffic.entry.link_budget import LinkBudget
 from papayapost.traffic.entry.tables import AttemptRow, AttemptState, EntryTables
 from papayapost.traffic.entry.upstreams import ServiceRow, UpstreamRow, Upstreams
-from papayapost.traffic.internal import AttemptLost, EjectionEnded, LastAnswersDue
+from papayapost.traffic.internal import (
+    AttemptDoubted,
+    AttemptLost,
+    EjectionEnded,
+    LastAnswersDue,
+)
 from papayapost.traffic.messages import LossCause, OwnerConnectionLost
 
 __all__ = ["OutlierEjector", "TrackUpstreams"]
@@ -149,26 +154,25 @@
     ) -> bool:
         """Report the attempts at an upstream as lost.
 
-        If the directory lists the node as gone, attempts whose answers are
-        arriving are not reported. The node may merely be partitioned from the
-        nodes that monitor it, and an answer that still arrives shows that it
-        is alive.
+        If the directory lists the node as gone, no attempt is lost yet. The
+        node may merely be partitioned from the nodes that monitor it, or its
+        messages may be late on a slow link, and it may still answer. Attempts
+        whose answers have not begun are reported as doubted.
 
         Returns
         -------
         bool
-            Whether answers from the upstream are still arriving.
+            Whether the upstream may still answer an attempt.
         """
         upstream.epoch = self._upstreams.next_epoch()
-        has_answer_arriving = False
+        is_silent = cause is LossCause.DIRECTORY
         for attempt_id in upstream.attempts:
             attempt = self._tables.attempts.require(attempt_id)
-            is_answering = attempt.state is AttemptState.ANSWERING
-            if cause is LossCause.DIRECTORY and is_answering:
-                has_answer_arriving = True
-            else:
+            if not is_silent:
                 tick.post(AttemptLost(attempt_id))
-        return has_answer_arriving
+            elif attempt.state is not AttemptState.ANSWERING:
+                tick.post(AttemptDoubted(attempt_id))
+        return is_silent and bool(upstream.attempts)
 
     def _await_last_answers(self, tick: Tick, upstream: UpstreamRow) -> None:
         """Report the attempts at a draining node as lost after some time.
--- a/packages/papayapost/src/papayapost/traffic/internal.py
+++ b/packages/papayapost/src/papayapost/traffic/internal.py
@@ -6,6 +6,7 @@
 
 __all__ = [
     "AnnouncementDue",
+    "AttemptDoubted",
     "AttemptLost",
     "CallStepDue",
     "DrainCheck",
@@ -40,6 +41,13 @@
     attempt_id: AttemptId
 
 
+@dataclass(slots=True)
+class AttemptDoubted:
+    """Internal: the owner node is silent; it may still answer the attempt."""
+
+    attempt_id: AttemptId
+
+
 @dataclass(slots=True)
 class EjectionEnded:
     """Timer: the ejection of an upstream ends and calls may use it again."""
