--- a/packages/papayapost-testing/src/papayapost_testing/traffic_worlds.py
+++ b/packages/papayapost-testing/src/papayapost_testing/traffic_worlds.py
@@ -29,9 +29,11 @@
 from papayapost.traffic.owner.queues import QueueDiscipline
 
 __all__ = [
+    "FOUR_PLACES",
     "NORTH_1",
     "NORTH_2",
     "SOUTH_1",
+    "SOUTH_2",
     "TrafficWorld",
     "backend_row",
     "traffic_world",
@@ -40,6 +42,8 @@
 NORTH_1 = Place(DataCentreId("north-1"), RegionId("north"))
 NORTH_2 = Place(DataCentreId("north-2"), RegionId("north"))
 SOUTH_1 = Place(DataCentreId("south-1"), RegionId("south"))
+SOUTH_2 = Place(DataCentreId("south-2"), RegionId("south"))
+FOUR_PLACES = (NORTH_1, NORTH_2, SOUTH_1, SOUTH_2)
 
 _INCARNATION = Incarnation(1_000_000)
 
