Exchange heartbeats of a roster among partners only

Cause: every node sent a heartbeat to each other one, so that messages and bytes of a calm mesh grew with the square of the nodes; each first contact was answered with a list of all peers.

Change: a node exchanges heartbeats with the neighbours in the ring of its region, its neighbours in each other region's ring and the leaders of its region. A silent partner is asked four times in 0.4 s, as is a peer whose connection broke or that another node reports as lost (`PeersLost`); without an answer it is dropped. Heartbeats carry a digest of the directory; a node that sees another one twice in a row asks for the list (`PeersWanted`) and then each node whose row it misses. `PeersShared` is sent on request only, with the stamps of rows. Lost peers are probed by their neighbours. Ranks and digests are those of `papayapost.membership`. `ExchangeHeartbeats` is split into four systems; `Beat` and `PeersShared` have a new last field, and 36 and 37 are new message numbers. The benchmark also measures how long a lost VM stays known.

It works because a loss needs only some observers, as long as everyone asks the lost node before it believes them. The start of all still grows with the square, for each node has to get the row of each other one.

--- a/packages/papayapost-node/src/papayapost_node/wire/message_numbers.py
+++ b/packages/papayapost-node/src/papayapost_node/wire/message_numbers.py
@@ -35,7 +35,14 @@
     ProbeResult,
     Vouch,
 )
-from papayapost.roster import Beat, Hello, HelloSuperseded, PeersShared
+from papayapost.roster import (
+    Beat,
+    Hello,
+    HelloSuperseded,
+    PeersLost,
+    PeersShared,
+    PeersWanted,
+)
 from papayapost.traffic import (
     AttemptCancel,
     AttemptFailed,
@@ -76,6 +83,8 @@
     Hello: 19,
     HelloSuperseded: 30,
     PeersShared: 31,
+    PeersWanted: 36,
+    PeersLost: 37,
 }
 _DISTRIBUTION_NUMBERS: dict[type, int] = {
     RulesRequest: 20,
--- a/packages/papayapost-testing/src/papayapost_testing/bench/roster.py
+++ b/packages/papayapost-testing/src/papayapost_testing/bench/roster.py
@@ -10,7 +10,9 @@
 from random import Random
 
 from papayapost.ids import Address, Micros, NodeId
+from papayapost.membership.digests import Digests
 from papayapost.roster import Beat
+from papayapost.roster.messages import HeartbeatsDue
 from papayapost.states import BackendServerState
 from papayapost.timeline import HybridClock
 from papayapost_node.clock import Clock
@@ -31,6 +33,7 @@
 SIZES = (16, 33, 66)
 SETTLED_S = 8
 POWER_LOSS_S = 1.2
+LOST_VMS = 10
 
 
 class FixedClock(Clock):
@@ -54,7 +57,8 @@
             mesh.traffic = Traffic()
             scenario(mesh, size)
             rows += traffic_rows(mesh, name, size, seconds)
-        rows.append(measure_heartbeat(size, 2_000 if short else 20_000))
+        rows.append(measure_losses(size))
+        rows += measure_heartbeats(size, 2_000 if short else 20_000)
     return rows
 
 
@@ -184,17 +188,42 @@
     return rows
 
 
-def measure_heartbeat(size: int, repeats: int) -> BenchRow:
-    """Measure the processor time of a tick that receives one heartbeat."""
+def measure_losses(size: int) -> BenchRow:
+    """Measure how long lost VMs stay in the directory of any node."""
+    mesh, longest_us = started_mesh(size), 0
+    for number in range(1, LOST_VMS + 1):
+        mesh.run(2 + mesh.random.random())
+        mesh.vanish(node_name(number))
+        lost_us = mesh.now_us
+        while any(node_name(number) in n.known_ids for n in mesh.nodes.values()):
+            mesh.run(0.01)
+        longest_us = max(longest_us, mesh.now_us - lost_us)
+    name = f"VM is lost: known to any, longest of {LOST_VMS}"
+    return BenchRow(name, size, longest_us / 1e6, "s")
+
+
+def measure_heartbeats(size: int, repeats: int) -> list[BenchRow]:
+    """Measure the processor time of ticks that receive or send heartbeats."""
     mesh = started_mesh(size)
     node = mesh.nodes[Address(f"{node_name(0)}:1")]
+    version = node.built.rules.held_version
+    digests = Digests()
+    for row in node.built.directory:
+        digests.put(row.data_centre, row.node_id, row.stamp)
     beats = [
-        Beat(row.node_id, row.incarnation, row.revision, node.built.rules.held_version)
+        Beat(row.node_id, row.incarnation, row.revision, version, digests.total)
         for row in node.built.directory
         if row.node_id != node.me.node_id
     ]
     started_s = time.process_time()
     for number in range(repeats):
         node.world.tick(mesh.now_us, [beats[number % len(beats)]])
-    spent_us = (time.process_time() - started_s) / repeats * 1e6
-    return BenchRow("heartbeat received", size, spent_us, "us")
+    received_us = (time.process_time() - started_s) / repeats * 1e6
+    started_s = time.process_time()
+    for _ in range(repeats // 10):
+        node.world.tick(mesh.now_us, [HeartbeatsDue()])
+    sent_us = (time.process_time() - started_s) / (repeats // 10) * 1e6
+    return [
+        BenchRow("heartbeat received", size, received_us, "us"),
+        BenchRow("choice of partners, each 0.5 s", size, sent_us, "us"),
+    ]
--- a/packages/papayapost-testing/src/papayapost_testing/roster_mesh.py
+++ b/packages/papayapost-testing/src/papayapost_testing/roster_mesh.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass, field, replace
 from random import Random
 
-from papayapost.distribution import RULES_KEY
+from papayapost.distribution import RULES_KEY, RulesTable
 from papayapost.ids import Address, Incarnation, Micros, NodeId
 from papayapost.kernel import World
 from papayapost.membership import BackendServerRow, OwnRowChanged
@@ -90,6 +90,11 @@
         """Nodes in the directory of this node, which includes itself."""
         return {row.node_id for row in self.built.directory}
 
+    @property
+    def rules(self) -> RulesTable:
+        """Rules of the node."""
+        return self.built.rules
+
     @property
     def own(self) -> BackendServerRow:
         """Row of the node itself."""
@@ -161,6 +166,11 @@
                 self._post_loss(sender, receiver)
         self.vanish(name)
 
+    def break_connection(self, address: Address, other: Address) -> None:
+        """Break the connections between two nodes, which both notice."""
+        self._post_loss(address, other)
+        self._post_loss(other, address)
+
     def change_state(self, name: str, state: BackendServerState) -> None:
         """Change the state in a node's own row."""
         node = self.nodes[Address(f"{name}:1")]
--- a/packages/papayapost/src/papayapost/roster/__init__.py
+++ b/packages/papayapost/src/papayapost/roster/__init__.py
@@ -2,28 +2,43 @@
 
 It serves meshes of up to a few hundred nodes whose settings name no seeds.
 Every node keeps one entry in the store, reads the entries of all other nodes
-and exchanges heartbeats with each of them directly. Larger meshes use the tree
-of `papayapost.membership`.
+and announces its row to each of them. It exchanges heartbeats with its
+partners only. Larger meshes use the tree of `papayapost.membership`.
 """
 
 from papayapost.roster.entries import ReadEntries, WriteOwnEntry
-from papayapost.roster.heartbeats import ExchangeHeartbeats
-from papayapost.roster.messages import Beat, Hello, HelloSuperseded, PeersShared
+from papayapost.roster.exchange import ExchangeRows
+from papayapost.roster.failures import ConfirmLosses
+from papayapost.roster.heartbeats import SendHeartbeats
+from papayapost.roster.messages import (
+    Beat,
+    Hello,
+    HelloSuperseded,
+    PeersLost,
+    PeersShared,
+    PeersWanted,
+)
 from papayapost.roster.part import RosterPart, build_roster
+from papayapost.roster.repair import RepairRoster
 from papayapost.roster.tables import EntryState, PeerRow, RosterEntry, RosterTables
 
 __all__ = [
     "Beat",
+    "ConfirmLosses",
     "EntryState",
-    "ExchangeHeartbeats",
+    "ExchangeRows",
     "Hello",
     "HelloSuperseded",
     "PeerRow",
+    "PeersLost",
     "PeersShared",
+    "PeersWanted",
     "ReadEntries",
+    "RepairRoster",
     "RosterEntry",
     "RosterPart",
     "RosterTables",
+    "SendHeartbeats",
     "WriteOwnEntry",
     "build_roster",
 ]
--- a/packages/papayapost/src/papayapost/roster/entries.py
+++ b/packages/papayapost/src/papayapost/roster/entries.py
@@ -1,12 +1,12 @@
 """Systems that write this node's store entry and read those of all nodes."""
 
-from papayapost.distribution import RulesTable, StoreRegained
+from papayapost.distribution import StoreRegained
 from papayapost.distribution.backoff import jittered_backoff_us
 from papayapost.ids import Micros
 from papayapost.kernel import System, Tick
 from papayapost.observe import Event, Noted
-from papayapost.peering import PeerSend
-from papayapost.roster.messages import EntryDue, Hello, ReadDue, RosterStarted
+from papayapost.roster.messages import EntryDue, ReadDue, RosterStarted
+from papayapost.roster.peers import Peers
 from papayapost.roster.tables import EntryState, RosterEntry, RosterTables
 from papayapost.storage import (
     ListObjects,
@@ -126,9 +126,9 @@
 
     consumes = (ObjectsListed, ReadDue, StoreReadFailed, StoreRegained)
 
-    def __init__(self, roster: RosterTables, rules: RulesTable):
+    def __init__(self, roster: RosterTables, peers: Peers):
         self._roster = roster
-        self._rules = rules
+        self._peers = peers
         self._failures = 0
 
     def run(self, tick: Tick) -> None:
@@ -152,14 +152,8 @@
         self._failures = 0
         roster = self._roster
         for seen in listed.objects:
-            if not isinstance(seen.value, RosterEntry):
-                continue
-            peer = roster.add_peer(seen.value, tick.now_us)
-            if peer is not None:
-                own = roster.own
-                version = self._rules.held_version
-                hello = Hello(own.node_id, own.peer_address, own, version, True)
-                tick.emit(PeerSend(peer.address, hello))
+            if isinstance(seen.value, RosterEntry):
+                self._peers.add(tick, seen.value)
         is_alone = len(roster.directory) == 1
         self._schedule(
             tick, _READ_INTERVAL_ALONE_US if is_alone else _READ_INTERVAL_US, True
--- a/packages/papayapost/src/papayapost/roster/messages.py
+++ b/packages/papayapost/src/papayapost/roster/messages.py
@@ -12,7 +12,9 @@
     "HeartbeatsDue",
     "Hello",
     "HelloSuperseded",
+    "PeersLost",
     "PeersShared",
+    "PeersWanted",
     "ReadDue",
     "RosterStarted",
     "SuspicionDue",
@@ -21,7 +23,7 @@
 
 @dataclass(slots=True)
 class Beat:
-    """Heartbeat that a node sends to each peer at intervals.
+    """Heartbeat that a node sends to its partners at intervals.
 
     Parameters
     ----------
@@ -29,12 +31,15 @@
         Stamp of the row that the sender last announced.
     version
         Rules version that the sender holds.
+    directory_digest
+        Digest of the rows in the sender's directory.
     """
 
     sender: NodeId
     incarnation: Incarnation
     revision: int
     version: RuleVersion
+    directory_digest: int = 0
 
 
 @dataclass(slots=True)
@@ -74,18 +79,46 @@
     known: BackendServerRow
 
 
+@dataclass(slots=True)
+class PeersWanted:
+    """Request for the nodes that the receiver knows.
+
+    Parameters
+    ----------
+    reply_to
+        Address at which the sender receives messages.
+    """
+
+    sender: NodeId
+    reply_to: Address
+
+
 @dataclass(slots=True)
 class PeersShared:
-    """Answer to a `Hello`: entries of the nodes that the sender knows.
+    """Answer to a `PeersWanted`: the nodes that the sender knows.
 
     Parameters
     ----------
     entries
         Entries of nodes in the sender's directory.
+    stamps
+        Stamp of the row that the sender has of each of these nodes.
     """
 
     sender: NodeId
     entries: tuple[RosterEntry, ...]
+    stamps: tuple[tuple[Incarnation, int], ...] = ()
+
+
+@dataclass(slots=True)
+class PeersLost:
+    """Report that the sender has lost some peers.
+
+    The receiver asks each of them before it believes the report.
+    """
+
+    sender: NodeId
+    node_ids: tuple[NodeId, ...]
 
 
 @dataclass(slots=True)
@@ -118,6 +151,6 @@
 
 @dataclass(slots=True)
 class SuspicionDue:
-    """Timer: a suspected peer has had time to answer a `Hello`."""
+    """Timer: a suspected peer has had some time to answer a `Hello`."""
 
     node_id: NodeId
--- a/packages/papayapost/src/papayapost/roster/part.py
+++ b/packages/papayapost/src/papayapost/roster/part.py
@@ -7,8 +7,12 @@
 from papayapost.membership import BackendServerRow, Directory
 from papayapost.place import SelfRow
 from papayapost.roster.entries import ReadEntries, WriteOwnEntry
-from papayapost.roster.heartbeats import ExchangeHeartbeats
+from papayapost.roster.exchange import ExchangeRows
+from papayapost.roster.failures import ConfirmLosses
+from papayapost.roster.heartbeats import SendHeartbeats
 from papayapost.roster.messages import RosterStarted
+from papayapost.roster.peers import Peers
+from papayapost.roster.repair import RepairRoster
 from papayapost.roster.tables import RosterTables
 
 __all__ = ["RosterPart", "build_roster"]
@@ -35,9 +39,13 @@
         Rules of this node; heartbeats carry their version.
     """
     roster = RosterTables(me, own)
+    peers = Peers(roster, rules)
     systems: list[System] = [
         WriteOwnEntry(roster),
-        ReadEntries(roster, rules),
-        ExchangeHeartbeats(roster, rules),
+        ReadEntries(roster, peers),
+        ExchangeRows(roster, rules, peers),
+        RepairRoster(roster, peers),
+        ConfirmLosses(roster, peers),
+        SendHeartbeats(roster, rules, peers),
     ]
     return RosterPart(roster.directory, roster, systems, [RosterStarted()])
