Test a link of a roster that suddenly gets slower

Cause: a partner's silence is followed by a question that has to be answered within 0.4 s, and links of the users' sites get slower under load.

Change: `RosterMesh` can delay the messages of a node. Two tests make the link of a node, and of a leader, 600 ms slower twice.

--- a/packages/papayapost-testing/src/papayapost_testing/roster_mesh.py
+++ b/packages/papayapost-testing/src/papayapost_testing/roster_mesh.py
@@ -117,6 +117,8 @@
         Probability that a message between nodes is lost.
     cut
         Pairs of sender and receiver between whom all messages are lost.
+    link_delay_us
+        Additional delay of each message that a node sends or receives.
     rejected_by_store
         Addresses of the nodes whose store calls fail.
     """
@@ -128,6 +130,7 @@
         self.traffic = Traffic()
         self.drop_rate = 0.0
         self.cut: set[tuple[Address, Address]] = set()
+        self.link_delay_us: dict[Address, int] = {}
         self.rejected_by_store: set[Address] = set()
         self.objects: dict[ObjectKey, tuple[int, object]] = {}
         self._codec = codec
@@ -252,6 +255,8 @@
         self._connections.add((sender, receiver))
         delay_us = _REGION_DELAY_US if near else _CROSS_REGION_DELAY_US
         delay_us += self.random.randrange(delay_us)
+        for address in (sender, receiver):
+            delay_us += self.link_delay_us.get(address, 0)
         self._post(receiver, effect.message, delay_us)
 
     def _count(self, sender: Address, message: object, near: bool) -> None:
--- a/packages/papayapost/tests/roster/test_large_roster.py
+++ b/packages/papayapost/tests/roster/test_large_roster.py
@@ -269,6 +269,17 @@
     }
 
 
+@pytest.mark.parametrize("number", [9, None])
+def test_a_link_that_gets_slower_by_600_ms_costs_nobody_its_place(number):
+    mesh = started_mesh()
+    number = leader_number(mesh) if number is None else number
+    for delay_us in (600_000, 0, 600_000):
+        mesh.link_delay_us[address_of(number)] = delay_us
+        mesh.run(4)
+    assert not lost_peers(mesh)
+    assert_whole(mesh)
+
+
 def test_a_connection_lost_between_two_nodes_costs_neither_its_place():
     mesh = started_mesh()
     mesh.break_connection(address_of(9), address_of(13))
