--- a/packages/papayapost/tests/roster/test_rules_relays.py
+++ b/packages/papayapost/tests/roster/test_rules_relays.py
@@ -9,8 +9,8 @@
 from papayapost.ids import DataCentreId, RegionId
 from papayapost.membership import LeaveMesh
 from papayapost.place import Place
-from papayapost_testing.slow_link_mesh import LinkState, SlowLinkMesh
 from papayapost_testing.roster_store import StorePath
+from papayapost_testing.slow_link_mesh import LinkState, SlowLinkMesh
 
 SECOND_US = 1_000_000
 CONFIG_US = 2_500_000
