--- a/packages/papayapost-node/src/papayapost_node/http/__init__.py
+++ b/packages/papayapost-node/src/papayapost_node/http/__init__.py
@@ -1,6 +1,7 @@
 """HTTP/1.1 servers and clients, whose parser is h11."""
 
-from papayapost_node.http.backend import AnswerReading, AnswerSink, BackendConnection
+from papayapost_node.http.answer_sink import AnswerReading, AnswerSink
+from papayapost_node.http.backend import BackendConnection
 from papayapost_node.http.connection import ClientConnection
 from papayapost_node.http.exchange import RequestHandler, ServerExchange
 from papayapost_node.http.headers import content_length, forwardable, framing_headers
