Close a backend connection at the first byte that begins no answer

Callers would wait until their deadline, and a slot stayed taken as long, when a backend server sent bytes that are no answer and kept the connection open.

Cause: the HTTP parser judges a head only when its blank line has arrived, or when 64 KB are there. Bytes that come slowly, or stop, reach neither.

Change: while a head is incomplete, each line's start is checked as it arrives: the status line, the name of a header, null bytes.

--- a/packages/papayapost-node/src/papayapost_node/http/backend.py
+++ b/packages/papayapost-node/src/papayapost_node/http/backend.py
@@ -10,6 +10,7 @@
 from papayapost_node.batch import InputBatching
 from papayapost_node.deadline import DeadlineTimer
 from papayapost_node.http.answer_sink import AnswerReading, AnswerSink
+from papayapost_node.http.head_check import HeadCheck
 from papayapost_node.http.messages import Headers, HttpRequest
 
 __all__ = ["BackendConnection"]
@@ -54,6 +55,7 @@
         )
         self._transport: asyncio.Transport | None = None
         self._sink: AnswerSink | None = None
+        self._head_check: HeadCheck | None = None
         self._method = ""
         self._is_paused = False
         self._is_processing = False
@@ -106,7 +108,7 @@
         self._http.receive_data(data)
         self._batch.begin()
         try:
-            self._process_events()
+            self._process_events(data)
         finally:
             self._batch.end()
 
@@ -154,6 +156,7 @@
             return False
         self._sink = sink
         self._method = request.method
+        self._head_check = None
         self._is_skipping = False
         self.calls += 1
         self._deadline.set_in(budget_s)
@@ -218,12 +221,15 @@
             parts.append(self._http.send(h11.EndOfMessage()))
         return b"".join([part for part in parts if part])
 
-    def _process_events(self) -> None:
+    def _process_events(self, data: bytes = b"") -> None:
+        """Handle all complete events; `data` is what the parser just got."""
         self._is_processing = True
         sink = self._sink
         try:
             while not self._is_paused and self._handle_event(self._http.next_event()):
                 pass
+            if self._sink is not None:
+                self._check_head(data)
         except h11.RemoteProtocolError as error:
             self._fail(f"the backend server's answer is malformed: {error}")
             self.abort()
@@ -232,6 +238,15 @@
         if sink is not None:
             sink.read_ended()
 
+    def _check_head(self, data: bytes) -> None:
+        """Check the incomplete head, if any, that ends with `data`."""
+        if self._http.their_state is not h11.SEND_RESPONSE:
+            return
+        if self._head_check is None:
+            self._head_check = HeadCheck()
+            data = self._http.trailing_data[0]
+        self._head_check.feed(data)
+
     def _handle_event(self, event) -> bool:
         sink = self._sink
         if sink is None:
@@ -241,6 +256,7 @@
         if type(event) is h11.Data:
             sink.answer_received(bytes(event.data))
         elif type(event) is h11.Response:
+            self._head_check = None
             reading = sink.answer_begun(event.status_code, list(event.headers))
             self._is_skipping = reading is AnswerReading.SKIPPED
             if reading is AnswerReading.STREAMED:
@@ -249,6 +265,7 @@
             self._end(sink, list(event.headers))
             return False
         elif type(event) is h11.InformationalResponse:
+            self._head_check = None
             sink.informational_received(event.status_code, list(event.headers))
         else:
             return False
--- /dev/null
+++ b/packages/papayapost-node/tests/test_endless_bytes.py
@@ -0,0 +1,198 @@
+"""Tests backend servers that send bytes without end.
+
+Such bytes may be no answer at all, or an answer that never ends. They must
+not hold a slot, memory or the event loop for longer than the call lasts.
+"""
+
+import asyncio
+
+import pytest
+
+from papayapost.ids import Address, AttemptId, InstanceId, Micros, NodeId
+from papayapost.traffic import BackendCallEnded
+from papayapost_node.batch import NoBatching
+from papayapost_node.exchange import (
+    AnswerVerdict,
+    CarrierDelivery,
+    NativeDialect,
+    WindowBudget,
+)
+from papayapost_node.exchange.backend_call import BackendCall
+from papayapost_node.exchange.owner_services import OwnerServices
+from papayapost_node.exchange.tables import OwnedRequest
+from papayapost_node.http import BackendPool, HttpRequest
+from papayapost_node.wire import AnswerCarrier
+from papayapost_testing.ports import free_addresses
+from papayapost_testing.scripted_server import ScriptedServer
+
+ATTEMPT_ID = AttemptId("n1/1")
+NOT_ANSWERED = BackendCallEnded(ATTEMPT_ID, True, False)
+REFUSED = BackendCallEnded(ATTEMPT_ID, True, False, is_refused=True)
+LONG_BUDGET_MS = 20_000
+SHORT_BUDGET_MS = 100
+WINDOW_BYTES = 1 << 20
+HOLD_BYTES = 1 << 20
+PIECE = bytes(1 << 16)
+
+
+class StatusDialect(NativeDialect):
+    """Judges an answer by its status alone."""
+
+    def judge_answer(self, request, status, answer):
+        verdicts = {
+            299: AnswerVerdict.BROKEN,
+            298: AnswerVerdict.FOREIGN,
+            503: AnswerVerdict.NOT_RUN,
+        }
+        return verdicts.get(status, AnswerVerdict.ANSWER)
+
+
+class RecordingDelivery(CarrierDelivery):
+    def __init__(self):
+        self.carriers: list = []
+
+    def deliver(self, address, carrier, on_dropped=None):
+        self.carriers.append(carrier)
+        return True
+
+
+class Owner:
+    """Runs backend calls and records what they post and deliver."""
+
+    def __init__(self, address: Address, hold_bytes: int):
+        self.pool = BackendPool(address, 2, NoBatching())
+        self.carrier_delivery = RecordingDelivery()
+        self.posted: list = []
+        self.finished = asyncio.Event()
+        self.services = OwnerServices(
+            NodeId("n1"),
+            self.carrier_delivery,
+            self.posted.append,
+            lambda: 1,
+            WindowBudget(WINDOW_BYTES),
+            lambda attempt_id: self.finished.set(),
+            StatusDialect(),
+            lambda: InstanceId("i-1"),
+            hold_bytes,
+        )
+
+    async def run(self, budget_ms: int) -> BackendCallEnded:
+        self.finished.clear()
+        request = HttpRequest("GET", "/", [(b"host", b"a")])
+        owned = OwnedRequest(
+            ATTEMPT_ID, Address("127.0.0.1:1"), request, True, WINDOW_BYTES
+        )
+        call = BackendCall(owned, Micros(budget_ms * 1_000), self.services)
+        self.pool.acquire(call.connection_ready)
+        await self.finished.wait()
+        return next(m for m in self.posted if isinstance(m, BackendCallEnded))
+
+    def delivered(self, kind: type) -> list:
+        return [c for c in self.carrier_delivery.carriers if isinstance(c, kind)]
+
+
+def run_calls(scenario, script, hold_bytes: int = HOLD_BYTES) -> None:
+    async def main():
+        (address,) = free_addresses(1)
+        server = ScriptedServer(address, script)
+        owner = Owner(address, hold_bytes)
+        await server.start()
+        try:
+            async with asyncio.timeout(5):
+                await scenario(owner, server)
+        finally:
+            owner.pool.close()
+            await server.close()
+
+    asyncio.run(main())
+
+
+def sending(start: bytes, repeated: bytes = b"", pause_s: float = 0):
+    """Return a script that sends `start`, then `repeated` without end.
+
+    The connection stays open until the node closes it.
+    """
+
+    async def script(reader, writer):
+        await reader.readuntil(b"\r\n\r\n")
+        writer.write(start)
+        while repeated:
+            writer.write(repeated)
+            await writer.drain()
+            if pause_s:
+                await asyncio.sleep(pause_s)
+        assert await reader.read() == b""
+
+    return script
+
+
+def chunk(size_bytes: int, extension: bytes = b"") -> bytes:
+    return b"%x%b\r\n%b\r\n" % (size_bytes, extension, b"x" * size_bytes)
+
+
+def head(status: int, framing: bytes = b"") -> bytes:
+    return b"HTTP/1.1 %d X\r\n%b\r\n" % (status, framing)
+
+
+CHUNKED = b"transfer-encoding: chunked\r\n"
+
+
+@pytest.mark.parametrize(
+    "received",
+    [
+        b"g",
+        b"HTTP/1.1 2x",
+        b"HTTP/x",
+        b"HTTP/1.1 2000",
+        b"\x00" * 20,
+        b"no answer\r\nnor this\r\n",
+        b"HTTP/1.1 200 OK\r\nno colon",
+        b"HTTP/1.1 200 OK\r\nx: y\r\n\x00",
+        b"HTTP/1.1 200 OK\r\nx: y\x00",
+        b"HTTP/1.1 200 OK\r\nnocolon\r\n",
+        b"HTTP/1.1 100 Continue\r\n\r\ngarbage",
+        b"HTTP/1.1 298 X\r\ncontent-length: 1\r\n\r\naHTTP/1.1 2x",
+    ],
+)
+def test_bytes_that_begin_no_answer_do_not_hold_a_slot_until_the_deadline(received):
+    async def scenario(owner, server):
+        assert await owner.run(LONG_BUDGET_MS) == NOT_ANSWERED
+        await server.ended.wait()
+        assert not owner.delivered(AnswerCarrier)
+
+    run_calls(scenario, sending(received))
+
+
+@pytest.mark.parametrize("sent", [b"x", b"x: y\r\n", b"x-" + b"y" * 500, b" "])
+def test_a_head_without_end_is_read_up_to_a_limit(sent):
+    async def scenario(owner, server):
+        assert await owner.run(LONG_BUDGET_MS) == NOT_ANSWERED
+        await server.ended.wait()
+
+    run_calls(scenario, sending(b"HTTP/1.1 200 OK\r\nx: y\r\n", sent * 50))
+
+
+@pytest.mark.parametrize(
+    "answer",
+    [
+        b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok",
+        b"HTTP/1.1 200 \r\ncontent-length:2\r\nx:\ty \xff\r\n folded\r\n\r\nok",
+        b"HTTP/1.1 200\ncontent-length: 2\n\nok",
+        b"HTTP/1.0 200 OK\r\ncontent-length: 2\r\n\r\nok",
+        b"HTTP/1.1 103 Hints\r\nlink: </a>\r\n\r\n"
+        b"HTTP/1.1 200 OK\r\nx-" + b"y" * 400 + b": z\r\ncontent-length: 2\r\n\r\nok",
+    ],
+)
+def test_an_answer_that_arrives_byte_by_byte_is_accepted(answer):
+    async def script(reader, writer):
+        await reader.readuntil(b"\r\n\r\n")
+        for byte in answer:
+            writer.write(bytes([byte]))
+            await asyncio.sleep(0)
+        await reader.read()
+
+    async def scenario(owner, server):
+        assert (await owner.run(LONG_BUDGET_MS)).is_whole
+        assert owner.delivered(AnswerCarrier)[0].body == b"ok"
+
+    run_calls(scenario, script)
