Bound the informational answers of a backend server to one request

Callers would see their call hang until its deadline, with thousands of informational answers written to them and to the entry node's link, without regard to whether anybody reads them.

Cause: each complete 1xx answer was passed on, and none was counted.

Change: 32 for one request; the next one ends the attempt with an unknown outcome and closes the connection.

--- a/packages/papayapost-node/src/papayapost_node/http/backend.py
+++ b/packages/papayapost-node/src/papayapost_node/http/backend.py
@@ -9,6 +9,7 @@
 
 from papayapost_node.batch import InputBatching
 from papayapost_node.deadline import DeadlineTimer
+from papayapost_node.http.answer_bounds import AnswerBounds
 from papayapost_node.http.answer_sink import AnswerReading, AnswerSink
 from papayapost_node.http.head_check import HeadCheck
 from papayapost_node.http.messages import Headers, HttpRequest
@@ -55,6 +56,7 @@
         )
         self._transport: asyncio.Transport | None = None
         self._sink: AnswerSink | None = None
+        self._bounds = AnswerBounds()
         self._head_check: HeadCheck | None = None
         self._method = ""
         self._is_paused = False
@@ -156,6 +158,7 @@
             return False
         self._sink = sink
         self._method = request.method
+        self._bounds = AnswerBounds()
         self._head_check = None
         self._is_skipping = False
         self.calls += 1
@@ -266,6 +269,7 @@
             return False
         elif type(event) is h11.InformationalResponse:
             self._head_check = None
+            self._bounds.count_informational()
             sink.informational_received(event.status_code, list(event.headers))
         else:
             return False
--- a/packages/papayapost-node/tests/test_endless_bytes.py
+++ b/packages/papayapost-node/tests/test_endless_bytes.py
@@ -21,7 +21,7 @@
 from papayapost_node.exchange.owner_services import OwnerServices
 from papayapost_node.exchange.tables import OwnedRequest
 from papayapost_node.http import BackendPool, HttpRequest
-from papayapost_node.wire import AnswerCarrier
+from papayapost_node.wire import AnswerCarrier, InterimAnswer
 from papayapost_testing.ports import free_addresses
 from papayapost_testing.scripted_server import ScriptedServer
 
@@ -196,3 +196,20 @@
         assert owner.delivered(AnswerCarrier)[0].body == b"ok"
 
     run_calls(scenario, script)
+
+
+def test_informational_answers_without_end_are_not_read_until_the_deadline():
+    async def scenario(owner, server):
+        assert await owner.run(LONG_BUDGET_MS) == NOT_ANSWERED
+        await server.ended.wait()
+        assert len(owner.delivered(InterimAnswer)) <= 32
+
+    run_calls(scenario, sending(b"", head(102) * 1_000))
+
+
+def test_an_answer_behind_some_informational_answers_is_accepted():
+    async def scenario(owner, server):
+        assert (await owner.run(LONG_BUDGET_MS)).is_whole
+        assert len(owner.delivered(InterimAnswer)) == 32
+
+    run_calls(scenario, sending(head(102) * 32 + head(200, b"content-length: 0\r\n")))
