Bound what is skipped of answers to other requests

Callers would wait until their deadline, with the processor at full load and the slot taken, when a late answer to another request had no end, or when such answers followed each other without end.

Cause: the body of a skipped answer was read and dropped for as long as it came, and each skipped answer was followed by the wait for the next one.

Change: at most 8 skipped answers and 1 MB of their bodies for one request. A skipped answer whose body ends with the connection ends the attempt at its head, as the answer that is due cannot follow.

Late answers of 8,000 B, also in chunks, or without a body are still skipped.

--- a/packages/papayapost-node/src/papayapost_node/http/answer_bounds.py
+++ b/packages/papayapost-node/src/papayapost_node/http/answer_bounds.py
@@ -7,6 +7,14 @@
 _MAX_INFORMATIONAL = 32
 """Most informational answers to a request; real ones are one or two."""
 
+_MAX_SKIPPED_ANSWERS = 8
+"""Most answers to other requests before the one that is due; a connection
+runs one request at a time, so real ones are one or two."""
+
+_MAX_SKIPPED_BYTES = 1 << 20
+"""Most bytes of the bodies of those answers; a new connection costs less than
+to read more."""
+
 
 class AnswerBounds:
     """Counts what one call reads, and ends a call whose answer does not come.
@@ -14,13 +22,27 @@
     Each method raises h11.RemoteProtocolError above its limit.
     """
 
-    __slots__ = ("_informational",)
+    __slots__ = ("_informational", "_skipped_answers", "_skipped_bytes")
 
     def __init__(self) -> None:
         self._informational = 0
+        self._skipped_answers = 0
+        self._skipped_bytes = 0
 
     def count_informational(self) -> None:
         """Count an informational answer."""
         self._informational += 1
         if self._informational > _MAX_INFORMATIONAL:
             raise h11.RemoteProtocolError("too many informational answers")
+
+    def count_skipped_answer(self) -> None:
+        """Count an answer to another request."""
+        self._skipped_answers += 1
+        if self._skipped_answers > _MAX_SKIPPED_ANSWERS:
+            raise h11.RemoteProtocolError("too many answers to other requests")
+
+    def count_skipped_data(self, size_bytes: int) -> None:
+        """Count a piece of the body of an answer to another request."""
+        self._skipped_bytes += size_bytes
+        if self._skipped_bytes > _MAX_SKIPPED_BYTES:
+            raise h11.RemoteProtocolError("answers to other requests are too long")
--- a/packages/papayapost-node/src/papayapost_node/http/backend.py
+++ b/packages/papayapost-node/src/papayapost_node/http/backend.py
@@ -12,12 +12,14 @@
 from papayapost_node.http.answer_bounds import AnswerBounds
 from papayapost_node.http.answer_sink import AnswerReading, AnswerSink
 from papayapost_node.http.head_check import HeadCheck
+from papayapost_node.http.headers import has_known_end
 from papayapost_node.http.messages import Headers, HttpRequest
 
 __all__ = ["BackendConnection"]
 
 _WRITE_BUFFER_BYTES = 64 << 10
 _MAX_HEAD_BYTES = 64 << 10
+_BODILESS_STATUSES = frozenset([204, 304])
 
 
 class BackendConnection(asyncio.BufferedProtocol):
@@ -259,11 +261,7 @@
         if type(event) is h11.Data:
             sink.answer_received(bytes(event.data))
         elif type(event) is h11.Response:
-            self._head_check = None
-            reading = sink.answer_begun(event.status_code, list(event.headers))
-            self._is_skipping = reading is AnswerReading.SKIPPED
-            if reading is AnswerReading.STREAMED:
-                self._deadline.clear()
+            self._begin_answer(sink, event.status_code, list(event.headers))
         elif type(event) is h11.EndOfMessage:
             self._end(sink, list(event.headers))
             return False
@@ -275,6 +273,20 @@
             return False
         return True
 
+    def _begin_answer(self, sink: AnswerSink, status: int, headers: Headers) -> None:
+        self._head_check = None
+        reading = sink.answer_begun(status, headers)
+        if reading is AnswerReading.STREAMED:
+            self._deadline.clear()
+        elif reading is AnswerReading.SKIPPED:
+            self._is_skipping = True
+            self._bounds.count_skipped_answer()
+            has_body = self._method != "HEAD" and status not in _BODILESS_STATUSES
+            if has_body and not has_known_end(headers):
+                raise h11.RemoteProtocolError(
+                    "an answer to another request ends with the connection"
+                )
+
     def _skip_event(self, event) -> bool:
         """Discard an event of an answer to an earlier request.
 
@@ -282,6 +294,7 @@
         expects the answer to the running request.
         """
         if type(event) is h11.Data:
+            self._bounds.count_skipped_data(len(event.data))
             return True
         if type(event) is not h11.EndOfMessage:
             return False
--- a/packages/papayapost-node/src/papayapost_node/http/headers.py
+++ b/packages/papayapost-node/src/papayapost_node/http/headers.py
@@ -4,7 +4,7 @@
 
 from papayapost_node.http.messages import Headers
 
-__all__ = ["content_length", "forwardable", "framing_headers"]
+__all__ = ["content_length", "forwardable", "framing_headers", "has_known_end"]
 
 _HOP_BY_HOP = frozenset(
     [
@@ -83,3 +83,16 @@
     if not is_whole:
         return [(b"transfer-encoding", b"chunked")]
     return [(b"content-length", b"%d" % body_bytes)] if body_bytes else []
+
+
+def has_known_end(headers: Headers) -> bool:
+    """Return whether headers tell where a body ends, if there is one.
+
+    If they do not, the body of an answer ends with its connection.
+
+    Examples
+    --------
+    >>> has_known_end([(b"content-length", b"5")]), has_known_end([])
+    (True, False)
+    """
+    return any(name in (b"content-length", b"transfer-encoding") for name, _ in headers)
--- a/packages/papayapost-node/tests/test_endless_bytes.py
+++ b/packages/papayapost-node/tests/test_endless_bytes.py
@@ -36,7 +36,7 @@
 
 
 class StatusDialect(NativeDialect):
-    """Judges an answer by its status alone."""
+    """Judges an answer by its status, or as foreign by a header."""
 
     def judge_answer(self, request, status, answer):
         verdicts = {
@@ -44,6 +44,8 @@
             298: AnswerVerdict.FOREIGN,
             503: AnswerVerdict.NOT_RUN,
         }
+        if (b"x-foreign", b"1") in answer:
+            return AnswerVerdict.FOREIGN
         return verdicts.get(status, AnswerVerdict.ANSWER)
 
 
@@ -213,3 +215,47 @@
         assert len(owner.delivered(InterimAnswer)) == 32
 
     run_calls(scenario, sending(head(102) * 32 + head(200, b"content-length: 0\r\n")))
+
+
+@pytest.mark.parametrize(
+    ("start", "repeated"),
+    [
+        (head(298), b""),
+        (head(298), PIECE),
+        (head(298, CHUNKED), chunk(60_000)),
+        (head(298, b"content-length: 99999999999\r\n"), PIECE),
+        (b"", head(298, b"content-length: 1\r\n") + b"x"),
+    ],
+)
+def test_a_foreign_answer_without_end_does_not_hold_a_slot_until_the_deadline(
+    start, repeated
+):
+    async def scenario(owner, server):
+        assert await owner.run(LONG_BUDGET_MS) == NOT_ANSWERED
+        await server.ended.wait()
+        assert not owner.delivered(AnswerCarrier)
+
+    run_calls(scenario, sending(start, repeated))
+
+
+@pytest.mark.parametrize("framing", [b"content-length: 8000\r\n", CHUNKED])
+def test_an_answer_behind_some_foreign_answers_is_accepted(framing):
+    foreign = head(298, framing) + (
+        chunk(8_000) + b"0\r\n\r\n" if framing is CHUNKED else b"x" * 8_000
+    )
+
+    async def scenario(owner, server):
+        assert (await owner.run(LONG_BUDGET_MS)).is_whole
+        assert [h.body for h in owner.delivered(AnswerCarrier)] == [b"mine"]
+
+    mine = head(200, b"content-length: 4\r\n") + b"mine"
+    run_calls(scenario, sending(head(298, b"content-length: 0\r\n") + foreign + mine))
+
+
+def test_a_foreign_answer_without_a_body_is_skipped():
+    async def scenario(owner, server):
+        assert (await owner.run(LONG_BUDGET_MS)).is_whole
+        assert [h.body for h in owner.delivered(AnswerCarrier)] == [b"mine"]
+
+    mine = head(200, b"content-length: 4\r\n") + b"mine"
+    run_calls(scenario, sending(head(204, b"x-foreign: 1\r\n") + mine))
