End an attempt whose refusal or broken answer has no end

Callers would get no other attempt, or a refusal only at their deadline, when the head of an answer already said that the request did not run, or that the answer is unusable, and its body did not end. The slot was taken as long.

Cause: such an answer was held like one that is used, until it was whole, so that its connection could run the next call.

Change: the body is discarded, for 0.1 s and 64 KB at most; then the attempt ends with the verdict of the head and the connection is closed. A refusal stays a refusal and a broken answer an unknown outcome.

--- a/packages/papayapost-node/src/papayapost_node/deadline.py
+++ b/packages/papayapost-node/src/papayapost_node/deadline.py
@@ -38,6 +38,11 @@
             handle.cancel()
             self._handle = self._loop.call_at(due_s, self._fire)
 
+    def shorten_to(self, delay_s: float) -> None:
+        """Set the deadline to `delay_s` from now unless it is set earlier."""
+        if self._due_s is None or self._loop.time() + delay_s < self._due_s:
+            self.set_in(delay_s)
+
     def clear(self) -> None:
         """Remove the deadline; `set_in` may set another one later."""
         self._due_s = None
--- a/packages/papayapost-node/src/papayapost_node/exchange/backend_call.py
+++ b/packages/papayapost-node/src/papayapost_node/exchange/backend_call.py
@@ -167,10 +167,10 @@
     def answer_begun(self, status: int, headers: Headers) -> AnswerReading:
         """Handle the answer's head and say how to read the rest.
 
-        The answer is skipped if it belongs to another request. It is held
-        until it is whole if its length is unknown or at most
-        `OwnerServices.hold_bytes`, or if its head already shows that it will
-        not be sent to the entry node.
+        The answer is skipped if it belongs to another request, and its body is
+        discarded if the head already shows that it will not be sent to the
+        entry node. It is held until it is whole if its length is unknown or at
+        most `OwnerServices.hold_bytes`.
         """
         request = self._owned.request
         verdict = self._services.dialect.judge_answer(request.headers, status, headers)
@@ -178,11 +178,13 @@
             return AnswerReading.SKIPPED
         self._verdict = verdict
         self._status = status
+        if verdict is not AnswerVerdict.ANSWER:
+            self._is_held = True
+            return AnswerReading.DISCARDED
         self._headers = forwardable(headers)
         size = content_length(headers)
         hold_bytes = self._services.hold_bytes
-        may_be_held = bool(hold_bytes) and (size is None or size <= hold_bytes)
-        self._is_held = may_be_held or verdict is not AnswerVerdict.ANSWER
+        self._is_held = bool(hold_bytes) and (size is None or size <= hold_bytes)
         if not self._is_held:
             self._services.post(BackendCallBegun(self._owned.attempt_id, status))
         return AnswerReading.WHOLE if self._is_held else AnswerReading.STREAMED
@@ -193,8 +195,6 @@
             self._answer_sender.add(data)
             self._finish_or_rearm()
             return
-        if self._verdict is not AnswerVerdict.ANSWER:
-            return
         self._buffered.append(data)
         self._buffered_bytes += len(data)
         if self._is_held and self._buffered_bytes > self._services.hold_bytes:
--- a/packages/papayapost-node/src/papayapost_node/http/answer_bounds.py
+++ b/packages/papayapost-node/src/papayapost_node/http/answer_bounds.py
@@ -15,6 +15,9 @@
 """Most bytes of the bodies of those answers; a new connection costs less than
 to read more."""
 
+_MAX_DISCARDED_BYTES = 64 << 10
+"""Most bytes of the body of an answer that is not used, as one read brings."""
+
 
 class AnswerBounds:
     """Counts what one call reads, and ends a call whose answer does not come.
@@ -22,9 +25,15 @@
     Each method raises h11.RemoteProtocolError above its limit.
     """
 
-    __slots__ = ("_informational", "_skipped_answers", "_skipped_bytes")
+    __slots__ = (
+        "_discarded_bytes",
+        "_informational",
+        "_skipped_answers",
+        "_skipped_bytes",
+    )
 
     def __init__(self) -> None:
+        self._discarded_bytes = 0
         self._informational = 0
         self._skipped_answers = 0
         self._skipped_bytes = 0
@@ -46,3 +55,9 @@
         self._skipped_bytes += size_bytes
         if self._skipped_bytes > _MAX_SKIPPED_BYTES:
             raise h11.RemoteProtocolError("answers to other requests are too long")
+
+    def count_discarded_data(self, size_bytes: int) -> None:
+        """Count a piece of the body of an answer that is not used."""
+        self._discarded_bytes += size_bytes
+        if self._discarded_bytes > _MAX_DISCARDED_BYTES:
+            raise h11.RemoteProtocolError("the body of an unused answer is too long")
--- a/packages/papayapost-node/src/papayapost_node/http/answer_sink.py
+++ b/packages/papayapost-node/src/papayapost_node/http/answer_sink.py
@@ -14,12 +14,15 @@
     With ``WHOLE``, the deadline applies until the end of the answer. With
     ``STREAMED``, the deadline is cleared, as the head has arrived in time.
     With ``SKIPPED``, the answer is discarded, and the connection waits for
-    the answer that follows it.
+    the answer that follows it. With ``DISCARDED``, the answer is the one that
+    is due but its body is not used; the connection reads on for a moment, to
+    run another call if the body ends in it, and otherwise fails the answer.
     """
 
     WHOLE = "whole"
     STREAMED = "streamed"
     SKIPPED = "skipped"
+    DISCARDED = "discarded"
 
 
 class AnswerSink(ABC):
--- a/packages/papayapost-node/src/papayapost_node/http/backend.py
+++ b/packages/papayapost-node/src/papayapost_node/http/backend.py
@@ -19,6 +19,9 @@
 
 _WRITE_BUFFER_BYTES = 64 << 10
 _MAX_HEAD_BYTES = 64 << 10
+_DISCARD_TIMEOUT_S = 0.1
+"""Time for the rest of an unused answer, which a refusal has at once."""
+
 _BODILESS_STATUSES = frozenset([204, 304])
 
 
@@ -63,7 +66,7 @@
         self._method = ""
         self._is_paused = False
         self._is_processing = False
-        self._is_skipping = False
+        self._reading: AnswerReading | None = None
         self._deadline = DeadlineTimer(asyncio.get_running_loop(), self._on_deadline)
         self.is_writable = True
         self.calls = 0
@@ -162,7 +165,7 @@
         self._method = request.method
         self._bounds = AnswerBounds()
         self._head_check = None
-        self._is_skipping = False
+        self._reading = None
         self.calls += 1
         self._deadline.set_in(budget_s)
         transport.write(encoded)
@@ -256,10 +259,13 @@
         sink = self._sink
         if sink is None:
             return False
-        if self._is_skipping:
+        if self._reading is AnswerReading.SKIPPED:
             return self._skip_event(event)
         if type(event) is h11.Data:
-            sink.answer_received(bytes(event.data))
+            if self._reading is AnswerReading.DISCARDED:
+                self._bounds.count_discarded_data(len(event.data))
+            else:
+                sink.answer_received(bytes(event.data))
         elif type(event) is h11.Response:
             self._begin_answer(sink, event.status_code, list(event.headers))
         elif type(event) is h11.EndOfMessage:
@@ -275,11 +281,12 @@
 
     def _begin_answer(self, sink: AnswerSink, status: int, headers: Headers) -> None:
         self._head_check = None
-        reading = sink.answer_begun(status, headers)
+        reading = self._reading = sink.answer_begun(status, headers)
         if reading is AnswerReading.STREAMED:
             self._deadline.clear()
+        elif reading is AnswerReading.DISCARDED:
+            self._deadline.shorten_to(_DISCARD_TIMEOUT_S)
         elif reading is AnswerReading.SKIPPED:
-            self._is_skipping = True
             self._bounds.count_skipped_answer()
             has_body = self._method != "HEAD" and status not in _BODILESS_STATUSES
             if has_body and not has_known_end(headers):
@@ -318,7 +325,7 @@
         )
         self._http.send(placeholder)
         self._http.send(h11.EndOfMessage())
-        self._is_skipping = False
+        self._reading = None
         if rest:
             self._http.receive_data(rest)
         if is_closed:
--- a/packages/papayapost-node/tests/test_endless_bytes.py
+++ b/packages/papayapost-node/tests/test_endless_bytes.py
@@ -238,6 +238,28 @@
     run_calls(scenario, sending(start, repeated))
 
 
+@pytest.mark.parametrize(("status", "ended"), [(503, REFUSED), (299, NOT_ANSWERED)])
+@pytest.mark.parametrize(
+    ("framing", "repeated", "pause_s"),
+    [
+        (b"", b"", 0),
+        (b"", b"x", 0.01),
+        (b"", PIECE, 0),
+        (CHUNKED, chunk(1), 0.01),
+        (b"content-length: 99999999999\r\n", b"", 0),
+    ],
+)
+def test_an_unused_body_without_end_does_not_hold_a_slot_until_the_deadline(
+    status, ended, framing, repeated, pause_s
+):
+    async def scenario(owner, server):
+        assert await owner.run(LONG_BUDGET_MS) == ended
+        await server.ended.wait()
+        assert not owner.delivered(AnswerCarrier)
+
+    run_calls(scenario, sending(head(status, framing), repeated, pause_s))
+
+
 @pytest.mark.parametrize("framing", [b"content-length: 8000\r\n", CHUNKED])
 def test_an_answer_behind_some_foreign_answers_is_accepted(framing):
     foreign = head(298, framing) + (
