Bound what an answer brings beside its body

Callers would wait until their deadline, with the processor at full load, when a backend server sent chunks of one byte with long extensions.

Cause: the parser bounds one chunk header to 64 KB, but not their sum.

Change: 256 KB of heads, chunk headers and trailers for one request, besides 16 B for each chunk and as much as the body itself, so that servers that flush small chunks or sign each one are served as before.

Endless trailers ended at 64 KB before, too; a test keeps that.

--- a/packages/papayapost-node/src/papayapost_node/http/answer_bounds.py
+++ b/packages/papayapost-node/src/papayapost_node/http/answer_bounds.py
@@ -18,6 +18,12 @@
 _MAX_DISCARDED_BYTES = 64 << 10
 """Most bytes of the body of an answer that is not used, as one read brings."""
 
+_MAX_OVERHEAD_BYTES = 256 << 10
+"""Most bytes of heads, chunk headers and trailers: four heads of full size."""
+
+_CHUNK_OVERHEAD_BYTES = 16
+"""Further bytes for each chunk, for its header without an extension."""
+
 
 class AnswerBounds:
     """Counts what one call reads, and ends a call whose answer does not come.
@@ -28,6 +34,7 @@
     __slots__ = (
         "_discarded_bytes",
         "_informational",
+        "_overhead_bytes",
         "_skipped_answers",
         "_skipped_bytes",
     )
@@ -35,6 +42,7 @@
     def __init__(self) -> None:
         self._discarded_bytes = 0
         self._informational = 0
+        self._overhead_bytes = 0
         self._skipped_answers = 0
         self._skipped_bytes = 0
 
@@ -61,3 +69,22 @@
         self._discarded_bytes += size_bytes
         if self._discarded_bytes > _MAX_DISCARDED_BYTES:
             raise h11.RemoteProtocolError("the body of an unused answer is too long")
+
+    def count_received(self, size_bytes: int) -> None:
+        """Count received bytes, of whatever they are."""
+        self._overhead_bytes += size_bytes
+
+    def count_data(self, size_bytes: int, is_chunk_end: bool) -> None:
+        """Subtract a piece of a body from the bytes received.
+
+        As many bytes of overhead as of the body are allowed besides, since
+        some backend servers sign each chunk.
+        """
+        self._overhead_bytes -= 2 * size_bytes
+        if is_chunk_end:
+            self._overhead_bytes -= _CHUNK_OVERHEAD_BYTES
+
+    def check_overhead(self) -> None:
+        """Check the bytes received that are no body."""
+        if self._overhead_bytes > _MAX_OVERHEAD_BYTES:
+            raise h11.RemoteProtocolError("the answer has too much beside its body")
--- a/packages/papayapost-node/src/papayapost_node/http/backend.py
+++ b/packages/papayapost-node/src/papayapost_node/http/backend.py
@@ -113,6 +113,7 @@
             self.abort()
             return
         self._http.receive_data(data)
+        self._bounds.count_received(len(data))
         self._batch.begin()
         try:
             self._process_events(data)
@@ -236,7 +237,8 @@
         try:
             while not self._is_paused and self._handle_event(self._http.next_event()):
                 pass
-            if self._sink is not None:
+            if self._sink is not None and not self._is_paused:
+                self._bounds.check_overhead()
                 self._check_head(data)
         except h11.RemoteProtocolError as error:
             self._fail(f"the backend server's answer is malformed: {error}")
@@ -259,6 +261,8 @@
         sink = self._sink
         if sink is None:
             return False
+        if type(event) is h11.Data:
+            self._bounds.count_data(len(event.data), event.chunk_end)
         if self._reading is AnswerReading.SKIPPED:
             return self._skip_event(event)
         if type(event) is h11.Data:
--- a/packages/papayapost-node/tests/test_endless_bytes.py
+++ b/packages/papayapost-node/tests/test_endless_bytes.py
@@ -260,6 +260,24 @@
     run_calls(scenario, sending(head(status, framing), repeated, pause_s))
 
 
+def test_chunk_extensions_without_end_are_not_read_until_the_deadline():
+    async def scenario(owner, server):
+        assert await owner.run(LONG_BUDGET_MS) == NOT_ANSWERED
+        await server.ended.wait()
+
+    extension = b";" + b"e" * 10_000
+    run_calls(scenario, sending(head(200, CHUNKED), chunk(1, extension)))
+
+
+@pytest.mark.parametrize("repeated", [b"t: u\r\n", b"t"])
+def test_trailers_without_end_are_read_up_to_a_limit(repeated):
+    async def scenario(owner, server):
+        assert await owner.run(LONG_BUDGET_MS) == NOT_ANSWERED
+        await server.ended.wait()
+
+    run_calls(scenario, sending(head(200, CHUNKED) + b"0\r\n", repeated * 100))
+
+
 @pytest.mark.parametrize("framing", [b"content-length: 8000\r\n", CHUNKED])
 def test_an_answer_behind_some_foreign_answers_is_accepted(framing):
     foreign = head(298, framing) + (
@@ -281,3 +299,13 @@
 
     mine = head(200, b"content-length: 4\r\n") + b"mine"
     run_calls(scenario, sending(head(204, b"x-foreign: 1\r\n") + mine))
+
+
+def test_a_long_answer_with_small_or_signed_chunks_is_accepted():
+    signed = chunk(200, b";signature=" + b"s" * 64) * 4_000
+    body = signed + chunk(1) * 20_000 + b"0\r\n\r\n"
+
+    async def scenario(owner, server):
+        assert (await owner.run(LONG_BUDGET_MS)).is_whole
+
+    run_calls(scenario, sending(head(200, CHUNKED) + body), 4 << 20)
