Apply the deadline to the whole of an answer of unknown length

Callers would get an answer that never ends, and hold a slot of the backend server with it, when a body without a length came without end and no answer is held (the default): a byte each 30 s was enough. If answers are held, the slot was freed at the deadline, but what the entry node had granted no credit for stayed in memory for 30 s more.

Cause: the deadline was cleared at the head of each answer that is streamed; the rest of an answer that broke off was kept until the stall timeout.

Change: the deadline applies until the end if the length is unknown, and the unsent rest of an answer that is cut short is dropped. Answers with a length above the held size are streamed without a deadline, as before; each still has to move within 30 s.

Evidence: test_an_answer_of_unknown_length_ends_at_the_deadline failed before in 7 of 10 cases (TimeoutError after 5 s with a budget of 0.1 s) and passes now. No answer that was cut short is marked as whole. The tests of streaming (19 MB, cut short, slow callers) pass as before.

--- a/packages/papayapost-node/src/papayapost_node/exchange/backend_call.py
+++ b/packages/papayapost-node/src/papayapost_node/exchange/backend_call.py
@@ -170,7 +170,8 @@
         The answer is skipped if it belongs to another request, and its body is
         discarded if the head already shows that it will not be sent to the
         entry node. It is held until it is whole if its length is unknown or at
-        most `OwnerServices.hold_bytes`.
+        most `OwnerServices.hold_bytes`. If its length is unknown, the deadline
+        applies until its end, as it may never end.
         """
         request = self._owned.request
         verdict = self._services.dialect.judge_answer(request.headers, status, headers)
@@ -187,7 +188,8 @@
         self._is_held = bool(hold_bytes) and (size is None or size <= hold_bytes)
         if not self._is_held:
             self._services.post(BackendCallBegun(self._owned.attempt_id, status))
-        return AnswerReading.WHOLE if self._is_held else AnswerReading.STREAMED
+        has_deadline = self._is_held or size is None
+        return AnswerReading.WHOLE if has_deadline else AnswerReading.STREAMED
 
     def answer_received(self, data: bytes) -> None:
         """Send a piece of the body, or buffer it to send it with the head."""
@@ -238,6 +240,8 @@
         self._buffered = []
         window = SendWindow(self._owned.answer_window_bytes)
         size = window.take(min(len(body), MAX_PART_BYTES))
+        if self._is_truncated:
+            body = body[:size]
         is_complete = not self._is_running and size == len(body)
         self._deliver(
             AnswerCarrier(
@@ -269,6 +273,10 @@
         self._is_running = False
         self._connection = None
         self._trailers = forwardable(trailers)
+        if not is_whole and self._answer_sender is not None:
+            # The caller will see that the answer is incomplete. To keep the
+            # rest for an entry node that grants no credit would not help it.
+            self._answer_sender.drop_unsent()
         ended = BackendCallEnded(self._owned.attempt_id, True, is_whole)
         self._services.post(ended)
         if self._answer_sender is not None:
--- a/packages/papayapost-node/src/papayapost_node/exchange/body_sender.py
+++ b/packages/papayapost-node/src/papayapost_node/exchange/body_sender.py
@@ -68,6 +68,10 @@
         self._trailers = trailers
         self._send_unsent()
 
+    def drop_unsent(self) -> None:
+        """Discard the data that waits for credit."""
+        self._unsent.clear()
+
     def grant(self, size_bytes: int) -> None:
         """Add credit and send queued data.
 
--- a/packages/papayapost-node/tests/test_endless_bytes.py
+++ b/packages/papayapost-node/tests/test_endless_bytes.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+from itertools import repeat
 
 import pytest
 
@@ -21,7 +22,7 @@
 from papayapost_node.exchange.owner_services import OwnerServices
 from papayapost_node.exchange.tables import OwnedRequest
 from papayapost_node.http import BackendPool, HttpRequest
-from papayapost_node.wire import AnswerCarrier, InterimAnswer
+from papayapost_node.wire import AnswerCarrier, AnswerPart, InterimAnswer
 from papayapost_testing.ports import free_addresses
 from papayapost_testing.scripted_server import ScriptedServer
 
@@ -260,6 +261,32 @@
     run_calls(scenario, sending(head(status, framing), repeated, pause_s))
 
 
+@pytest.mark.parametrize("hold_bytes", [0, 1 << 16])
+@pytest.mark.parametrize(
+    ("framing", "repeated", "pause_s"),
+    [
+        (b"", PIECE, 0),
+        (b"", b"x", 0.01),
+        (CHUNKED, chunk(60_000), 0),
+        (CHUNKED, chunk(1), 0.01),
+        (CHUNKED, chunk(1) * 1_000, 0),
+    ],
+)
+def test_an_answer_of_unknown_length_ends_at_the_deadline(
+    hold_bytes, framing, repeated, pause_s
+):
+    async def scenario(owner, server):
+        assert await owner.run(SHORT_BUDGET_MS) == NOT_ANSWERED
+        await server.ended.wait()
+        parts = owner.delivered(AnswerPart)
+        assert not any(part.is_ended and part.is_whole for part in parts)
+        assert not any(
+            h.is_ended and h.is_whole for h in owner.delivered(AnswerCarrier)
+        )
+
+    run_calls(scenario, sending(head(200, framing), repeated, pause_s), hold_bytes)
+
+
 def test_chunk_extensions_without_end_are_not_read_until_the_deadline():
     async def scenario(owner, server):
         assert await owner.run(LONG_BUDGET_MS) == NOT_ANSWERED
@@ -278,6 +305,31 @@
     run_calls(scenario, sending(head(200, CHUNKED) + b"0\r\n", repeated * 100))
 
 
+@pytest.mark.parametrize("is_behind_answer", [False, True])
+def test_bytes_without_end_behind_an_answer_close_the_connection(is_behind_answer):
+    answer = head(200, b"content-length: 2\r\n") + b"ok"
+
+    async def script(reader, writer):
+        await reader.readuntil(b"\r\n\r\n")
+        writer.write(answer + b"more" * is_behind_answer)
+        for piece in repeat(PIECE):
+            await writer.drain()
+            await asyncio.sleep(0.01)
+            writer.write(piece)
+
+    async def scenario(owner, server):
+        assert (await owner.run(LONG_BUDGET_MS)).is_whole
+        await server.ended.wait()
+        assert owner.delivered(AnswerCarrier)[0].body == b"ok"
+        while owner.pool.open_connections:
+            await asyncio.sleep(0)
+        owner.posted.clear()
+        assert (await owner.run(LONG_BUDGET_MS)).is_whole
+        assert server.connections == 2
+
+    run_calls(scenario, script)
+
+
 @pytest.mark.parametrize("framing", [b"content-length: 8000\r\n", CHUNKED])
 def test_an_answer_behind_some_foreign_answers_is_accepted(framing):
     foreign = head(298, framing) + (
