Bound the answers to health checks and store calls

The node would end for lack of memory, with all its calls, when the body of a health answer had no end and came fast: within the 2 s of a poll everything was collected. The store's answers had no bound either.

Cause: the client for whole answers bounded the time of a call, not the size of a body nor the number of informational answers.

Change: 64 KB for a health answer, 16 MB for an answer of the store, 32 informational answers. A health answer that is not whole changes nothing; a store answer that is not whole counts as none, as before.

--- a/packages/papayapost-node/src/papayapost_node/http/connection.py
+++ b/packages/papayapost-node/src/papayapost_node/http/connection.py
@@ -12,6 +12,9 @@
 
 _READ_BYTES = 65_536
 
+_MAX_INFORMATIONAL = 32
+"""Most informational answers to a request; real ones are one or two."""
+
 
 class ClientConnection:
     """A connection that runs calls one at a time.
@@ -46,30 +49,36 @@
         """Whether another call can be made on this connection."""
         return self._http.our_state is h11.IDLE and not self._reader.at_eof()
 
-    async def call(self, request: HttpRequest) -> HttpAnswer:
+    async def call(
+        self, request: HttpRequest, max_body_bytes: int | None = None
+    ) -> HttpAnswer:
         """Send a request and read its answer to the end.
 
+        Parameters
+        ----------
+        max_body_bytes
+            Largest body of the answer that is read; None for any.
+
         Returns
         -------
         HttpAnswer
-            Its `is_whole` is False if the connection failed in the body.
+            Its `is_whole` is False if the connection failed in the body, or
+            if the body is too large.
 
         Raises
         ------
         OSError, h11.RemoteProtocolError
-            If the connection closes or malformed data arrives before the
-            head of the answer is complete.
+            If the connection closes, or malformed data or too many
+            informational answers arrive, before the head of the answer.
         """
         self._send(request)
-        head = await self._next_event()
-        while isinstance(head, h11.InformationalResponse):
-            head = await self._next_event()
+        head = await self._read_head()
         if not isinstance(head, h11.Response):
             raise ConnectionResetError(
                 "the connection closed before the head of an answer arrived"
             )
         answer = HttpAnswer(head.status_code, list(head.headers))
-        await self._read_body(answer)
+        await self._read_body(answer, max_body_bytes)
         return answer
 
     def close(self) -> None:
@@ -88,14 +97,24 @@
         self.is_sent = True
         self._writer.write(b"".join(part for part in parts if part))
 
-    async def _read_body(self, answer: HttpAnswer) -> None:
-        chunks = []
+    async def _read_head(self):
+        for _ in range(_MAX_INFORMATIONAL + 1):
+            head = await self._next_event()
+            if not isinstance(head, h11.InformationalResponse):
+                return head
+        raise h11.RemoteProtocolError("too many informational answers")
+
+    async def _read_body(self, answer: HttpAnswer, max_bytes: int | None) -> None:
+        body = bytearray()
         try:
             while isinstance(event := await self._next_event(), h11.Data):
-                chunks.append(bytes(event.data))
+                body += event.data
+                if max_bytes is not None and len(body) > max_bytes:
+                    answer.is_whole = False
+                    break
         except (OSError, h11.RemoteProtocolError):
             answer.is_whole = False
-        answer.body = b"".join(chunks)
+        answer.body = bytes(body)
         if answer.is_whole and self._http.states == {
             h11.CLIENT: h11.DONE,
             h11.SERVER: h11.DONE,
--- a/packages/papayapost-node/src/papayapost_node/http/health.py
+++ b/packages/papayapost-node/src/papayapost_node/http/health.py
@@ -16,6 +16,9 @@
 
 _POLL_TIMEOUT_S = 2.0
 
+_MAX_BODY_BYTES = 64 << 10
+"""Largest body of a health answer; a longer one is no answer."""
+
 
 class _Health(msgspec.Struct):
     state: str | None = None
@@ -25,7 +28,7 @@
 class HealthPoller:
     """Polls the health endpoint and posts each change of the reported state.
 
-    A poll without an answer changes nothing. The endpoint may be late or
+    A poll without a whole answer changes nothing. The endpoint may be late or
     wrong, so its state is only a hint, and the outcomes of calls show whether
     the backend server can be reached.
 
@@ -76,7 +79,8 @@
             async with asyncio.timeout(_POLL_TIMEOUT_S):
                 connection = await ClientConnection.open(self._address)
                 try:
-                    return state_of_answer(await connection.call(request))
+                    answer = await connection.call(request, _MAX_BODY_BYTES)
+                    return state_of_answer(answer) if answer.is_whole else None
                 finally:
                     connection.close()
         except (OSError, h11.RemoteProtocolError):
--- a/packages/papayapost-node/src/papayapost_node/store/connections.py
+++ b/packages/papayapost-node/src/papayapost_node/store/connections.py
@@ -12,6 +12,9 @@
 
 _MAX_IDLE_CONNECTIONS = 4
 
+_MAX_BODY_BYTES = 16 << 20
+"""Largest answer that is read; a page of a list of the store is about 1 MB."""
+
 
 class StoreConnections:
     """Sends requests to the store, each with a time-out.
@@ -102,7 +105,7 @@
         self, connection: ClientConnection, request: HttpRequest
     ) -> HttpAnswer:
         try:
-            answer = await connection.call(request)
+            answer = await connection.call(request, _MAX_BODY_BYTES)
         except BaseException:
             connection.close()
             raise
