Send what one read brings of an answer as one part

Callers of other services would wait, and the node's memory would grow to many times the held size, when a backend server sent its answer in chunks of a byte or two: each became a message to the entry node, or an object of its own among those held.

Cause: the pieces of a body were sent, or kept in a list, one by one.

--- a/packages/papayapost-node/src/papayapost_node/exchange/backend_call.py
+++ b/packages/papayapost-node/src/papayapost_node/exchange/backend_call.py
@@ -75,8 +75,7 @@
         self._stall_deadline: DeadlineTimer | None = None
         self._status: int | None = None
         self._headers: Headers = []
-        self._buffered: list[bytes] = []
-        self._buffered_bytes = 0
+        self._buffered = bytearray()
         self._trailers: Headers = []
         self._is_running = False
         self._is_finished = False
@@ -192,16 +191,11 @@
         return AnswerReading.WHOLE if has_deadline else AnswerReading.STREAMED
 
     def answer_received(self, data: bytes) -> None:
-        """Send a piece of the body, or buffer it to send it with the head."""
-        if self._answer_sender is not None:
-            self._answer_sender.add(data)
-            self._finish_or_rearm()
-            return
-        self._buffered.append(data)
-        self._buffered_bytes += len(data)
-        if self._is_held and self._buffered_bytes > self._services.hold_bytes:
+        """Buffer a piece of the body, to send what one read brings at once."""
+        self._buffered += data
+        if self._is_held and len(self._buffered) > self._services.hold_bytes:
             self._release_held_answer()
-        if self._buffered_bytes >= MAX_PART_BYTES:
+        if len(self._buffered) >= MAX_PART_BYTES:
             self.read_ended()
 
     def answer_ended(self, trailers: Headers) -> None:
@@ -231,13 +225,14 @@
         self.read_ended()
 
     def read_ended(self) -> None:
-        """Send the answer's head together with the body received so far."""
-        has_head = self._status is not None and not self._is_held
-        if not has_head or self._answer_sender is not None or self._is_finished:
+        """Send the body received so far, with the head if it was not sent."""
+        if self._status is None or self._is_held or self._is_finished:
             return
-        assert self._status is not None
-        body = b"".join(self._buffered)
-        self._buffered = []
+        if self._answer_sender is not None:
+            self._send_buffered(self._answer_sender)
+            return
+        body = bytes(self._buffered)
+        self._buffered.clear()
         window = SendWindow(self._owned.answer_window_bytes)
         size = window.take(min(len(body), MAX_PART_BYTES))
         if self._is_truncated:
@@ -273,16 +268,26 @@
         self._is_running = False
         self._connection = None
         self._trailers = forwardable(trailers)
-        if not is_whole and self._answer_sender is not None:
-            # The caller will see that the answer is incomplete. To keep the
-            # rest for an entry node that grants no credit would not help it.
-            self._answer_sender.drop_unsent()
+        if self._answer_sender is not None:
+            self._send_buffered(self._answer_sender)
+            if not is_whole:
+                # The caller will see that the answer is incomplete. To keep
+                # the rest for an entry node that grants no credit would not
+                # help it.
+                self._answer_sender.drop_unsent()
         ended = BackendCallEnded(self._owned.attempt_id, True, is_whole)
         self._services.post(ended)
         if self._answer_sender is not None:
             self._answer_sender.end(self._trailers)
             self._finish_or_rearm()
 
+    def _send_buffered(self, sender: BodySender) -> None:
+        if self._buffered:
+            data = bytes(self._buffered)
+            self._buffered.clear()
+            sender.add(data)
+            self._finish_or_rearm()
+
     def _start_request_body(self) -> None:
         self._body_receiver = BodyReceiver(
             self._services.budget, self._grant_request_credit
--- a/packages/papayapost-node/tests/test_endless_bytes.py
+++ b/packages/papayapost-node/tests/test_endless_bytes.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import tracemalloc
 from itertools import repeat
 
 import pytest
@@ -81,11 +82,7 @@
 
     async def run(self, budget_ms: int) -> BackendCallEnded:
         self.finished.clear()
-        request = HttpRequest("GET", "/", [(b"host", b"a")])
-        owned = OwnedRequest(
-            ATTEMPT_ID, Address("127.0.0.1:1"), request, True, WINDOW_BYTES
-        )
-        call = BackendCall(owned, Micros(budget_ms * 1_000), self.services)
+        call = BackendCall(owned_request(), Micros(budget_ms * 1_000), self.services)
         self.pool.acquire(call.connection_ready)
         await self.finished.wait()
         return next(m for m in self.posted if isinstance(m, BackendCallEnded))
@@ -94,6 +91,12 @@
         return [c for c in self.carrier_delivery.carriers if isinstance(c, kind)]
 
 
+def owned_request() -> OwnedRequest:
+    request = HttpRequest("GET", "/", [(b"host", b"a")])
+    entry = Address("127.0.0.1:1")
+    return OwnedRequest(ATTEMPT_ID, entry, request, True, WINDOW_BYTES)
+
+
 def run_calls(scenario, script, hold_bytes: int = HOLD_BYTES) -> None:
     async def main():
         (address,) = free_addresses(1)
@@ -361,3 +364,29 @@
         assert (await owner.run(LONG_BUDGET_MS)).is_whole
 
     run_calls(scenario, sending(head(200, CHUNKED) + body), 4 << 20)
+
+
+def test_chunks_of_one_byte_are_sent_together_to_the_entry_node():
+    async def scenario(owner, server):
+        assert (await owner.run(LONG_BUDGET_MS)).is_whole
+        carriers = owner.carrier_delivery.carriers
+        assert len(carriers) < 100
+        body = carriers[0].body + b"".join(part.data for part in carriers[1:])
+        assert body == b"x" * 50_000
+
+    body = chunk(1) * 50_000 + b"0\r\n\r\n"
+    run_calls(scenario, sending(head(200, CHUNKED) + body), 0)
+
+
+def test_a_held_answer_of_tiny_pieces_takes_no_more_memory_than_its_bytes():
+    async def scenario(owner, server):
+        call = BackendCall(owned_request(), Micros(1_000_000), owner.services)
+        call.answer_begun(200, [])
+        tracemalloc.start()
+        for number in range(60_000):
+            call.answer_received(number.to_bytes(2, "big"))
+        held_bytes, _ = tracemalloc.get_traced_memory()
+        tracemalloc.stop()
+        assert held_bytes < 200_000
+
+    run_calls(scenario, sending(b""))
