--- a/packages/papayapost-node/src/papayapost_node/settings/model.py
+++ b/packages/papayapost-node/src/papayapost_node/settings/model.py
@@ -174,6 +174,9 @@
         Address on which the node accepts connections of other nodes.
     store_address
         Address of the platform's object store.
+    link_mbps
+        Rate of the VM's link in Mbit/s; 0 if it is not known. Nodes with fast
+        links are chosen first to read the rules for others.
     security
         Authentication and encryption between nodes; there is no default.
     seeds
@@ -236,6 +239,7 @@
     seeds: list[AddressText] = []
     backend_server: BackendServerSettings | None = None
     admin_address: AddressText | None = None
+    link_mbps: float = Field(default=0.0, ge=0)
     http: HttpSettings = HttpSettings()
     stop_limit_s: float = Field(default=30.0, ge=0.1, le=3_600)
     drain_accept_ms: int = Field(default=0, ge=0, le=600_000)
--- a/packages/papayapost-node/src/papayapost_node/world.py
+++ b/packages/papayapost-node/src/papayapost_node/world.py
@@ -87,4 +87,5 @@
         peer_address=me.peer_address,
         slots=(backend.slots or 0) if backend else 0,
         state=state,
+        link_mbps=settings.link_mbps,
     )
--- a/packages/papayapost/src/papayapost/distribution/region_relays.py
+++ b/packages/papayapost/src/papayapost/distribution/region_relays.py
@@ -71,6 +71,8 @@
 def rank_region(directory: Directory, region: RegionId) -> list[BackendServerRow]:
     """Return the nodes of a region that may become relays, best first.
 
+    Nodes with faster links come first: a relay reads the whole rules from the
+    store, which on a slow link would hold up the calls of its VM.
     The highest-ranked nodes of all data centres come before the others, so
     that the loss of one data centre does not take all relays.
     """
@@ -79,9 +81,12 @@
         for row in directory
         if row.region == region and row.state not in _LEAVING_STATES
     ]
-    rows.sort(key=lambda row: rank_key(row.node_id))
+    rows.sort(key=lambda row: (-row.link_mbps, rank_key(row.node_id)))
     firsts = {row.data_centre: row.node_id for row in reversed(rows)}
-    return sorted(rows, key=lambda row: firsts[row.data_centre] != row.node_id)
+    return sorted(
+        rows,
+        key=lambda row: (-row.link_mbps, firsts[row.data_centre] != row.node_id),
+    )
 
 
 class AssignWatchRole(System):
--- a/packages/papayapost/src/papayapost/membership/tables.py
+++ b/packages/papayapost/src/papayapost/membership/tables.py
@@ -58,6 +58,8 @@
         Address on which the node accepts attempts and control messages.
     slots
         Number of calls that the backend server runs concurrently.
+    link_mbps
+        Rate of the VM's link in Mbit/s; 0 if it is not known.
     """
 
     node_id: NodeId
@@ -69,6 +71,7 @@
     peer_address: Address
     slots: int
     state: BackendServerState
+    link_mbps: float = 0.0
 
     @property
     def stamp(self) -> tuple[int, int]:
--- a/packages/papayapost/tests/roster/test_rules_relays.py
+++ b/packages/papayapost/tests/roster/test_rules_relays.py
@@ -6,11 +6,13 @@
 import pytest
 
 from papayapost.distribution import RulesDelta, RulesShared, RulesWanted, StoreContact
+from papayapost.distribution.region_relays import rank_region
 from papayapost.ids import DataCentreId, RegionId
-from papayapost.membership import LeaveMesh
+from papayapost.membership import LeaveMesh, directory_table
 from papayapost.place import Place
 from papayapost_testing.roster_store import StorePath
 from papayapost_testing.slow_link_mesh import LinkState, SlowLinkMesh
+from papayapost_testing.traffic_worlds import backend_row
 
 SECOND_US = 1_000_000
 CONFIG_US = 2_500_000
@@ -118,6 +120,18 @@
     assert max(sent.values()) <= 2 * delta_bytes * STORM_CHANGES * count / 2
 
 
+def test_a_slow_link_does_not_carry_the_rules_for_a_region():
+    directory = directory_table()
+    for number in range(30):
+        row = backend_row(f"n{number}", "gusts", PLACES[number % len(PLACES)])
+        row.link_mbps = 70.0 if number % 5 == 0 else 3.5
+        directory.put(row.node_id, row)
+    first, second, *others = rank_region(directory, RegionId("north"))
+    assert first.link_mbps == second.link_mbps == 70.0
+    assert first.data_centre != second.data_centre
+    assert others[-1].link_mbps == 3.5
+
+
 def test_a_calm_mesh_has_two_watchers_a_region():
     mesh, _ = started_mesh(66)
     assert len(watchers(mesh)) == 4
