Let other connections have their turn while tiny chunks are read

Callers of a node would wait for each read from a backend server that sends chunks of one byte, as long as it does so.

Cause: a read of 64 KB was handled to its end in one pass of the event loop; it can hold 10,900 chunks.

Change: after 256 pieces the connection stops reading, and goes on in the next pass. What one read brings is still sent as one part.

Evidence: test_tiny_chunks_do_not_keep_the_event_loop_from_other_connections saw 10,915 pieces in one pass before (limit 600) and passes now. Other answers have a few pieces in a read.

--- a/packages/papayapost-node/src/papayapost_node/http/backend.py
+++ b/packages/papayapost-node/src/papayapost_node/http/backend.py
@@ -19,6 +19,10 @@
 
 _WRITE_BUFFER_BYTES = 64 << 10
 _MAX_HEAD_BYTES = 64 << 10
+_MAX_EVENTS_PER_PASS = 256
+"""Most pieces of an answer handled before other connections get their turn;
+a read of 64 KB has a few, unless its chunks are tiny."""
+
 _DISCARD_TIMEOUT_S = 0.1
 """Time for the rest of an unused answer, which a refusal has at once."""
 
@@ -66,6 +70,7 @@
         self._method = ""
         self._is_paused = False
         self._is_processing = False
+        self._is_yielding = False
         self._reading: AnswerReading | None = None
         self._deadline = DeadlineTimer(asyncio.get_running_loop(), self._on_deadline)
         self.is_writable = True
@@ -197,8 +202,9 @@
         """Continue to read the answer."""
         if self._is_paused and self._transport is not None:
             self._is_paused = False
-            self._transport.resume_reading()
-            if not self._is_processing:
+            if not self._is_yielding:
+                self._transport.resume_reading()
+            if not self._is_processing and not self._is_yielding:
                 self._process_events()
 
     def close_after(self, delay_s: float) -> None:
@@ -235,9 +241,12 @@
         self._is_processing = True
         sink = self._sink
         try:
-            while not self._is_paused and self._handle_event(self._http.next_event()):
-                pass
-            if self._sink is not None and not self._is_paused:
+            for _ in range(_MAX_EVENTS_PER_PASS):
+                if self._is_paused or not self._handle_event(self._http.next_event()):
+                    break
+            else:
+                self._yield_to_others()
+            if self._sink is not None and not (self._is_paused or self._is_yielding):
                 self._bounds.check_overhead()
                 self._check_head(data)
         except h11.RemoteProtocolError as error:
@@ -245,9 +254,27 @@
             self.abort()
         finally:
             self._is_processing = False
-        if sink is not None:
+        if sink is not None and not self._is_yielding:
             sink.read_ended()
 
+    def _yield_to_others(self) -> None:
+        """Stop reading, and handle the rest in the event loop's next pass."""
+        if self._transport is not None and self._sink is not None:
+            self._is_yielding = True
+            self._transport.pause_reading()
+            asyncio.get_running_loop().call_soon(self._continue)
+
+    def _continue(self) -> None:
+        self._is_yielding = False
+        if self._is_paused or self._transport is None or self._sink is None:
+            return
+        self._transport.resume_reading()
+        self._batch.begin()
+        try:
+            self._process_events()
+        finally:
+            self._batch.end()
+
     def _check_head(self, data: bytes) -> None:
         """Check the incomplete head, if any, that ends with `data`."""
         if self._http.their_state is not h11.SEND_RESPONSE:
--- a/packages/papayapost-node/tests/test_endless_bytes.py
+++ b/packages/papayapost-node/tests/test_endless_bytes.py
@@ -22,7 +22,7 @@
 from papayapost_node.exchange.backend_call import BackendCall
 from papayapost_node.exchange.owner_services import OwnerServices
 from papayapost_node.exchange.tables import OwnedRequest
-from papayapost_node.http import BackendPool, HttpRequest
+from papayapost_node.http import AnswerReading, AnswerSink, BackendPool, HttpRequest
 from papayapost_node.wire import AnswerCarrier, AnswerPart, InterimAnswer
 from papayapost_testing.ports import free_addresses
 from papayapost_testing.scripted_server import ScriptedServer
@@ -60,6 +60,35 @@
         return True
 
 
+class CountingSink(AnswerSink):
+    """Counts the pieces of one answer."""
+
+    def __init__(self):
+        self.pieces = 0
+        self.ended = asyncio.Event()
+
+    def informational_received(self, status, headers):
+        raise AssertionError("no informational answer was sent")
+
+    def answer_begun(self, status, headers):
+        return AnswerReading.STREAMED
+
+    def answer_received(self, data):
+        self.pieces += 1
+
+    def answer_ended(self, trailers):
+        self.ended.set()
+
+    def read_ended(self):
+        pass
+
+    def answer_failed(self, reason):
+        raise AssertionError(reason)
+
+    def request_writable(self):
+        pass
+
+
 class Owner:
     """Runs backend calls and records what they post and deliver."""
 
@@ -390,3 +419,23 @@
         assert held_bytes < 200_000
 
     run_calls(scenario, sending(b""))
+
+
+def test_tiny_chunks_do_not_keep_the_event_loop_from_other_connections():
+    async def scenario(owner, server):
+        sink = CountingSink()
+
+        def connection_ready(connection):
+            request = HttpRequest("GET", "/", [(b"host", b"a")])
+            connection.start(sink, request, True, LONG_BUDGET_MS / 1_000)
+
+        owner.pool.acquire(connection_ready)
+        most = before = 0
+        while not sink.ended.is_set():
+            await asyncio.sleep(0)
+            most, before = max(most, sink.pieces - before), sink.pieces
+        assert sink.pieces >= 20_000
+        assert most <= 600
+
+    body = chunk(1) * 20_000 + b"0\r\n\r\n"
+    run_calls(scenario, sending(head(200, CHUNKED) + body))
