Add a soak that runs real nodes under faults from outside

Cause: the demo's scripts run one sequence of faults each; nothing drew faults in series that overlap, over the settings that the platform uses.

--- /dev/null
+++ b/packages/papayapost-testing/src/papayapost_testing/soak/systems.py
@@ -0,0 +1,170 @@
+"""Systems of the soak: observations, processes and faults."""
+
+from collections.abc import Sequence
+
+from papayapost.ids import Micros
+from papayapost.kernel import System, Table, Tick
+from papayapost_testing.demo.tables import ProcessState
+from papayapost_testing.soak.bounds import RECOVERY_US
+from papayapost_testing.soak.messages import (
+    CallEnded,
+    CallSent,
+    DrainAcknowledged,
+    FaultDue,
+    FaultsBegun,
+    FaultsEnded,
+    GraceOver,
+    NodeExited,
+    NodeStarted,
+    NodeStarting,
+    RecoveryOver,
+    RestartDue,
+    RunStarted,
+    StartNode,
+    StopNodes,
+)
+from papayapost_testing.soak.plans import FaultRow
+from papayapost_testing.soak.scene import Scene
+from papayapost_testing.soak.tables import (
+    NEVER,
+    FaultId,
+    ServerRow,
+    SoakTables,
+    Start,
+    TroubleRow,
+)
+
+__all__ = ["AdvanceFaults", "RecordCalls", "TrackNodes"]
+
+_RESTART_MS = (100, 1_500)
+
+
+class RecordCalls(System):
+    """Records calls, runs and drains of backend servers."""
+
+    consumes = (CallSent, CallEnded, RunStarted, DrainAcknowledged)
+
+    def __init__(self, tables: SoakTables):
+        self._tables = tables
+
+    def run(self, tick: Tick) -> None:
+        """Add the rows and how calls ended."""
+        tables = self._tables
+        for sent in tick.take(CallSent):
+            tables.calls.put(sent.call.request_id, sent.call)
+        for started in tick.take(RunStarted):
+            tables.runs.setdefault(started.run.request_id, []).append(started.run)
+        for ended in tick.take(CallEnded):
+            call = tables.calls.require(ended.request_id)
+            call.end, call.ended_us = ended.end, ended.at_us
+            call.answer = ended.answer
+            if call.is_served:
+                node = tables.nodes.require(call.node_id)
+                node.served_us = max(node.served_us, call.sent_us)
+        for acked in tick.take(DrainAcknowledged):
+            key = acked.server_id, acked.born_ms
+            row = ServerRow(acked.server_id, acked.node_id, acked.born_ms, acked.at_us)
+            if key not in tables.servers:
+                tables.servers.put(key, row)
+
+
+class TrackNodes(System):
+    """Tracks the nodes' processes and starts those again that have exited."""
+
+    consumes = (
+        NodeStarting,
+        NodeStarted,
+        NodeExited,
+        RestartDue,
+        GraceOver,
+        StopNodes,
+    )
+
+    def __init__(self, tables: SoakTables):
+        self._tables = tables
+
+    def run(self, tick: Tick) -> None:
+        """Update the node rows, and start or kill processes that are due."""
+        tables = self._tables
+        for starting in tick.take(NodeStarting):
+            node = tables.nodes.require(starting.node_id)
+            node.start, node.started_us = starting.start, starting.at_us
+            node.term_us = node.kill_us = node.exited_us = NEVER
+            node.exit_code = None
+        for started in tick.take(NodeStarted):
+            self._note_started(started)
+        for exited in tick.take(NodeExited):
+            self._note_exited(tick, exited)
+        for due in tick.take(RestartDue):
+            node = tables.nodes.require(due.node_id)
+            if not tables.is_ending:
+                tick.emit(StartNode(due.node_id, Start(node.start + 1)))
+        for over in tick.take(GraceOver):
+            node = tables.nodes.require(over.node_id)
+            if node.start == over.start and node.exited_us == NEVER:
+                Scene(tables, tick, tick.random).kill(over.node_id)
+
+        for _ in tick.take(StopNodes):
+            tables.is_ending = True
+            for node in tables.nodes:
+                Scene(tables, tick, tick.random).terminate(node.node_id)
+
+    def _note_started(self, started: NodeStarted) -> None:
+        node_id, at_us = started.node_id, started.at_us
+        self._tables.nodes.require(node_id).state = ProcessState.RUNNING
+        for row in self._tables.troubles:
+            if row.node_id == node_id and row.ends_with_start and row.ended_us is None:
+                row.ended_us = at_us
+        row = TroubleRow(node_id, True, "start", at_us, at_us)
+        self._tables.troubles.append(row)
+
+    def _note_exited(self, tick: Tick, exited: NodeExited) -> None:
+        node = self._tables.nodes.require(exited.node_id)
+        if node.term_us == node.kill_us == NEVER:
+            scene = Scene(self._tables, tick, tick.random)
+            scene.open_trouble(node.node_id, False, "exit", ends_with_start=True)
+        node.state, node.exited_us = ProcessState.EXITED, exited.at_us
+        node.exit_code = exited.exit_code
+        tick.cancel_timer(("grace", node.node_id))
+        delay_us = 1000 * tick.random.randint(*_RESTART_MS)
+        due_us = Micros(tick.now_us + delay_us)
+        tick.set_timer(("restart", node.node_id), due_us, RestartDue(node.node_id))
+
+
+class AdvanceFaults(System):
+    """Carries out the steps of the faults of the plan."""
+
+    consumes = (FaultsBegun, FaultDue, RecoveryOver)
+
+    def __init__(self, tables: SoakTables, plan: Sequence[FaultRow]):
+        self._tables = tables
+        self._left: Table[FaultId, FaultRow] = Table("faults")
+        for row in plan:
+            self._left.put(row.fault_id, row)
+
+    def run(self, tick: Tick) -> None:
+        """Take the steps that are due."""
+        for _ in tick.take(FaultsBegun):
+            for row in self._left:
+                due_us = Micros(tick.now_us + row.due_us)
+                tick.set_timer(row.fault_id, due_us, FaultDue(row.fault_id))
+            if not self._left:
+                self._end(tick)
+        for due in tick.take(FaultDue):
+            row = self._left.require(due.fault_id)
+            delay_us = row.fault.advance(Scene(self._tables, tick, row.random))
+            if delay_us is not None:
+                tick.set_timer(row.fault_id, Micros(tick.now_us + delay_us), due)
+                continue
+            self._left.pop(row.fault_id)
+            if not self._left:
+                self._end(tick)
+
+        for over in tick.take(RecoveryOver):
+            tick.emit(over)
+
+    def _end(self, tick: Tick) -> None:
+        self._tables.faults_ended_us = tick.now_us
+        tick.emit(FaultsEnded())
+        due_us = Micros(tick.now_us + RECOVERY_US)
+        tick.set_timer("recovery", due_us, RecoveryOver())
