Judge exits by the time in which the soak itself ran

Cause: beside a busy machine the soak woke up to 2.3 s late and then counted a process as alive that had ended; a signal sent through asyncio could reap a process before its exit code was read (reported as 255). Change: the grace time is extended by the time in which the soak did not run; signals go by the process id after a check that the process is a child; reports list all processes; a terminated soak ends what it has started.

--- a/packages/papayapost-testing/src/papayapost_testing/soak/__main__.py
+++ b/packages/papayapost-testing/src/papayapost_testing/soak/__main__.py
@@ -3,6 +3,7 @@
 import asyncio
 import random
 import shutil
+import signal
 import sys
 import tempfile
 import time
@@ -101,6 +102,10 @@
 
 
 async def _run(seed: int, size: SoakSize, folder: Path, wire: Wire):
+    # A soak that is terminated ends the processes that it has started.
+    task = asyncio.current_task()
+    assert task is not None
+    asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, task.cancel)
     return await Soak(seed, size, folder, wire).run()
 
 
--- a/packages/papayapost-testing/src/papayapost_testing/soak/bounds.py
+++ b/packages/papayapost-testing/src/papayapost_testing/soak/bounds.py
@@ -9,6 +9,7 @@
 __all__ = [
     "CONFIG_US",
     "DRAIN_US",
+    "EXIT_SLACK_US",
     "GRACE_US",
     "LOSS_SLACK_US",
     "MEMORY_BYTES",
@@ -39,6 +40,9 @@
 GRACE_US = Micros(6_000_000)
 """Time in µs from SIGTERM to SIGKILL (``grace_s``)."""
 
+EXIT_SLACK_US = Micros(100_000)
+"""Time in µs in which the soak learns of an exit; no page states it."""
+
 LOSS_SLACK_US = Micros(200_000)
 """Time in µs after the last byte of a request in which a close may cross it
 (``loss_slack_ms``)."""
--- a/packages/papayapost-testing/src/papayapost_testing/soak/mesh.py
+++ b/packages/papayapost-testing/src/papayapost_testing/soak/mesh.py
@@ -2,6 +2,8 @@
 
 import asyncio
 import json
+import os
+import signal
 import socket
 from collections.abc import Callable
 from contextlib import suppress
@@ -110,9 +112,8 @@
 
     async def close(self) -> None:
         """Kill the processes that still run, and stop all else."""
-        for process in self._processes.values():
-            if process.returncode is None:
-                process.kill()
+        for node_id in self._processes:
+            self.send_signal(node_id, signal.SIGKILL)
         for process in self._processes.values():
             await process.wait()
         self._poll_once()
@@ -132,9 +133,13 @@
     def send_signal(self, node_id: NodeId, signal_number: int) -> None:
         """Send a signal to the process of a node, if it still runs."""
         process = self._processes.get(node_id)
-        if process is not None and process.returncode is None:
-            with suppress(ProcessLookupError):
-                process.send_signal(signal_number)
+        if process is None or process.returncode is not None:
+            return
+        # `Process.send_signal` would reap a process that has just ended, and
+        # asyncio would not learn its exit code.
+        with suppress(ProcessLookupError, psutil.NoSuchProcess):
+            if psutil.Process(process.pid).ppid() == os.getpid():
+                os.kill(process.pid, signal_number)
 
     def change_settings(self, effect: ChangeSettings) -> None:
         """Change a value in the settings file of a node."""
--- a/packages/papayapost-testing/src/papayapost_testing/soak/messages.py
+++ b/packages/papayapost-testing/src/papayapost_testing/soak/messages.py
@@ -27,6 +27,7 @@
     "FaultDue",
     "FaultsBegun",
     "FaultsEnded",
+    "GraceDue",
     "GraceOver",
     "LineWritten",
     "MemoryMeasured",
@@ -190,9 +191,17 @@
     node_id: NodeId
 
 
+@dataclass(slots=True)
+class GraceDue:
+    """Timer: see whether a process has outlasted its grace time."""
+
+    node_id: NodeId
+    start: Start
+
+
 @dataclass(slots=True)
 class GraceOver:
-    """Timer: the grace time after SIGTERM of a process is over."""
+    """A process still runs at the end of the grace time after SIGTERM."""
 
     node_id: NodeId
     start: Start
--- a/packages/papayapost-testing/src/papayapost_testing/soak/scene.py
+++ b/packages/papayapost-testing/src/papayapost_testing/soak/scene.py
@@ -7,9 +7,9 @@
 from papayapost.ids import Micros, NodeId
 from papayapost.kernel import Tick
 from papayapost_testing.demo.tables import ProcessState
-from papayapost_testing.soak.bounds import GRACE_US
+from papayapost_testing.soak.bounds import EXIT_SLACK_US, GRACE_US
 from papayapost_testing.soak.messages import (
-    GraceOver,
+    GraceDue,
     SetLink,
     SignalNode,
     WriteRules,
@@ -86,8 +86,8 @@
             node.term_us = self.tick.now_us
             self.tick.set_timer(
                 ("grace", node_id),
-                Micros(node.term_us + GRACE_US),
-                GraceOver(node_id, node.start),
+                Micros(node.term_us + GRACE_US + EXIT_SLACK_US),
+                GraceDue(node_id, node.start),
             )
         if node.state is ProcessState.RUNNING:
             node.state = ProcessState.DRAINING
--- a/packages/papayapost-testing/src/papayapost_testing/soak/systems.py
+++ b/packages/papayapost-testing/src/papayapost_testing/soak/systems.py
@@ -1,11 +1,12 @@
 """Systems of the soak: observations, processes and faults."""
 
 from collections.abc import Sequence
+from dataclasses import replace
 
 from papayapost.ids import Micros
 from papayapost.kernel import System, Table, Tick
 from papayapost_testing.demo.tables import ProcessState
-from papayapost_testing.soak.bounds import RECOVERY_US
+from papayapost_testing.soak.bounds import EXIT_SLACK_US, GRACE_US, RECOVERY_US
 from papayapost_testing.soak.messages import (
     CallEnded,
     CallSent,
@@ -13,6 +14,7 @@
     FaultDue,
     FaultsBegun,
     FaultsEnded,
+    GraceDue,
     GraceOver,
     NodeExited,
     NodeStarted,
@@ -76,6 +78,7 @@
         NodeStarted,
         NodeExited,
         RestartDue,
+        GraceDue,
         GraceOver,
         StopNodes,
     )
@@ -99,16 +102,28 @@
             node = tables.nodes.require(due.node_id)
             if not tables.is_ending:
                 tick.emit(StartNode(due.node_id, Start(node.start + 1)))
+        for grace in tick.take(GraceDue):
+            self._check_grace(tick, grace)
         for over in tick.take(GraceOver):
-            node = tables.nodes.require(over.node_id)
-            if node.start == over.start and node.exited_us == NEVER:
-                Scene(tables, tick, tick.random).kill(over.node_id)
+            Scene(tables, tick, tick.random).kill(over.node_id)
 
         for _ in tick.take(StopNodes):
             tables.is_ending = True
             for node in tables.nodes:
                 Scene(tables, tick, tick.random).terminate(node.node_id)
 
+    def _check_grace(self, tick: Tick, due: GraceDue) -> None:
+        node = self._tables.nodes.require(due.node_id)
+        if node.start != due.start or node.exited_us != NEVER:
+            return
+        # An exit is not seen while the soak itself does not get to run.
+        lag_us = self._tables.lag_us(node.term_us, tick.now_us)
+        due_us = Micros(node.term_us + GRACE_US + EXIT_SLACK_US + lag_us)
+        if due_us > tick.now_us:
+            tick.set_timer(("grace", node.node_id), due_us, due)
+        else:
+            tick.post(GraceOver(node.node_id, node.start))
+
     def _note_started(self, started: NodeStarted) -> None:
         node_id, at_us = started.node_id, started.at_us
         self._tables.nodes.require(node_id).state = ProcessState.RUNNING
@@ -125,6 +140,7 @@
             scene.open_trouble(node.node_id, False, "exit", ends_with_start=True)
         node.state, node.exited_us = ProcessState.EXITED, exited.at_us
         node.exit_code = exited.exit_code
+        self._tables.ended_processes.append(replace(node))
         tick.cancel_timer(("grace", node.node_id))
         delay_us = 1000 * tick.random.randint(*_RESTART_MS)
         due_us = Micros(tick.now_us + delay_us)
--- a/packages/papayapost-testing/src/papayapost_testing/soak/tables.py
+++ b/packages/papayapost-testing/src/papayapost_testing/soak/tables.py
@@ -292,6 +292,8 @@
         Time at which the last fault ended, or `NEVER`.
     is_ending
         Whether the soak stops its processes and starts no more.
+    ended_processes
+        Copies of the node rows, made when their processes ended.
     lags
         Spans of time in µs in which the soak itself did not get to run.
     """
@@ -309,6 +311,7 @@
     findings: list[FindingRow] = field(default_factory=list)
     faults_ended_us: Micros = NEVER
     is_ending: bool = False
+    ended_processes: list[NodeRow] = field(default_factory=list)
     lags: list[tuple[Micros, Micros]] = field(default_factory=list)
 
     def newest(self) -> VersionRow:
