Measure how long nodes wait for a core in the soak

Cause: beside other work a node waited for a core for more than half of its time, and calls in its sockets and its exit came late for that. Rows have a file of their own. Figures: a node with 1.4 s of processor time had waited 10 to 14 s.

--- a/packages/papayapost-testing/src/papayapost_testing/soak/callers.py
+++ b/packages/papayapost-testing/src/papayapost_testing/soak/callers.py
@@ -12,15 +12,15 @@
 from papayapost_testing.soak.connection import CallerConnection, Entry, Request
 from papayapost_testing.soak.http import hash_of
 from papayapost_testing.soak.messages import CallEnded
-from papayapost_testing.soak.rules import BASE_PREFIXES
-from papayapost_testing.soak.tables import (
+from papayapost_testing.soak.rows import (
     CallEnd,
     CallRow,
     NodeRow,
     RouteKind,
     RouteRow,
-    SoakTables,
 )
+from papayapost_testing.soak.rules import BASE_PREFIXES
+from papayapost_testing.soak.tables import SoakTables
 from papayapost_testing.soak.wire import Wire
 
 __all__ = ["CALLER_KINDS", "Caller"]
--- a/packages/papayapost-testing/src/papayapost_testing/soak/checks/base.py
+++ b/packages/papayapost-testing/src/papayapost_testing/soak/checks/base.py
@@ -4,7 +4,8 @@
 
 from papayapost.ids import Micros, RequestName
 from papayapost.kernel import System, Tick
-from papayapost_testing.soak.tables import CallRow, RunRow, SoakTables
+from papayapost_testing.soak.rows import CallRow, RunRow
+from papayapost_testing.soak.tables import SoakTables
 
 __all__ = ["Check"]
 
@@ -46,9 +47,12 @@
             f"{run.server_id} at {run.began_us / 1e6:.3f} s"
             for run in self.runs_of(call.request_id)
         )
+        waited_us = self.tables.wait_us(call.node_id, call.sent_us, call.ended_us)
         return (
             f"{call.request_id} {call.method} {call.target.partition('?')[0]} at "
-            f"{call.node_id} (start {call.start}), sent {call.sent_us / 1e6:.3f} s, "
+            f"{call.node_id} (start {call.start}), sent {call.sent_us / 1e6:.3f} s "
+            f"({call.manner}), "
             f"{call.end.value}{status} {call.ended_us / 1e6:.3f} s, "
-            f"runs: {runs or 'none'}"
+            f"runs: {runs or 'none'}; the node waited {waited_us / 1e6:.3f} s for a "
+            "core meanwhile"
         )
--- a/packages/papayapost-testing/src/papayapost_testing/soak/checks/calls.py
+++ b/packages/papayapost-testing/src/papayapost_testing/soak/checks/calls.py
@@ -3,8 +3,12 @@
 from papayapost.kernel import Tick
 from papayapost_testing.soak.checks.base import Check
 from papayapost_testing.soak.messages import CallEnded, RunStarted, UnaskedBytes
+from papayapost_testing.soak.rows import (
+    CallEnd,
+    CallRow,
+    RouteKind,
+)
 from papayapost_testing.soak.rules import BASE_PREFIXES
-from papayapost_testing.soak.tables import CallEnd, CallRow, RouteKind
 
 __all__ = [
     "AnswersAreWhole",
--- a/packages/papayapost-testing/src/papayapost_testing/soak/checks/rules.py
+++ b/packages/papayapost-testing/src/papayapost_testing/soak/checks/rules.py
@@ -12,7 +12,7 @@
 )
 from papayapost_testing.soak.checks.base import Check
 from papayapost_testing.soak.messages import CallEnded
-from papayapost_testing.soak.tables import (
+from papayapost_testing.soak.rows import (
     NEVER,
     CallRow,
     Start,
--- a/packages/papayapost-testing/src/papayapost_testing/soak/connection.py
+++ b/packages/papayapost-testing/src/papayapost_testing/soak/connection.py
@@ -12,7 +12,11 @@
 from papayapost_testing.soak.http import READ_BYTES, encode_request, hash_of, next_event
 from papayapost_testing.soak.messages import CallEnded, CallSent, UnaskedBytes
 from papayapost_testing.soak.proxy import Proxy
-from papayapost_testing.soak.tables import AnswerRow, CallEnd, CallRow
+from papayapost_testing.soak.rows import (
+    AnswerRow,
+    CallEnd,
+    CallRow,
+)
 from papayapost_testing.soak.wire import Wire
 
 __all__ = ["CallerConnection", "Entry", "Request"]
@@ -56,6 +60,7 @@
         self._clock = SystemClock()
         self._http = h11.Connection(h11.CLIENT)
         self._waiting: list[tuple[h11.Request, bytes]] = []
+        self._sent = 0
         self.is_over = False
 
     @classmethod
@@ -82,6 +87,10 @@
         head, data = encode_request(
             call.method, call.target, headers, request.body, request.is_chunked
         )
+        self._sent += 1
+        way = "directly" if self._entry.proxy is None else "by the proxy"
+        call.manner = f"{way}, request {self._sent} on its connection, "
+        call.manner += f"paused {pause_s:.3f} s"
         call.sent_us = self._clock.now_us()
         self._post(CallSent(call))
         half = len(data) // 2 if pause_s else 0
--- a/packages/papayapost-testing/src/papayapost_testing/soak/mesh.py
+++ b/packages/papayapost-testing/src/papayapost_testing/soak/mesh.py
@@ -12,22 +12,22 @@
 
 import psutil
 
-from papayapost.ids import Address, NodeId
+from papayapost.ids import Address, Micros, NodeId
 from papayapost_node.clock import SystemClock
 from papayapost_testing.demo.processes import start_module
 from papayapost_testing.soak.messages import (
     ChangeSettings,
+    CoreAwaited,
     LineWritten,
     MemoryMeasured,
     NodeExited,
     NodeStarted,
-    NodeStarting,
     StartNode,
 )
 from papayapost_testing.soak.proxy import Proxy
+from papayapost_testing.soak.rows import Link, WaitRow
 from papayapost_testing.soak.rules import SERVICES
 from papayapost_testing.soak.servers import BackendServer
-from papayapost_testing.soak.tables import Link
 from papayapost_testing.soak.wire import NodePlace, Wire
 
 __all__ = ["MAX_NODES", "Mesh"]
@@ -46,6 +46,8 @@
 _PROXY_PORTS = {Link.NODE: 7101, Link.SERVER: 7102, Link.STORE: 7103}
 _LOCK_PORT = 7199
 _POLL_S = 1.0
+_WAIT_STEP_S = 0.1
+_NOTED_WAIT_US = 5_000
 
 
 class Mesh:
@@ -109,6 +111,7 @@
         for server in self.servers.values():
             await server.start()
         self._add_task(self._poll())
+        self._add_task(self._watch_waits())
 
     async def close(self) -> None:
         """Kill the processes that still run, and stop all else."""
@@ -159,14 +162,13 @@
 
     async def _run_node(self, effect: StartNode) -> None:
         node_id, clock = effect.node_id, self._clock
-        self._post(NodeStarting(node_id, effect.start, clock.now_us()))
         process = await start_module(
             _NODE_MODULE,
             f"--settings={self._folder / node_id}.json",
             log=self._folder / f"{node_id}.log",
         )
         self._processes[node_id] = process
-        self._post(NodeStarted(node_id, clock.now_us()))
+        self._post(NodeStarted(node_id, effect.start, clock.now_us()))
         exit_code = await process.wait()
         self._read_lines(node_id)
         self._post(NodeExited(node_id, exit_code, clock.now_us()))
@@ -176,6 +178,20 @@
             await asyncio.sleep(_POLL_S)
             self._poll_once()
 
+    async def _watch_waits(self) -> None:
+        """Measure how long each process waits for a core."""
+        before: dict[int, tuple[Micros, int]] = {}
+        while True:
+            await asyncio.sleep(_WAIT_STEP_S)
+            now_us = self._clock.now_us()
+            for node_id, process in self._processes.items():
+                waited_us = _waited_us(process.pid)
+                since_us, earlier_us = before.get(process.pid, (now_us, 0))
+                before[process.pid] = now_us, waited_us
+                wait = WaitRow(since_us, now_us, waited_us - earlier_us)
+                if wait.waited_us > _NOTED_WAIT_US and process.returncode is None:
+                    self._post(CoreAwaited(node_id, wait))
+
     def _poll_once(self) -> None:
         for node_id, process in self._processes.items():
             self._read_lines(node_id)
@@ -195,6 +211,18 @@
             self._post(LineWritten(node_id, line))
 
 
+def _waited_us(pid: int) -> int:
+    """Return for how many µs a process has been ready to run, but did not.
+
+    It is 0 where the kernel doesn't tell, and for a process that has ended.
+    """
+    try:
+        fields = Path(f"/proc/{pid}/schedstat").read_text().split()
+    except OSError:
+        return 0
+    return int(fields[1]) // 1000 if len(fields) > 1 else 0
+
+
 def _place_of(number: int, network: str) -> NodePlace:
     data_centre, region = _DATA_CENTRES[number % len(_DATA_CENTRES)]
     # Both services are in every data centre.
--- a/packages/papayapost-testing/src/papayapost_testing/soak/messages.py
+++ b/packages/papayapost-testing/src/papayapost_testing/soak/messages.py
@@ -4,7 +4,7 @@
 from enum import Enum
 
 from papayapost.ids import InstanceId, Micros, NodeId, RequestName
-from papayapost_testing.soak.tables import (
+from papayapost_testing.soak.rows import (
     AnswerRow,
     CallEnd,
     CallRow,
@@ -15,6 +15,7 @@
     ServerMode,
     Start,
     VersionRow,
+    WaitRow,
 )
 
 __all__ = [
@@ -23,6 +24,7 @@
     "ChangeSettings",
     "CommandServer",
     "CommandStore",
+    "CoreAwaited",
     "DrainAcknowledged",
     "FaultDue",
     "FaultsBegun",
@@ -33,7 +35,6 @@
     "MemoryMeasured",
     "NodeExited",
     "NodeStarted",
-    "NodeStarting",
     "RecoveryOver",
     "RestartDue",
     "RunEnded",
@@ -115,20 +116,12 @@
     at_us: Micros
 
 
-@dataclass(slots=True)
-class NodeStarting:
-    """Input: a node's process is about to be started."""
-
-    node_id: NodeId
-    start: Start
-    at_us: Micros
-
-
 @dataclass(slots=True)
 class NodeStarted:
     """Input: a node's process has been started."""
 
     node_id: NodeId
+    start: Start
     at_us: Micros
 
 
@@ -157,6 +150,14 @@
     resident_bytes: int
 
 
+@dataclass(slots=True)
+class CoreAwaited:
+    """Input: a node's process has waited for a core."""
+
+    node_id: NodeId
+    wait: WaitRow
+
+
 @dataclass(slots=True)
 class FaultsBegun:
     """Input: the faults of the plan begin now."""
--- a/packages/papayapost-testing/src/papayapost_testing/soak/plans.py
+++ b/packages/papayapost-testing/src/papayapost_testing/soak/plans.py
@@ -5,8 +5,9 @@
 from random import Random
 
 from papayapost.ids import Micros
-from papayapost_testing.soak.faults import PLANNED_FAULTS, UNPLANNED_FAULTS, Fault
-from papayapost_testing.soak.tables import FaultId
+from papayapost_testing.soak.faults import PLANNED_FAULTS, Fault
+from papayapost_testing.soak.rows import FaultId
+from papayapost_testing.soak.unplanned import UNPLANNED_FAULTS
 
 __all__ = ["FaultRow", "Profile", "draw_plan", "draw_profile"]
 
@@ -38,7 +39,6 @@
     fault: Fault
     due_us: Micros
     random: Random
-    is_begun: bool = False
 
 
 def draw_profile(seed: int) -> Profile:
--- a/packages/papayapost-testing/src/papayapost_testing/soak/proxy.py
+++ b/packages/papayapost-testing/src/papayapost_testing/soak/proxy.py
@@ -7,7 +7,7 @@
 
 from papayapost.ids import Address
 from papayapost_node.addresses import split_address
-from papayapost_testing.soak.tables import LinkMode
+from papayapost_testing.soak.rows import LinkMode
 
 __all__ = ["Proxy"]
 
--- a/packages/papayapost-testing/src/papayapost_testing/soak/report.py
+++ b/packages/papayapost-testing/src/papayapost_testing/soak/report.py
@@ -5,7 +5,8 @@
 from pathlib import Path
 
 from papayapost_testing.soak.plans import Profile
-from papayapost_testing.soak.tables import CallEnd, CallRow, SoakTables
+from papayapost_testing.soak.rows import CallEnd, CallRow
+from papayapost_testing.soak.tables import SoakTables
 
 __all__ = ["SoakReport", "write_report"]
 
@@ -34,13 +35,16 @@
         """Return a summary in one line."""
         tables = self.tables
         ends = Counter(map(_end_of, tables.calls))
+        waits = (row.waited_us for rows in tables.waits.values() for row in rows)
+        waited_us = sum(waits)
         starts = sum(node.start for node in tables.nodes)
         counts = ", ".join(f"{count} {end}" for end, count in sorted(ends.items()))
         return (
             f"seed {self.seed} ({self.profile.value}): {len(tables.nodes)} nodes, "
             f"{starts} starts, {len(tables.versions)} versions, "
             f"{len(tables.calls)} calls ({counts}), late by {self.lag_s:.2f} s "
-            f"at most, {len(tables.findings)} findings"
+            f"at most, nodes waited {waited_us / 1e6:.0f} s for a core, "
+            f"{len(tables.findings)} findings"
         )
 
     def finding_lines(self) -> list[str]:
--- a/packages/papayapost-testing/src/papayapost_testing/soak/rules.py
+++ b/packages/papayapost-testing/src/papayapost_testing/soak/rules.py
@@ -3,7 +3,7 @@
 from random import Random
 
 from papayapost.ids import ServiceName
-from papayapost_testing.soak.tables import (
+from papayapost_testing.soak.rows import (
     RouteKind,
     RouteRow,
     VersionNumber,
--- a/packages/papayapost-testing/src/papayapost_testing/soak/run.py
+++ b/packages/papayapost-testing/src/papayapost_testing/soak/run.py
@@ -32,9 +32,10 @@
 )
 from papayapost_testing.soak.plans import draw_plan, draw_profile
 from papayapost_testing.soak.report import SoakReport, write_report
+from papayapost_testing.soak.rows import Link, NodeRow
 from papayapost_testing.soak.rules import first_version
 from papayapost_testing.soak.systems import AdvanceFaults, RecordCalls, TrackNodes
-from papayapost_testing.soak.tables import Link, NodeRow, SoakTables
+from papayapost_testing.soak.tables import SoakTables
 from papayapost_testing.soak.wire import Wire
 
 __all__ = ["Soak", "SoakSize"]
--- a/packages/papayapost-testing/src/papayapost_testing/soak/scene.py
+++ b/packages/papayapost-testing/src/papayapost_testing/soak/scene.py
@@ -14,15 +14,15 @@
     SignalNode,
     WriteRules,
 )
-from papayapost_testing.soak.rules import next_version
-from papayapost_testing.soak.tables import (
+from papayapost_testing.soak.rows import (
     NEVER,
     Link,
     LinkMode,
     NodeRow,
-    SoakTables,
     TroubleRow,
 )
+from papayapost_testing.soak.rules import next_version
+from papayapost_testing.soak.tables import SoakTables
 
 __all__ = ["Scene"]
 
--- a/packages/papayapost-testing/src/papayapost_testing/soak/servers.py
+++ b/packages/papayapost-testing/src/papayapost_testing/soak/servers.py
@@ -25,7 +25,7 @@
     Answer,
     AnswerSending,
 )
-from papayapost_testing.soak.tables import RunRow, ServerMode
+from papayapost_testing.soak.rows import RunRow, ServerMode
 from papayapost_testing.soak.wire import NodePlace, SeenRequest, Wire
 
 __all__ = ["BackendServer"]
--- a/packages/papayapost-testing/src/papayapost_testing/soak/systems.py
+++ b/packages/papayapost-testing/src/papayapost_testing/soak/systems.py
@@ -10,6 +10,7 @@
 from papayapost_testing.soak.messages import (
     CallEnded,
     CallSent,
+    CoreAwaited,
     DrainAcknowledged,
     FaultDue,
     FaultsBegun,
@@ -18,7 +19,6 @@
     GraceOver,
     NodeExited,
     NodeStarted,
-    NodeStarting,
     RecoveryOver,
     RestartDue,
     RunStarted,
@@ -26,15 +26,15 @@
     StopNodes,
 )
 from papayapost_testing.soak.plans import FaultRow
-from papayapost_testing.soak.scene import Scene
-from papayapost_testing.soak.tables import (
+from papayapost_testing.soak.rows import (
     NEVER,
     FaultId,
     ServerRow,
-    SoakTables,
     Start,
     TroubleRow,
 )
+from papayapost_testing.soak.scene import Scene
+from papayapost_testing.soak.tables import SoakTables
 
 __all__ = ["AdvanceFaults", "RecordCalls", "TrackNodes"]
 
@@ -42,9 +42,9 @@
 
 
 class RecordCalls(System):
-    """Records calls, runs and drains of backend servers."""
+    """Records calls, runs, drains of backend servers and waits of nodes."""
 
-    consumes = (CallSent, CallEnded, RunStarted, DrainAcknowledged)
+    consumes = (CallSent, CallEnded, RunStarted, DrainAcknowledged, CoreAwaited)
 
     def __init__(self, tables: SoakTables):
         self._tables = tables
@@ -63,6 +63,8 @@
             if call.is_served:
                 node = tables.nodes.require(call.node_id)
                 node.served_us = max(node.served_us, call.sent_us)
+        for awaited in tick.take(CoreAwaited):
+            tables.waits.setdefault(awaited.node_id, []).append(awaited.wait)
         for acked in tick.take(DrainAcknowledged):
             key = acked.server_id, acked.born_ms
             row = ServerRow(acked.server_id, acked.node_id, acked.born_ms, acked.at_us)
@@ -74,7 +76,6 @@
     """Tracks the nodes' processes and starts those again that have exited."""
 
     consumes = (
-        NodeStarting,
         NodeStarted,
         NodeExited,
         RestartDue,
@@ -89,11 +90,6 @@
     def run(self, tick: Tick) -> None:
         """Update the node rows, and start or kill processes that are due."""
         tables = self._tables
-        for starting in tick.take(NodeStarting):
-            node = tables.nodes.require(starting.node_id)
-            node.start, node.started_us = starting.start, starting.at_us
-            node.term_us = node.kill_us = node.exited_us = NEVER
-            node.exit_code = None
         for started in tick.take(NodeStarted):
             self._note_started(started)
         for exited in tick.take(NodeExited):
@@ -116,9 +112,12 @@
         node = self._tables.nodes.require(due.node_id)
         if node.start != due.start or node.exited_us != NEVER:
             return
-        # An exit is not seen while the soak itself does not get to run.
-        lag_us = self._tables.lag_us(node.term_us, tick.now_us)
-        due_us = Micros(node.term_us + GRACE_US + EXIT_SLACK_US + lag_us)
+        # A process that waits for a core cannot end, and its exit is not seen
+        # while the soak itself does not get to run.
+        span = node.term_us, tick.now_us
+        lag_us = self._tables.lag_us(*span)
+        delayed_us = lag_us + self._tables.wait_us(node.node_id, *span)
+        due_us = Micros(node.term_us + GRACE_US + EXIT_SLACK_US + delayed_us)
         if due_us > tick.now_us:
             tick.set_timer(("grace", node.node_id), due_us, due)
         else:
@@ -126,7 +125,14 @@
 
     def _note_started(self, started: NodeStarted) -> None:
         node_id, at_us = started.node_id, started.at_us
-        self._tables.nodes.require(node_id).state = ProcessState.RUNNING
+        node = self._tables.nodes.require(node_id)
+        node.state, node.start, node.started_us = (
+            ProcessState.RUNNING,
+            started.start,
+            at_us,
+        )
+        node.term_us = node.kill_us = node.exited_us = NEVER
+        node.exit_code = None
         for row in self._tables.troubles:
             if row.node_id == node_id and row.ends_with_start and row.ended_us is None:
                 row.ended_us = at_us
--- a/packages/papayapost-testing/src/papayapost_testing/soak/wire.py
+++ b/packages/papayapost-testing/src/papayapost_testing/soak/wire.py
@@ -13,7 +13,7 @@
 
 from papayapost.ids import Address, InstanceId, NodeId, RequestName, ServiceName
 from papayapost_node.http import Headers, HttpRequest
-from papayapost_testing.soak.tables import VersionRow
+from papayapost_testing.soak.rows import VersionRow
 
 __all__ = ["NodePlace", "SeenRequest", "StoreStandIn", "Wire", "load_wire"]
 
--- a/packages/papayapost-testing/tests/test_soak.py
+++ b/packages/papayapost-testing/tests/test_soak.py
@@ -12,8 +12,8 @@
 from papayapost_testing.soak import Soak, SoakSize
 from papayapost_testing.soak.plans import Profile, draw_plan, draw_profile
 from papayapost_testing.soak.proxy import Proxy
+from papayapost_testing.soak.rows import LinkMode
 from papayapost_testing.soak.rules import BASE_PREFIXES, first_version, next_version
-from papayapost_testing.soak.tables import LinkMode
 from papayapost_testing.soak.wire import load_wire
 
 SURROUNDINGS = Path(__file__).parents[3] / "platform" / "tests"
