--- a/packages/papayapost-testing/src/papayapost_testing/soak/messages.py
+++ b/packages/papayapost-testing/src/papayapost_testing/soak/messages.py
@@ -35,6 +35,7 @@
     "MemoryMeasured",
     "NodeExited",
     "NodeStarted",
+    "RecoveryDue",
     "RecoveryOver",
     "RestartDue",
     "RunEnded",
@@ -180,9 +181,14 @@
     """Effect: all faults of the plan have ended."""
 
 
+@dataclass(slots=True)
+class RecoveryDue:
+    """Timer: see whether the time for recovery is over."""
+
+
 @dataclass(slots=True)
 class RecoveryOver:
-    """Timer and effect: the time for recovery after the faults is over."""
+    """Effect, and input of checks: the time for recovery is over."""
 
 
 @dataclass(slots=True)
--- a/packages/papayapost-testing/src/papayapost_testing/soak/systems.py
+++ b/packages/papayapost-testing/src/papayapost_testing/soak/systems.py
@@ -19,6 +19,7 @@
     GraceOver,
     NodeExited,
     NodeStarted,
+    RecoveryDue,
     RecoveryOver,
     RestartDue,
     RunStarted,
@@ -156,7 +157,7 @@
 class AdvanceFaults(System):
     """Carries out the steps of the faults of the plan."""
 
-    consumes = (FaultsBegun, FaultDue, RecoveryOver)
+    consumes = (FaultsBegun, FaultDue, RecoveryDue)
 
     def __init__(self, tables: SoakTables, plan: Sequence[FaultRow]):
         self._tables = tables
@@ -182,11 +183,23 @@
             if not self._left:
                 self._end(tick)
 
-        for over in tick.take(RecoveryOver):
-            tick.emit(over)
+        for recovery in tick.take(RecoveryDue):
+            due_us = self._recovery_due_us(tick.now_us)
+            if due_us > tick.now_us:
+                tick.set_timer("recovery", due_us, recovery)
+            else:
+                tick.post(RecoveryOver())
+                tick.emit(RecoveryOver())
+
+    def _recovery_due_us(self, now_us: Micros) -> Micros:
+        """Return when recovery is due; a node that gets no core has longer."""
+        tables = self._tables
+        since_us = tables.faults_ended_us
+        waits_us = (tables.wait_us(n.node_id, since_us, now_us) for n in tables.nodes)
+        return Micros(since_us + RECOVERY_US + max(waits_us))
 
     def _end(self, tick: Tick) -> None:
         self._tables.faults_ended_us = tick.now_us
         tick.emit(FaultsEnded())
-        due_us = Micros(tick.now_us + RECOVERY_US)
-        tick.set_timer("recovery", due_us, RecoveryOver())
+        due_us = self._recovery_due_us(tick.now_us)
+        tick.set_timer("recovery", due_us, RecoveryDue())
