End a connection whose caller has reset it when its last bytes are due

Cause: the writing side is closed after an answer that closes the connection, though the reset of the caller had come but was not read yet. The error left the handler of the effect.

--- a/packages/papayapost-node/src/papayapost_node/http/server_connection.py
+++ b/packages/papayapost-node/src/papayapost_node/http/server_connection.py
@@ -302,7 +302,12 @@
         if transport is None:
             return
         if transport.can_write_eof() and not transport.is_closing():
-            transport.write_eof()
+            try:
+                transport.write_eof()
+            except OSError:
+                # The caller has reset the connection; nobody reads the rest.
+                transport.abort()
+                return
         self._is_closing = self._is_paused = True
         if transport.get_write_buffer_size():
             self._timer.expect_body()
