Accept by ourselves, so that no connection is lost as a drain ends

Cause: asyncio accepts a connection and makes its protocol in two steps. If the listening socket closes between them, the connection is dropped with its transport alive in a reference cycle, or made after close_idle has run.

Change: the server accepts from its listening socket itself. It accepts what waits before it stops, knows the connections being made, waits for them, and closes those that come after the idle ones were closed.

Evidence: test_a_connection_is_closed_when_the_server_stops_accepting failed in cases 2 and 3 of 6 each time; all pass.

--- a/packages/papayapost-node/src/papayapost_node/http/server.py
+++ b/packages/papayapost-node/src/papayapost_node/http/server.py
@@ -1,6 +1,7 @@
 """HTTP server that streams requests and limits its connections."""
 
 import asyncio
+import socket
 
 from papayapost.errors import AddressUnavailable
 from papayapost.ids import Address
@@ -13,6 +14,12 @@
 __all__ = ["StreamingServer"]
 
 _BACKLOG = 1_024
+_MAX_ACCEPTS = 64
+"""Largest number of connections accepted before others are read."""
+
+_ACCEPT_RETRY_S = 1.0
+"""Pause after a failed accept, which most likely lacked a descriptor."""
+
 _READ_BUFFER_BYTES = 64 << 10
 
 
@@ -58,7 +65,9 @@
         self.refused_connections = 0
         self._connections: set[ServerConnection] = set()
         self._all_closed = asyncio.Event()
-        self._server: asyncio.Server | None = None
+        self._listening: socket.socket | None = None
+        self._accepting: set[asyncio.Task] = set()
+        self._is_closing_idle = False
 
     async def start(self) -> None:
         """Listen at the address.
@@ -69,33 +78,38 @@
             If the address is in use or not an address of this machine.
         """
         ip, port = split_address(self._address)
-        loop = asyncio.get_running_loop()
+        family = socket.AF_INET6 if ":" in ip else socket.AF_INET
         try:
-            self._server = await loop.create_server(
-                lambda: ServerConnection(self), ip, port, backlog=_BACKLOG
+            listening = socket.create_server(
+                (ip, port), family=family, backlog=_BACKLOG
             )
         except OSError as error:
             reason = error.strerror or error
             raise AddressUnavailable(self._setting, self._address, reason) from error
+        listening.setblocking(False)
+        self._listening = listening
+        self._watch_listening()
 
     def admit(self, connection: ServerConnection) -> bool:
         """Add a new connection; return False if the limit is reached."""
         if len(self._connections) >= self.limits.connections:
             self.refused_connections += 1
             return False
+        if self._is_closing_idle:
+            return False
         self._connections.add(connection)
         return True
 
     def remove(self, connection: ServerConnection) -> None:
         """Remove a closed connection."""
         self._connections.discard(connection)
-        if not self._connections:
+        if not (self._connections or self._accepting):
             self._all_closed.set()
 
     async def wait_until_empty(self, timeout_s: float) -> bool:
         """Wait until no connection is open; return False on a timeout."""
         self._all_closed.clear()
-        if not self._connections:
+        if not (self._connections or self._accepting):
             return True
         try:
             async with asyncio.timeout(timeout_s):
@@ -105,9 +119,13 @@
         return True
 
     def stop_accepting(self) -> None:
-        """Stop accepting new connections; open ones stay."""
-        if self._server is not None:
-            self._server.close()
+        """Stop accepting new connections; open ones stay.
+
+        The connections that callers have opened until now are accepted first.
+        """
+        if self._listening is not None:
+            self._accept_waiting()
+            self._stop_listening()
 
     def drain(self) -> None:
         """Close each connection after its answer, and idle ones after 2 s."""
@@ -116,13 +134,60 @@
             connection.drain()
 
     def close_idle(self) -> None:
-        """Close the connections on which no request has begun."""
+        """Close the connections on which no request has begun.
+
+        Those that are still being accepted are closed as soon as they are.
+        """
+        self._is_closing_idle = True
         for connection in list(self._connections):
             connection.close_if_idle()
 
     async def close(self) -> None:
         """Stop listening and close all connections at once."""
-        if self._server is not None:
-            self._server.close()
+        self._stop_listening()
+        for task in self._accepting:
+            task.cancel()
         for connection in list(self._connections):
             connection.abort()
+
+    def _watch_listening(self) -> None:
+        if self._listening is not None:
+            loop = asyncio.get_running_loop()
+            loop.add_reader(self._listening.fileno(), self._accept_waiting)
+
+    def _stop_listening(self) -> None:
+        listening, self._listening = self._listening, None
+        if listening is not None:
+            asyncio.get_running_loop().remove_reader(listening.fileno())
+            listening.close()
+
+    def _accept_waiting(self) -> None:
+        loop, listening = asyncio.get_running_loop(), self._listening
+        if listening is None:
+            return
+        for _ in range(_MAX_ACCEPTS):
+            try:
+                accepted, _ = listening.accept()
+            except (BlockingIOError, InterruptedError, ConnectionAbortedError):
+                return
+            except OSError:
+                loop.remove_reader(listening.fileno())
+                loop.call_later(_ACCEPT_RETRY_S, self._watch_listening)
+                return
+            accepted.setblocking(False)
+            task = loop.create_task(self._open(accepted))
+            self._accepting.add(task)
+            task.add_done_callback(self._end_accepting)
+
+    async def _open(self, accepted: socket.socket) -> None:
+        loop = asyncio.get_running_loop()
+        try:
+            await loop.connect_accepted_socket(lambda: ServerConnection(self), accepted)
+        except OSError:
+            # The caller has closed the connection already.
+            accepted.close()
+
+    def _end_accepting(self, task: asyncio.Task) -> None:
+        self._accepting.discard(task)
+        if not (self._connections or self._accepting):
+            self._all_closed.set()
