Count the time that a refusal took as part of the wait at its owner

Cause: an owner was passed over for the 20 ms that it expected a slot to take, and the link between regions was not used, as that wait looked short. The time of the refusal on the link was not counted.

Change: the expected wait includes it; the upstream counts as full for as long, at most 300 ms.

Evidence: test_an_owner_whose_refusals_are_late_is_passed_over_for_as_long and test_a_call_crosses_regions_rather_than_wait_for_a_slow_link failed before.

--- a/packages/papayapost/src/papayapost/traffic/entry/failed_attempts.py
+++ b/packages/papayapost/src/papayapost/traffic/entry/failed_attempts.py
@@ -32,7 +32,10 @@
 
 __all__ = ["HandleFailedAttempts"]
 
-_MAX_FULL_PAUSE_US = 100_000
+_MAX_FULL_PAUSE_US = 300_000
+"""Longest time for which an upstream counts as full after a refusal. Within
+that time, slots and links of an owner node become free and full again."""
+
 _FULL_CODES = frozenset(
     [
         RefusalCode.EVICTED,
@@ -96,9 +99,12 @@
             return
         upstream = attempt.upstream
         upstream.report(refused.free_slots, tick.now_us)
-        upstream.expected_wait_us = refused.retry_after_ms * 1000
+        # A refusal that itself took long has waited on a slow link, as further
+        # offers and answers would.
+        delay_us = tick.now_us - attempt.offered_us
+        upstream.expected_wait_us = refused.retry_after_ms * 1000 + delay_us
         if refused.code in _FULL_CODES:
-            pause_us = min(refused.retry_after_ms * 1000, _MAX_FULL_PAUSE_US)
+            pause_us = min(upstream.expected_wait_us, _MAX_FULL_PAUSE_US)
             upstream.full_until_us = tick.now_us + pause_us
         if refused.code is RefusalCode.SHED:
             upstream.sample_outcome(False, tick.now_us)
--- a/packages/papayapost/src/papayapost/traffic/entry/upstreams.py
+++ b/packages/papayapost/src/papayapost/traffic/entry/upstreams.py
@@ -55,7 +55,8 @@
         time.
     expected_wait_us
         Time in µs that an attempt would have had to wait for a slot, as the
-        owner node estimated it at the time of its last report.
+        owner node estimated it in its last report, with the time that the
+        report took to arrive.
     full_until_us
         Time until which the upstream counts as full after a refusal.
     failure_rate, failure_rate_sampled_us
--- a/packages/papayapost/tests/traffic/test_balancing.py
+++ b/packages/papayapost/tests/traffic/test_balancing.py
@@ -111,6 +111,33 @@
     assert first.address in targets(entry, 5)
 
 
+def refuse(entry, offer, after_us):
+    attempt_id, sender = offer.offer.attempt_id, offer.offer.sender
+    refused = AttemptRefused(sender, attempt_id, RefusalCode.NO_FREE_SLOT, 20, 0)
+    return entry.tick(refused, after_us=after_us)
+
+
+def test_an_owner_whose_refusals_are_late_is_passed_over_for_as_long():
+    entry = Entry([backend_row("a", "gusts"), backend_row("b", "gusts")])
+    first = only(entry.call())
+    second = only(refuse(entry, first, after_us=200_000))
+    assert second.address != first.address
+    entry.answer(second)
+    entry.tick(after_us=100_000)
+    assert first.address not in targets(entry, 5)
+
+
+def test_a_call_crosses_regions_rather_than_wait_for_a_slow_link():
+    near = backend_row("near", "far", NORTH_1)
+    entry = Entry([near, backend_row("far", "far", SOUTH_1)])
+    offer = only(entry.call("/far/a"))
+    assert offer.address == near.peer_address
+    assert only(refuse(entry, offer, after_us=10_000)).address == near.peer_address
+    entry.tick(after_us=1_000_000)
+    offer = only(entry.call("/far/a"))
+    assert only(refuse(entry, offer, after_us=200_000)).address == "far:1"
+
+
 def test_a_slow_backend_server_gets_fewer_attempts_than_others():
     entry = Entry([backend_row(name, "gusts") for name in "abc"])
     attempts = {"a:1": 0, "b:1": 0, "c:1": 0}
