Test two nodes with a backend server that sends without end

Eight calls on four slots meet garbage that stops, a head, informational answers, or chunk extensions without end; a sound call is served right after, and no slot stays taken.

--- a/packages/papayapost-node/tests/test_streaming.py
+++ b/packages/papayapost-node/tests/test_streaming.py
@@ -254,3 +254,48 @@
             writer.close()
 
     run(scenario, backend)
+
+
+@pytest.mark.parametrize(
+    ("start", "repeated"),
+    [
+        (b"no answer", b""),
+        (b"HTTP/1.1 200 OK\r\n", b"x: y\r\n" * 100),
+        (b"", b"HTTP/1.1 102 Processing\r\n\r\n" * 100),
+        (
+            b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n",
+            b"1;" + b"e" * 1_000 + b"\r\nx\r\n",
+        ),
+    ],
+)
+def test_bytes_without_end_free_their_slots_for_other_calls(run, start, repeated):
+    async def backend(head, reader, writer):
+        if b"/good" in head:
+            writer.write(b"HTTP/1.1 200 OK\r\ncontent-length: 4\r\n\r\ngood")
+            return
+        writer.write(start)
+        while repeated:
+            writer.write(repeated)
+            await writer.drain()
+        await reader.read()
+
+    async def call(address, request):
+        reader, writer = await open_caller(address)
+        writer.write(request)
+        head = await read_head(reader)
+        while head.startswith(b"HTTP/1.1 102"):
+            head = await read_head(reader)
+        if b"/scan" in request and b"200" in head:
+            assert not (await reader.read()).endswith(b"0\r\n\r\n")
+        writer.close()
+        return head
+
+    async def scenario(pair):
+        for address in addresses_of(pair):
+            bad = await asyncio.gather(*(call(address, GET) for _ in range(8)))
+            assert not any(b" 503 " in head.splitlines()[0] for head in bad)
+            good = await call(address, GET.replace(b"/scan", b"/good"))
+            assert good.startswith(b"HTTP/1.1 200")
+        assert pair.owner.world.traffic.owner.running == 0
+
+    run(scenario, backend)
