Shorten the deadline of an unused answer only if its body is incomplete

A refusal whose whole body arrives with its head, as nearly all do, would move the connection's timer twice for nothing. The tests of unused bodies without end, verdicts, backend calls and streaming pass as before.

--- a/packages/papayapost-node/src/papayapost_node/http/backend.py
+++ b/packages/papayapost-node/src/papayapost_node/http/backend.py
@@ -249,6 +249,8 @@
             if self._sink is not None and not (self._is_paused or self._is_yielding):
                 self._bounds.check_overhead()
                 self._check_head(data)
+                if self._reading is AnswerReading.DISCARDED:
+                    self._deadline.shorten_to(_DISCARD_TIMEOUT_S)
         except h11.RemoteProtocolError as error:
             self._fail(f"the backend server's answer is malformed: {error}")
             self.abort()
@@ -315,8 +317,6 @@
         reading = self._reading = sink.answer_begun(status, headers)
         if reading is AnswerReading.STREAMED:
             self._deadline.clear()
-        elif reading is AnswerReading.DISCARDED:
-            self._deadline.shorten_to(_DISCARD_TIMEOUT_S)
         elif reading is AnswerReading.SKIPPED:
             self._bounds.count_skipped_answer()
             has_body = self._method != "HEAD" and status not in _BODILESS_STATUSES
