--- a/packages/papayapost-testing/src/papayapost_testing/soak/callers.py
+++ b/packages/papayapost-testing/src/papayapost_testing/soak/callers.py
@@ -18,6 +18,7 @@
     NodeRow,
     RouteKind,
     RouteRow,
+    Start,
 )
 from papayapost_testing.soak.rules import BASE_PREFIXES
 from papayapost_testing.soak.tables import SoakTables
@@ -86,14 +87,14 @@
             await asyncio.sleep(self.random.uniform(0, 4 * _REOPEN_PAUSE_S))
 
     @abstractmethod
-    async def use(self, connection: CallerConnection, start) -> None:
+    async def use(self, connection: CallerConnection, start: Start) -> None:
         """Send requests on a connection until it is of no more use."""
 
     def draw_pause_s(self, mean_s: float) -> float:
         """Return the length of a pause in s."""
         return self._pace * self.random.expovariate(1 / mean_s)
 
-    def draw_request(self, start, kinds: Sequence[RouteKind]) -> Request:
+    def draw_request(self, start: Start, kinds: Sequence[RouteKind]) -> Request:
         """Return a request on a route of the newest rules version."""
         newest = self._tables.newest()
         routes = [route for route in newest.routes.values() if route.kind in kinds]
@@ -105,7 +106,7 @@
             route = self.random.choice(base)
         return self._request(route, start)
 
-    def draw_dropped(self, start) -> Request | None:
+    def draw_dropped(self, start: Start) -> Request | None:
         """Return a request on a route that the newest version has dropped."""
         versions = list(self._tables.versions)
         dropped = [
@@ -116,7 +117,7 @@
         ]
         return self._request(self.random.choice(dropped), start) if dropped else None
 
-    def _request(self, route: RouteRow, start) -> Request:
+    def _request(self, route: RouteRow, start: Start) -> Request:
         number = next(_numbers)
         request_id = RequestName(f"{number:x}-{self.random.getrandbits(48):012x}")
         is_read = route.kind is not RouteKind.NON_IDEMPOTENT
@@ -149,7 +150,7 @@
 
     kinds: tuple[RouteKind, ...] = (RouteKind.IDEMPOTENT, RouteKind.NON_IDEMPOTENT)
 
-    async def use(self, connection: CallerConnection, start) -> None:
+    async def use(self, connection: CallerConnection, start: Start) -> None:
         """Send requests, some in two parts, and pause between them."""
         while not connection.is_over:
             request = self.draw_request(start, self.kinds)
@@ -177,7 +178,7 @@
 class PipeliningCaller(Caller):
     """Sends further requests before the first is answered."""
 
-    async def use(self, connection: CallerConnection, start) -> None:
+    async def use(self, connection: CallerConnection, start: Start) -> None:
         """Send a few idempotent requests and read their answers in order."""
         kinds = (RouteKind.IDEMPOTENT,)
         while not connection.is_over:
@@ -197,7 +198,7 @@
 class LeavingCaller(Caller):
     """Closes its connection before the answer, often enough."""
 
-    async def use(self, connection: CallerConnection, start) -> None:
+    async def use(self, connection: CallerConnection, start: Start) -> None:
         """Send a request and leave, or wait for its answer."""
         kinds = (RouteKind.IDEMPOTENT, RouteKind.NON_IDEMPOTENT)
         request = self.draw_request(start, kinds)
--- a/packages/papayapost-testing/src/papayapost_testing/soak/checks/nodes.py
+++ b/packages/papayapost-testing/src/papayapost_testing/soak/checks/nodes.py
@@ -24,7 +24,10 @@
         for node in self.tables.nodes:
             if node.served_us < self.tables.faults_ended_us:
                 text = f"{node.node_id} (start {node.start}, {node.state.value}) has "
-                text += "served no call since the faults ended"
+                text += "served no call since the faults ended; it waited "
+                span = node.started_us, tick.now_us
+                wait_us = self.tables.wait_us(node.node_id, *span)
+                text += f"{wait_us / 1e6:.3f} s for a core since its start"
                 self.find(node.node_id, text, tick.now_us)
 
 
--- a/packages/papayapost-testing/src/papayapost_testing/soak/connection.py
+++ b/packages/papayapost-testing/src/papayapost_testing/soak/connection.py
@@ -51,9 +51,16 @@
         Whether no further request may be sent.
     """
 
-    def __init__(self, reader, writer, entry: Entry, wire: Wire, post):
-        self._reader: asyncio.StreamReader = reader
-        self._writer: asyncio.StreamWriter = writer
+    def __init__(
+        self,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+        entry: Entry,
+        wire: Wire,
+        post: Callable[[object], None],
+    ):
+        self._reader = reader
+        self._writer = writer
         self._entry = entry
         self._wire = wire
         self._post = post
--- a/packages/papayapost-testing/src/papayapost_testing/soak/report.py
+++ b/packages/papayapost-testing/src/papayapost_testing/soak/report.py
@@ -63,11 +63,15 @@
         kind = "planned" if row.is_planned else "unplanned"
         where = row.node_id or "all"
         lines.append(f"  {row.began_us / 1e6:.3f}-{ended} {where} {kind} {row.what}")
-    lines += ["", "processes: start, SIGTERM, SIGKILL and exit in s, exit code"]
+    lines += ["", "processes: start, SIGTERM, SIGKILL, exit in s, exit code, wait"]
     for node in report.tables.ended_processes:
         times_us = node.started_us, node.term_us, node.kill_us, node.exited_us
         times = " ".join("-" if at < 0 else f"{at / 1e6:.3f}" for at in times_us)
-        lines.append(f"  {node.node_id} {node.start}: {times} {node.exit_code}")
+        span = node.started_us, node.exited_us
+        wait_s = report.tables.wait_us(node.node_id, *span) / 1e6
+        lines.append(
+            f"  {node.node_id} {node.start}: {times} {node.exit_code} {wait_s:.3f}"
+        )
     lines += ["", "versions"]
     for version in report.tables.versions:
         routes = ", ".join(
--- a/packages/papayapost-testing/src/papayapost_testing/soak/wire.py
+++ b/packages/papayapost-testing/src/papayapost_testing/soak/wire.py
@@ -112,7 +112,9 @@
         """Return the headers of a backend server's answer."""
 
     @abstractmethod
-    def refusal(self, request_id: RequestName, is_misdirected: bool):
+    def refusal(
+        self, request_id: RequestName, is_misdirected: bool
+    ) -> tuple[int, Headers]:
         """Return status and headers of an answer that refuses to run."""
 
     @abstractmethod
