--- a/packages/papayapost-testing/tests/test_soak_checks.py
+++ b/packages/papayapost-testing/tests/test_soak_checks.py
@@ -7,37 +7,8 @@
 
 from papayapost.ids import Micros, RequestName
 from papayapost.kernel import World
+from papayapost_testing.soak import checks, messages
 from papayapost_testing.soak.bounds import EXIT_SLACK_US, MEMORY_BYTES
-from papayapost_testing.soak.checks import (
-    CHECKS,
-    AnswersAreWhole,
-    DrainedServersRest,
-    MemoryIsBounded,
-    NodesRecover,
-    OutputHasNoTraceback,
-    PlannedWorkCutsNothing,
-    ProcessesEndInTime,
-    ProperCallsAreTaken,
-    RefusedNeverRuns,
-    RulesAreFollowed,
-    RulesNeverGoBack,
-    RunsAreAsSent,
-    UnsafeRunsOnce,
-)
-from papayapost_testing.soak.messages import (
-    CallEnded,
-    CallSent,
-    CoreAwaited,
-    DrainAcknowledged,
-    GraceDue,
-    LineWritten,
-    MemoryMeasured,
-    NodeExited,
-    NodeStarted,
-    RecoveryOver,
-    RunStarted,
-    UnaskedBytes,
-)
 from papayapost_testing.soak.rows import (
     AnswerRow,
     CallEnd,
@@ -73,8 +44,8 @@
         first.acked_us = Micros(0)
         self.tables.versions.put(first.version, first)
         systems = [RecordCalls(self.tables), TrackNodes(self.tables)]
-        checks = [check(self.tables) for check in CHECKS]
-        self.world = World([*systems, *checks], Random(1))
+        all_checks = [check(self.tables) for check in checks.CHECKS]
+        self.world = World([*systems, *all_checks], Random(1))
         for node_id in ("n0", "n1"):
             self.start(node_id, 1, 0)
 
@@ -82,7 +53,7 @@
         self.world.tick(Micros(int(at_us)), messages)
 
     def start(self, node_id, number, at_us):
-        self.post(at_us, NodeStarted(node_id, Start(number), at_us))
+        self.post(at_us, messages.NodeStarted(node_id, Start(number), at_us))
 
     def send(self, at_us=T, request_id="r1", **changes):
         values = {
@@ -97,7 +68,7 @@
             "whole_us": at_us,
         } | changes
         call = CallRow(RequestName(request_id), **values)
-        self.post(at_us, CallSent(call))
+        self.post(at_us, messages.CallSent(call))
         return call
 
     def run(self, call, at_us=None, **changes):
@@ -115,7 +86,7 @@
             "signature": "i1.a0",
         } | changes
         run = RunRow(**values)
-        self.post(run.began_us, RunStarted(run))
+        self.post(run.began_us, messages.RunStarted(run))
         return run
 
     def answer(self, call, at_us=None, **changes):
@@ -132,7 +103,7 @@
 
     def end(self, call, at_us=None, end=CallEnd.CLOSED, answer=None):
         at_us = at_us or call.sent_us + 50 * MS
-        self.post(at_us, CallEnded(call.request_id, end, at_us, answer))
+        self.post(at_us, messages.CallEnded(call.request_id, end, at_us, answer))
 
     def change_rules(self, at_us):
         newer = next_version(self.tables.newest(), Random(3))
@@ -178,26 +149,26 @@
     call = scene.send()
     scene.run(call)
     scene.answer(call, **changes)
-    assert scene.found_by() == only(AnswersAreWhole)
+    assert scene.found_by() == only(checks.AnswersAreWhole)
 
 
 def test_a_failure_turned_into_a_success_is_found(scene):
     call = scene.send()
     scene.run(call, status=500)
     scene.answer(call)
-    assert scene.found_by() == only(AnswersAreWhole)
+    assert scene.found_by() == only(checks.AnswersAreWhole)
 
 
 def test_bytes_that_nobody_asked_for_are_found(scene):
-    scene.post(T, UnaskedBytes("n0", b"HTTP/1.1 200 OK"))
-    assert scene.found_by() == only(AnswersAreWhole)
+    scene.post(T, messages.UnaskedBytes("n0", b"HTTP/1.1 200 OK"))
+    assert scene.found_by() == only(checks.AnswersAreWhole)
 
 
 def test_a_second_run_of_an_unsafe_request_is_found(scene):
     call = scene.send()
     scene.run(call)
     scene.run(call, server_id="i2")
-    assert scene.found_by() == only(UnsafeRunsOnce)
+    assert scene.found_by() == only(checks.UnsafeRunsOnce)
 
 
 def test_an_idempotent_request_may_run_twice(scene):
@@ -216,7 +187,7 @@
     scene.refuse(call, status)
     if not is_run_first:
         scene.run(call, T + 3 * SECOND_US)
-    assert scene.found_by() == only(RefusedNeverRuns)
+    assert scene.found_by() == only(checks.RefusedNeverRuns)
 
 
 @pytest.mark.parametrize(
@@ -233,14 +204,14 @@
 def test_a_run_that_is_not_as_sent_is_found(scene, changes):
     call = scene.send()
     scene.run(call, **changes)
-    assert scene.found_by() == only(RunsAreAsSent)
+    assert scene.found_by() == only(checks.RunsAreAsSent)
 
 
 @pytest.mark.parametrize("status", [400, 404, 413])
 def test_a_denial_of_a_proper_call_is_found(scene, status):
     call = scene.send()
     scene.refuse(call, status)
-    assert ProperCallsAreTaken.__name__ in scene.found_by()
+    assert checks.ProperCallsAreTaken.__name__ in scene.found_by()
 
 
 @pytest.mark.parametrize("end", [CallEnd.CLOSED, CallEnd.CUT])
@@ -248,12 +219,12 @@
     call = scene.send()
     scene.run(call)
     scene.end(call, end=end)
-    assert scene.found_by() == only(PlannedWorkCutsNothing)
+    assert scene.found_by() == only(checks.PlannedWorkCutsNothing)
 
 
 def test_a_call_that_was_read_and_is_closed_late_is_found(scene):
     scene.end(scene.send(), T + 300 * MS)
-    assert scene.found_by() == only(PlannedWorkCutsNothing)
+    assert scene.found_by() == only(checks.PlannedWorkCutsNothing)
 
 
 def test_an_own_failure_while_a_server_is_at_work_is_found(scene):
@@ -262,7 +233,7 @@
     call = scene.send(T + SECOND_US)
     scene.run(call)
     scene.refuse(call, 502)
-    assert scene.found_by() == only(PlannedWorkCutsNothing)
+    assert scene.found_by() == only(checks.PlannedWorkCutsNothing)
 
 
 @pytest.mark.parametrize(
@@ -275,7 +246,7 @@
         ended_us = T + 150 * MS
     elif case == "waits":
         wait = WaitRow(T, T + 200 * MS, 120 * MS)
-        scene.post(T, CoreAwaited("n0", wait))
+        scene.post(T, messages.CoreAwaited("n0", wait))
     elif case == "fault":
         scene.disturb(T - 3 * SECOND_US, T - 3 * SECOND_US)
     elif case == "server":
@@ -292,35 +263,35 @@
 
 
 def test_a_request_that_reaches_a_drained_server_is_found(scene):
-    scene.post(T, DrainAcknowledged("i1", "n0", 1, T))
+    scene.post(T, messages.DrainAcknowledged("i1", "n0", 1, T))
     early = scene.send(T + 2 * SECOND_US)
     scene.run(early)
     assert scene.found_by() == set()
     scene.run(scene.send(T + 3 * SECOND_US, "r2"))
-    assert scene.found_by() == only(DrainedServersRest)
+    assert scene.found_by() == only(checks.DrainedServersRest)
 
 
 def test_a_process_that_ends_by_itself_is_found(scene):
-    scene.post(T, NodeExited("n0", 0, T))
-    assert scene.found_by() == only(ProcessesEndInTime)
+    scene.post(T, messages.NodeExited("n0", 0, T))
+    assert scene.found_by() == only(checks.ProcessesEndInTime)
 
 
 @pytest.mark.parametrize("code", [1, -signal.SIGTERM])
 def test_an_exit_code_after_sigterm_is_found(scene, code):
     node = scene.tables.nodes.require("n0")
     node.term_us, node.served_us = T, T - SECOND_US
-    scene.post(T + SECOND_US, NodeExited("n0", code, T + SECOND_US))
-    assert scene.found_by() == only(ProcessesEndInTime)
+    scene.post(T + SECOND_US, messages.NodeExited("n0", code, T + SECOND_US))
+    assert scene.found_by() == only(checks.ProcessesEndInTime)
 
 
 def test_a_process_that_outlasts_its_grace_time_is_found(scene):
     scene.tables.nodes.require("n0").term_us = T
     due_us = T + 6 * SECOND_US + EXIT_SLACK_US
     scene.tables.lags.append((T, T + 30 * MS))
-    scene.post(due_us, GraceDue("n0", Start(1)))
+    scene.post(due_us, messages.GraceDue("n0", Start(1)))
     assert scene.found_by() == set()
     scene.post(due_us + 30 * MS)
-    assert scene.found_by() == only(ProcessesEndInTime)
+    assert scene.found_by() == only(checks.ProcessesEndInTime)
 
 
 def moved_call(scene, at_us, service, request_id="r1"):
@@ -334,14 +305,14 @@
     moved_call(scene, T + 2_400 * MS, "gusts", "r1")
     assert scene.found_by() == set()
     moved_call(scene, T + 2_600 * MS, "gusts", "r2")
-    assert scene.found_by() == only(RulesAreFollowed)
+    assert scene.found_by() == only(checks.RulesAreFollowed)
 
 
 def test_an_added_route_that_is_unknown_after_the_bound_is_found(scene):
     newer = scene.change_rules(T)
     call = scene.send(T + 2_600 * MS, target=f"/added-{newer.version}/r1")
     scene.refuse(call, 404)
-    assert scene.found_by() == only(RulesAreFollowed)
+    assert scene.found_by() == only(checks.RulesAreFollowed)
 
 
 def test_a_disturbed_node_may_follow_an_old_version(scene):
@@ -357,7 +328,7 @@
     moved_call(scene, T + 700 * MS, "gusts", "r2")
     assert scene.found_by() == set()
     moved_call(scene, T + 900 * MS, "gusts", "r3")
-    assert scene.found_by() == only(RulesNeverGoBack)
+    assert scene.found_by() == only(checks.RulesNeverGoBack)
 
 
 def test_a_node_that_serves_nothing_after_the_faults_is_found(scene):
@@ -365,13 +336,13 @@
     call = scene.send(T + SECOND_US, node_id="n1")
     scene.run(call, caller_service="vault")
     scene.answer(call)
-    scene.post(T + 15 * SECOND_US, RecoveryOver())
+    scene.post(T + 15 * SECOND_US, messages.RecoveryOver())
     assert [row.text.split()[0] for row in scene.tables.findings] == ["n0"]
-    assert scene.found_by() == only(NodesRecover)
+    assert scene.found_by() == only(checks.NodesRecover)
 
 
 def test_a_traceback_and_too_much_memory_are_found(scene):
-    scene.post(T, LineWritten("n0", "Traceback (most recent call last):"))
-    assert scene.found_by() == only(OutputHasNoTraceback)
-    scene.post(T, MemoryMeasured("n0", MEMORY_BYTES + 1))
-    assert MemoryIsBounded.__name__ in scene.found_by()
+    scene.post(T, messages.LineWritten("n0", "Traceback (most recent call last):"))
+    assert scene.found_by() == only(checks.OutputHasNoTraceback)
+    scene.post(T, messages.MemoryMeasured("n0", MEMORY_BYTES + 1))
+    assert checks.MemoryIsBounded.__name__ in scene.found_by()
