Keep sockets free for connections to many peers

What operators could see: "ZMQError: Too many open files" out of send() in a node that contacts many peers quickly; the tick that sent was lost.

Cause: 256 connections need 768 of 1,024 sockets, and ZeroMQ frees closed ones in another thread, after new ones were opened.

Change: four times as many sockets; a connection that cannot be opened drops the frame and counts it.

--- a/packages/papayapost-node/src/papayapost_node/transport/dealer.py
+++ b/packages/papayapost-node/src/papayapost_node/transport/dealer.py
@@ -101,9 +101,13 @@
             self._socket.curve_secretkey = own_keys.secret_key.encode()
             self._socket.curve_publickey = own_keys.public_key.encode()
             self._socket.curve_serverkey = peer_key.encode()
-        self._monitor = self._socket.get_monitor_socket(
-            _ESTABLISHED_EVENTS | _ENDED_EVENTS
-        )
+        try:
+            self._monitor = self._socket.get_monitor_socket(
+                _ESTABLISHED_EVENTS | _ENDED_EVENTS
+            )
+        except zmq.ZMQError:
+            self._socket.close(0)
+            raise
         self._loop.add_reader(self._monitor.fileno(), self._receive_events)
         self._socket.connect(f"tcp://{address}")
         self._loop.call_soon(self._receive_events)
--- a/packages/papayapost-node/src/papayapost_node/transport/zmq_transport.py
+++ b/packages/papayapost-node/src/papayapost_node/transport/zmq_transport.py
@@ -21,7 +21,8 @@
 
 MAX_DEALERS = 256
 # Each connection needs three sockets: the DEALER and both ends of its monitor.
-_MAX_SOCKETS = 4 * MAX_DEALERS
+# ZeroMQ frees closed sockets in another thread, after new ones were opened.
+_MAX_SOCKETS = 16 * MAX_DEALERS
 _IDLE_TIMEOUT_S = 60.0
 _MAX_FRAMES_PER_READ = 256
 _LAST_CONNECTIONS_WAIT_S = 0.5
@@ -88,7 +89,12 @@
         """Send a frame to a peer; it is delivered at most once."""
         dealer = self._dealers.get(address)
         if dealer is None:
-            dealer = self._connect(address)
+            try:
+                dealer = self._connect(address)
+            except zmq.ZMQError:
+                # No socket or descriptor is left; the frame is not sent.
+                self._peers.row_for_connection(address).dropped_frames += 1
+                return False
         else:
             self._dealers.move_to_end(address)
         self._last_used_s[address] = self._loop.time()
--- a/packages/papayapost-node/tests/test_transport.py
+++ b/packages/papayapost-node/tests/test_transport.py
@@ -11,7 +11,12 @@
 from papayapost_node.addresses import split_address
 from papayapost_node.batch import NoBatching
 from papayapost_node.security import AllowedKeyRow, KeyPair, KeyRing, new_key_pair
-from papayapost_node.transport import FrameListener, PeerTable, ZmqTransport
+from papayapost_node.transport import (
+    FrameListener,
+    PeerTable,
+    ZmqTransport,
+    zmq_transport,
+)
 from papayapost_node.transport.zmq_transport import MAX_DEALERS
 from papayapost_testing.ports import free_addresses
 
@@ -188,6 +193,21 @@
     run_with_peers(scenario)
 
 
+def test_a_frame_is_dropped_and_counted_when_no_socket_is_left(monkeypatch):
+    monkeypatch.setattr(zmq_transport, "_MAX_SOCKETS", 12)
+
+    async def scenario(start):
+        sender = start(*free_addresses(1))
+        addresses = [Address(f"127.0.0.2:{2_000 + number}") for number in range(20)]
+        sent = [sender.transport.send(address, b"frame") for address in addresses]
+        assert any(sent)
+        assert not all(sent)
+        rows = [sender.peers.row_for_connection(address) for address in addresses]
+        assert sum(row.dropped_frames for row in rows) == sent.count(False)
+
+    run_with_peers(scenario)
+
+
 def test_an_address_in_use_raises_an_error_with_its_code():
     async def scenario(start):
         (address,) = free_addresses(1)
