--- a/packages/papayapost-node/src/papayapost_node/composition.py
+++ b/packages/papayapost-node/src/papayapost_node/composition.py
@@ -28,9 +28,10 @@
     TimelinePage,
 )
 from papayapost_node.clock import Clock, SystemClock
-from papayapost_node.drain import Drain
+from papayapost_node.drain import Drain, StopTimes
 from papayapost_node.event_limit import EventRateLimit
 from papayapost_node.exchange import (
+    BulkPacer,
     EntrySide,
     NodeCarrierDelivery,
     OwnerSide,
@@ -175,9 +176,17 @@
         self._recorder.note_event(Event.NODE_STARTED)
 
     async def drain(self) -> None:
-        """Finish the running calls and ask the peers to send no new ones."""
+        """Finish the running calls, and send the last frames to the peers."""
         settings = self._settings
-        await self._drain.run(settings.drain_limit_ms, settings.drain_accept_ms)
+        times = StopTimes.within(settings.stop_limit_s)
+        left_s = await self._drain.run(
+            times.work_ms, settings.drain_accept_ms, times.flush_ms
+        )
+        # The last answers to peers may still be queued for a slow link.
+        self.runner.close()
+        if self._reports is not None:
+            await self._reports.close()
+        await self._transport.finish_sending(left_s)
 
     def note_stopped_at_once(self) -> None:
         """Record that the node stops before its drain is complete."""
@@ -272,6 +281,7 @@
             self._dialect,
             self._instance,
             self._settings.http.hold_answer_bytes,
+            BulkPacer(self._settings.link_mbps),
         )
 
     def _build_health_poller(self) -> HealthPoller | None:
--- a/packages/papayapost-node/src/papayapost_node/exchange/backend_call.py
+++ b/packages/papayapost-node/src/papayapost_node/exchange/backend_call.py
@@ -4,12 +4,18 @@
 
 from papayapost.errors import CreditExceeded
 from papayapost.ids import Micros
-from papayapost.traffic import BackendCallBegun, BackendCallEnded
+from papayapost.traffic import (
+    AnswerBlocked,
+    AnswerUnblocked,
+    BackendCallBegun,
+    BackendCallEnded,
+)
 from papayapost_node.deadline import DeadlineTimer
 from papayapost_node.exchange.body_receiver import BodyReceiver
 from papayapost_node.exchange.body_sender import MAX_PART_BYTES, BodySender
 from papayapost_node.exchange.dialect import AnswerVerdict, BackendTerms
 from papayapost_node.exchange.owner_services import OwnerServices
+from papayapost_node.exchange.pacing import PacedWindow
 from papayapost_node.exchange.tables import OwnedRequest
 from papayapost_node.exchange.windows import SendWindow
 from papayapost_node.http import (
@@ -39,6 +45,9 @@
 A backend server that answers 504 at the deadline needs a moment to send it.
 """
 
+_SMALL_ANSWER_BYTES = 16 << 10
+"""Largest body that is not paced; a link of 3.5 Mbit/s sends it in 40 ms."""
+
 _CONTINUE_STATUS = 100
 
 
@@ -75,13 +84,13 @@
         self._stall_deadline: DeadlineTimer | None = None
         self._status: int | None = None
         self._headers: Headers = []
-        self._buffered: list[bytes] = []
-        self._buffered_bytes = 0
+        self._buffered = bytearray()
         self._trailers: Headers = []
         self._is_running = False
         self._is_finished = False
         self._is_truncated = False
         self._is_held = False
+        self._is_blocked = False
         self._verdict = AnswerVerdict.ANSWER
 
     def connection_ready(self, connection: BackendConnection | None) -> None:
@@ -167,10 +176,11 @@
     def answer_begun(self, status: int, headers: Headers) -> AnswerReading:
         """Handle the answer's head and say how to read the rest.
 
-        The answer is skipped if it belongs to another request. It is held
-        until it is whole if its length is unknown or at most
-        `OwnerServices.hold_bytes`, or if its head already shows that it will
-        not be sent to the entry node.
+        The answer is skipped if it belongs to another request, and its body is
+        discarded if the head already shows that it will not be sent to the
+        entry node. It is held until it is whole if its length is unknown or at
+        most `OwnerServices.hold_bytes`. If its length is unknown, the deadline
+        applies until its end, as it may never end.
         """
         request = self._owned.request
         verdict = self._services.dialect.judge_answer(request.headers, status, headers)
@@ -178,28 +188,24 @@
             return AnswerReading.SKIPPED
         self._verdict = verdict
         self._status = status
+        if verdict is not AnswerVerdict.ANSWER:
+            self._is_held = True
+            return AnswerReading.DISCARDED
         self._headers = forwardable(headers)
         size = content_length(headers)
         hold_bytes = self._services.hold_bytes
-        may_be_held = bool(hold_bytes) and (size is None or size <= hold_bytes)
-        self._is_held = may_be_held or verdict is not AnswerVerdict.ANSWER
+        self._is_held = bool(hold_bytes) and (size is None or size <= hold_bytes)
         if not self._is_held:
             self._services.post(BackendCallBegun(self._owned.attempt_id, status))
-        return AnswerReading.WHOLE if self._is_held else AnswerReading.STREAMED
+        has_deadline = self._is_held or size is None
+        return AnswerReading.WHOLE if has_deadline else AnswerReading.STREAMED
 
     def answer_received(self, data: bytes) -> None:
-        """Send a piece of the body, or buffer it to send it with the head."""
-        if self._answer_sender is not None:
-            self._answer_sender.add(data)
-            self._finish_or_rearm()
-            return
-        if self._verdict is not AnswerVerdict.ANSWER:
-            return
-        self._buffered.append(data)
-        self._buffered_bytes += len(data)
-        if self._is_held and self._buffered_bytes > self._services.hold_bytes:
+        """Buffer a piece of the body, to send what one read brings at once."""
+        self._buffered += data
+        if self._is_held and len(self._buffered) > self._services.hold_bytes:
             self._release_held_answer()
-        if self._buffered_bytes >= MAX_PART_BYTES:
+        if len(self._buffered) >= MAX_PART_BYTES:
             self.read_ended()
 
     def answer_ended(self, trailers: Headers) -> None:
@@ -229,15 +235,18 @@
         self.read_ended()
 
     def read_ended(self) -> None:
-        """Send the answer's head together with the body received so far."""
-        has_head = self._status is not None and not self._is_held
-        if not has_head or self._answer_sender is not None or self._is_finished:
+        """Send the body received so far, with the head if it was not sent."""
+        if self._status is None or self._is_held or self._is_finished:
             return
-        assert self._status is not None
-        body = b"".join(self._buffered)
-        self._buffered = []
-        window = SendWindow(self._owned.answer_window_bytes)
+        if self._answer_sender is not None:
+            self._send_buffered(self._answer_sender)
+            return
+        body = bytes(self._buffered)
+        self._buffered.clear()
+        window = self._send_window(len(body))
         size = window.take(min(len(body), MAX_PART_BYTES))
+        if self._is_truncated:
+            body = body[:size]
         is_complete = not self._is_running and size == len(body)
         self._deliver(
             AnswerCarrier(
@@ -264,17 +273,41 @@
             self._answer_sender.end(self._trailers)
         self._finish_or_rearm()
 
+    def _send_window(self, received_bytes: int) -> SendWindow:
+        credit_bytes, pacer = self._owned.answer_window_bytes, self._services.pacer
+        is_small = not self._is_running and received_bytes <= _SMALL_ANSWER_BYTES
+        if is_small or self._owned.is_local:
+            return SendWindow(credit_bytes)
+        return PacedWindow(credit_bytes, pacer, self._link_has_room)
+
+    def _link_has_room(self) -> None:
+        self.grant(0)
+
     def _end_backend_call(self, is_whole: bool, trailers: Headers) -> None:
         """Post the end of the backend call; its answer may be sent later."""
         self._is_running = False
         self._connection = None
         self._trailers = forwardable(trailers)
+        if self._answer_sender is not None:
+            self._send_buffered(self._answer_sender)
+            if not is_whole:
+                # The caller will see that the answer is incomplete. To keep
+                # the rest for an entry node that grants no credit would not
+                # help it.
+                self._answer_sender.drop_unsent()
         ended = BackendCallEnded(self._owned.attempt_id, True, is_whole)
         self._services.post(ended)
         if self._answer_sender is not None:
             self._answer_sender.end(self._trailers)
             self._finish_or_rearm()
 
+    def _send_buffered(self, sender: BodySender) -> None:
+        if self._buffered:
+            data = bytes(self._buffered)
+            self._buffered.clear()
+            sender.add(data)
+            self._finish_or_rearm()
+
     def _start_request_body(self) -> None:
         self._body_receiver = BodyReceiver(
             self._services.budget, self._grant_request_credit
@@ -303,6 +336,9 @@
             # The call waits for credit from the entry node or for data from
             # the backend server; the stall timeout limits both.
             self._set_stall_deadline(True)
+            if not self._is_running and not self._is_blocked:
+                self._is_blocked = True
+                self._services.post(AnswerBlocked(self._owned.attempt_id))
 
     def _pause(self) -> None:
         if self._connection is not None:
@@ -369,4 +405,7 @@
         if self._body_receiver is not None:
             self._body_receiver.close()
             self._body_receiver = None
+        self._services.pacer.forget(self._link_has_room)
+        if self._is_blocked:
+            self._services.post(AnswerUnblocked(self._owned.attempt_id))
         self._services.remove_call(self._owned.attempt_id)
--- a/packages/papayapost-node/src/papayapost_node/http/backend.py
+++ b/packages/papayapost-node/src/papayapost_node/http/backend.py
@@ -3,75 +3,30 @@
 from __future__ import annotations
 
 import asyncio
-from abc import ABC, abstractmethod
 from collections.abc import Callable
-from enum import Enum
 
 import h11
 
 from papayapost_node.batch import InputBatching
 from papayapost_node.deadline import DeadlineTimer
+from papayapost_node.http.answer_bounds import AnswerBounds
+from papayapost_node.http.answer_sink import AnswerReading, AnswerSink
+from papayapost_node.http.head_check import HeadCheck
+from papayapost_node.http.headers import has_known_end
 from papayapost_node.http.messages import Headers, HttpRequest
 
-__all__ = ["AnswerReading", "AnswerSink", "BackendConnection"]
+__all__ = ["BackendConnection"]
 
 _WRITE_BUFFER_BYTES = 64 << 10
 _MAX_HEAD_BYTES = 64 << 10
+_MAX_EVENTS_PER_PASS = 256
+"""Most pieces of an answer handled before other connections get their turn;
+a read of 64 KB has a few, unless its chunks are tiny."""
 
+_DISCARD_TIMEOUT_S = 0.1
+"""Time for the rest of an unused answer, which a refusal has at once."""
 
-class AnswerReading(Enum):
-    """How to read the rest of an answer, decided by its receiver at the head.
-
-    With ``WHOLE``, the deadline applies until the end of the answer. With
-    ``STREAMED``, the deadline is cleared, as the head has arrived in time.
-    With ``SKIPPED``, the answer is discarded, and the connection waits for
-    the answer that follows it.
-    """
-
-    WHOLE = "whole"
-    STREAMED = "streamed"
-    SKIPPED = "skipped"
-
-
-class AnswerSink(ABC):
-    """Receives one answer of the backend server, piece by piece."""
-
-    @abstractmethod
-    def informational_received(self, status: int, headers: Headers) -> None:
-        """Handle an informational (1xx) answer before the final one."""
-
-    @abstractmethod
-    def answer_begun(self, status: int, headers: Headers) -> AnswerReading:
-        """Handle the answer's head and say how to read the rest."""
-
-    @abstractmethod
-    def answer_received(self, data: bytes) -> None:
-        """Handle a piece of the answer's body."""
-
-    @abstractmethod
-    def answer_ended(self, trailers: Headers) -> None:
-        """Handle the end of a whole answer.
-
-        The connection has been returned to the pool or closed before.
-        """
-
-    @abstractmethod
-    def read_ended(self) -> None:
-        """Handle the end of one read, whose data has all been passed on."""
-
-    @abstractmethod
-    def answer_failed(self, reason: str) -> None:
-        """Handle an answer that did not come or broke off.
-
-        Parameters
-        ----------
-        reason
-            Description of the failure, in words for a log.
-        """
-
-    @abstractmethod
-    def request_writable(self) -> None:
-        """Handle that the write buffer has room for more of the body."""
+_BODILESS_STATUSES = frozenset([204, 304])
 
 
 class BackendConnection(asyncio.BufferedProtocol):
@@ -110,10 +65,13 @@
         )
         self._transport: asyncio.Transport | None = None
         self._sink: AnswerSink | None = None
+        self._bounds = AnswerBounds()
+        self._head_check: HeadCheck | None = None
         self._method = ""
         self._is_paused = False
         self._is_processing = False
-        self._is_skipping = False
+        self._is_yielding = False
+        self._reading: AnswerReading | None = None
         self._deadline = DeadlineTimer(asyncio.get_running_loop(), self._on_deadline)
         self.is_writable = True
         self.calls = 0
@@ -160,9 +118,10 @@
             self.abort()
             return
         self._http.receive_data(data)
+        self._bounds.count_received(len(data))
         self._batch.begin()
         try:
-            self._process_events()
+            self._process_events(data)
         finally:
             self._batch.end()
 
@@ -210,7 +169,9 @@
             return False
         self._sink = sink
         self._method = request.method
-        self._is_skipping = False
+        self._bounds = AnswerBounds()
+        self._head_check = None
+        self._reading = None
         self.calls += 1
         self._deadline.set_in(budget_s)
         transport.write(encoded)
@@ -241,8 +202,9 @@
         """Continue to read the answer."""
         if self._is_paused and self._transport is not None:
             self._is_paused = False
-            self._transport.resume_reading()
-            if not self._is_processing:
+            if not self._is_yielding:
+                self._transport.resume_reading()
+            if not self._is_processing and not self._is_yielding:
                 self._process_events()
 
     def close_after(self, delay_s: float) -> None:
@@ -274,42 +236,95 @@
             parts.append(self._http.send(h11.EndOfMessage()))
         return b"".join([part for part in parts if part])
 
-    def _process_events(self) -> None:
+    def _process_events(self, data: bytes = b"") -> None:
+        """Handle all complete events; `data` is what the parser just got."""
         self._is_processing = True
         sink = self._sink
         try:
-            while not self._is_paused and self._handle_event(self._http.next_event()):
-                pass
+            for _ in range(_MAX_EVENTS_PER_PASS):
+                if self._is_paused or not self._handle_event(self._http.next_event()):
+                    break
+            else:
+                self._yield_to_others()
+            if self._sink is not None and not (self._is_paused or self._is_yielding):
+                self._bounds.check_overhead()
+                self._check_head(data)
+                if self._reading is AnswerReading.DISCARDED:
+                    self._deadline.shorten_to(_DISCARD_TIMEOUT_S)
         except h11.RemoteProtocolError as error:
             self._fail(f"the backend server's answer is malformed: {error}")
             self.abort()
         finally:
             self._is_processing = False
-        if sink is not None:
+        if sink is not None and not self._is_yielding:
             sink.read_ended()
 
+    def _yield_to_others(self) -> None:
+        """Stop reading, and handle the rest in the event loop's next pass."""
+        if self._transport is not None and self._sink is not None:
+            self._is_yielding = True
+            self._transport.pause_reading()
+            asyncio.get_running_loop().call_soon(self._continue)
+
+    def _continue(self) -> None:
+        self._is_yielding = False
+        if self._is_paused or self._transport is None or self._sink is None:
+            return
+        self._transport.resume_reading()
+        self._batch.begin()
+        try:
+            self._process_events()
+        finally:
+            self._batch.end()
+
+    def _check_head(self, data: bytes) -> None:
+        """Check the incomplete head, if any, that ends with `data`."""
+        if self._http.their_state is not h11.SEND_RESPONSE:
+            return
+        if self._head_check is None:
+            self._head_check = HeadCheck()
+            data = self._http.trailing_data[0]
+        self._head_check.feed(data)
+
     def _handle_event(self, event) -> bool:
         sink = self._sink
         if sink is None:
             return False
-        if self._is_skipping:
+        if type(event) is h11.Data:
+            self._bounds.count_data(len(event.data), event.chunk_end)
+        if self._reading is AnswerReading.SKIPPED:
             return self._skip_event(event)
         if type(event) is h11.Data:
-            sink.answer_received(bytes(event.data))
+            if self._reading is AnswerReading.DISCARDED:
+                self._bounds.count_discarded_data(len(event.data))
+            else:
+                sink.answer_received(bytes(event.data))
         elif type(event) is h11.Response:
-            reading = sink.answer_begun(event.status_code, list(event.headers))
-            self._is_skipping = reading is AnswerReading.SKIPPED
-            if reading is AnswerReading.STREAMED:
-                self._deadline.clear()
+            self._begin_answer(sink, event.status_code, list(event.headers))
         elif type(event) is h11.EndOfMessage:
             self._end(sink, list(event.headers))
             return False
         elif type(event) is h11.InformationalResponse:
+            self._head_check = None
+            self._bounds.count_informational()
             sink.informational_received(event.status_code, list(event.headers))
         else:
             return False
         return True
 
+    def _begin_answer(self, sink: AnswerSink, status: int, headers: Headers) -> None:
+        self._head_check = None
+        reading = self._reading = sink.answer_begun(status, headers)
+        if reading is AnswerReading.STREAMED:
+            self._deadline.clear()
+        elif reading is AnswerReading.SKIPPED:
+            self._bounds.count_skipped_answer()
+            has_body = self._method != "HEAD" and status not in _BODILESS_STATUSES
+            if has_body and not has_known_end(headers):
+                raise h11.RemoteProtocolError(
+                    "an answer to another request ends with the connection"
+                )
+
     def _skip_event(self, event) -> bool:
         """Discard an event of an answer to an earlier request.
 
@@ -317,6 +332,7 @@
         expects the answer to the running request.
         """
         if type(event) is h11.Data:
+            self._bounds.count_skipped_data(len(event.data))
             return True
         if type(event) is not h11.EndOfMessage:
             return False
@@ -340,7 +356,7 @@
         )
         self._http.send(placeholder)
         self._http.send(h11.EndOfMessage())
-        self._is_skipping = False
+        self._reading = None
         if rest:
             self._http.receive_data(rest)
         if is_closed:
--- a/packages/papayapost-node/src/papayapost_node/settings/model.py
+++ b/packages/papayapost-node/src/papayapost_node/settings/model.py
@@ -174,6 +174,9 @@
         Address on which the node accepts connections of other nodes.
     store_address
         Address of the platform's object store.
+    link_mbps
+        Rate of the VM's link in Mbit/s; 0 if it is not known. Nodes with fast
+        links are chosen first to read the rules for others.
     security
         Authentication and encryption between nodes; there is no default.
     seeds
@@ -185,9 +188,10 @@
         disables these pages.
     http
         Limits on the HTTP connections and requests of callers.
-    drain_limit_ms
-        Maximum duration of a drain, counted from the request to stop. After
-        it the node stops even if calls are still running.
+    stop_limit_s
+        Time in s from the request to stop until the platform kills the
+        process. The node uses nearly all of it for answers that are still on
+        their way, and stops as soon as none are left.
     drain_accept_ms
         Time from the start of a drain during which the node still accepts
         new connections, so that callers have time to learn that the node is
@@ -212,7 +216,8 @@
     store_wait_ms
         Time for which the node asks the store to hold a watch open.
     store_timeout_ms
-        Time within which the store must answer; for a watch it is added to
+        Time within which the store must begin to answer, and longest time
+        without further bytes of its answer; for a watch it is added to
         `store_wait_ms`.
     queue
         Order in which queued attempts get a slot of the backend server.
@@ -234,8 +239,9 @@
     seeds: list[AddressText] = []
     backend_server: BackendServerSettings | None = None
     admin_address: AddressText | None = None
+    link_mbps: float = Field(default=0.0, ge=0)
     http: HttpSettings = HttpSettings()
-    drain_limit_ms: int = Field(default=30_000, ge=0, le=3_600_000)
+    stop_limit_s: float = Field(default=30.0, ge=0.1, le=3_600)
     drain_accept_ms: int = Field(default=0, ge=0, le=600_000)
     drain_grace_ms: int = Field(default=3_000, ge=0, le=600_000)
     drain_announce_ms: int = Field(default=0, ge=0, le=600_000)
--- a/packages/papayapost-node/src/papayapost_node/wire/message_numbers.py
+++ b/packages/papayapost-node/src/papayapost_node/wire/message_numbers.py
@@ -15,6 +15,7 @@
     RulesRequest,
     RulesShared,
     RulesWanted,
+    StoreContact,
 )
 from papayapost.membership import (
     Announcement,
@@ -35,7 +36,14 @@
     ProbeResult,
     Vouch,
 )
-from papayapost.roster import Beat, Hello, HelloSuperseded, PeersShared
+from papayapost.roster import (
+    Beat,
+    Hello,
+    HelloSuperseded,
+    PeersLost,
+    PeersShared,
+    PeersWanted,
+)
 from papayapost.traffic import (
     AttemptCancel,
     AttemptFailed,
@@ -76,6 +84,8 @@
     Hello: 19,
     HelloSuperseded: 30,
     PeersShared: 31,
+    PeersWanted: 36,
+    PeersLost: 37,
 }
 _DISTRIBUTION_NUMBERS: dict[type, int] = {
     RulesRequest: 20,
@@ -88,6 +98,7 @@
     RulesProgress: 27,
     RulesWanted: 28,
     RulesShared: 29,
+    StoreContact: 35,
 }
 _TRAFFIC_NUMBERS: dict[type, int] = {
     AttemptOffer: 40,
--- a/packages/papayapost/src/papayapost/traffic/drain.py
+++ b/packages/papayapost/src/papayapost/traffic/drain.py
@@ -30,13 +30,17 @@
     CallerGone,
     CallExpired,
 )
-from papayapost.traffic.owner.tables import OwnerTables
+from papayapost.traffic.owner.replies import Replies
+from papayapost.traffic.owner.tables import OwnedState, OwnerTables
 from papayapost.traffic.owner_messages import (
+    AnswerBlocked,
+    AnswerUnblocked,
     AttemptExpired,
     BackendCallEnded,
     BackendServerPolled,
     DrainComplete,
     DrainRequested,
+    RefuseQueuedAttempts,
 )
 
 __all__ = ["DrainRow", "FinishDrain", "StartDrain"]
@@ -112,8 +116,9 @@
         else:
             self._announce_drain(tick)
         self._start_grace_period(tick)
-        limit_us = Micros(tick.now_us + requested.limit_ms * 1000)
-        tick.set_timer("drain limit", limit_us, DrainLimitPassed())
+        self._drain.grace_end_us = Micros(tick.now_us + self._grace_us)
+        self._drain.end_us = Micros(tick.now_us + requested.limit_ms * 1000)
+        tick.set_timer("drain limit", self._drain.end_us, DrainLimitPassed())
         tick.emit(Noted(Event.NODE_DRAINING))
 
     def _announce_drain(self, tick: Tick) -> None:
@@ -147,7 +152,9 @@
     """Lets the process exit when no work is left or the time limit passed."""
 
     consumes = (
+        AnswerBlocked,
         AnswerEnded,
+        AnswerUnblocked,
         AttemptCancel,
         AttemptExpired,
         AttemptFailed,
@@ -170,14 +177,18 @@
         calls: EntryTables,
         owner: OwnerTables,
         claims: ClaimTables,
+        me: SelfRow,
+        replies: Replies,
     ):
+        self._me = me
+        self._replies = replies
         self._drain = drain
         self._calls = calls
         self._owner = owner
         self._claims = claims
 
     def run(self, tick: Tick) -> None:
-        """Check whether any calls, attempts or claims are left."""
+        """Check whether any calls, attempts, answers or claims are left."""
         if self._drain.state is not NodeState.DRAINING:
             return
         for finished in tick.take(DrainFinished):
@@ -185,6 +196,7 @@
             return
         is_idle = self._is_idle()
         if tick.take(DrainLimitPassed):
+            self._end_attempts(tick)
             self._finish(tick, is_idle)
         elif self._drain.is_grace_period_over and is_idle:
             self._finish_if_still_idle(tick)
@@ -192,9 +204,20 @@
     def _is_idle(self) -> bool:
         calls, owner = self._calls, self._owner
         has_calls = len(calls.calls) or len(calls.attempts) or len(calls.held)
-        has_work = has_calls or len(owner.attempts)
+        has_work = has_calls or len(owner.attempts) or owner.blocked_answers
         return not has_work and not self._claims.is_busy()
 
+    def _end_attempts(self, tick: Tick) -> None:
+        """Tell the entry nodes which of their attempts end with the process.
+
+        Without it they would wait for the last answers of this node.
+        """
+        tick.post(RefuseQueuedAttempts())
+        for row in self._owner.attempts:
+            is_running = row.state is OwnedState.RUNNING
+            if is_running and row.offer.sender != self._me.node_id:
+                self._replies.fail(tick, row.offer)
+
     def _finish_if_still_idle(self, tick: Tick) -> None:
         """Finish the drain if a second check in the next pass finds no work.
 
--- a/packages/papayapost/src/papayapost/traffic/entry/failed_attempts.py
+++ b/packages/papayapost/src/papayapost/traffic/entry/failed_attempts.py
@@ -20,7 +20,7 @@
 )
 from papayapost.traffic.entry.upstream_tracking import OutlierEjector
 from papayapost.traffic.entry.upstreams import UpstreamRow, Upstreams
-from papayapost.traffic.internal import AttemptLost, CallStepDue
+from papayapost.traffic.internal import AttemptDoubted, AttemptLost, CallStepDue
 from papayapost.traffic.messages import (
     AttemptFailed,
     AttemptRefused,
@@ -32,8 +32,18 @@
 
 __all__ = ["HandleFailedAttempts"]
 
-_MAX_FULL_PAUSE_US = 100_000
-_FULL_CODES = frozenset([RefusalCode.QUEUE_FULL, RefusalCode.EVICTED, RefusalCode.SHED])
+_MAX_FULL_PAUSE_US = 300_000
+"""Longest time for which an upstream counts as full after a refusal. Within
+that time, slots and links of an owner node become free and full again."""
+
+_FULL_CODES = frozenset(
+    [
+        RefusalCode.EVICTED,
+        RefusalCode.NO_FREE_SLOT,
+        RefusalCode.QUEUE_FULL,
+        RefusalCode.SHED,
+    ]
+)
 _FAILURE_CODES = frozenset([RefusalCode.UNREACHABLE, RefusalCode.WRONG_SERVICE])
 
 
@@ -48,6 +58,7 @@
     consumes = (
         AttemptRefused,
         OfferUndelivered,
+        AttemptDoubted,
         AttemptLost,
         AttemptFailed,
         CallStepDue,
@@ -73,6 +84,8 @@
             self._handle_refusal(tick, refused)
         for undelivered in tick.take(OfferUndelivered):
             self._handle_undelivered(tick, undelivered.attempt_id)
+        for doubted in tick.take(AttemptDoubted):
+            self._replace_doubted(tick, doubted.attempt_id)
         for lost in tick.take(AttemptLost):
             self._handle_lost(tick, lost.attempt_id, is_reported_by_owner=False)
         for failed in tick.take(AttemptFailed):
@@ -86,8 +99,12 @@
             return
         upstream = attempt.upstream
         upstream.report(refused.free_slots, tick.now_us)
+        # A refusal that itself took long has waited on a slow link, as further
+        # offers and answers would.
+        delay_us = tick.now_us - attempt.offered_us
+        upstream.expected_wait_us = refused.retry_after_ms * 1000 + delay_us
         if refused.code in _FULL_CODES:
-            pause_us = min(refused.retry_after_ms * 1000, _MAX_FULL_PAUSE_US)
+            pause_us = min(upstream.expected_wait_us, _MAX_FULL_PAUSE_US)
             upstream.full_until_us = tick.now_us + pause_us
         if refused.code is RefusalCode.SHED:
             upstream.sample_outcome(False, tick.now_us)
@@ -97,6 +114,9 @@
         if call is None:
             return
         call.retry_after_ms = refused.retry_after_ms
+        if refused.code is RefusalCode.NO_FREE_SLOT:
+            # The attempt did not wait there, so a later one may.
+            call.tried.remove(upstream.node_id)
         if refused.code in _FAILURE_CODES:
             self._record_failure(tick, call, upstream)
         self._record_not_run(tick, call, refused.attempt_id, refused.code)
@@ -131,6 +151,18 @@
             return
         self._continue_call(tick, call, RefusalCode.LOST)
 
+    def _replace_doubted(self, tick: Tick, attempt_id: AttemptId) -> None:
+        """Try another upstream if the call may run again, or wait on.
+
+        Without another attempt, an answer that comes late is better than an
+        error that says nothing about the outcome.
+        """
+        call = self._call_of(self._tables.attempts.get(attempt_id))
+        if call is None or call.outstanding != [attempt_id]:
+            return
+        if call.route.idempotent and self._has_time(tick, call):
+            self._give_up_attempt(tick, call)
+
     def _record_not_run(
         self, tick: Tick, call: CallRow, attempt_id: AttemptId, code: RefusalCode
     ) -> None:
--- a/packages/papayapost/src/papayapost/traffic/internal.py
+++ b/packages/papayapost/src/papayapost/traffic/internal.py
@@ -6,6 +6,7 @@
 
 __all__ = [
     "AnnouncementDue",
+    "AttemptDoubted",
     "AttemptLost",
     "CallStepDue",
     "DrainCheck",
@@ -14,6 +15,7 @@
     "EjectionEnded",
     "GracePeriodEnded",
     "HoldExpired",
+    "LastAnswersDue",
     "TrafficStarted",
 ]
 
@@ -39,6 +41,13 @@
     attempt_id: AttemptId
 
 
+@dataclass(slots=True)
+class AttemptDoubted:
+    """Internal: the owner node is silent; it may still answer the attempt."""
+
+    attempt_id: AttemptId
+
+
 @dataclass(slots=True)
 class EjectionEnded:
     """Timer: the ejection of an upstream ends and calls may use it again."""
@@ -56,6 +65,13 @@
     """Timer: this node must ask other nodes to send no more attempts."""
 
 
+@dataclass(slots=True)
+class LastAnswersDue:
+    """Timer: answers still missing from a node that exited are lost."""
+
+    attempt_ids: tuple[AttemptId, ...]
+
+
 @dataclass(slots=True)
 class GracePeriodEnded:
     """Timer: the grace period in which other nodes learn of a drain ended."""
--- a/packages/papayapost/src/papayapost/traffic/owner/admission.py
+++ b/packages/papayapost/src/papayapost/traffic/owner/admission.py
@@ -20,6 +20,8 @@
 from papayapost.traffic.owner.tables import OwnedRow, OwnedState, OwnerTables
 from papayapost.traffic.owner.waiting import WaitingAttempts
 from papayapost.traffic.owner_messages import (
+    AnswerBlocked,
+    AnswerUnblocked,
     AttemptExpired,
     BackendCallBegun,
     BackendCallCancel,
@@ -50,6 +52,8 @@
     """
 
     consumes = (
+        AnswerBlocked,
+        AnswerUnblocked,
         AttemptCancel,
         AttemptExpired,
         BackendCallBegun,
@@ -83,6 +87,10 @@
 
     def run(self, tick: Tick) -> None:
         """Release the slots of ended calls first, then fill the free slots."""
+        blocked_answers = self._tables.blocked_answers
+        blocked_answers.update(a.attempt_id for a in tick.take(AnswerBlocked))
+        for unblocked in tick.take(AnswerUnblocked):
+            blocked_answers.discard(unblocked.attempt_id)
         for cancel in tick.take(AttemptCancel):
             self._cancel(tick, cancel.attempt_id)
         for begun in tick.take(BackendCallBegun):
@@ -165,6 +173,9 @@
             self._replies.refuse(tick, offer, code, 0)
             return None
         wait_us = self._expected_wait_us(tick, offer)
+        if not (offer.may_queue or self._has_free_slot()):
+            self._replies.refuse(tick, offer, RefusalCode.NO_FREE_SLOT, wait_us)
+            return None
         if self._would_expire_in_queue(tick, offer, wait_us):
             self._replies.refuse(tick, offer, RefusalCode.DEADLINE, wait_us)
             return None
@@ -213,15 +224,30 @@
         has_target = offer.target_us is not None
         return has_target and wait_us > offer.budget_us * _MAX_WAIT_FRACTION
 
+    def _has_free_slot(self) -> bool:
+        """Return whether an attempt can start now and be answered soon.
+
+        Answers that wait for credit hold no slot. They show that the link of
+        this VM is slow, and an answer to a further attempt would wait behind
+        them.
+        """
+        tables = self._tables
+        taken = tables.running + tables.waiting + len(tables.blocked_answers)
+        return taken < self._concurrency.limit
+
     def _expected_wait_us(self, tick: Tick, offer: AttemptOffer) -> float:
         tables = self._tables
-        if not tables.waiting:
+        if self._has_free_slot():
             return 0.0
         service_us = self._service_times.mean_us(offer.rank, tick.now_us)
+        next_slot_us = service_us / max(1, self._concurrency.limit)
+        if not tables.waiting:
+            return next_slot_us
         queue_wait_us = self._queue.expected_wait_us(
             offer.rank, service_us, tables.limit
         )
-        return max(queue_wait_us, self._queue.oldest_wait_us(offer.rank, tick.now_us))
+        oldest_wait_us = self._queue.oldest_wait_us(offer.rank, tick.now_us)
+        return max(queue_wait_us + next_slot_us, oldest_wait_us)
 
     def _apply_claim_verdict(self, tick: Tick, settled: ClaimSettled) -> None:
         row = self._tables.attempts.get(settled.attempt_id)
@@ -327,6 +353,8 @@
         row = self._tables.attempts.get(attempt_id)
         if row is None:
             self._seen.cancel(attempt_id)
+            if attempt_id in self._tables.blocked_answers:
+                tick.emit(BackendCallCancel(attempt_id))
             return
         row.is_cancelled = True
         if row.state is OwnedState.RUNNING:
--- a/packages/papayapost/tests/traffic/test_balancing.py
+++ b/packages/papayapost/tests/traffic/test_balancing.py
@@ -1,3 +1,5 @@
+from random import Random
+
 from papayapost.ids import Address, CallId, Incarnation, Micros
 from papayapost.membership import DirectoryChanged
 from papayapost.states import BackendServerState, LinkClass, Outcome, Rank
@@ -30,6 +32,7 @@
 
 
 HOLD_US = 1_000_000
+RAMP_MIN_SHARE = 0.1
 
 
 class Entry:
@@ -108,6 +111,33 @@
     assert first.address in targets(entry, 5)
 
 
+def refuse(entry, offer, after_us):
+    attempt_id, sender = offer.offer.attempt_id, offer.offer.sender
+    refused = AttemptRefused(sender, attempt_id, RefusalCode.NO_FREE_SLOT, 20, 0)
+    return entry.tick(refused, after_us=after_us)
+
+
+def test_an_owner_whose_refusals_are_late_is_passed_over_for_as_long():
+    entry = Entry([backend_row("a", "gusts"), backend_row("b", "gusts")])
+    first = only(entry.call())
+    second = only(refuse(entry, first, after_us=200_000))
+    assert second.address != first.address
+    entry.answer(second)
+    entry.tick(after_us=100_000)
+    assert first.address not in targets(entry, 5)
+
+
+def test_a_call_crosses_regions_rather_than_wait_for_a_slow_link():
+    near = backend_row("near", "far", NORTH_1)
+    entry = Entry([near, backend_row("far", "far", SOUTH_1)])
+    offer = only(entry.call("/far/a"))
+    assert offer.address == near.peer_address
+    assert only(refuse(entry, offer, after_us=10_000)).address == near.peer_address
+    entry.tick(after_us=1_000_000)
+    offer = only(entry.call("/far/a"))
+    assert only(refuse(entry, offer, after_us=200_000)).address == "far:1"
+
+
 def test_a_slow_backend_server_gets_fewer_attempts_than_others():
     entry = Entry([backend_row(name, "gusts") for name in "abc"])
     attempts = {"a:1": 0, "b:1": 0, "c:1": 0}
@@ -161,6 +191,26 @@
     assert targets(entry, 200).count("a:1") > 30
 
 
+def test_a_backend_server_that_joins_gets_a_part_of_few_calls_during_its_ramp():
+    random, calls_to_new = Random(5), 0
+    for number in range(40):
+        rows = [backend_row(name, "gusts") for name in "abcd"]
+        entry = Entry(rows[:3], own=backend_row(f"entry-{number}", None))
+
+        def call(entry=entry):
+            offer = only(entry.call())
+            entry.answer(offer, after_us=random.randrange(10_000, 30_000), free_slots=9)
+            return offer.address
+
+        for _ in range(20 + number):  # another part of the seeded draws each
+            call()
+        entry.node.directory.put(rows[3].node_id, rows[3])
+        entry.tick(DirectoryChanged((rows[3],)))
+        entry.tick(after_us=random.randrange(100_000, 200_000))
+        calls_to_new += sum(call() == rows[3].peer_address for _ in range(20))
+    assert calls_to_new >= 40 * 20 / 4 * RAMP_MIN_SHARE / 2
+
+
 def test_a_cold_backend_server_starts_its_ramp_when_it_is_ready():
     rows = [backend_row(name, "gusts", slots=100) for name in "abcd"]
     entry = Entry(rows)
--- a/packages/papayapost/tests/traffic/test_drain.py
+++ b/packages/papayapost/tests/traffic/test_drain.py
@@ -1,9 +1,13 @@
-from papayapost.ids import CallId
+from papayapost.ids import CallId, Micros
 from papayapost.membership import DirectoryChanged
 from papayapost.states import BackendServerState, Outcome
 from papayapost.traffic import (
     AnswerBegun,
+    AnswerBlocked,
     AnswerEnded,
+    AnswerUnblocked,
+    AttemptFailed,
+    BackendCallCancel,
     BackendCallEnded,
     BackendServerPolled,
     CallRefusal,
@@ -15,7 +19,7 @@
 from papayapost.traffic.drain import GRACE_US
 from papayapost_testing.traffic_worlds import backend_row, traffic_world
 
-from .owners import RULES, Owner, refusals, started
+from .owners import RULES, Owner, refusals, sent_messages, started
 from .stores import FakeStore
 from .test_balancing import Entry, offers_sent, only
 from .test_claims import KeyedOwner
@@ -80,6 +84,31 @@
     assert owner.tables.counters.started[2] == 3
 
 
+def test_a_drain_waits_for_an_answer_whose_entry_node_grants_no_credit_yet():
+    owner = Owner()
+    offer = owner.offer()
+    owner.tick(offer)
+    owner.tick(DrainRequested())
+    ended = BackendCallEnded(offer.attempt_id, True, True)
+    owner.tick(ended, AnswerBlocked(offer.attempt_id))
+    assert not completions(owner.tick(after_us=GRACE_US))
+    assert not completions(owner.tick(after_us=1_000_000))
+    effects = owner.tick(AnswerUnblocked(offer.attempt_id))
+    assert completions(effects) == [DrainComplete(True)]
+
+
+def test_a_blocked_answer_that_is_cancelled_does_not_delay_a_drain():
+    owner = Owner()
+    offer = owner.offer()
+    owner.tick(offer)
+    owner.tick(DrainRequested())
+    ended = BackendCallEnded(offer.attempt_id, True, True)
+    owner.tick(ended, AnswerBlocked(offer.attempt_id))
+    assert BackendCallCancel(offer.attempt_id) in owner.cancel(offer)
+    owner.tick(AnswerUnblocked(offer.attempt_id))
+    assert completions(owner.tick(after_us=GRACE_US)) == [DrainComplete(True)]
+
+
 def test_an_entry_node_finishes_its_calls_before_its_drain_completes():
     entry = Entry([backend_row("a", "gusts"), backend_row("b", "gusts")])
     offer = only(entry.call())
@@ -103,6 +132,40 @@
     assert refused.outcome is Outcome.NOT_RUN
 
 
+def drain_refusal(effects):
+    (refused,) = [item for item in effects if isinstance(item, CallRefusal)]
+    assert (refused.code, refused.status) == (RefusalCode.DRAINING, 503)
+    assert refused.outcome is Outcome.NOT_RUN
+    return refused
+
+
+def test_a_call_that_may_outlast_the_process_is_refused_as_not_run():
+    rules = "route GET /gusts/* -> gusts idempotent=yes timeout_ms=5000 # Mei: desk\n"
+    entry = Entry([backend_row("a", "gusts"), backend_row("b", "gusts")], rules)
+    entry.tick(DrainRequested(limit_ms=5_580))
+    # Nothing is known yet of how long calls of this route take.
+    assert offers_sent(entry.call())
+    entry.tick(after_us=600_000)
+    refused = drain_refusal(entry.call())
+    # Callers have the grace period to leave for another node.
+    assert refused.retry_after_ms == (GRACE_US - 600_000) // 1000
+
+
+def test_a_call_is_taken_late_in_a_drain_if_calls_of_its_route_end_in_time():
+    rules = "route GET /gusts/* -> gusts idempotent=yes timeout_ms=5000 # Mei: desk\n"
+    entry = Entry([backend_row("a", "gusts"), backend_row("b", "gusts")], rules)
+    entry.answer(only(entry.call()), after_us=500_000)
+    entry.tick(DrainRequested(limit_ms=4_000))
+    entry.answer(only(entry.call()), after_us=2_500_000)
+    drain_refusal(entry.call())
+
+    entry = Entry([backend_row("a", "gusts"), backend_row("b", "gusts")], rules)
+    entry.answer(only(entry.call()), after_us=500_000)
+    entry.tick(DrainRequested(limit_ms=4_000))
+    entry.tick(after_us=2_500_000)
+    assert offers_sent(entry.call())
+
+
 def test_a_drain_that_ends_at_its_time_limit_with_work_left_is_not_clean():
     owner = Owner()
     owner.tick(owner.offer())
@@ -111,6 +174,19 @@
     assert completions(owner.tick(after_us=2_000_000)) == [DrainComplete(False)]
 
 
+def test_entry_nodes_are_told_which_attempts_end_with_the_process():
+    owner = Owner(slots=1)
+    budget_us = Micros(9_000_000)
+    running, queued = (owner.offer(budget_us=budget_us) for _ in range(2))
+    owner.tick(running, queued)
+    owner.tick(DrainRequested(limit_ms=5_000))
+    effects = owner.tick(after_us=5_000_000)
+    assert completions(effects) == [DrainComplete(False)]
+    (failed,) = sent_messages(effects, AttemptFailed)
+    assert failed.attempt_id == running.attempt_id
+    assert refusals(effects) == {queued.attempt_id: RefusalCode.DRAINING}
+
+
 def test_calls_at_a_draining_node_are_offered_to_other_nodes():
     own = backend_row("entry", "gusts")
     entry = Entry([backend_row("a", "gusts")], own=own)
