Let no signal end a node while it starts, or change its exit code at the end

Cause: SIGHUP has its default action until the node has started, and the event loop gives its handlers up before the process has ended.

Change: programs import early_signals before all others, which ignores SIGHUP; the package papayapost_node imports nothing by itself for that. A stopped node ignores further stop signals.

--- a/packages/papayapost-node/src/papayapost_node/main.py
+++ b/packages/papayapost-node/src/papayapost_node/main.py
@@ -1,5 +1,8 @@
 """Entry point of ``papayad``, which runs one node until a signal stops it."""
 
+from papayapost_node import early_signals  # noqa: F401
+
+# isort: split
 import asyncio
 import gc
 import resource
@@ -20,6 +23,7 @@
 _EXIT_FAILURE = 1
 _EXIT_USAGE = 2
 _KEYGEN = "keygen"
+_STOP_SIGNALS = (signal.SIGTERM, signal.SIGINT)
 _MAX_DESCRIPTORS = 16_384
 _GC_THRESHOLD_ALLOCATIONS = 10_000
 
@@ -77,7 +81,7 @@
             stop_requested.set()
         drain_requested.set()
 
-    for signal_number in (signal.SIGTERM, signal.SIGINT):
+    for signal_number in _STOP_SIGNALS:
         loop.add_signal_handler(signal_number, on_stop_signal)
     node = await build_node(settings)
     try:
@@ -90,6 +94,10 @@
             node.note_stopped_at_once()
     finally:
         await node.close()
+        # A further signal must not change the exit code of a stopped node.
+        for signal_number in _STOP_SIGNALS:
+            loop.remove_signal_handler(signal_number)
+            signal.signal(signal_number, signal.SIG_IGN)
 
 
 def _tune_garbage_collector() -> None:
--- a/packages/papayapost-testing/tests/test_whole_path.py
+++ b/packages/papayapost-testing/tests/test_whole_path.py
@@ -6,9 +6,10 @@
 from papayapost.ids import Address, NodeId
 from papayapost.observe import Event
 from papayapost.timeline import merge_rows, select_call
-from papayapost_node import Settings, build_node
 from papayapost_node.admin import TimelineReport
+from papayapost_node.composition import build_node
 from papayapost_node.http import ClientConnection, HttpAnswer, HttpRequest
+from papayapost_node.settings import Settings
 from papayapost_node.store import HttpStoreClient
 from papayapost_testing import BackendServerStandIn, ObjectStoreStandIn
 from papayapost_testing.ports import free_addresses
