Keep the place of a large answer while it waits for credit

Cause: an answer that ran out of credit returned to the end of the pacer's queue. The test had credit for the whole body and could not see it.

Change: an answer has a place by its arrival; the lowest that waits is served.

Evidence: test_a_download_keeps_its_place_while_it_waits_for_credit is new.

--- a/packages/papayapost-node/src/papayapost_node/exchange/backend_call.py
+++ b/packages/papayapost-node/src/papayapost_node/exchange/backend_call.py
@@ -80,6 +80,7 @@
         self._deadline_s = loop.time() + budget_us / 1e6
         self._connection: BackendConnection | None = None
         self._answer_sender: BodySender | None = None
+        self._window: SendWindow | None = None
         self._body_receiver: BodyReceiver | None = None
         self._stall_deadline: DeadlineTimer | None = None
         self._status: int | None = None
@@ -243,7 +244,7 @@
             return
         body = bytes(self._buffered)
         self._buffered.clear()
-        window = self._send_window(len(body))
+        window = self._window = self._send_window(len(body))
         size = window.take(min(len(body), MAX_PART_BYTES))
         if self._is_truncated:
             body = body[:size]
@@ -405,7 +406,8 @@
         if self._body_receiver is not None:
             self._body_receiver.close()
             self._body_receiver = None
-        self._services.pacer.forget(self._link_has_room)
+        if self._window is not None:
+            self._window.close()
         if self._is_blocked:
             self._services.post(AnswerUnblocked(self._owned.attempt_id))
         self._services.remove_call(self._owned.attempt_id)
--- a/packages/papayapost-node/src/papayapost_node/exchange/pacing.py
+++ b/packages/papayapost-node/src/papayapost_node/exchange/pacing.py
@@ -1,7 +1,6 @@
 """Limits the rate at which large answers enter the link of a VM."""
 
 import asyncio
-from collections import deque
 from collections.abc import Callable
 
 from papayapost_node.exchange.windows import SendWindow
@@ -25,6 +24,7 @@
     Whatever the number of large answers, only a short burst of their bytes is
     queued at the link, so that small messages pass. Answers are served one
     after the other: if the link cannot carry all of them, some are in time.
+    While an answer waits for credit, the next one is served.
 
     Parameters
     ----------
@@ -37,12 +37,17 @@
         self._burst_bytes = max(_MIN_BURST_BYTES, self._rate_bytes_per_s * _BURST_S)
         self._tokens_bytes = self._burst_bytes
         self._refilled_s = 0.0
-        self._waiting: deque[RoomCallback] = deque()
-        self._served: RoomCallback | None = None
+        self._last_place = 0
+        self._waiting: dict[int, RoomCallback] = {}
         self._timer: asyncio.TimerHandle | None = None
 
-    def take(self, wanted_bytes: int, on_room: RoomCallback) -> int:
-        """Return how many bytes may be sent now.
+    def new_place(self) -> int:
+        """Return the place of a new answer, behind all earlier ones."""
+        self._last_place += 1
+        return self._last_place
+
+    def take(self, wanted_bytes: int, place: int, on_room: RoomCallback) -> int:
+        """Return how many bytes the answer at a place may send now.
 
         Parameters
         ----------
@@ -52,29 +57,20 @@
         if not self._rate_bytes_per_s or not wanted_bytes:
             return wanted_bytes
         self._refill()
-        is_served = on_room == self._served
         part_bytes = min(wanted_bytes, _MIN_PART_BYTES)
-        if (self._waiting and not is_served) or self._tokens_bytes < part_bytes:
-            self._wait(on_room, is_served)
+        is_behind = any(waiting < place for waiting in self._waiting)
+        if is_behind or self._tokens_bytes < part_bytes:
+            self._waiting[place] = on_room
+            if self._timer is None:
+                self._set_timer()
             return 0
         taken = min(wanted_bytes, int(self._tokens_bytes))
         self._tokens_bytes -= taken
         return taken
 
-    def forget(self, on_room: RoomCallback) -> None:
+    def forget(self, place: int) -> None:
         """Drop the callback of an answer that has ended."""
-        if on_room in self._waiting:
-            self._waiting.remove(on_room)
-
-    def _wait(self, on_room: RoomCallback, is_served: bool) -> None:
-        if on_room in self._waiting:
-            return
-        if is_served:
-            self._waiting.appendleft(on_room)
-        else:
-            self._waiting.append(on_room)
-        if self._timer is None:
-            self._set_timer()
+        self._waiting.pop(place, None)
 
     def _refill(self) -> None:
         now_s = asyncio.get_running_loop().time()
@@ -92,9 +88,7 @@
         self._timer = None
         self._refill()
         while self._waiting and self._tokens_bytes >= _MIN_PART_BYTES:
-            self._served = self._waiting.popleft()
-            self._served()
-        self._served = None
+            self._waiting.pop(min(self._waiting))()
         if self._waiting and self._timer is None:
             self._set_timer()
 
@@ -108,14 +102,20 @@
         Called when more may be sent, if the pacer had held bytes back.
     """
 
-    __slots__ = ("_on_room", "_pacer")
+    __slots__ = ("_on_room", "_pacer", "_place")
 
     def __init__(self, credit_bytes: int, pacer: BulkPacer, on_room: RoomCallback):
         super().__init__(credit_bytes)
         self._pacer = pacer
+        self._place = pacer.new_place()
         self._on_room = on_room
 
     def take(self, wanted_bytes: int) -> int:
         """Use up to `wanted_bytes` of the credit and return the bytes used."""
         allowed_bytes = min(wanted_bytes, self.credit_bytes)
-        return super().take(self._pacer.take(allowed_bytes, self._on_room))
+        given_bytes = self._pacer.take(allowed_bytes, self._place, self._on_room)
+        return super().take(given_bytes)
+
+    def close(self) -> None:
+        """Leave the pacer; nothing more is sent."""
+        self._pacer.forget(self._place)
--- a/packages/papayapost-node/src/papayapost_node/exchange/windows.py
+++ b/packages/papayapost-node/src/papayapost_node/exchange/windows.py
@@ -31,6 +31,9 @@
     def __init__(self, credit_bytes: int):
         self.credit_bytes = credit_bytes
 
+    def close(self) -> None:
+        """Release what the window holds; nothing more is sent."""
+
     def grant(self, size_bytes: int) -> None:
         """Add credit from the receiver."""
         self.credit_bytes += size_bytes
--- a/packages/papayapost-node/tests/test_pacing.py
+++ b/packages/papayapost-node/tests/test_pacing.py
@@ -14,12 +14,17 @@
 class Sending:
     """One answer that is sent, with the times at which its parts were."""
 
-    def __init__(self, pacer: BulkPacer, size_bytes: int = BODY_BYTES):
+    def __init__(
+        self,
+        pacer: BulkPacer,
+        size_bytes: int = BODY_BYTES,
+        credit_bytes: int = 1 << 20,
+    ):
         self.parts: list[tuple[float, int]] = []
         self.ended = asyncio.Event()
         self._loop = asyncio.get_running_loop()
-        window = PacedWindow(1 << 20, pacer, self.on_room)
-        self._sender = BodySender(window, self._send, lambda: None, lambda: None)
+        self.window = PacedWindow(credit_bytes, pacer, self.on_room)
+        self._sender = BodySender(self.window, self._send, lambda: None, lambda: None)
         self._sender.add(bytes(size_bytes))
         self._sender.end([])
 
@@ -28,7 +33,10 @@
         return sum(size for _, size in self.parts)
 
     def on_room(self):
-        self._sender.grant(0)
+        self.grant(0)
+
+    def grant(self, size_bytes: int):
+        self._sender.grant(size_bytes)
 
     def _send(self, data, is_last, trailers):
         self.parts.append((self._loop.time(), len(data)))
@@ -69,11 +77,26 @@
     asyncio.run(main())
 
 
+def test_a_download_keeps_its_place_while_it_waits_for_credit():
+    async def main():
+        pacer = BulkPacer(LINK_MBPS)
+        first = Sending(pacer, credit_bytes=16_000)
+        second, third = Sending(pacer), Sending(pacer)
+        while not second.sent_bytes:
+            await asyncio.sleep(0.01)
+        first.grant(BODY_BYTES)
+        await first.ended.wait()
+        assert second.sent_bytes < BODY_BYTES
+        assert not third.sent_bytes
+
+    asyncio.run(main())
+
+
 def test_a_download_that_ends_early_does_not_hold_up_the_next():
     async def main():
         pacer = BulkPacer(LINK_MBPS)
         first, second = Sending(pacer, 1 << 30), Sending(pacer)
-        pacer.forget(first.on_room)
+        first.window.close()
         async with asyncio.timeout(5):
             await second.ended.wait()
 
