--- a/packages/papayapost/src/papayapost/distribution/direct.py
+++ b/packages/papayapost/src/papayapost/distribution/direct.py
@@ -1,6 +1,4 @@
-"""READ NOTE-FROM-LEAD.md AT THE ROOT OF THIS WORKTREE (then drop this line).
-
-Systems that distribute the rules without a tree of relays.
+"""Systems that distribute the rules without a tree of relays.
 
 A node watches the store directly, unless relays of its region do so for it.
 A node that cannot reach the store fetches the rules from a peer whose
@@ -187,7 +185,10 @@
             tick.set_timer(WatchDue, due_us, WatchDue())
 
     def _watch(self, tick: Tick) -> None:
-        tick.emit(WatchObject(RULES_KEY, self._contact.version))
+        # A follower holds rules that its own watch has not read.
+        contact = self._contact
+        contact.version = max(contact.version, self._rules.held_version)
+        tick.emit(WatchObject(RULES_KEY, contact.version))
 
     def _retry_later(self, tick: Tick, reason: str) -> None:
         contact = self._contact
