Leave a call its redirects when owners have no free slot

What callers would see: during a release under load a call that four full owners had refused got 503 when the fifth was draining, with owners left untried.

Cause: attempts that may not queue are bounded by themselves, but counted among the four redirects of a call as well. And the time of a refusal was counted as link delay for attempts that had waited in a queue.

Evidence: test_refusals_for_want_of_a_free_slot_leave_the_redirects_of_a_call failed before.

--- a/packages/papayapost/src/papayapost/traffic/entry/failed_attempts.py
+++ b/packages/papayapost/src/papayapost/traffic/entry/failed_attempts.py
@@ -99,10 +99,11 @@
             return
         upstream = attempt.upstream
         upstream.report(refused.free_slots, tick.now_us)
-        # A refusal that itself took long has waited on a slow link, as further
-        # offers and answers would.
-        delay_us = tick.now_us - attempt.offered_us
-        upstream.expected_wait_us = refused.retry_after_ms * 1000 + delay_us
+        upstream.expected_wait_us = refused.retry_after_ms * 1000
+        if refused.code is RefusalCode.NO_FREE_SLOT:
+            # The owner node refuses such an attempt at once. If the refusal
+            # took long, it has waited on a slow link, as an answer would.
+            upstream.expected_wait_us += tick.now_us - attempt.offered_us
         if refused.code in _FULL_CODES:
             pause_us = min(upstream.expected_wait_us, _MAX_FULL_PAUSE_US)
             upstream.full_until_us = tick.now_us + pause_us
@@ -200,7 +201,8 @@
         """Offer the call to another upstream without counting a retry."""
         if not self._offers.offer(tick, call):
             return False
-        call.redirects += 1
+        if call.last_code is not RefusalCode.NO_FREE_SLOT:
+            call.redirects += 1
         self._tables.counters.redirects += 1
         self._offers.set_next_step(tick, call)
         return True
--- a/packages/papayapost/src/papayapost/traffic/entry/shared_budget.py
+++ b/packages/papayapost/src/papayapost/traffic/entry/shared_budget.py
@@ -97,8 +97,11 @@
     def costs_no_retry(self, call: CallRow, code: RefusalCode) -> bool:
         """Return whether the attempt certainly did not reach a backend server.
 
-        The result is False once a call had `_MAX_REDIRECTS` such attempts.
+        The result is False once a call had `_MAX_REDIRECTS` such attempts. The
+        entry node bounds the attempts that may not queue by itself.
         """
+        if code is RefusalCode.NO_FREE_SLOT:
+            return True
         return code not in _MAYBE_REACHED_CODES and call.redirects < _MAX_REDIRECTS
 
     def may_retry(self, call: CallRow) -> bool:
--- a/packages/papayapost/src/papayapost/traffic/entry/tables.py
+++ b/packages/papayapost/src/papayapost/traffic/entry/tables.py
@@ -53,7 +53,8 @@
         Attempts that were refused as not run.
     retries, redirects
         Number of further attempts that count against the retry limit of the
-        rule, and number of those that follow a refusal which costs no retry.
+        rule, and number of those that follow a refusal which costs no retry,
+        but for refusals for want of a free slot.
     may_have_run
         Whether an attempt that is no longer outstanding may have run.
     arrived_us
--- a/packages/papayapost/tests/traffic/test_balancing.py
+++ b/packages/papayapost/tests/traffic/test_balancing.py
@@ -38,8 +38,9 @@
 class Entry:
     """An entry node whose owner nodes answer as the test decides."""
 
-    def __init__(self, rows, rules=RULES, own=None):
-        self.node = traffic_world(own or backend_row("entry", None), rows, rules)
+    def __init__(self, rows, rules=RULES, own=None, options=None):
+        own = own or backend_row("entry", None)
+        self.node = traffic_world(own, rows, rules, options=options)
         self.now_us = 1_000
         self.calls = 0
 
--- a/packages/papayapost/tests/traffic/test_shared_budget.py
+++ b/packages/papayapost/tests/traffic/test_shared_budget.py
@@ -8,19 +8,24 @@
 from papayapost.membership import directory_table
 from papayapost.rules import compile_rules
 from papayapost.traffic import (
+    AttemptRefused,
     CallArrived,
     RefusalCode,
     SharedBudget,
+    TrafficOptions,
     WindowedRetries,
 )
 from papayapost.traffic.entry.tables import CallRow, CallStep
 from papayapost_testing.traffic_worlds import backend_row
 
+from .test_balancing import Entry, only
+
 RATIO, SLACK, WINDOW_US = 0.2, 60.0, 10_000_000
-ROUTE = compile_rules(
+SHARED_RULES = (
     "route * /* -> gusts idempotent=yes retries=2 timeout_ms=2000 target_ms=500"
     " # Mei: wind desk\n"
-).routes[0]
+)
+ROUTE = compile_rules(SHARED_RULES).routes[0]
 
 
 def make_call(number: int) -> CallRow:
@@ -105,6 +110,18 @@
         assert repeats <= RATIO * calls + SLACK
 
 
+def test_refusals_for_want_of_a_free_slot_leave_the_redirects_of_a_call():
+    rows = [backend_row(f"u{number}", "gusts") for number in range(8)]
+    options = TrafficOptions(shared_budget=SharedBudget(0.2, 56, 10_000_000))
+    entry = Entry(rows, SHARED_RULES, options=options)
+    offer = only(entry.call())
+    codes = [RefusalCode.NO_FREE_SLOT] * 4 + [RefusalCode.DRAINING] * 4
+    for code in codes:
+        attempt_id, sender = offer.offer.attempt_id, offer.offer.sender
+        offer = only(entry.tick(AttemptRefused(sender, attempt_id, code, 20, 0)))
+    assert offer.offer.may_queue
+
+
 def test_an_attempt_that_reached_no_backend_server_costs_no_retry():
     (policy,) = make_policies(1)
     call = make_call(1)
