Wait for the last answers of a drained owner that is listed as gone

What callers would see: an idempotent call whose owner had drained and exited was cancelled and run again 0.4 s later, when the directory listed the owner as gone, though its last answers are waited for 5 s.

Evidence: test_a_call_at_a_drained_owner_waits_for_its_last_answer failed before.

--- a/packages/papayapost/src/papayapost/traffic/entry/upstream_tracking.py
+++ b/packages/papayapost/src/papayapost/traffic/entry/upstream_tracking.py
@@ -170,7 +170,9 @@
             attempt = self._tables.attempts.require(attempt_id)
             if not is_silent:
                 tick.post(AttemptLost(attempt_id))
-            elif attempt.state is not AttemptState.ANSWERING:
+            elif attempt.state is not AttemptState.ANSWERING and (
+                not upstream.is_draining
+            ):
                 tick.post(AttemptDoubted(attempt_id))
         return is_silent and bool(upstream.attempts)
 
--- a/packages/papayapost/tests/traffic/test_retries.py
+++ b/packages/papayapost/tests/traffic/test_retries.py
@@ -94,6 +94,16 @@
     assert entry.is_idle()
 
 
+def test_a_call_at_a_drained_owner_waits_for_its_last_answer():
+    entry = RetryEntry()
+    offer = only(entry.call())
+    row = next(r for r in entry.rows if r.peer_address == offer.address)
+    for state in (BackendServerState.DRAINING, BackendServerState.GONE):
+        row.state = state
+        assert not entry.tick(DirectoryChanged((row,)))
+    assert ForwardAnswer(CallId(1), offer.offer.attempt_id) in entry.answer(offer)
+
+
 @pytest.mark.parametrize("loss", ["connection", "deadline"])
 def test_a_call_at_a_silent_owner_ends_as_unknown_in_time(loss):
     entry = RetryEntry()
