Do not count unsent answers for attempts of the own VM

Answers that wait for the link say nothing about attempts whose answers do not use it. In a trial of the review a local attempt was refused with two of two slots free.

--- a/packages/papayapost/src/papayapost/traffic/owner/admission.py
+++ b/packages/papayapost/src/papayapost/traffic/owner/admission.py
@@ -173,7 +173,7 @@
             self._replies.refuse(tick, offer, code, 0)
             return None
         wait_us = self._expected_wait_us(tick, offer)
-        if not (offer.may_queue or self._has_free_slot()):
+        if not (offer.may_queue or self._has_free_slot(offer)):
             self._replies.refuse(tick, offer, RefusalCode.NO_FREE_SLOT, wait_us)
             return None
         if self._would_expire_in_queue(tick, offer, wait_us):
@@ -224,20 +224,21 @@
         has_target = offer.target_us is not None
         return has_target and wait_us > offer.budget_us * _MAX_WAIT_FRACTION
 
-    def _has_free_slot(self) -> bool:
+    def _has_free_slot(self, offer: AttemptOffer) -> bool:
         """Return whether an attempt can start now and be answered soon.
 
-        Answers that wait for credit hold no slot. They show that the link of
-        this VM is slow, and an answer to a further attempt would wait behind
-        them.
+        Answers that wait to be sent hold no slot. They show that the link of
+        this VM is full, and an answer to another node would wait behind them.
         """
         tables = self._tables
-        taken = tables.running + tables.waiting + len(tables.blocked_answers)
+        taken = tables.running + tables.waiting
+        if offer.sender != self._me.node_id:
+            taken += len(tables.blocked_answers)
         return taken < self._concurrency.limit
 
     def _expected_wait_us(self, tick: Tick, offer: AttemptOffer) -> float:
         tables = self._tables
-        if self._has_free_slot():
+        if self._has_free_slot(offer):
             return 0.0
         service_us = self._service_times.mean_us(offer.rank, tick.now_us)
         next_slot_us = service_us / max(1, self._concurrency.limit)
