--- a/packages/papayapost-node/src/papayapost_node/http/server.py
+++ b/packages/papayapost-node/src/papayapost_node/http/server.py
@@ -123,9 +123,9 @@
 
         The connections that callers have opened until now are accepted first.
         """
-        if self._listening is not None:
-            self._accept_waiting()
-            self._stop_listening()
+        while self._listening is not None and self._accept_waiting():
+            pass
+        self._stop_listening()
 
     def drain(self) -> None:
         """Close each connection after its answer, and idle ones after 2 s."""
@@ -161,23 +161,25 @@
             asyncio.get_running_loop().remove_reader(listening.fileno())
             listening.close()
 
-    def _accept_waiting(self) -> None:
+    def _accept_waiting(self) -> bool:
+        """Accept connections; return whether there may be more of them."""
         loop, listening = asyncio.get_running_loop(), self._listening
         if listening is None:
-            return
+            return False
         for _ in range(_MAX_ACCEPTS):
             try:
                 accepted, _ = listening.accept()
             except (BlockingIOError, InterruptedError, ConnectionAbortedError):
-                return
+                return False
             except OSError:
                 loop.remove_reader(listening.fileno())
                 loop.call_later(_ACCEPT_RETRY_S, self._watch_listening)
-                return
+                return False
             accepted.setblocking(False)
             task = loop.create_task(self._open(accepted))
             self._accepting.add(task)
             task.add_done_callback(self._end_accepting)
+        return True
 
     async def _open(self, accepted: socket.socket) -> None:
         loop = asyncio.get_running_loop()
--- a/packages/papayapost-node/tests/test_stop_accepting.py
+++ b/packages/papayapost-node/tests/test_stop_accepting.py
@@ -41,6 +41,24 @@
     gc.enable()
 
 
+def test_all_connections_that_wait_are_accepted_before_the_server_stops():
+    async def main():
+        (address,) = free_addresses(1)
+        server = StreamingServer(address, SilentHandler(), HttpLimits())
+        await server.start()
+        callers = [socket.create_connection(split_address(address)) for _ in range(100)]
+        server.stop_accepting()
+        await asyncio.sleep(LOSS_SLACK_S)
+        for caller in callers:
+            caller.setblocking(False)
+            with pytest.raises(BlockingIOError):
+                caller.recv(1)
+            caller.close()
+        await server.close()
+
+    asyncio.run(main())
+
+
 # Passes of the event loop between the caller's connection and the stop.
 @pytest.mark.parametrize("passes", range(6))
 @pytest.mark.usefixtures("_node_garbage_collector")
