Do not pass on a body with a hole as whole

What callers would see: an answer without a length, or a request, of which a part was missing and that looked complete.

Cause: frames in flight are lost with their connection, and the next frame opens another one. Parts of bodies had no position, so that later parts and the end were taken. The entry node's own connection to the owner mostly ends at the same time, which cut the answer; for a draining owner it no longer does.

Change: parts carry their offset as a new last field; an answer with a gap ends as not whole, and a request with a gap is cancelled at the backend server.

Evidence: test_an_answer_with_a_part_lost_on_the_way_is_not_passed_on_as_whole failed before in both cases.

--- a/packages/papayapost-node/src/papayapost_node/exchange/answers.py
+++ b/packages/papayapost-node/src/papayapost_node/exchange/answers.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import Callable
+from dataclasses import replace
 
 from papayapost.errors import CreditExceeded
 from papayapost.ids import AttemptId, NodeId
@@ -123,10 +124,15 @@
         if attempt is None or attempt.head is None:
             self.late_answers += 1
             return
-        if not self._use_credit(attempt, len(part.data)):
+        if attempt.is_answer_ended or not self._use_credit(attempt, len(part.data)):
             return
+        received_bytes = len(attempt.head.body) + attempt.body_bytes
+        if part.offset is not None and part.offset != received_bytes:
+            # An earlier part was lost with a connection of the owner node.
+            part = replace(part, data=b"", is_ended=True, is_whole=False)
         attempt.body_bytes += len(part.data)
         if part.is_ended:
+            attempt.is_answer_ended = True
             size = len(attempt.head.body) + attempt.body_bytes
             ended = AnswerEnded(part.sender, part.attempt_id, part.is_whole, size)
             self._post(ended)
--- a/packages/papayapost-node/src/papayapost_node/exchange/backend_call.py
+++ b/packages/papayapost-node/src/papayapost_node/exchange/backend_call.py
@@ -32,6 +32,7 @@
     AnswerPart,
     InterimAnswer,
     RequestCredit,
+    RequestPart,
 )
 
 __all__ = ["BackendCall"]
@@ -81,6 +82,8 @@
         self._connection: BackendConnection | None = None
         self._answer_sender: BodySender | None = None
         self._window: SendWindow | None = None
+        self._answer_sent_bytes = 0
+        self._request_bytes = len(owned.request.body)
         self._body_receiver: BodyReceiver | None = None
         self._stall_deadline: DeadlineTimer | None = None
         self._status: int | None = None
@@ -125,21 +128,26 @@
         if not owned.is_ended:
             self._start_request_body()
 
-    def body_received(self, data: bytes, is_ended: bool, trailers: Headers) -> None:
+    def body_received(self, part: RequestPart) -> None:
         """Send a further piece of the request's body to the backend server.
 
-        The call is cancelled if the entry node sent more than its credit.
+        The call is cancelled if the entry node sent more than its credit, or
+        if an earlier piece was lost with a connection of the entry node.
         """
         connection, receiver = self._connection, self._body_receiver
         if connection is None or receiver is None or not self._is_running:
             return
         try:
-            receiver.receive(len(data))
+            receiver.receive(len(part.data))
         except CreditExceeded:
             self.cancel()
             return
-        connection.send(data, is_ended, trailers)
-        if is_ended:
+        if part.offset is not None and part.offset != self._request_bytes:
+            self.cancel()
+            return
+        self._request_bytes += len(part.data)
+        connection.send(part.data, part.is_ended, part.trailers)
+        if part.is_ended:
             self._set_stall_deadline(False)
         elif connection.is_writable:
             self.request_writable()
@@ -249,6 +257,7 @@
         if self._is_truncated:
             body = body[:size]
         is_complete = not self._is_running and size == len(body)
+        self._answer_sent_bytes = size
         self._deliver(
             AnswerCarrier(
                 self._services.node_id,
@@ -323,8 +332,12 @@
     def _send_part(self, data: bytes, is_last: bool, trailers: Headers) -> None:
         services, attempt_id = self._services, self._owned.attempt_id
         is_whole = not self._is_truncated
+        offset = self._answer_sent_bytes
+        self._answer_sent_bytes += len(data)
         self._deliver(
-            AnswerPart(services.node_id, attempt_id, data, is_last, is_whole, trailers)
+            AnswerPart(
+                services.node_id, attempt_id, data, is_last, is_whole, trailers, offset
+            )
         )
 
     def _finish_or_rearm(self) -> None:
--- a/packages/papayapost-node/src/papayapost_node/exchange/entry_side.py
+++ b/packages/papayapost-node/src/papayapost_node/exchange/entry_side.py
@@ -214,11 +214,14 @@
 
     def _body_sender_to(self, attempt: OfferedRow) -> BodySender:
         exchange = attempt.call.exchange
+        offset = len(attempt.call.request.body)
 
         def send_part(data: bytes, is_last: bool, trailers: Headers) -> None:
+            nonlocal offset
             part = RequestPart(
-                self._node_id, attempt.attempt_id, data, is_last, trailers
+                self._node_id, attempt.attempt_id, data, is_last, trailers, offset
             )
+            offset += len(data)
             self._carrier_delivery.deliver(attempt.address, part)
 
         return BodySender(
--- a/packages/papayapost-node/src/papayapost_node/exchange/owner_side.py
+++ b/packages/papayapost-node/src/papayapost_node/exchange/owner_side.py
@@ -137,7 +137,7 @@
     def _part_arrived(self, part: RequestPart) -> None:
         call = self._running.get(part.attempt_id)
         if call is not None:
-            call.body_received(part.data, part.is_ended, part.trailers)
+            call.body_received(part)
 
     def _credit_arrived(self, credit: AnswerCredit) -> None:
         call = self._running.get(credit.attempt_id)
--- a/packages/papayapost-node/src/papayapost_node/exchange/tables.py
+++ b/packages/papayapost-node/src/papayapost_node/exchange/tables.py
@@ -72,6 +72,8 @@
         Parts of the answer that arrived before they could be forwarded.
     body_bytes
         Length of the body parts that arrived after the head.
+    is_answer_ended
+        Whether the last part has arrived, or a part is missing.
     """
 
     attempt_id: AttemptId
@@ -82,6 +84,7 @@
     head: AnswerCarrier | None = None
     held_parts: deque[AnswerPart] = field(default_factory=deque)
     body_bytes: int = 0
+    is_answer_ended: bool = False
 
 
 @dataclass(slots=True, eq=False)
--- a/packages/papayapost-node/src/papayapost_node/wire/carriers.py
+++ b/packages/papayapost-node/src/papayapost_node/wire/carriers.py
@@ -56,13 +56,21 @@
 
 @dataclass(slots=True)
 class RequestPart:
-    """Entry node to owner node: the next part of the request's body."""
+    """Entry node to owner node: the next part of the request's body.
+
+    Parameters
+    ----------
+    offset
+        Number of bytes of the body before this part; None from nodes that do
+        not send it. A part that was lost with a connection shows by it.
+    """
 
     sender: NodeId
     attempt_id: AttemptId
     data: bytes
     is_ended: bool
     trailers: list[tuple[bytes, bytes]]
+    offset: int | None = None
 
 
 @dataclass(slots=True)
@@ -128,6 +136,8 @@
     ----------
     is_ended, is_whole
         Same meaning as the fields of `AnswerCarrier`.
+    offset
+        Same meaning as the field of `RequestPart`.
     """
 
     sender: NodeId
@@ -136,6 +146,7 @@
     is_ended: bool
     is_whole: bool
     trailers: list[tuple[bytes, bytes]]
+    offset: int | None = None
 
 
 @dataclass(slots=True)
--- a/packages/papayapost-node/tests/test_exchange.py
+++ b/packages/papayapost-node/tests/test_exchange.py
@@ -1,7 +1,9 @@
 """Tests the flow of requests and answers between nodes."""
 
 import asyncio
+from dataclasses import replace
 
+import pytest
 from hypothesis import given, settings, strategies as st
 
 from papayapost.ids import (
@@ -18,6 +20,7 @@
 from papayapost.states import Rank
 from papayapost.traffic import (
     AnswerBegun,
+    AnswerEnded,
     AttemptCancel,
     AttemptOffer,
     CallerGone,
@@ -207,6 +210,31 @@
     return offer.answer_window_bytes + sum(credit.size_bytes for credit in credits)
 
 
+@pytest.mark.parametrize("is_forwarded", [True, False])
+def test_an_answer_with_a_part_lost_on_the_way_is_not_passed_on_as_whole(is_forwarded):
+    async def main():
+        entry = EntryNode()
+        entry.take(answer_head(b"one", False))
+        forward = ForwardAnswer(entry.call_id, offer_of().attempt_id)
+        if is_forwarded:
+            entry.apply(forward)
+        entry.take(replace(answer_part(b"two", False), offset=3))
+        entry.take(replace(answer_part(b"four", False), offset=11))
+        entry.take(replace(answer_part(b"five", True), offset=15))
+        if not is_forwarded:
+            entry.apply(forward)
+        assert entry.exchange.recorded == [
+            (200, b"one", False),
+            (b"two", False),
+            (b"", False),
+            "cut",
+        ]
+        ended = [item for item in entry.posted if isinstance(item, AnswerEnded)]
+        assert [item.is_whole for item in ended] == [False]
+
+    asyncio.run(main())
+
+
 @in_event_loop
 def test_a_download_does_not_fill_a_slow_link_ahead_of_small_answers():
     entry = EntryNode()
