--- a/packages/papayapost-node/tests/test_exchange.py
+++ b/packages/papayapost-node/tests/test_exchange.py
@@ -210,6 +210,15 @@
     return offer.answer_window_bytes + sum(credit.size_bytes for credit in credits)
 
 
+def test_the_windows_of_all_bodies_stay_near_their_budget_while_they_grow():
+    limit_bytes, bodies = 12 << 20, 2_000
+    budget = WindowBudget(limit_bytes)
+    windows = [budget.open() for _ in range(bodies)]
+    for received_bytes in (1 << 18, 1 << 20, 1 << 30):
+        windows = [size + budget.grow(size, received_bytes) for size in windows]
+    assert sum(windows) < limit_bytes + bodies * (16 << 10)
+
+
 @pytest.mark.parametrize("is_forwarded", [True, False])
 def test_an_answer_with_a_part_lost_on_the_way_is_not_passed_on_as_whole(is_forwarded):
     async def main():
