Refuse a call at once when even the shortest wait is too long

Cause: refusals for want of a free slot no longer counted as redirects, so that four offers that may not queue, one that may, and four more followed each other, though the fifth owner had the shortest wait of all.

Change: two offers may not queue, and after three refusals one for a queue that is too long ends the call.

--- a/packages/papayapost/src/papayapost/traffic/entry/offers.py
+++ b/packages/papayapost/src/papayapost/traffic/entry/offers.py
@@ -52,7 +52,7 @@
 _MIN_REMAINING_SHARE = 0.3
 """Least time for a further attempt, as a fraction of the call's budget."""
 
-_MAX_PROBES = 4
+_MAX_PROBES = 2
 """Largest number of attempts of a call that the owner node must start at once
 or refuse. The next attempt may queue, so that the number of messages for each
 call stays bounded when all slots are taken."""
--- a/packages/papayapost/src/papayapost/traffic/entry/shared_budget.py
+++ b/packages/papayapost/src/papayapost/traffic/entry/shared_budget.py
@@ -34,6 +34,13 @@
 _HEDGE_LATENCIES = 2.5
 """Multiple of the service's latency after which an attempt counts as slow."""
 
+_MAX_REFUSALS_IF_FULL = 3
+"""Number of refusals after which a call whose wait would be too long at an
+owner node is not offered to others: that owner had the shortest wait."""
+
+_FULL_QUEUE_CODES = frozenset(
+    [RefusalCode.DEADLINE, RefusalCode.EVICTED, RefusalCode.QUEUE_FULL]
+)
 _MAYBE_REACHED_CODES = frozenset(
     [RefusalCode.SHED, RefusalCode.LOST, RefusalCode.DUPLICATE]
 )
@@ -102,6 +109,8 @@
         """
         if code is RefusalCode.NO_FREE_SLOT:
             return True
+        if code in _FULL_QUEUE_CODES and len(call.refused) >= _MAX_REFUSALS_IF_FULL:
+            return False
         return code not in _MAYBE_REACHED_CODES and call.redirects < _MAX_REDIRECTS
 
     def may_retry(self, call: CallRow) -> bool:
