--- a/packages/papayapost-testing/src/papayapost_testing/soak/regressions.py
+++ b/packages/papayapost-testing/src/papayapost_testing/soak/regressions.py
@@ -58,5 +58,9 @@
     RegressionRow(38, 8, 20, _SLOW_START),
     RegressionRow(39, 8, 20, _HELD_CALL),
     RegressionRow(42, 8, 20, _GONE_CALLER),
-    RegressionRow(49, 8, 20, _LATE_TERM),
+    RegressionRow(49, 8, 20, f"{_SLOW_START}; {_LATE_TERM}"),
+    RegressionRow(55, 8, 20, _LATE_TERM),
+    RegressionRow(57, 8, 20, _GONE_CALLER),
+    RegressionRow(63, 8, 20, _LATE_ACCEPT),
+    RegressionRow(73, 8, 20, _GONE_CALLER),
 )
