--- a/packages/papayapost/tests/traffic/test_admission.py
+++ b/packages/papayapost/tests/traffic/test_admission.py
@@ -81,6 +81,15 @@
     assert started(owner.tick(offers[2])) == [offers[2].attempt_id]
 
 
+def test_unsent_answers_do_not_stand_in_the_way_of_the_own_callers():
+    owner = Owner(slots=1)
+    remote = replace(owner.offer(), may_queue=False)
+    local = replace(owner.offer(sender=NodeId("owner")), may_queue=False)
+    owner.tick(AnswerBlocked(remote.attempt_id))
+    assert refusals(owner.tick(remote))
+    assert started(owner.tick(local)) == [local.attempt_id]
+
+
 def test_a_full_queue_evicts_only_for_a_more_urgent_attempt():
     owner = Owner(slots=1)
     owner.tick(owner.offer())
