--- a/packages/papayapost-node/src/papayapost_node/admin/pages.py
+++ b/packages/papayapost-node/src/papayapost_node/admin/pages.py
@@ -1,16 +1,16 @@
 """Read-only pages that a node serves to operators."""
 
 from abc import ABC, abstractmethod
-from dataclasses import dataclass
 
 import msgspec
 
+from papayapost.define import define
 from papayapost.ids import DataCentreId, NodeId, RuleVersion
 from papayapost.node import NodeWorld
 from papayapost.place import SelfRow
 from papayapost.timeline import EventRow
 from papayapost_node.http import HttpAnswer
-from papayapost_node.observe import CallMeter, EventRecorder, expose
+from papayapost_node.observe import CallMeter, EventRecorder
 from papayapost_node.transport import PeerTable
 
 __all__ = [
@@ -42,7 +42,7 @@
         """Return an answer with the current content of the page."""
 
 
-@dataclass(slots=True)
+@define
 class TimelineReport:
     """The events that a node holds in memory.
 
@@ -60,7 +60,7 @@
     rows: list[EventRow]
 
 
-@dataclass(slots=True)
+@define
 class NodeStatus:
     """State of a node, as its status page shows it.
 
@@ -117,6 +117,9 @@
 
     def render(self) -> HttpAnswer:
         """Return an answer with the current content of the page."""
+        # Imported here, because its libraries would slow down each start.
+        from papayapost_node.observe.exposition import expose
+
         return HttpAnswer(200, _TEXT, expose(self._meter, self._world, self._peers))
 
 
--- a/packages/papayapost-node/src/papayapost_node/drain.py
+++ b/packages/papayapost-node/src/papayapost_node/drain.py
@@ -2,8 +2,8 @@
 
 import asyncio
 from collections.abc import Callable
-from dataclasses import dataclass
 
+from papayapost.define import define
 from papayapost.traffic import DrainComplete, DrainRequested
 from papayapost_node.http import StreamingServer
 
@@ -14,7 +14,7 @@
 _FLUSH_SHARE = 0.02
 
 
-@dataclass(frozen=True, slots=True)
+@define(frozen=True)
 class StopTimes:
     """Division of the time in which a node must stop.
 
--- a/packages/papayapost-node/src/papayapost_node/exchange/dialect.py
+++ b/packages/papayapost-node/src/papayapost_node/exchange/dialect.py
@@ -7,9 +7,9 @@
 
 from abc import ABC, abstractmethod
 from collections.abc import Mapping
-from dataclasses import dataclass
 from enum import Enum
 
+from papayapost.define import define
 from papayapost.ids import (
     CallId,
     IdempotencyKey,
@@ -50,7 +50,7 @@
     FOREIGN = "foreign"
 
 
-@dataclass(frozen=True, slots=True)
+@define(frozen=True)
 class CallTerms:
     """Terms that a caller sets for its request in the request's headers.
 
@@ -70,7 +70,7 @@
     name: RequestName
 
 
-@dataclass(frozen=True, slots=True)
+@define(frozen=True)
 class BackendTerms:
     """Terms that the owner node adds to a request for the backend server.
 
--- a/packages/papayapost-node/src/papayapost_node/exchange/owner_services.py
+++ b/packages/papayapost-node/src/papayapost_node/exchange/owner_services.py
@@ -1,8 +1,9 @@
 """Functions and settings that the backend calls of an owner node share."""
 
 from collections.abc import Callable
-from dataclasses import dataclass, field
+from dataclasses import field
 
+from papayapost.define import define
 from papayapost.ids import AttemptId, InstanceId, NodeId
 from papayapost_node.exchange.carrier_delivery import CarrierDelivery
 from papayapost_node.exchange.dialect import Dialect, NativeDialect
@@ -16,7 +17,7 @@
     return None
 
 
-@dataclass(slots=True)
+@define
 class OwnerServices:
     """Functions and settings that every backend call of an owner node uses.
 
--- a/packages/papayapost-node/src/papayapost_node/exchange/tables.py
+++ b/packages/papayapost-node/src/papayapost_node/exchange/tables.py
@@ -1,8 +1,9 @@
 """Rows of the running calls and attempts of a node."""
 
 from collections import deque
-from dataclasses import dataclass, field
+from dataclasses import field
 
+from papayapost.define import define
 from papayapost.ids import Address, AttemptId, CallId
 from papayapost_node.deadline import DeadlineTimer
 from papayapost_node.exchange.body_receiver import BodyReceiver
@@ -13,7 +14,7 @@
 __all__ = ["CallerRow", "OfferedRow", "OwnedRequest"]
 
 
-@dataclass(slots=True, eq=False)
+@define(eq=False)
 class CallerRow:
     """A caller's request at its entry node.
 
@@ -54,7 +55,7 @@
     stall_deadline: DeadlineTimer | None = None
 
 
-@dataclass(slots=True, eq=False)
+@define(eq=False)
 class OfferedRow:
     """One offered attempt at its entry node.
 
@@ -87,7 +88,7 @@
     is_answer_ended: bool = False
 
 
-@dataclass(slots=True, eq=False)
+@define(eq=False)
 class OwnedRequest:
     """An offered request at its owner node.
 
--- a/packages/papayapost-node/src/papayapost_node/http/limits.py
+++ b/packages/papayapost-node/src/papayapost_node/http/limits.py
@@ -1,11 +1,11 @@
 """Limits that protect an HTTP server from its callers."""
 
-from dataclasses import dataclass
+from papayapost.define import define
 
 __all__ = ["HttpLimits"]
 
 
-@dataclass(frozen=True, slots=True)
+@define(frozen=True)
 class HttpLimits:
     """Limits on connections, request heads, and the time that they take.
 
--- a/packages/papayapost-node/src/papayapost_node/http/messages.py
+++ b/packages/papayapost-node/src/papayapost_node/http/messages.py
@@ -1,13 +1,15 @@
 """HTTP requests and answers with their bodies in memory."""
 
-from dataclasses import dataclass, field
+from dataclasses import field
+
+from papayapost.define import define
 
 __all__ = ["Headers", "HttpAnswer", "HttpRequest"]
 
 Headers = list[tuple[bytes, bytes]]
 
 
-@dataclass(slots=True)
+@define
 class HttpRequest:
     """A request with its body; header names are in lower case."""
 
@@ -17,7 +19,7 @@
     body: bytes = b""
 
 
-@dataclass(slots=True)
+@define
 class HttpAnswer:
     """An answer with its body; header names are in lower case.
 
--- a/packages/papayapost-node/src/papayapost_node/http/whole_request_server.py
+++ b/packages/papayapost-node/src/papayapost_node/http/whole_request_server.py
@@ -1,8 +1,8 @@
 """HTTP server that reads whole requests before they are handled."""
 
 from collections.abc import Callable
-from dataclasses import dataclass
 
+from papayapost.define import define
 from papayapost.ids import Address
 from papayapost_node.http.exchange import RequestHandler, ServerExchange
 from papayapost_node.http.headers import forwardable
@@ -17,7 +17,7 @@
 """Largest body of a request; a larger one is answered with status 413."""
 
 
-@dataclass(slots=True, eq=False)
+@define(eq=False)
 class ServerCall:
     """A whole request, which its handler answers once."""
 
--- a/packages/papayapost-node/src/papayapost_node/main.py
+++ b/packages/papayapost-node/src/papayapost_node/main.py
@@ -1,6 +1,6 @@
 """Entry point of ``papayad``, which runs one node until a signal stops it."""
 
-from papayapost_node import early_signals  # noqa: F401
+from papayapost_node import early_start  # noqa: F401
 
 # isort: split
 import asyncio
@@ -10,8 +10,6 @@
 import sys
 from pathlib import Path
 
-import fire
-
 from papayapost.errors import PapayapostError
 from papayapost_node.composition import Node, build_node
 from papayapost_node.events import configure_logging
@@ -106,7 +104,6 @@
     These objects live as long as the process. Calls create no reference
     cycles, so a collection finds little to free.
     """
-    gc.collect()
     gc.freeze()
     gc.set_threshold(_GC_THRESHOLD_ALLOCATIONS, *gc.get_threshold()[1:])
 
@@ -123,6 +120,9 @@
 
 def main() -> None:
     """Run ``papayad`` with the arguments of the command line."""
+    # Imported here, because a node on the platform starts without it.
+    import fire
+
     if sys.argv[1:2] == [_KEYGEN]:
         fire.Fire(keygen, command=sys.argv[2:], name=f"papayad {_KEYGEN}")
     else:
--- a/packages/papayapost-node/src/papayapost_node/observe/__init__.py
+++ b/packages/papayapost-node/src/papayapost_node/observe/__init__.py
@@ -1,6 +1,5 @@
-"""Records the events of a node, measures its calls and exposes metrics."""
+"""Records the events of a node and measures its calls."""
 
-from papayapost_node.observe.exposition import expose
 from papayapost_node.observe.meter import CallCounter, CallMeter, Hop
 from papayapost_node.observe.observer import RunnerObserver, Watcher
 from papayapost_node.observe.recorder import EVENT_BUFFER_ROWS, EventRecorder
@@ -13,5 +12,4 @@
     "Hop",
     "RunnerObserver",
     "Watcher",
-    "expose",
 ]
--- a/packages/papayapost-node/src/papayapost_node/observe/meter.py
+++ b/packages/papayapost-node/src/papayapost_node/observe/meter.py
@@ -2,11 +2,11 @@
 
 from collections import Counter
 from collections.abc import Hashable, Mapping
-from dataclasses import dataclass
 from enum import Enum
 
 from hdrh.histogram import HdrHistogram
 
+from papayapost.define import define
 from papayapost.ids import AttemptId, CallId, Micros, ServiceName
 from papayapost.states import Rank
 from papayapost.traffic import (
@@ -56,7 +56,7 @@
     BACKEND_CALLS = "backend_calls"
 
 
-@dataclass(slots=True)
+@define
 class _EntryCallRow:
     arrived_us: Micros
     offers: int = 0
@@ -64,14 +64,14 @@
     service: ServiceName | None = None
 
 
-@dataclass(slots=True)
+@define
 class _OwnerAttemptRow:
     taken_us: Micros
     rank: Rank
     started_us: Micros | None = None
 
 
-@dataclass(slots=True)
+@define
 class ServiceRow:
     """Number of answered calls of one service and their total time in µs.
 
--- a/packages/papayapost-node/src/papayapost_node/security/key_ring.py
+++ b/packages/papayapost-node/src/papayapost_node/security/key_ring.py
@@ -1,8 +1,8 @@
 """The key pair of a node and the public keys that it accepts from peers."""
 
 from collections.abc import Callable, Sequence
-from dataclasses import dataclass
 
+from papayapost.define import define
 from papayapost.ids import Address, DataCentreId, NodeId
 from papayapost.kernel import Table
 from papayapost_node.security.keys import KeyPair, PublicKey
@@ -14,7 +14,7 @@
 HolderOf = Callable[[Address], tuple[NodeId | None, DataCentreId | None]]
 
 
-@dataclass(frozen=True, slots=True)
+@define(frozen=True)
 class AllowedKeyRow:
     """A public key that peers may use, and the node or nodes that hold it.
 
--- a/packages/papayapost-node/src/papayapost_node/security/keys.py
+++ b/packages/papayapost-node/src/papayapost_node/security/keys.py
@@ -1,17 +1,19 @@
 """CURVE keys in their text form."""
 
-from dataclasses import dataclass, field
+from dataclasses import field
 from typing import NewType
 
 import zmq
 
+from papayapost.define import define
+
 __all__ = ["KeyPair", "PublicKey", "new_key_pair"]
 
 PublicKey = NewType("PublicKey", str)
 """A CURVE public key of 40 characters in Z85 encoding."""
 
 
-@dataclass(frozen=True, slots=True)
+@define(frozen=True)
 class KeyPair:
     """A node's own keys in Z85; `repr` leaves out the secret key."""
 
--- a/packages/papayapost-node/src/papayapost_node/store/client.py
+++ b/packages/papayapost-node/src/papayapost_node/store/client.py
@@ -15,10 +15,10 @@
 """
 
 from abc import ABC, abstractmethod
-from dataclasses import dataclass
 
 import msgspec
 
+from papayapost.define import define
 from papayapost.errors import StoreConflict, StoreUnavailable
 from papayapost.ids import Address
 from papayapost_node.http import Headers, HttpAnswer
@@ -31,7 +31,7 @@
 _EXPECTED_STATUSES = frozenset([200, 304, 404, 412])
 
 
-@dataclass(slots=True)
+@define
 class StoredObject:
     """An object's value and version.
 
--- a/packages/papayapost-node/src/papayapost_node/transport/peers.py
+++ b/packages/papayapost-node/src/papayapost_node/transport/peers.py
@@ -1,8 +1,8 @@
 """Counters of the frames and bytes that a node sends and receives."""
 
 from collections.abc import Callable
-from dataclasses import dataclass
 
+from papayapost.define import define
 from papayapost.ids import Address
 from papayapost.kernel import Table
 from papayapost.states import LinkClass
@@ -18,7 +18,7 @@
 """
 
 
-@dataclass(slots=True)
+@define
 class PeerRow:
     """Counters of the frames that were sent to one peer.
 
--- a/packages/papayapost-node/src/papayapost_node/wire/carriers.py
+++ b/packages/papayapost-node/src/papayapost_node/wire/carriers.py
@@ -5,8 +5,7 @@
 no more bytes in flight than the flow-control credit that the receiver granted.
 """
 
-from dataclasses import dataclass
-
+from papayapost.define import define
 from papayapost.ids import AttemptId, NodeId
 from papayapost.traffic import AttemptOffer
 
@@ -22,7 +21,7 @@
 ]
 
 
-@dataclass(slots=True)
+@define
 class RequestHead:
     """Request line and headers, without the hop-by-hop headers."""
 
@@ -31,7 +30,7 @@
     headers: list[tuple[bytes, bytes]]
 
 
-@dataclass(slots=True)
+@define
 class OfferCarrier:
     """Entry node to owner node: an offer with the request to run.
 
@@ -54,7 +53,7 @@
     answer_window_bytes: int
 
 
-@dataclass(slots=True)
+@define
 class RequestPart:
     """Entry node to owner node: the next part of the request's body.
 
@@ -73,7 +72,7 @@
     offset: int | None = None
 
 
-@dataclass(slots=True)
+@define
 class RequestCredit:
     """Owner node to entry node: credit for more of the request's body.
 
@@ -88,7 +87,7 @@
     size_bytes: int
 
 
-@dataclass(slots=True)
+@define
 class InterimAnswer:
     """Owner node to entry node: an informational (1xx) answer."""
 
@@ -98,7 +97,7 @@
     headers: list[tuple[bytes, bytes]]
 
 
-@dataclass(slots=True)
+@define
 class AnswerCarrier:
     """Owner node to entry node: the backend server's answer.
 
@@ -128,7 +127,7 @@
     trailers: list[tuple[bytes, bytes]]
 
 
-@dataclass(slots=True)
+@define
 class AnswerPart:
     """Owner node to entry node: the next part of the answer's body.
 
@@ -149,7 +148,7 @@
     offset: int | None = None
 
 
-@dataclass(slots=True)
+@define
 class AnswerCredit:
     """Entry node to owner node: credit for more of the answer's body.
 
--- a/packages/papayapost-node/tests/test_signals.py
+++ b/packages/papayapost-node/tests/test_signals.py
@@ -12,7 +12,7 @@
 import sys
 import {module}
 names = list(sys.modules)
-assert names.index("papayapost_node.early_signals") < names.index("asyncio")
+assert names.index("papayapost_node.early_start") < names.index("asyncio")
 import os, signal
 os.kill(os.getpid(), signal.SIGHUP)
 print("alive")
--- a/packages/papayapost-operator/src/papayapost_operator/check.py
+++ b/packages/papayapost-operator/src/papayapost_operator/check.py
@@ -1,7 +1,6 @@
 """The command ``papaya check``."""
 
-from dataclasses import dataclass
-
+from papayapost.define import define
 from papayapost.errors import RulesRefused
 from papayapost.findings import Finding
 from papayapost.rules import compile_rules, rules_digest
@@ -11,7 +10,7 @@
 __all__ = ["CheckCommand", "CheckReport", "finding_lines"]
 
 
-@dataclass(frozen=True, slots=True)
+@define(frozen=True)
 class CheckReport:
     """Result of checking a rules file.
 
--- a/packages/papayapost-operator/src/papayapost_operator/command.py
+++ b/packages/papayapost-operator/src/papayapost_operator/command.py
@@ -1,16 +1,16 @@
 """The base class of papaya's commands and the types of their results."""
 
 from abc import ABC, abstractmethod
-from dataclasses import dataclass
 from typing import ClassVar
 
+from papayapost.define import define
 from papayapost.errors import FindingsError, PapayapostError
 from papayapost.findings import Finding
 
 __all__ = ["Command", "Document", "ErrorDocument", "Result"]
 
 
-@dataclass(frozen=True, slots=True)
+@define(frozen=True)
 class Result:
     """Result of a command; it may hold both a report and an error.
 
@@ -57,7 +57,7 @@
         return ()
 
 
-@dataclass(frozen=True, slots=True)
+@define(frozen=True)
 class ErrorDocument:
     """An error as the output of ``--json`` holds it."""
 
@@ -66,7 +66,7 @@
     findings: tuple[Finding, ...]
 
 
-@dataclass(frozen=True, slots=True)
+@define(frozen=True)
 class Document:
     """The output of ``--json``, which has the same keys for every command."""
 
--- a/packages/papayapost-operator/src/papayapost_operator/explain.py
+++ b/packages/papayapost-operator/src/papayapost_operator/explain.py
@@ -1,9 +1,9 @@
 """The command ``papaya explain``."""
 
-from dataclasses import dataclass
 from random import Random
 from urllib.parse import urlsplit
 
+from papayapost.define import define
 from papayapost.errors import StoreUnavailable, UsageRefused
 from papayapost.ids import NO_VERSION, RuleVersion
 from papayapost.record.queries import (
@@ -24,7 +24,7 @@
 _MAX_NEAR_MISSES = 10
 
 
-@dataclass(frozen=True, slots=True)
+@define(frozen=True)
 class ExplainReport:
     """The rule that decides a call, and the rules that nearly match it.
 
--- a/packages/papayapost-operator/src/papayapost_operator/timeline.py
+++ b/packages/papayapost-operator/src/papayapost_operator/timeline.py
@@ -1,9 +1,9 @@
 """The command ``papaya timeline``."""
 
-from dataclasses import dataclass
 from datetime import UTC, datetime
 from pathlib import Path
 
+from papayapost.define import define
 from papayapost.errors import UsageRefused
 from papayapost.ids import Address, CallId, DataCentreId, Micros, NodeId, RuleVersion
 from papayapost.timeline import (
@@ -22,7 +22,7 @@
 __all__ = ["TimelineCommand", "TimelineOptions", "TimelineOverview", "split_list"]
 
 
-@dataclass(frozen=True, slots=True)
+@define(frozen=True)
 class TimelineOptions:
     """The options of ``papaya timeline`` as given on the command line.
 
@@ -42,7 +42,7 @@
     timeout_ms: str
 
 
-@dataclass(frozen=True, slots=True)
+@define(frozen=True)
 class TimelineOverview:
     """Report of ``papaya timeline --json``.
 
--- a/packages/papayapost-operator/src/papayapost_operator/timeline_page.py
+++ b/packages/papayapost-operator/src/papayapost_operator/timeline_page.py
@@ -1,10 +1,10 @@
 """Draws a time line as an HTML page with one horizontal lane for each node."""
 
 from collections.abc import Sequence
-from dataclasses import dataclass
 from html import escape
 from xml.etree import ElementTree
 
+from papayapost.define import define
 from papayapost.ids import AttemptId, NodeId
 from papayapost.observe import Event
 from papayapost.timeline import EventRow, TimelineGap
@@ -58,7 +58,7 @@
 """
 
 
-@dataclass(slots=True)
+@define
 class _Point:
     x: float
     y: float
--- a/packages/papayapost-operator/src/papayapost_operator/top.py
+++ b/packages/papayapost-operator/src/papayapost_operator/top.py
@@ -2,10 +2,10 @@
 
 import asyncio
 from collections.abc import Sequence
-from dataclasses import dataclass
 
 import msgspec
 
+from papayapost.define import define
 from papayapost.errors import UsageRefused
 from papayapost.ids import Address
 from papayapost.timeline import TimelineGap
@@ -25,7 +25,7 @@
 _LATENCY = "papayapost_latency_seconds"
 
 
-@dataclass(frozen=True, slots=True)
+@define(frozen=True)
 class NodeOverview:
     """State and metrics of one node.
 
@@ -45,7 +45,7 @@
     urgent_p99_ms: float | None
 
 
-@dataclass(frozen=True, slots=True)
+@define(frozen=True)
 class TopOverview:
     """Report of ``papaya top --json``."""
 
--- a/packages/papayapost-testing/tests/test_metrics.py
+++ b/packages/papayapost-testing/tests/test_metrics.py
@@ -12,7 +12,8 @@
 from papayapost.traffic import CallArrived
 from papayapost_node.admin import AdminServer, MetricsPage, StatusPage
 from papayapost_node.clock import SystemClock
-from papayapost_node.observe import CallCounter, CallMeter, Hop, expose
+from papayapost_node.observe import CallCounter, CallMeter, Hop
+from papayapost_node.observe.exposition import expose
 from papayapost_node.transport import PeerTable
 from papayapost_operator.exit_codes import ExitCode
 from papayapost_operator.main import run
--- a/packages/papayapost/src/papayapost/distribution/direct.py
+++ b/packages/papayapost/src/papayapost/distribution/direct.py
@@ -6,8 +6,7 @@
 from the store.
 """
 
-from dataclasses import dataclass
-
+from papayapost.define import define
 from papayapost.distribution.backoff import jittered_backoff_us
 from papayapost.distribution.change_history import ChangeHistory
 from papayapost.distribution.messages import (
@@ -67,7 +66,7 @@
 """
 
 
-@dataclass(slots=True)
+@define
 class DirectWatchRow:
     """State of this node's watch on the rules object of the store.
 
@@ -92,11 +91,11 @@
 
     failures: int = 0
     answered_us: Micros | None = None
-    version: RuleVersion = RuleVersion(0)  # noqa: RUF009
+    version: RuleVersion = RuleVersion(0)
     role: WatchRole = WatchRole.FALLBACK
     is_deputy: bool = False
     covered_us: Micros | None = None
-    fallback_until_us: Micros = Micros(0)  # noqa: RUF009
+    fallback_until_us: Micros = Micros(0)
 
     @property
     def is_watching(self) -> bool:
@@ -110,7 +109,7 @@
         return self.role is WatchRole.RELAY or is_acting_deputy
 
 
-@dataclass(slots=True)
+@define
 class PeerRulesVersionSeen:
     """Internal: a heartbeat showed that a peer holds this rules version."""
 
--- a/packages/papayapost/src/papayapost/distribution/line_edits.py
+++ b/packages/papayapost/src/papayapost/distribution/line_edits.py
@@ -2,9 +2,9 @@
 
 from collections import Counter
 from collections.abc import Iterable
-from dataclasses import dataclass
 from difflib import SequenceMatcher
 
+from papayapost.define import define
 from papayapost.errors import DeltaRefused
 
 __all__ = ["MAX_RULES_BYTES", "LineEdit", "apply_edits", "diff_lines", "edits_size"]
@@ -20,7 +20,7 @@
 _EDIT_OVERHEAD_BYTES = 8
 
 
-@dataclass(frozen=True, slots=True)
+@define(frozen=True)
 class LineEdit:
     """Replacement of a range of consecutive lines.
 
--- a/packages/papayapost/src/papayapost/distribution/messages.py
+++ b/packages/papayapost/src/papayapost/distribution/messages.py
@@ -1,7 +1,6 @@
 """Messages and timers of the distribution systems within one node."""
 
-from dataclasses import dataclass
-
+from papayapost.define import define
 from papayapost.distribution.line_edits import LineEdit
 from papayapost.distribution.peer_messages import ChunkRequest, DataCentreProgress
 from papayapost.distribution.rules_table import VersionRow
@@ -37,14 +36,14 @@
 ]
 
 
-@dataclass(slots=True)
+@define
 class RulesInForce:
     """Internal: a rules version was put into force."""
 
     version: RuleVersion
 
 
-@dataclass(slots=True)
+@define
 class RulesRejected:
     """Internal: a rules text did not compile; its version is refused."""
 
@@ -52,7 +51,7 @@
     findings: tuple[Finding, ...]
 
 
-@dataclass(slots=True)
+@define
 class TextOffered:
     """Internal: a source supplied a rules text.
 
@@ -77,7 +76,7 @@
     is_recorded: bool = True
 
 
-@dataclass(slots=True)
+@define
 class RulesCompiled:
     """Internal: an offered text was compiled without findings.
 
@@ -94,7 +93,7 @@
     is_recorded: bool = True
 
 
-@dataclass(slots=True)
+@define
 class RulesStaged:
     """Internal: a version is accepted and staged, and may go to children.
 
@@ -112,7 +111,7 @@
     edits: tuple[LineEdit, ...] | None
 
 
-@dataclass(slots=True)
+@define
 class StoreBehind:
     """Internal: the store showed an older or a conflicting rules version."""
 
@@ -120,27 +119,27 @@
     reason: str
 
 
-@dataclass(slots=True)
+@define
 class StoreCaughtUp:
     """Internal: the store shows the held version or a newer one again."""
 
 
-@dataclass(slots=True)
+@define
 class StoreAnswered:
     """Internal: the store answered this node's watch of the rules object."""
 
 
-@dataclass(slots=True)
+@define
 class WatchRoleChanged:
     """Internal: this node is to start or end its watch of the rules object."""
 
 
-@dataclass(slots=True)
+@define
 class StoreRegained:
     """Internal: the store answers this node, or its relays, again."""
 
 
-@dataclass(slots=True)
+@define
 class ReconcileObject:
     """Internal: request to bring a store object to a desired value."""
 
@@ -148,7 +147,7 @@
     value: object
 
 
-@dataclass(slots=True)
+@define
 class ObjectReconciled:
     """Internal: a store object is known to hold this value.
 
@@ -159,7 +158,7 @@
     value: object
 
 
-@dataclass(frozen=True, slots=True)
+@define(frozen=True)
 class AcceptedRules:
     """Value of the accepted object: the newest version that compiled."""
 
@@ -167,7 +166,7 @@
     text: str
 
 
-@dataclass(slots=True)
+@define
 class ProgressCollected:
     """Internal: the progress of this node and all nodes below it.
 
@@ -177,54 +176,54 @@
     parts: tuple[DataCentreProgress, ...]
 
 
-@dataclass(slots=True)
+@define
 class WatchDue:
     """Timer: watch the rules object again."""
 
 
-@dataclass(slots=True)
+@define
 class FallbackDue:
     """Timer: read the accepted object because the node has no parent."""
 
 
-@dataclass(slots=True)
+@define
 class FloorWaitExpired:
     """Timer: stop waiting for a parent to report the version floor."""
 
 
-@dataclass(slots=True)
+@define
 class RequestDue:
     """Timer: request newer rules from the parent or a peer."""
 
 
-@dataclass(slots=True)
+@define
 class CatchUpDue:
     """Timer: request rules if the parent still shows a newer version."""
 
 
-@dataclass(slots=True)
+@define
 class FetchDue:
     """Timer: repeat the request for the next chunk."""
 
 
-@dataclass(slots=True)
+@define
 class RepushDue:
     """Timer: push again to children that have not acknowledged."""
 
 
-@dataclass(slots=True)
+@define
 class ChunkDue:
     """Timer: the rate limit allows sending the requested chunk now."""
 
     request: ChunkRequest
 
 
-@dataclass(slots=True)
+@define
 class ProgressDue:
     """Timer: report the progress of this node and the nodes below it."""
 
 
-@dataclass(slots=True)
+@define
 class ReconcileDue:
     """Timer: read or update an object to reach its desired value."""
 
--- a/packages/papayapost/src/papayapost/distribution/newer_children.py
+++ b/packages/papayapost/src/papayapost/distribution/newer_children.py
@@ -1,7 +1,6 @@
 """The system that requests rules from a child with a newer version."""
 
-from dataclasses import dataclass
-
+from papayapost.define import define
 from papayapost.distribution.peer_messages import RulesRequest
 from papayapost.distribution.rules_table import RulesTable
 from papayapost.ids import Micros, NodeId
@@ -15,7 +14,7 @@
 _RETRY_US = 1_000_000
 
 
-@dataclass(slots=True)
+@define
 class NewerChildDue:
     """Timer: request again if the child still holds a newer version."""
 
--- a/packages/papayapost/src/papayapost/distribution/part.py
+++ b/packages/papayapost/src/papayapost/distribution/part.py
@@ -1,7 +1,6 @@
 """Construction of the distribution tables and systems of a node."""
 
-from dataclasses import dataclass
-
+from papayapost.define import define
 from papayapost.distribution.accept import AcceptRules
 from papayapost.distribution.change_history import ChangeHistory
 from papayapost.distribution.deltas import ApplyDeltas
@@ -47,7 +46,7 @@
 ]
 
 
-@dataclass(slots=True)
+@define
 class DistributionPart:
     """Tables and systems that distribute rules over a tree of relays.
 
@@ -64,7 +63,7 @@
     first_messages: list[object]
 
 
-@dataclass(slots=True)
+@define
 class DirectDistributionPart:
     """Tables and systems that distribute rules without a tree of relays.
 
--- a/packages/papayapost/src/papayapost/distribution/peer_messages.py
+++ b/packages/papayapost/src/papayapost/distribution/peer_messages.py
@@ -3,8 +3,7 @@
 The first field of every message is ``sender``.
 """
 
-from dataclasses import dataclass
-
+from papayapost.define import define
 from papayapost.distribution.line_edits import LineEdit
 from papayapost.distribution.status import Laggard, RefusedVersion
 from papayapost.ids import Address, DataCentreId, Micros, NodeId, RuleVersion
@@ -25,7 +24,7 @@
 ]
 
 
-@dataclass(slots=True)
+@define
 class RulesRequest:
     """Child to parent: request for the rules newer than the held version.
 
@@ -44,7 +43,7 @@
     held_digest: str
 
 
-@dataclass(slots=True)
+@define
 class RulesNotice:
     """Parent to child: announcement of the newest version at the parent.
 
@@ -62,7 +61,7 @@
     size_bytes: int
 
 
-@dataclass(slots=True)
+@define
 class RulesDelta:
     """Parent to child: edits that turn one version into a later one.
 
@@ -80,7 +79,7 @@
     edits: tuple[LineEdit, ...]
 
 
-@dataclass(slots=True)
+@define
 class ChunkRequest:
     """Child to parent: request for the chunk of a text at this offset."""
 
@@ -91,7 +90,7 @@
     offset_bytes: int
 
 
-@dataclass(slots=True)
+@define
 class RulesChunk:
     """Parent to child: one chunk of a rules text in UTF-8.
 
@@ -109,7 +108,7 @@
     data: bytes
 
 
-@dataclass(slots=True)
+@define
 class RulesGone:
     """Parent to child: the requested version is no longer available.
 
@@ -120,7 +119,7 @@
     version: RuleVersion
 
 
-@dataclass(slots=True)
+@define
 class RulesBusy:
     """Parent to child: too many transfers run; retry after this time."""
 
@@ -128,7 +127,7 @@
     retry_after_us: Micros
 
 
-@dataclass(frozen=True, slots=True)
+@define(frozen=True)
 class DataCentreProgress:
     """Progress of one data centre's nodes in the sender's subtree.
 
@@ -158,7 +157,7 @@
     refused: tuple[RefusedVersion, ...]
 
 
-@dataclass(slots=True)
+@define
 class RulesProgress:
     """Child to parent: progress of the child and all nodes below it.
 
@@ -175,7 +174,7 @@
     parts: tuple[DataCentreProgress, ...]
 
 
-@dataclass(slots=True)
+@define
 class RulesWanted:
     """Request for the rules to a peer with a newer version.
 
@@ -193,11 +192,11 @@
     sender: NodeId
     reply_to: Address
     known_version: RuleVersion
-    held_version: RuleVersion = RuleVersion(0)  # noqa: RUF009
+    held_version: RuleVersion = RuleVersion(0)
     held_digest: str = ""
 
 
-@dataclass(slots=True)
+@define
 class RulesShared:
     """Answer to `RulesWanted`: the rules that the sender holds."""
 
@@ -206,7 +205,7 @@
     text: str
 
 
-@dataclass(slots=True)
+@define
 class StoreContact:
     """Relay to the nodes of its region: the store has just answered it.
 
--- a/packages/papayapost/src/papayapost/distribution/progress.py
+++ b/packages/papayapost/src/papayapost/distribution/progress.py
@@ -1,7 +1,8 @@
 """The system that reports acknowledgements up the tree of relays."""
 
-from dataclasses import dataclass, field
+from dataclasses import field
 
+from papayapost.define import define
 from papayapost.distribution.fingerprint import add_hashes, node_hash
 from papayapost.distribution.messages import (
     ProgressCollected,
@@ -165,7 +166,7 @@
 )
 
 
-@dataclass(slots=True)
+@define
 class _ProgressSum:
     """Running sums of the progress of one data centre."""
 
--- a/packages/papayapost/src/papayapost/distribution/region_relays.py
+++ b/packages/papayapost/src/papayapost/distribution/region_relays.py
@@ -6,10 +6,9 @@
 or ask more than needed, because versions come from the store alone.
 """
 
-from dataclasses import dataclass
-
 from xxhash import xxh64_intdigest
 
+from papayapost.define import define
 from papayapost.distribution.change_history import ChangeHistory
 from papayapost.distribution.deltas import DeltaChain
 from papayapost.distribution.direct import DirectWatchRow, PeerRulesVersionSeen
@@ -63,7 +62,7 @@
 _LEAVING_STATES = (BackendServerState.DRAINING, BackendServerState.GONE)
 
 
-@dataclass(slots=True)
+@define
 class CoverDue:
     """Timer: no relay has reported contact with the store in time."""
 
--- a/packages/papayapost/src/papayapost/distribution/rules_table.py
+++ b/packages/papayapost/src/papayapost/distribution/rules_table.py
@@ -1,7 +1,8 @@
 """The rules versions that a node holds, staged or in force."""
 
-from dataclasses import dataclass, field
+from dataclasses import field
 
+from papayapost.define import define
 from papayapost.distribution.status import RefusedVersion
 from papayapost.ids import RuleVersion, ServiceName
 from papayapost.rules import RuleSet
@@ -10,7 +11,7 @@
 __all__ = ["RulesTable", "VersionRow"]
 
 
-@dataclass(slots=True)
+@define
 class VersionRow:
     """A compiled rules version and its state.
 
--- a/packages/papayapost/src/papayapost/distribution/start.py
+++ b/packages/papayapost/src/papayapost/distribution/start.py
@@ -1,7 +1,6 @@
 """Systems that run before a node has put its first version into force."""
 
-from dataclasses import dataclass
-
+from papayapost.define import define
 from papayapost.distribution.messages import FloorWaitExpired
 from papayapost.distribution.peer_messages import RulesProgress
 from papayapost.distribution.rules_table import RulesTable
@@ -15,7 +14,7 @@
 """How long a started node waits for a parent to report its version floor."""
 
 
-@dataclass(slots=True)
+@define
 class StartDue:
     """Input: the node runs its first tick."""
 
--- a/packages/papayapost/src/papayapost/distribution/status.py
+++ b/packages/papayapost/src/papayapost/distribution/status.py
@@ -5,8 +5,7 @@
 one.
 """
 
-from dataclasses import dataclass
-
+from papayapost.define import define
 from papayapost.findings import Finding
 from papayapost.ids import DataCentreId, NodeId, RuleVersion
 from papayapost.storage import ObjectKey, ObjectKind
@@ -26,7 +25,7 @@
 """
 
 
-@dataclass(frozen=True, slots=True)
+@define(frozen=True)
 class Laggard:
     """A node on which the reported version is not in force.
 
@@ -45,7 +44,7 @@
     reason: str
 
 
-@dataclass(frozen=True, slots=True)
+@define(frozen=True)
 class RefusedVersion:
     """A refused version with the findings that caused the refusal."""
 
@@ -53,7 +52,7 @@
     findings: tuple[Finding, ...]
 
 
-@dataclass(frozen=True, slots=True)
+@define(frozen=True)
 class StatusReport:
     """Progress of one data centre towards the newest rules version.
 
--- a/packages/papayapost/src/papayapost/distribution/tables.py
+++ b/packages/papayapost/src/papayapost/distribution/tables.py
@@ -1,8 +1,9 @@
 """Tables and rows of the systems that transfer rules versions."""
 
 from collections import deque
-from dataclasses import dataclass, field
+from dataclasses import field
 
+from papayapost.define import define
 from papayapost.distribution.line_edits import LineEdit
 from papayapost.distribution.peer_messages import RulesProgress
 from papayapost.ids import Address, Micros, NodeId, RuleVersion
@@ -21,7 +22,7 @@
 ]
 
 
-@dataclass(slots=True)
+@define
 class StoreWatchRow:
     """State of the watch on the rules object and of reads from the store.
 
@@ -48,7 +49,7 @@
     is_watching: bool = False
 
 
-@dataclass(slots=True)
+@define
 class FetchRow:
     """A snapshot that the node fetches from its parent or a newer child.
 
@@ -70,7 +71,7 @@
     failures: int = 0
 
 
-@dataclass(slots=True)
+@define
 class RulesRequestTable:
     """State of this node's requests for rules.
 
@@ -86,7 +87,7 @@
     failures: int = 0
 
 
-@dataclass(slots=True)
+@define
 class DeltaRow:
     """The delta between two consecutive versions that the node held.
 
@@ -103,7 +104,7 @@
     size_bytes: int
 
 
-@dataclass(slots=True)
+@define
 class ChildPushRow:
     """State of the pushes of rules versions to one child.
 
@@ -129,7 +130,7 @@
     progress: RulesProgress | None = None
 
 
-@dataclass(slots=True)
+@define
 class TransferRow:
     """A snapshot that is being sent to a child in chunks."""
 
@@ -139,7 +140,7 @@
     last_request_us: Micros
 
 
-@dataclass(slots=True)
+@define
 class RelayTables:
     """State that a node holds for its children.
 
@@ -173,7 +174,7 @@
         return cls(Table("child pushes"), Table("transfers"))
 
 
-@dataclass(slots=True)
+@define
 class ReconcileRow:
     """A store object that this node reconciles with a desired value.
 
--- a/packages/papayapost/src/papayapost/findings.py
+++ b/packages/papayapost/src/papayapost/findings.py
@@ -1,11 +1,11 @@
 """A finding: one fault in a text, with its location and its remedy."""
 
-from dataclasses import dataclass
+from papayapost.define import define
 
 __all__ = ["Finding"]
 
 
-@dataclass(frozen=True, slots=True)
+@define(frozen=True)
 class Finding:
     """One fault in a rules text or a settings file.
 
--- a/packages/papayapost/src/papayapost/membership/children.py
+++ b/packages/papayapost/src/papayapost/membership/children.py
@@ -1,7 +1,6 @@
 """Accepts children, answers their heartbeats and detects failed ones."""
 
-from dataclasses import dataclass
-
+from papayapost.define import define
 from papayapost.ids import Micros, NodeId
 from papayapost.kernel import System, Tick
 from papayapost.membership.budget import Budget
@@ -45,7 +44,7 @@
 _BACKLOG_WINDOW_US = 5_000_000
 
 
-@dataclass(slots=True)
+@define
 class ChildCheckDue:
     """Timer: look for children whose heartbeats have stopped."""
 
--- a/packages/papayapost/src/papayapost/membership/dissemination.py
+++ b/packages/papayapost/src/papayapost/membership/dissemination.py
@@ -1,7 +1,6 @@
 """Disseminates changed rows through the tree, in batches, within a budget."""
 
-from dataclasses import dataclass
-
+from papayapost.define import define
 from papayapost.ids import Micros, NodeId
 from papayapost.kernel import System, Tick
 from papayapost.membership.budget import Budget
@@ -22,7 +21,7 @@
 _MAX_WAITING = 512
 
 
-@dataclass(slots=True)
+@define
 class FlushDue:
     """Timer: send the queued rows to the neighbours."""
 
--- a/packages/papayapost/src/papayapost/membership/failures.py
+++ b/packages/papayapost/src/papayapost/membership/failures.py
@@ -1,7 +1,8 @@
 """Confirms suspected failures by probes from several members."""
 
-from dataclasses import dataclass, replace
+from dataclasses import replace
 
+from papayapost.define import define
 from papayapost.ids import Address, Micros, NodeId
 from papayapost.kernel import System, Table, Tick
 from papayapost.membership.members import Members
@@ -28,14 +29,14 @@
 _MAX_INDIRECT_PROBES = 64
 
 
-@dataclass(slots=True)
+@define
 class ConfirmDue:
     """Timer: decide from the probe results whether a suspect is dead."""
 
     node_id: NodeId
 
 
-@dataclass(slots=True)
+@define
 class IndirectProbeExpired:
     """Timer: an indirect probe has timed out without an answer."""
 
@@ -43,7 +44,7 @@
     on_behalf_of: NodeId
 
 
-@dataclass(slots=True)
+@define
 class IndirectProbeRow:
     """An outstanding probe that this node sent on behalf of a member."""
 
--- a/packages/papayapost/src/papayapost/membership/heartbeats.py
+++ b/packages/papayapost/src/papayapost/membership/heartbeats.py
@@ -1,7 +1,6 @@
 """Sends heartbeats to the parent and detects the failure of the parent."""
 
-from dataclasses import dataclass
-
+from papayapost.define import define
 from papayapost.ids import Micros
 from papayapost.kernel import System, Tick
 from papayapost.membership.members import Members
@@ -22,7 +21,7 @@
 PAUSE_THRESHOLD_US = 2 * HEARTBEAT_INTERVAL_US
 
 
-@dataclass(slots=True)
+@define
 class HeartbeatDue:
     """Timer: send the next heartbeat to the parent."""
 
--- a/packages/papayapost/src/papayapost/membership/liveness_reports.py
+++ b/packages/papayapost/src/papayapost/membership/liveness_reports.py
@@ -1,7 +1,6 @@
 """Reports live members to the relays, which suspect unreported members."""
 
-from dataclasses import dataclass
-
+from papayapost.define import define
 from papayapost.ids import Micros, NodeId
 from papayapost.kernel import System, Tick
 from papayapost.membership.members import Members
@@ -24,12 +23,12 @@
 _MAX_REPORTED_MEMBERS = 256
 
 
-@dataclass(slots=True)
+@define
 class LivenessReportDue:
     """Timer: report the live children to the relays."""
 
 
-@dataclass(slots=True)
+@define
 class AuditDue:
     """Timer: look for members that no node has reported as alive."""
 
--- a/packages/papayapost/src/papayapost/membership/messages.py
+++ b/packages/papayapost/src/papayapost/membership/messages.py
@@ -1,7 +1,6 @@
 """Messages of membership within a node, which systems of any part consume."""
 
-from dataclasses import dataclass
-
+from papayapost.define import define
 from papayapost.ids import Address, NodeId, RuleVersion
 from papayapost.membership.tables import BackendServerRow, ChildRow, ParentRow
 
@@ -22,17 +21,17 @@
 ]
 
 
-@dataclass(slots=True)
+@define
 class LeaveMesh:
     """Input: this process is about to exit; notify the other nodes."""
 
 
-@dataclass(slots=True)
+@define
 class OwnRowChanged:
     """Internal: this node's own row changed and has to be announced."""
 
 
-@dataclass(slots=True)
+@define
 class RowsReceived:
     """Internal: rows received from another node or read from the store.
 
@@ -51,7 +50,7 @@
     rows: tuple[BackendServerRow, ...]
 
 
-@dataclass(slots=True)
+@define
 class RowsToDisseminate:
     """Internal: disseminate the changed rows of these members in the tree.
 
@@ -69,7 +68,7 @@
     is_urgent: bool
 
 
-@dataclass(slots=True)
+@define
 class DirectoryChanged:
     """Internal: rows of the directory were inserted, replaced or removed.
 
@@ -79,21 +78,21 @@
     rows: tuple[BackendServerRow, ...]
 
 
-@dataclass(slots=True)
+@define
 class ParentChanged:
     """Internal: this node has a new parent, or no longer has one."""
 
     parent: ParentRow | None
 
 
-@dataclass(slots=True)
+@define
 class ParentLost:
     """Internal: the parent failed or no longer lists this node as a child."""
 
     reason: str
 
 
-@dataclass(slots=True)
+@define
 class ParentVersionChanged:
     """Internal: the parent reported a rules version different from before."""
 
@@ -101,34 +100,34 @@
     digest: int
 
 
-@dataclass(slots=True)
+@define
 class ChildJoined:
     """Internal: a child was accepted; its row holds its rules version."""
 
     child: ChildRow
 
 
-@dataclass(slots=True)
+@define
 class ChildVersionChanged:
     """Internal: a child's heartbeat reported a different rules version."""
 
     child: ChildRow
 
 
-@dataclass(slots=True)
+@define
 class ChildLeft:
     """Internal: a child left, or was removed because it failed."""
 
     node_id: NodeId
 
 
-@dataclass(slots=True)
+@define
 class MemberSuspected:
     """Internal: a member was silent, or not reported alive, for too long."""
 
     node_id: NodeId
 
 
-@dataclass(slots=True)
+@define
 class RoleChanged:
     """Internal: the relay roles in this node's `TreeTables` changed."""
--- a/packages/papayapost/src/papayapost/membership/parent_search.py
+++ b/packages/papayapost/src/papayapost/membership/parent_search.py
@@ -1,8 +1,8 @@
 """Finds a parent, and replaces a parent that does not suit the ranking."""
 
 from collections.abc import Sequence
-from dataclasses import dataclass
 
+from papayapost.define import define
 from papayapost.ids import Address, Micros
 from papayapost.kernel import System, Tick
 from papayapost.membership.candidates import Candidates
@@ -45,12 +45,12 @@
 _MAX_RETRY_AFTER_US = 60_000_000
 
 
-@dataclass(slots=True)
+@define
 class SeekDue:
     """Timer: begin a round of join requests."""
 
 
-@dataclass(slots=True)
+@define
 class SeekTimedOut:
     """Timer: a candidate has not answered the join request."""
 
--- a/packages/papayapost/src/papayapost/membership/part.py
+++ b/packages/papayapost/src/papayapost/membership/part.py
@@ -1,8 +1,8 @@
 """Builds the membership part of a node's world: its tables and systems."""
 
 from collections.abc import Sequence
-from dataclasses import dataclass
 
+from papayapost.define import define
 from papayapost.ids import Address
 from papayapost.kernel import System
 from papayapost.membership.children import AdmitChildren, MonitorChildren
@@ -31,7 +31,7 @@
 __all__ = ["MembershipPart", "build_membership"]
 
 
-@dataclass(slots=True)
+@define
 class MembershipPart:
     """Tables and systems of membership, and messages for the first tick."""
 
--- a/packages/papayapost/src/papayapost/membership/peer_messages.py
+++ b/packages/papayapost/src/papayapost/membership/peer_messages.py
@@ -1,7 +1,6 @@
 """Membership messages between nodes, and membership values in the store."""
 
-from dataclasses import dataclass
-
+from papayapost.define import define
 from papayapost.ids import (
     Address,
     DataCentreId,
@@ -38,7 +37,7 @@
 ]
 
 
-@dataclass(slots=True)
+@define
 class Announcement:
     """From a root to any member: the root's own row.
 
@@ -52,7 +51,7 @@
     wants_reply: bool
 
 
-@dataclass(slots=True)
+@define
 class Contact:
     """Name and peer address of a node, such as a candidate parent."""
 
@@ -60,7 +59,7 @@
     address: Address
 
 
-@dataclass(slots=True)
+@define
 class JoinRequest:
     """Ask the receiver to become the sender's parent.
 
@@ -83,7 +82,7 @@
     digest: int
 
 
-@dataclass(slots=True)
+@define
 class JoinAccepted:
     """Accept the receiver as a child of the sender.
 
@@ -104,7 +103,7 @@
     digest: int
 
 
-@dataclass(slots=True)
+@define
 class JoinRedirected:
     """Refuse a join request, and name other nodes or a delay.
 
@@ -126,7 +125,7 @@
     retry_after_ms: int
 
 
-@dataclass(slots=True)
+@define
 class Heartbeat:
     """From child to parent: the child is alive and acknowledges its rules.
 
@@ -142,7 +141,7 @@
     digest: int
 
 
-@dataclass(slots=True)
+@define
 class HeartbeatAnswer:
     """From parent to child: answer to a heartbeat.
 
@@ -164,14 +163,14 @@
     directory_digest: int
 
 
-@dataclass(slots=True)
+@define
 class Detach:
     """From child to former parent: the child has another parent now."""
 
     sender: NodeId
 
 
-@dataclass(slots=True)
+@define
 class DirectoryDelta:
     """Changed rows, complete; each supersedes older rows of its node."""
 
@@ -180,7 +179,7 @@
     rows: tuple[BackendServerRow, ...]
 
 
-@dataclass(slots=True)
+@define
 class DataCentreDigest:
     """A data centre and the digest of its live rows."""
 
@@ -188,7 +187,7 @@
     digest: int
 
 
-@dataclass(slots=True)
+@define
 class DigestsOffered:
     """Start of a repair: the digests of the sender's directory."""
 
@@ -197,7 +196,7 @@
     digests: tuple[DataCentreDigest, ...]
 
 
-@dataclass(slots=True)
+@define
 class BucketDigests:
     """Answer to `DigestsOffered`: bucket digests of a data centre.
 
@@ -210,7 +209,7 @@
     buckets: tuple[int, ...]
 
 
-@dataclass(slots=True)
+@define
 class BucketsWanted:
     """Request for the live rows in the listed buckets of a data centre."""
 
@@ -220,7 +219,7 @@
     buckets: tuple[int, ...]
 
 
-@dataclass(slots=True)
+@define
 class BucketRows:
     """Answer to `BucketsWanted`: all live rows in the listed buckets."""
 
@@ -231,7 +230,7 @@
     rows: tuple[BackendServerRow, ...]
 
 
-@dataclass(slots=True)
+@define
 class LiveNode:
     """A node that is alive, and the rules version that it acknowledged."""
 
@@ -239,7 +238,7 @@
     version: RuleVersion
 
 
-@dataclass(slots=True)
+@define
 class Vouch:
     """From a parent to the relays of its data centre: list of live nodes."""
 
@@ -247,7 +246,7 @@
     alive: tuple[LiveNode, ...]
 
 
-@dataclass(slots=True)
+@define
 class Probe:
     """Ask whether the receiver is alive.
 
@@ -262,7 +261,7 @@
     on_behalf_of: NodeId
 
 
-@dataclass(slots=True)
+@define
 class ProbeAnswer:
     """Answer to a probe: the answering node's own row."""
 
@@ -271,7 +270,7 @@
     row: BackendServerRow
 
 
-@dataclass(slots=True)
+@define
 class ProbeRequest:
     """Ask the receiver to probe a member on behalf of the sender."""
 
@@ -280,7 +279,7 @@
     target: Contact
 
 
-@dataclass(slots=True)
+@define
 class ProbeResult:
     """Result of a probe that the sender made on behalf of the receiver.
 
@@ -295,7 +294,7 @@
     row: BackendServerRow | None
 
 
-@dataclass(slots=True)
+@define
 class DataCentreName:
     """A data centre whose directory is in the store, and its region."""
 
@@ -303,7 +302,7 @@
     region: RegionId
 
 
-@dataclass(slots=True)
+@define
 class DirectoryObject:
     """Value of a DIRECTORY object in the store.
 
--- a/packages/papayapost/src/papayapost/membership/progress_rows.py
+++ b/packages/papayapost/src/papayapost/membership/progress_rows.py
@@ -1,8 +1,9 @@
 """Rows for a node's search for a parent, its repairs and its suspects."""
 
 from collections import deque
-from dataclasses import dataclass, field
+from dataclasses import field
 
+from papayapost.define import define
 from papayapost.ids import Address, DataCentreId, Micros, NodeId, RuleVersion
 
 __all__ = ["NEVER", "KnownVersion", "RepairRow", "SeekRow", "SuspectRow"]
@@ -10,7 +11,7 @@
 NEVER = Micros(0)
 
 
-@dataclass(slots=True)
+@define
 class KnownVersion:
     """The rules version that a node last acknowledged, as far as is known."""
 
@@ -18,7 +19,7 @@
     recorded_us: Micros
 
 
-@dataclass(slots=True)
+@define
 class SuspectRow:
     """A member whose suspected failure is being confirmed by probes.
 
@@ -41,7 +42,7 @@
     answered: int = 0
 
 
-@dataclass(slots=True)
+@define
 class RepairRow:
     """A repair in progress: the rows of one data centre are compared.
 
@@ -58,7 +59,7 @@
     buckets: deque[int] = field(default_factory=deque)
 
 
-@dataclass(slots=True)
+@define
 class SeekRow:
     """State of the search for a parent.
 
--- a/packages/papayapost/src/papayapost/membership/publishing.py
+++ b/packages/papayapost/src/papayapost/membership/publishing.py
@@ -1,7 +1,6 @@
 """Writes the directory of this data centre to the store."""
 
-from dataclasses import dataclass
-
+from papayapost.define import define
 from papayapost.ids import Micros
 from papayapost.kernel import System, Tick
 from papayapost.membership.digests import Digests
@@ -41,12 +40,12 @@
 _MAX_STORED_TOMBSTONES = 2_000
 
 
-@dataclass(slots=True)
+@define
 class PublishDue:
     """Timer: write the directory if it differs from the stored one."""
 
 
-@dataclass(slots=True)
+@define
 class VerifyDue:
     """Timer: read the stored directory again to verify it."""
 
--- a/packages/papayapost/src/papayapost/membership/region_watch.py
+++ b/packages/papayapost/src/papayapost/membership/region_watch.py
@@ -1,7 +1,6 @@
 """Watches the directories of the other regions in the store."""
 
-from dataclasses import dataclass
-
+from papayapost.define import define
 from papayapost.ids import DataCentreId, Micros
 from papayapost.kernel import System, Tick
 from papayapost.membership.members import MAX_DATA_CENTRES, Members
@@ -24,7 +23,7 @@
 _ROWS_PER_MESSAGE = 512
 
 
-@dataclass(slots=True)
+@define
 class WatchDue:
     """Timer: watch an object again after the store did not answer."""
 
--- a/packages/papayapost/src/papayapost/membership/repair.py
+++ b/packages/papayapost/src/papayapost/membership/repair.py
@@ -1,8 +1,8 @@
 """Anti-entropy: finds missing rows by digests and fetches them in chunks."""
 
 from collections import deque
-from dataclasses import dataclass
 
+from papayapost.define import define
 from papayapost.ids import Address, Micros
 from papayapost.kernel import System, Tick
 from papayapost.membership.budget import Budget
@@ -36,12 +36,12 @@
 _SERVE_RETRY_US = 200_000
 
 
-@dataclass(slots=True)
+@define
 class RepairTimedOut:
     """Timer: the serving node has not answered a step of the repair."""
 
 
-@dataclass(slots=True)
+@define
 class ServeDue:
     """Timer: serve the requests that are waiting for the row budget."""
 
--- a/packages/papayapost/src/papayapost/membership/tables.py
+++ b/packages/papayapost/src/papayapost/membership/tables.py
@@ -1,8 +1,8 @@
 """Tables and rows for the directory of nodes and the tree of relays."""
 
-from dataclasses import dataclass
 from itertools import islice
 
+from papayapost.define import define
 from papayapost.ids import (
     Address,
     DataCentreId,
@@ -40,7 +40,7 @@
 NO_VERSION = RuleVersion(0)
 
 
-@dataclass(slots=True)
+@define
 class BackendServerRow:
     """A node and its backend server, as announced by the node.
 
@@ -113,7 +113,7 @@
     )
 
 
-@dataclass(slots=True)
+@define
 class TombstoneRow:
     """The last row of a node that left or died.
 
@@ -125,7 +125,7 @@
     created_us: Micros
 
 
-@dataclass(slots=True)
+@define
 class ParentRow:
     """The node from which this one receives rules and directory changes.
 
@@ -141,7 +141,7 @@
     digest: int = 0
 
 
-@dataclass(slots=True)
+@define
 class ChildRow:
     """A node that receives rules and directory changes from this one.
 
--- a/packages/papayapost/src/papayapost/node.py
+++ b/packages/papayapost/src/papayapost/node.py
@@ -1,9 +1,9 @@
 """Builds the world of a node: its tables and its systems in order."""
 
 from collections.abc import Sequence
-from dataclasses import dataclass
 from random import Random
 
+from papayapost.define import define
 from papayapost.distribution import (
     RulesTable,
     build_direct_distribution,
@@ -26,7 +26,7 @@
 __all__ = ["NodeWorld", "build_node_world", "build_roster_world"]
 
 
-@dataclass(slots=True)
+@define
 class NodeWorld:
     """The world of a node, and the tables that code outside it reads.
 
--- a/packages/papayapost/src/papayapost/observe/events.py
+++ b/packages/papayapost/src/papayapost/observe/events.py
@@ -1,8 +1,8 @@
 """Numbered events of the log and the time line."""
 
-from dataclasses import dataclass
 from enum import Enum
 
+from papayapost.define import define
 from papayapost.ids import AttemptId, CallId, NodeId, RuleVersion
 
 __all__ = ["Event", "Noted"]
@@ -87,7 +87,7 @@
     RECORD_FAILED = 701
 
 
-@dataclass(slots=True)
+@define
 class Noted:
     """Effect: log an event and keep it for the time line.
 
--- a/packages/papayapost/src/papayapost/peering.py
+++ b/packages/papayapost/src/papayapost/peering.py
@@ -1,13 +1,12 @@
 """Defines the effect that sends a message to another node."""
 
-from dataclasses import dataclass
-
+from papayapost.define import define
 from papayapost.ids import Address
 
 __all__ = ["PeerSend"]
 
 
-@dataclass(slots=True)
+@define
 class PeerSend:
     """Effect: send `message` to the node at `address`, at most once.
 
--- a/packages/papayapost/src/papayapost/place.py
+++ b/packages/papayapost/src/papayapost/place.py
@@ -1,14 +1,13 @@
 """Location of a process, and its distance from other locations."""
 
-from dataclasses import dataclass
-
+from papayapost.define import define
 from papayapost.ids import Address, DataCentreId, Incarnation, NodeId, RegionId
 from papayapost.states import LinkClass
 
 __all__ = ["Place", "SelfRow"]
 
 
-@dataclass(frozen=True, slots=True)
+@define(frozen=True)
 class Place:
     """A location: a data centre and the region that contains it.
 
@@ -31,7 +30,7 @@
         return LinkClass.DATA_CENTRE
 
 
-@dataclass(slots=True)
+@define
 class SelfRow:
     """Identity and location of this node, from its settings and its start.
 
--- a/packages/papayapost/src/papayapost/record/apply/messages.py
+++ b/packages/papayapost/src/papayapost/record/apply/messages.py
@@ -1,8 +1,8 @@
 """Input and effect of an apply: its request and its report."""
 
-from dataclasses import dataclass
 from enum import Enum
 
+from papayapost.define import define
 from papayapost.findings import Finding
 from papayapost.ids import Micros, RuleVersion
 from papayapost.record.model import ChangeEntry, Operator, ProposalId
@@ -47,7 +47,7 @@
     UNKNOWN = "unknown"
 
 
-@dataclass(slots=True)
+@define
 class ApplyRequested:
     """Input: request to make a text the current version of the rules.
 
@@ -80,7 +80,7 @@
     requested_at_us: Micros
 
 
-@dataclass(frozen=True, slots=True)
+@define(frozen=True)
 class ApplyReport:
     """How an apply ended, and which rules its text changes.
 
@@ -122,7 +122,7 @@
     reason: str = ""
 
 
-@dataclass(slots=True)
+@define
 class ApplyFinished:
     """Effect: the apply has ended with this report."""
 
--- a/packages/papayapost/src/papayapost/record/apply/tables.py
+++ b/packages/papayapost/src/papayapost/record/apply/tables.py
@@ -1,8 +1,8 @@
 """Table of the apply in progress, with its row and states."""
 
-from dataclasses import dataclass
 from enum import Enum
 
+from papayapost.define import define
 from papayapost.ids import NO_VERSION, Micros, RuleVersion
 from papayapost.record.apply.messages import ApplyOutcome, ApplyReport, ApplyRequested
 from papayapost.record.changeset import RulesText, printable_changes
@@ -45,7 +45,7 @@
     FINISHED = "finished"
 
 
-@dataclass(slots=True)
+@define
 class ApplyRow:
     """Progress of one apply.
 
--- a/packages/papayapost/src/papayapost/record/batch_read.py
+++ b/packages/papayapost/src/papayapost/record/batch_read.py
@@ -1,8 +1,9 @@
 """Reads several store objects as one batch, for the operators' tool."""
 
-from dataclasses import dataclass, field
+from dataclasses import field
 from typing import NewType
 
+from papayapost.define import define
 from papayapost.ids import Micros
 from papayapost.kernel import System, Table, Tick
 from papayapost.storage import (
@@ -30,7 +31,7 @@
 _RETRY_PAUSE_MAX_US = 300_000
 
 
-@dataclass(frozen=True, slots=True)
+@define(frozen=True)
 class FetchedObject:
     """One store object, or the reason why it could not be read.
 
@@ -53,7 +54,7 @@
     failure: str = ""
 
 
-@dataclass(slots=True)
+@define
 class BatchReadRequested:
     """Internal: request to read several objects.
 
@@ -69,7 +70,7 @@
     keys: tuple[ObjectKey, ...]
 
 
-@dataclass(slots=True)
+@define
 class BatchReadDone:
     """Internal: every object of a batch was read or has failed for good.
 
@@ -85,7 +86,7 @@
     objects: tuple[FetchedObject, ...]
 
 
-@dataclass(slots=True)
+@define
 class BatchReadRow:
     """A batch read in progress.
 
--- a/packages/papayapost/src/papayapost/record/changeset.py
+++ b/packages/papayapost/src/papayapost/record/changeset.py
@@ -8,10 +8,11 @@
 import re
 from collections import Counter
 from collections.abc import Iterator
-from dataclasses import dataclass, replace
+from dataclasses import replace
 
 import xxhash
 
+from papayapost.define import define
 from papayapost.ids import NO_VERSION, RuleVersion
 from papayapost.record.model import ChangeDetail, ChangeSet, DetailName
 from papayapost.rules import ChangeKind, RuleChange, RuleKey, diff_rules
@@ -36,7 +37,7 @@
 _UNPRINTABLE = re.compile("[\x00-\x1f\x7f-\x9f\u2028-\u202e\u2066-\u2069\ud800-\udfff]")
 
 
-@dataclass(frozen=True, slots=True)
+@define(frozen=True)
 class RulesText:
     """A rules text and the version that the store gave it."""
 
@@ -44,7 +45,7 @@
     text: str
 
 
-@dataclass(frozen=True, slots=True)
+@define(frozen=True)
 class StoredChanges:
     """A change set and the detail objects that it refers to.
 
--- a/packages/papayapost/src/papayapost/record/messages.py
+++ b/packages/papayapost/src/papayapost/record/messages.py
@@ -1,8 +1,8 @@
 """Messages between the systems that write the change record."""
 
-from dataclasses import dataclass
 from typing import NewType
 
+from papayapost.define import define
 from papayapost.record.model import RecordPage
 from papayapost.record.page_operations import PageOperation
 
@@ -20,7 +20,7 @@
 """Id of an operation, by which the requesting system finds the result."""
 
 
-@dataclass(slots=True)
+@define
 class OperationRequested:
     """Internal: request to apply an operation to the newest record page.
 
@@ -37,7 +37,7 @@
     operation: PageOperation
 
 
-@dataclass(slots=True)
+@define
 class OperationDone:
     """Internal: the record in the store holds the operation's result.
 
@@ -57,7 +57,7 @@
     has_changed: bool
 
 
-@dataclass(slots=True)
+@define
 class OperationFailed:
     """Internal: the store failed too often for the operation to complete.
 
@@ -76,16 +76,16 @@
     reason: str
 
 
-@dataclass(slots=True)
+@define
 class PageReadDue:
     """Timer: read the newest page, to apply the waiting operations to it."""
 
 
-@dataclass(slots=True)
+@define
 class RulesReadDue:
     """Timer: read the rules object again after a failed read."""
 
 
-@dataclass(slots=True)
+@define
 class GracePeriodEnded:
     """Timer: the grace period is over; record the observed versions."""
--- a/packages/papayapost/src/papayapost/record/model.py
+++ b/packages/papayapost/src/papayapost/record/model.py
@@ -6,10 +6,10 @@
 details.
 """
 
-from dataclasses import dataclass
 from enum import Enum
 from typing import NewType
 
+from papayapost.define import define
 from papayapost.ids import Micros, RuleVersion
 from papayapost.rules import RuleChange
 from papayapost.storage import ObjectKey, ObjectKind
@@ -63,14 +63,14 @@
     REFUSED = "refused"
 
 
-@dataclass(frozen=True, slots=True)
+@define(frozen=True)
 class ChangeDetail:
     """Value of a detail object: changes that are too large for an entry."""
 
     changes: tuple[RuleChange, ...]
 
 
-@dataclass(frozen=True, slots=True)
+@define(frozen=True)
 class ChangeSet:
     """Differences between a version and the valid version before it.
 
@@ -100,7 +100,7 @@
     details: tuple[DetailName, ...] = ()
 
 
-@dataclass(frozen=True, slots=True)
+@define(frozen=True)
 class Proposal:
     """A text that an operator is about to write as the next version.
 
@@ -135,7 +135,7 @@
     changes: ChangeSet
 
 
-@dataclass(frozen=True, slots=True)
+@define(frozen=True)
 class ChangeEntry:
     """Record entry of one version of the rules object.
 
@@ -179,7 +179,7 @@
     overtaken: tuple[Proposal, ...] = ()
 
 
-@dataclass(frozen=True, slots=True)
+@define(frozen=True)
 class RecordPage:
     """A page of the record, with a bounded number of entries.
 
--- a/packages/papayapost/src/papayapost/record/page_operations.py
+++ b/packages/papayapost/src/papayapost/record/page_operations.py
@@ -4,8 +4,9 @@
 """
 
 from abc import ABC, abstractmethod
-from dataclasses import dataclass, replace
+from dataclasses import replace
 
+from papayapost.define import define
 from papayapost.errors import RulesRefused
 from papayapost.ids import NO_VERSION, Micros, RuleVersion
 from papayapost.record.changeset import (
@@ -99,7 +100,7 @@
         """Change the draft, unless the draft already holds the result."""
 
 
-@dataclass(frozen=True, slots=True)
+@define(frozen=True)
 class ObservedVersion:
     """A version of the rules object, as an operator or a node observed it.
 
@@ -125,7 +126,7 @@
     comparison_texts: tuple[RulesText, ...] = ()
 
 
-@dataclass(frozen=True, slots=True)
+@define(frozen=True)
 class RecordVersion(PageOperation):
     """Adds the entry of a version that was observed in the store.
 
@@ -249,7 +250,7 @@
         return changes_between(basis, self.observed.text)
 
 
-@dataclass(frozen=True, slots=True)
+@define(frozen=True)
 class ProposeVersion(PageOperation):
     """Adds a proposal, after the entry of the version that it replaces.
 
--- a/packages/papayapost/src/papayapost/record/part.py
+++ b/packages/papayapost/src/papayapost/record/part.py
@@ -1,7 +1,6 @@
 """Builds the systems of a node that add missing entries to the record."""
 
-from dataclasses import dataclass
-
+from papayapost.define import define
 from papayapost.distribution import RulesTable
 from papayapost.kernel import System
 from papayapost.membership import TreeTables
@@ -18,7 +17,7 @@
 __all__ = ["RecordPart", "build_record", "page_systems"]
 
 
-@dataclass(slots=True)
+@define
 class RecordPart:
     """Tables and systems of the change record on a node.
 
--- a/packages/papayapost/src/papayapost/record/queries/log.py
+++ b/packages/papayapost/src/papayapost/record/queries/log.py
@@ -1,7 +1,8 @@
 """Query for the change log: who changed which rule, and when."""
 
-from dataclasses import dataclass, replace
+from dataclasses import replace
 
+from papayapost.define import define
 from papayapost.record.batch_read import FetchedObject
 from papayapost.record.model import (
     RECORD_KEY,
@@ -20,7 +21,7 @@
 _MAX_PAGES = 500
 
 
-@dataclass(frozen=True, slots=True)
+@define(frozen=True)
 class LogFilter:
     """Selects the changes that a log report shows.
 
@@ -55,7 +56,7 @@
         )
 
 
-@dataclass(frozen=True, slots=True)
+@define(frozen=True)
 class LogReport:
     """Record entries that match a filter.
 
--- a/packages/papayapost/src/papayapost/record/queries/query.py
+++ b/packages/papayapost/src/papayapost/record/queries/query.py
@@ -1,9 +1,9 @@
 """Base class of the operators' queries, and the system that runs one."""
 
 from abc import ABC, abstractmethod
-from dataclasses import dataclass
 from random import Random
 
+from papayapost.define import define
 from papayapost.kernel import System, Tick, World
 from papayapost.record.batch_read import (
     BatchReadDone,
@@ -45,14 +45,14 @@
         """Return the report, a dataclass of the query's own type."""
 
 
-@dataclass(slots=True)
+@define
 class QueryRequested:
     """Input: request to run a query."""
 
     query: Query
 
 
-@dataclass(slots=True)
+@define
 class QueryAnswered:
     """Effect: the query has ended with this report."""
 
--- a/packages/papayapost/src/papayapost/record/queries/rules.py
+++ b/packages/papayapost/src/papayapost/record/queries/rules.py
@@ -1,7 +1,6 @@
 """Query for the rules text that the nodes route calls by."""
 
-from dataclasses import dataclass
-
+from papayapost.define import define
 from papayapost.distribution import ACCEPTED_KEY, RULES_KEY, AcceptedRules
 from papayapost.ids import NO_VERSION, RuleVersion
 from papayapost.record.batch_read import FetchedObject
@@ -11,7 +10,7 @@
 __all__ = ["CurrentRules", "ReadRules"]
 
 
-@dataclass(frozen=True, slots=True)
+@define(frozen=True)
 class CurrentRules:
     """The accepted rules text, or the stored text if none is accepted yet.
 
--- a/packages/papayapost/src/papayapost/record/queries/status.py
+++ b/packages/papayapost/src/papayapost/record/queries/status.py
@@ -1,8 +1,8 @@
 """Query for the status of the rules in the store and the data centres."""
 
 from collections.abc import Sequence
-from dataclasses import dataclass
 
+from papayapost.define import define
 from papayapost.distribution import (
     ACCEPTED_KEY,
     RULES_KEY,
@@ -22,7 +22,7 @@
 __all__ = ["DataCentreStatus", "ReadStatus", "StatusOverview"]
 
 
-@dataclass(frozen=True, slots=True)
+@define(frozen=True)
 class DataCentreStatus:
     """Status of the rules in one data centre.
 
@@ -42,7 +42,7 @@
     failure: str
 
 
-@dataclass(frozen=True, slots=True)
+@define(frozen=True)
 class StatusOverview:
     """Status of the rules in the store and in the data centres.
 
--- a/packages/papayapost/src/papayapost/record/tables.py
+++ b/packages/papayapost/src/papayapost/record/tables.py
@@ -1,8 +1,9 @@
 """Tables of the systems that write the change record."""
 
-from dataclasses import dataclass, field
+from dataclasses import field
 from enum import Enum
 
+from papayapost.define import define
 from papayapost.ids import NO_VERSION, RuleVersion
 from papayapost.kernel import Table
 from papayapost.record.changeset import RulesText
@@ -44,7 +45,7 @@
     PAUSED = "paused"
 
 
-@dataclass(slots=True)
+@define
 class PageUpdateRow:
     """Update of the newest page in progress.
 
@@ -73,7 +74,7 @@
     failures: int = 0
 
 
-@dataclass(slots=True)
+@define
 class OperationRow:
     """An operation that waits for the update of the newest page."""
 
--- a/packages/papayapost/src/papayapost/roster/messages.py
+++ b/packages/papayapost/src/papayapost/roster/messages.py
@@ -1,7 +1,6 @@
 """Messages and timers of flat membership."""
 
-from dataclasses import dataclass
-
+from papayapost.define import define
 from papayapost.ids import Address, Incarnation, NodeId, RuleVersion
 from papayapost.membership import BackendServerRow
 from papayapost.roster.tables import RosterEntry
@@ -21,7 +20,7 @@
 ]
 
 
-@dataclass(slots=True)
+@define
 class Beat:
     """Heartbeat that a node sends to its partners at intervals.
 
@@ -42,7 +41,7 @@
     directory_digest: int = 0
 
 
-@dataclass(slots=True)
+@define
 class Hello:
     """Announcement of the sender's complete row to a peer.
 
@@ -63,7 +62,7 @@
     wants_reply: bool
 
 
-@dataclass(slots=True)
+@define
 class HelloSuperseded:
     """Answer to a `Hello` whose row is older than the one known of its sender.
 
@@ -79,7 +78,7 @@
     known: BackendServerRow
 
 
-@dataclass(slots=True)
+@define
 class PeersWanted:
     """Request for the nodes that the receiver knows.
 
@@ -93,7 +92,7 @@
     reply_to: Address
 
 
-@dataclass(slots=True)
+@define
 class PeersShared:
     """Answer to a `PeersWanted`: the nodes that the sender knows.
 
@@ -110,7 +109,7 @@
     stamps: tuple[tuple[Incarnation, int], ...] = ()
 
 
-@dataclass(slots=True)
+@define
 class PeersLost:
     """Report that the sender has lost some peers.
 
@@ -121,17 +120,17 @@
     node_ids: tuple[NodeId, ...]
 
 
-@dataclass(slots=True)
+@define
 class RosterStarted:
     """First message of the process: flat membership starts now."""
 
 
-@dataclass(slots=True)
+@define
 class EntryDue:
     """Timer: write this node's entry if it is not stored yet."""
 
 
-@dataclass(slots=True)
+@define
 class ReadDue:
     """Timer: read the entries of all nodes.
 
@@ -144,12 +143,12 @@
     may_be_stale: bool
 
 
-@dataclass(slots=True)
+@define
 class HeartbeatsDue:
     """Timer: send heartbeats and check for silent peers."""
 
 
-@dataclass(slots=True)
+@define
 class SuspicionDue:
     """Timer: a suspected peer has had some time to answer a `Hello`."""
 
--- a/packages/papayapost/src/papayapost/roster/part.py
+++ b/packages/papayapost/src/papayapost/roster/part.py
@@ -1,7 +1,6 @@
 """Builds the tables and systems of flat membership."""
 
-from dataclasses import dataclass
-
+from papayapost.define import define
 from papayapost.distribution import RulesTable
 from papayapost.kernel import System
 from papayapost.membership import BackendServerRow, Directory
@@ -18,7 +17,7 @@
 __all__ = ["RosterPart", "build_roster"]
 
 
-@dataclass(slots=True)
+@define
 class RosterPart:
     """Tables, systems and first messages of flat membership."""
 
--- a/packages/papayapost/src/papayapost/roster/tables.py
+++ b/packages/papayapost/src/papayapost/roster/tables.py
@@ -1,8 +1,8 @@
 """Tables of flat membership: this node's entry, its peers, the directory."""
 
-from dataclasses import dataclass
 from enum import Enum
 
+from papayapost.define import define
 from papayapost.ids import (
     Address,
     DataCentreId,
@@ -46,7 +46,7 @@
     REPORT = "report"
 
 
-@dataclass(frozen=True, slots=True)
+@define(frozen=True)
 class RosterEntry:
     """Value of a node's store entry: what other nodes need to reach it.
 
@@ -60,7 +60,7 @@
     region: RegionId
 
 
-@dataclass(slots=True)
+@define
 class PeerRow:
     """Another node of the mesh.
 
@@ -106,7 +106,7 @@
     last_heard_us: Micros | None = None
     last_asked_us: Micros | None = None
     last_beat_us: Micros | None = None
-    version: RuleVersion = RuleVersion(0)  # noqa: RUF009
+    version: RuleVersion = RuleVersion(0)
     state: MemberState = MemberState.SUSPECT
     suspicion: SuspicionCause | None = None
     unanswered: int = 0
@@ -119,7 +119,7 @@
         return self.link in _SAME_REGION_LINKS
 
 
-@dataclass(slots=True)
+@define
 class PeerListRow:
     """Progress in learning from peers which nodes they know.
 
--- a/packages/papayapost/src/papayapost/rules/diff.py
+++ b/packages/papayapost/src/papayapost/rules/diff.py
@@ -1,10 +1,10 @@
 """Compares two rules texts rule by rule."""
 
 from bisect import bisect_left
-from dataclasses import dataclass
 from enum import Enum
 from typing import NewType
 
+from papayapost.define import define
 from papayapost.ids import Owner
 from papayapost.rules.finding_list import FindingList
 from papayapost.rules.tokens import RuleLine, rule_lines
@@ -27,7 +27,7 @@
     MOVED = "moved"
 
 
-@dataclass(frozen=True, slots=True)
+@define(frozen=True)
 class RuleChange:
     """One rule that differs between two texts.
 
@@ -49,7 +49,7 @@
     owner_after: Owner
 
 
-@dataclass(slots=True)
+@define
 class _RuleRow:
     rule: RuleKey
     text: str
--- a/packages/papayapost/src/papayapost/rules/explain.py
+++ b/packages/papayapost/src/papayapost/rules/explain.py
@@ -1,8 +1,8 @@
 """Explains which route decides a call, and why similar routes do not."""
 
-from dataclasses import dataclass
 from enum import Enum
 
+from papayapost.define import define
 from papayapost.rules.match import match_route
 from papayapost.rules.model import ANY_HOST, Route, Share
 from papayapost.rules.ruleset import RuleSet
@@ -18,7 +18,7 @@
     PATH = "path"
 
 
-@dataclass(frozen=True, slots=True)
+@define(frozen=True)
 class NearMiss:
     """An earlier route that matches a call in all parts but one.
 
@@ -35,7 +35,7 @@
     message: str
 
 
-@dataclass(frozen=True, slots=True)
+@define(frozen=True)
 class Explanation:
     """How a rules text decides one call.
 
--- a/packages/papayapost/src/papayapost/rules/index.py
+++ b/packages/papayapost/src/papayapost/rules/index.py
@@ -10,14 +10,14 @@
 
 from bisect import bisect_right
 from collections.abc import Iterable, Sequence
-from dataclasses import dataclass
 
+from papayapost.define import define
 from papayapost.rules.model import ANY_HOST, Route
 
 __all__ = ["RouteIndex"]
 
 
-@dataclass(slots=True)
+@define
 class _Stem:
     """A stem, with the routes of it and of its prefixes in file order."""
 
--- a/packages/papayapost/src/papayapost/rules/line_compiler.py
+++ b/packages/papayapost/src/papayapost/rules/line_compiler.py
@@ -1,9 +1,10 @@
 """Base class of the line compilers, and the draft that they fill."""
 
 from abc import ABC, abstractmethod
-from dataclasses import dataclass, field
+from dataclasses import field
 from typing import ClassVar
 
+from papayapost.define import define
 from papayapost.rules.finding_list import FindingList
 from papayapost.rules.model import Route, Share
 from papayapost.rules.tokens import RuleLine
@@ -11,7 +12,7 @@
 __all__ = ["LineCompiler", "RulesDraft"]
 
 
-@dataclass(slots=True)
+@define
 class RulesDraft:
     """A rules text while it is compiled: its rows and findings so far.
 
--- a/packages/papayapost/src/papayapost/rules/model.py
+++ b/packages/papayapost/src/papayapost/rules/model.py
@@ -1,7 +1,8 @@
 """Rows that the lines of a rules text compile to; all are immutable."""
 
-from dataclasses import dataclass, replace
+from dataclasses import replace
 
+from papayapost.define import define
 from papayapost.ids import Owner, ServiceName
 from papayapost.states import Rank
 
@@ -11,7 +12,7 @@
 """Host pattern that matches every host."""
 
 
-@dataclass(frozen=True, slots=True)
+@define(frozen=True)
 class RoutePattern:
     """The methods, the host and the path of the calls that a route matches."""
 
@@ -20,7 +21,7 @@
     path: str
 
 
-@dataclass(frozen=True, slots=True)
+@define(frozen=True)
 class WeightedService:
     """A service of a route, with its relative share of the route's calls."""
 
@@ -28,7 +29,7 @@
     weight: int
 
 
-@dataclass(frozen=True, slots=True)
+@define(frozen=True)
 class Route:
     """One ``route`` line.
 
@@ -126,7 +127,7 @@
         return self.path[:-1] if self.path.endswith("*") else None
 
 
-@dataclass(frozen=True, slots=True)
+@define(frozen=True)
 class Share:
     """One ``share`` line: a rank's part of each backend server's slots.
 
--- a/packages/papayapost/src/papayapost/rules/route.py
+++ b/packages/papayapost/src/papayapost/rules/route.py
@@ -1,8 +1,8 @@
 """Compiles ``route METHODS [HOST]/PATH -> SERVICE ...`` lines."""
 
 import re
-from dataclasses import dataclass
 
+from papayapost.define import define
 from papayapost.ids import ServiceName
 from papayapost.rules.faults import RuleFault
 from papayapost.rules.line_compiler import LineCompiler, RulesDraft
@@ -37,7 +37,7 @@
 }
 
 
-@dataclass(slots=True)
+@define
 class _RouteOptions:
     rank: Rank = Rank.NORMAL
     idempotent: bool = False
--- a/packages/papayapost/src/papayapost/rules/ruleset.py
+++ b/packages/papayapost/src/papayapost/rules/ruleset.py
@@ -1,7 +1,8 @@
 """The result of compiling a rules text."""
 
-from dataclasses import dataclass, field
+from dataclasses import field
 
+from papayapost.define import define
 from papayapost.ids import ServiceName
 from papayapost.rules.index import RouteIndex
 from papayapost.rules.model import Route, Share
@@ -9,7 +10,7 @@
 __all__ = ["RuleSet"]
 
 
-@dataclass(frozen=True, slots=True)
+@define(frozen=True)
 class RuleSet:
     """A rules text that compiled without findings, with its rows.
 
--- a/packages/papayapost/src/papayapost/rules/share.py
+++ b/packages/papayapost/src/papayapost/rules/share.py
@@ -1,7 +1,6 @@
 """Compiles ``share RANK floor=N% ceiling=N%`` lines."""
 
-from dataclasses import dataclass
-
+from papayapost.define import define
 from papayapost.rules.faults import RuleFault
 from papayapost.rules.line_compiler import LineCompiler, RulesDraft
 from papayapost.rules.model import Share
@@ -23,7 +22,7 @@
 }
 
 
-@dataclass(slots=True)
+@define
 class _ShareOptions:
     floor: int = 0
     ceiling: int = 100
--- a/packages/papayapost/src/papayapost/rules/tokens.py
+++ b/packages/papayapost/src/papayapost/rules/tokens.py
@@ -2,8 +2,8 @@
 
 import re
 from collections.abc import Iterator
-from dataclasses import dataclass
 
+from papayapost.define import define
 from papayapost.findings import Finding
 from papayapost.ids import Owner
 from papayapost.rules.faults import RuleFault
@@ -20,7 +20,7 @@
 _OWNER_COMMENT = re.compile(r"#\s*(?P<owner>[^:#]+?)\s*:\s*(?P<reason>\S.*?)\s*$")
 
 
-@dataclass(slots=True)
+@define
 class Word:
     """A word of a line, with the column of its first character from 1."""
 
--- a/packages/papayapost/src/papayapost/storage/messages.py
+++ b/packages/papayapost/src/papayapost/storage/messages.py
@@ -4,10 +4,11 @@
 which the code outside the systems encodes according to the object's kind.
 """
 
-from dataclasses import dataclass
 from enum import Enum
 from typing import NewType
 
+from papayapost.define import define
+
 __all__ = [
     "ListObjects",
     "ObjectKey",
@@ -43,7 +44,7 @@
     ENTRY = "entry"
 
 
-@dataclass(frozen=True, slots=True)
+@define(frozen=True)
 class ObjectKey:
     """Key of a store object: its kind and its name."""
 
@@ -51,7 +52,7 @@
     name: str
 
 
-@dataclass(slots=True)
+@define
 class WatchObject:
     """Effect: watch the object until its version changes.
 
@@ -67,14 +68,14 @@
     after_version: int
 
 
-@dataclass(slots=True)
+@define
 class UnwatchObject:
     """Effect: end the watch on the object, if the node has one."""
 
     key: ObjectKey
 
 
-@dataclass(slots=True)
+@define
 class ReadObject:
     """Effect: read the object once.
 
@@ -90,7 +91,7 @@
     unless_version: int = 0
 
 
-@dataclass(slots=True)
+@define
 class ListObjects:
     """Effect: read all objects of one kind.
 
@@ -105,7 +106,7 @@
     may_be_stale: bool = False
 
 
-@dataclass(slots=True)
+@define
 class UpdateObject:
     """Effect: update the object if its version is `expected_version`.
 
@@ -121,7 +122,7 @@
     value: object
 
 
-@dataclass(slots=True)
+@define
 class ObjectRead:
     """Input: the store answered a watch or a read.
 
@@ -142,14 +143,14 @@
     request_id: StoreRequestId | None = None
 
 
-@dataclass(slots=True)
+@define
 class ObjectUnchanged:
     """Input: a watch was answered without a change, and goes on."""
 
     key: ObjectKey
 
 
-@dataclass(slots=True)
+@define
 class ObjectsListed:
     """Input: the store answered a request to list objects.
 
@@ -167,7 +168,7 @@
     may_be_stale: bool
 
 
-@dataclass(slots=True)
+@define
 class ObjectUpdated:
     """Input: an update succeeded.
 
@@ -182,7 +183,7 @@
     version: int
 
 
-@dataclass(slots=True)
+@define
 class UpdateConflicted:
     """Input: an update was refused because the object's version had changed.
 
@@ -197,7 +198,7 @@
     current_version: int
 
 
-@dataclass(slots=True)
+@define
 class UpdateOutcomeUnknown:
     """Input: an update got no answer, so its outcome is unknown.
 
@@ -209,7 +210,7 @@
     reason: str
 
 
-@dataclass(slots=True)
+@define
 class StoreReadFailed:
     """Input: a watch or a read failed.
 
--- a/packages/papayapost/src/papayapost/timeline/collection.py
+++ b/packages/papayapost/src/papayapost/timeline/collection.py
@@ -1,9 +1,9 @@
 """Collects the events of many sources and reports what is missing."""
 
-from dataclasses import dataclass
 from enum import Enum
 from random import Random
 
+from papayapost.define import define
 from papayapost.ids import DataCentreId, Micros, NodeId
 from papayapost.kernel import System, Table, Tick, World
 from papayapost.timeline.query import merge_rows
@@ -28,7 +28,7 @@
     UNAVAILABLE = "unavailable"
 
 
-@dataclass(slots=True)
+@define
 class SourceRow:
     """A source of events: a node's admin page or a file.
 
@@ -45,7 +45,7 @@
     rows: tuple[EventRow, ...] = ()
 
 
-@dataclass(frozen=True, slots=True)
+@define(frozen=True)
 class TimelineGap:
     """A gap in the time line: some or all events of a source are missing.
 
@@ -61,7 +61,7 @@
     reason: str
 
 
-@dataclass(slots=True)
+@define
 class CollectEvents:
     """Input: collect the events of these sources.
 
@@ -77,14 +77,14 @@
     timeout_us: Micros
 
 
-@dataclass(slots=True)
+@define
 class ReadSource:
     """Effect: read the events of a source."""
 
     source: str
 
 
-@dataclass(slots=True)
+@define
 class SourceAnswered:
     """Input: the answer of a source.
 
@@ -105,7 +105,7 @@
     rows: tuple[EventRow, ...]
 
 
-@dataclass(slots=True)
+@define
 class SourceFailed:
     """Input: a source could not be read, with the reason as text."""
 
@@ -113,12 +113,12 @@
     reason: str
 
 
-@dataclass(slots=True)
+@define
 class CollectionTimeout:
     """Timer: the sources that have not answered by now count as missing."""
 
 
-@dataclass(slots=True)
+@define
 class EventsCollected:
     """Effect: the events of all sources in stamp order, and the gaps."""
 
--- a/packages/papayapost/src/papayapost/timeline/query.py
+++ b/packages/papayapost/src/papayapost/timeline/query.py
@@ -2,15 +2,15 @@
 
 import heapq
 from collections.abc import Iterable, Sequence
-from dataclasses import dataclass
 
+from papayapost.define import define
 from papayapost.ids import CallId, DataCentreId, Micros, NodeId, RuleVersion
 from papayapost.timeline.rows import EventRow
 
 __all__ = ["TimelineQuery", "merge_rows", "select_call", "select_rows"]
 
 
-@dataclass(frozen=True, slots=True)
+@define(frozen=True)
 class TimelineQuery:
     """Filter for events; a field that is None or empty matches all events.
 
--- a/packages/papayapost/src/papayapost/timeline/rows.py
+++ b/packages/papayapost/src/papayapost/timeline/rows.py
@@ -2,8 +2,8 @@
 
 from collections import deque
 from collections.abc import Iterator
-from dataclasses import dataclass
 
+from papayapost.define import define
 from papayapost.ids import AttemptId, CallId, DataCentreId, NodeId, RuleVersion
 from papayapost.observe import Event, Noted
 from papayapost.timeline.stamp import Stamp
@@ -11,7 +11,7 @@
 __all__ = ["EventRing", "EventRow"]
 
 
-@dataclass(slots=True)
+@define
 class EventRow:
     """One event on the time line.
 
--- a/packages/papayapost/src/papayapost/timeline/stamp.py
+++ b/packages/papayapost/src/papayapost/timeline/stamp.py
@@ -9,8 +9,7 @@
 The algorithm is from Kulkarni et al., "Logical Physical Clocks", OPODIS 2014.
 """
 
-from dataclasses import dataclass
-
+from papayapost.define import define
 from papayapost.ids import Micros, NodeId
 
 __all__ = ["MAX_AHEAD_US", "MAX_COUNTER", "HybridClock", "Stamp"]
@@ -22,7 +21,7 @@
 """Highest counter, to fit two bytes; the stamp after it is 1 µs later."""
 
 
-@dataclass(frozen=True, slots=True, order=True)
+@define(frozen=True, order=True)
 class Stamp:
     """Time of an event on the time line; a node makes each stamp only once.
 
--- a/packages/papayapost/src/papayapost/traffic/claims/messages.py
+++ b/packages/papayapost/src/papayapost/traffic/claims/messages.py
@@ -1,8 +1,8 @@
 """Messages between admission control and the systems of claims."""
 
-from dataclasses import dataclass
 from enum import Enum
 
+from papayapost.define import define
 from papayapost.ids import AttemptId
 from papayapost.storage import ObjectKey
 from papayapost.traffic.messages import AttemptOffer
@@ -25,7 +25,7 @@
     UNAVAILABLE = "unavailable"
 
 
-@dataclass(slots=True)
+@define
 class ClaimNeeded:
     """Internal: an attempt may run only after its key has been claimed.
 
@@ -40,14 +40,14 @@
     may_be_written: bool = False
 
 
-@dataclass(slots=True)
+@define
 class ClaimRelease:
     """Internal: an attempt with a claim will never run; delete the claim."""
 
     offer: AttemptOffer
 
 
-@dataclass(slots=True)
+@define
 class ClaimSettled:
     """Internal: the result of an attempt's claim."""
 
@@ -55,14 +55,14 @@
     verdict: ClaimVerdict
 
 
-@dataclass(slots=True)
+@define
 class ClaimsDue:
     """Timer: a partition's wait is over, or its store request is overdue."""
 
     key: ObjectKey
 
 
-@dataclass(slots=True)
+@define
 class PartitionIdle:
     """Internal: a claims object has no store request under way.
 
--- a/packages/papayapost/src/papayapost/traffic/claims/tables.py
+++ b/packages/papayapost/src/papayapost/traffic/claims/tables.py
@@ -4,11 +4,12 @@
 The claims of a partition are stored together in one claims object.
 """
 
-from dataclasses import dataclass, field
+from dataclasses import field
 from enum import Enum
 
 import xxhash
 
+from papayapost.define import define
 from papayapost.ids import (
     AttemptId,
     IdempotencyKey,
@@ -58,7 +59,7 @@
     return ObjectKey(ObjectKind.CLAIMS, f"{service}/{number}")
 
 
-@dataclass(frozen=True, slots=True)
+@define(frozen=True)
 class ClaimToken:
     """The claim of an idempotency key by the one attempt that may run.
 
@@ -77,7 +78,7 @@
     claimed_s: int
 
 
-@dataclass(frozen=True, slots=True)
+@define(frozen=True)
 class ClaimsObject:
     """Value of a claims object: the recent claims of one partition."""
 
@@ -98,7 +99,7 @@
     PAUSED = "paused"
 
 
-@dataclass(slots=True)
+@define
 class PartitionRow:
     """One claims object as this node knows it.
 
--- a/packages/papayapost/src/papayapost/traffic/drain_row.py
+++ b/packages/papayapost/src/papayapost/traffic/drain_row.py
@@ -1,14 +1,13 @@
 """The table row that holds the state of this node's drain."""
 
-from dataclasses import dataclass
-
+from papayapost.define import define
 from papayapost.ids import Micros
 from papayapost.states import NodeState
 
 __all__ = ["DrainRow"]
 
 
-@dataclass(slots=True)
+@define
 class DrainRow:
     """Progress of this node's drain.
 
@@ -30,5 +29,5 @@
     state: NodeState = NodeState.SERVING
     is_announced: bool = False
     is_grace_period_over: bool = False
-    grace_end_us: Micros = Micros(0)  # noqa: RUF009
-    end_us: Micros = Micros(0)  # noqa: RUF009
+    grace_end_us: Micros = Micros(0)
+    end_us: Micros = Micros(0)
--- a/packages/papayapost/src/papayapost/traffic/entry/answer_times.py
+++ b/packages/papayapost/src/papayapost/traffic/entry/answer_times.py
@@ -1,7 +1,6 @@
 """Estimates how long the slowest calls of a route take."""
 
-from dataclasses import dataclass
-
+from papayapost.define import define
 from papayapost.kernel import Table
 from papayapost.rules import Route
 
@@ -15,7 +14,7 @@
 removed."""
 
 
-@dataclass(slots=True)
+@define
 class SlowestAnswerRow:
     """Time in µs from arrival to whole answer of a route's slowest calls."""
 
--- a/packages/papayapost/src/papayapost/traffic/entry/caller_wait.py
+++ b/packages/papayapost/src/papayapost/traffic/entry/caller_wait.py
@@ -1,7 +1,6 @@
 """Estimates the time that callers spent on earlier calls of a request."""
 
-from dataclasses import dataclass
-
+from papayapost.define import define
 from papayapost.ids import Micros
 from papayapost.kernel import Table
 from papayapost.rules import Route
@@ -23,7 +22,7 @@
 add further estimates."""
 
 
-@dataclass(slots=True)
+@define
 class UsualBudgetRow:
     """Usual time budget in µs of first calls of a route."""
 
--- a/packages/papayapost/src/papayapost/traffic/entry/retries.py
+++ b/packages/papayapost/src/papayapost/traffic/entry/retries.py
@@ -1,9 +1,9 @@
 """Policies that decide whether a call may have further attempts."""
 
 from abc import ABC, abstractmethod
-from dataclasses import dataclass
 from random import Random
 
+from papayapost.define import define
 from papayapost.ids import Micros, ServiceName
 from papayapost.kernel import Table
 from papayapost.states import Rank
@@ -81,7 +81,7 @@
         """Return the back-off in µs before the next attempt."""
 
 
-@dataclass(slots=True)
+@define
 class RetryBudgetRow:
     """Retry budget of the calls of one service and rank, in attempts."""
 
--- a/packages/papayapost/src/papayapost/traffic/entry/shared_budget.py
+++ b/packages/papayapost/src/papayapost/traffic/entry/shared_budget.py
@@ -1,8 +1,8 @@
 """Retry policy with one retry budget for the whole mesh."""
 
-from dataclasses import dataclass
 from random import Random
 
+from papayapost.define import define
 from papayapost.ids import Micros, ServiceName
 from papayapost.kernel import Table
 from papayapost.membership import Directory
@@ -46,7 +46,7 @@
 )
 
 
-@dataclass(frozen=True, slots=True)
+@define(frozen=True)
 class SharedBudget:
     """Limit on the attempts of all nodes beyond the first one of each call.
 
@@ -65,7 +65,7 @@
     window_us: int
 
 
-@dataclass(slots=True)
+@define
 class WindowBudgetRow:
     """Attempts beyond the first of a call that this node may still offer.
 
--- a/packages/papayapost/src/papayapost/traffic/entry/tables.py
+++ b/packages/papayapost/src/papayapost/traffic/entry/tables.py
@@ -1,8 +1,9 @@
 """Tables of the entry node: calls, held calls, attempts and counters."""
 
-from dataclasses import dataclass, field
+from dataclasses import field
 from enum import Enum
 
+from papayapost.define import define
 from papayapost.ids import AttemptId, CallId, Micros, NodeId, RuleVersion, ServiceName
 from papayapost.kernel import Table
 from papayapost.rules import Route
@@ -36,7 +37,7 @@
     RETRY = "retry"
 
 
-@dataclass(slots=True)
+@define
 class CallRow:
     """A caller's request at its entry node.
 
@@ -83,9 +84,9 @@
     step: CallStep = CallStep.NONE
     last_code: RefusalCode = RefusalCode.NO_BACKEND_SERVER
     retry_after_ms: int | None = None
-    arrived_us: Micros = Micros(0)  # noqa: RUF009
-    waited_us: Micros = Micros(0)  # noqa: RUF009
-    version: RuleVersion = RuleVersion(0)  # noqa: RUF009
+    arrived_us: Micros = Micros(0)
+    waited_us: Micros = Micros(0)
+    version: RuleVersion = RuleVersion(0)
     chosen_service: ServiceName | None = None
 
     @property
@@ -94,7 +95,7 @@
         return self.chosen_service or self.route.service
 
 
-@dataclass(slots=True)
+@define
 class AttemptRow:
     """An attempt that is outstanding at an owner node."""
 
@@ -105,7 +106,7 @@
     state: AttemptState
 
 
-@dataclass(slots=True)
+@define
 class EntryCounters:
     """Totals of the entry node since its process started.
 
@@ -142,7 +143,7 @@
     offers_to_draining: int = 0
 
 
-@dataclass(slots=True)
+@define
 class HeldCallRow:
     """A call that is held until there are rules or a backend server for it.
 
--- a/packages/papayapost/src/papayapost/traffic/entry/upstreams.py
+++ b/packages/papayapost/src/papayapost/traffic/entry/upstreams.py
@@ -1,10 +1,11 @@
 """Tables of the backend servers that this entry node sends attempts to."""
 
-from dataclasses import dataclass, field
+from dataclasses import field
 from heapq import nsmallest
 
 import xxhash
 
+from papayapost.define import define
 from papayapost.ids import (
     Address,
     AttemptId,
@@ -33,7 +34,7 @@
 _LEAVING_STATES = frozenset([BackendServerState.DRAINING, BackendServerState.GONE])
 
 
-@dataclass(slots=True)
+@define
 class UpstreamRow:
     """One backend server as this entry node has observed it.
 
@@ -79,14 +80,14 @@
     epoch: ConnectionEpoch
     attempts: dict[AttemptId, None] = field(default_factory=dict)
     latency_us: float = 0.0
-    latency_sampled_us: Micros = Micros(0)  # noqa: RUF009
+    latency_sampled_us: Micros = Micros(0)
     free_slots: int = 0
     reported_us: int = -(1 << 60)
     outstanding_at_report: int = 0
     expected_wait_us: int = 0
     full_until_us: int = 0
     failure_rate: float = 0.0
-    failure_rate_sampled_us: Micros = Micros(0)  # noqa: RUF009
+    failure_rate_sampled_us: Micros = Micros(0)
     ramp_start_us: Micros | None = None
     failures: int = 0
     ejections: int = 0
@@ -123,7 +124,7 @@
         self.latency_sampled_us = now_us
 
 
-@dataclass(slots=True)
+@define
 class ServiceRow:
     """The upstreams of one service, prepared for balancing.
 
--- a/packages/papayapost/src/papayapost/traffic/internal.py
+++ b/packages/papayapost/src/papayapost/traffic/internal.py
@@ -1,7 +1,6 @@
 """Timers and internal messages that the traffic systems send each other."""
 
-from dataclasses import dataclass
-
+from papayapost.define import define
 from papayapost.ids import AttemptId, CallId, NodeId
 
 __all__ = [
@@ -20,74 +19,74 @@
 ]
 
 
-@dataclass(slots=True)
+@define
 class CallStepDue:
     """Timer: the next step of a call is due; `CallStep` lists the steps."""
 
     call_id: CallId
 
 
-@dataclass(slots=True)
+@define
 class HoldExpired:
     """Timer: a held call has waited for the longest time allowed."""
 
     call_id: CallId
 
 
-@dataclass(slots=True)
+@define
 class AttemptLost:
     """Internal: the owner node is gone and the attempt may have run."""
 
     attempt_id: AttemptId
 
 
-@dataclass(slots=True)
+@define
 class AttemptDoubted:
     """Internal: the owner node is silent; it may still answer the attempt."""
 
     attempt_id: AttemptId
 
 
-@dataclass(slots=True)
+@define
 class EjectionEnded:
     """Timer: the ejection of an upstream ends and calls may use it again."""
 
     node_id: NodeId
 
 
-@dataclass(slots=True)
+@define
 class TrafficStarted:
     """First message of a node: the process has just started."""
 
 
-@dataclass(slots=True)
+@define
 class AnnouncementDue:
     """Timer: this node must ask other nodes to send no more attempts."""
 
 
-@dataclass(slots=True)
+@define
 class LastAnswersDue:
     """Timer: answers still missing from a node that exited are lost."""
 
     attempt_ids: tuple[AttemptId, ...]
 
 
-@dataclass(slots=True)
+@define
 class GracePeriodEnded:
     """Timer: the grace period in which other nodes learn of a drain ended."""
 
 
-@dataclass(slots=True)
+@define
 class DrainLimitPassed:
     """Timer: the time limit of the drain passed, so the process must exit."""
 
 
-@dataclass(slots=True)
+@define
 class DrainCheck:
     """Internal: check once more that no work is left before a drain ends."""
 
 
-@dataclass(slots=True)
+@define
 class DrainFinished:
     """Internal: the drain is over.
 
--- a/packages/papayapost/src/papayapost/traffic/messages.py
+++ b/packages/papayapost/src/papayapost/traffic/messages.py
@@ -6,9 +6,9 @@
 between an owner node and its backend server.
 """
 
-from dataclasses import dataclass
 from enum import Enum
 
+from papayapost.define import define
 from papayapost.ids import (
     Address,
     AttemptId,
@@ -81,7 +81,7 @@
     DIRECTORY = "directory"
 
 
-@dataclass(slots=True)
+@define
 class CallArrived:
     """Input at the entry node: the head of a caller's request.
 
@@ -107,24 +107,24 @@
     budget_us: Micros | None = None
     idempotency_key: IdempotencyKey | None = None
     content_bytes: int | None = 0
-    name: RequestName = RequestName("")  # noqa: RUF009
+    name: RequestName = RequestName("")
 
 
-@dataclass(slots=True)
+@define
 class CallerGone:
     """Input at the entry node: the caller left before the answer was sent."""
 
     call_id: CallId
 
 
-@dataclass(slots=True)
+@define
 class CallExpired:
     """Timer at the entry node: the deadline of the call has passed."""
 
     call_id: CallId
 
 
-@dataclass(slots=True)
+@define
 class CallRefusal:
     """Effect at the entry node: refuse the call with an error answer.
 
@@ -148,10 +148,10 @@
     code: RefusalCode
     outcome: Outcome
     retry_after_ms: int | None = None
-    name: RequestName = RequestName("")  # noqa: RUF009
+    name: RequestName = RequestName("")
 
 
-@dataclass(slots=True)
+@define
 class ChoiceBasis:
     """Facts on which an upstream was chosen, written to the log.
 
@@ -180,7 +180,7 @@
     report_age_us: int | None
 
 
-@dataclass(slots=True)
+@define
 class OfferSend:
     """Effect at the entry node: send a call's request to its owner node.
 
@@ -196,7 +196,7 @@
     basis: ChoiceBasis | None = None
 
 
-@dataclass(slots=True)
+@define
 class ForwardAnswer:
     """Effect at the entry node: send this attempt's answer to the caller."""
 
@@ -204,7 +204,7 @@
     attempt_id: AttemptId
 
 
-@dataclass(slots=True)
+@define
 class AttemptOffer:
     """Entry node to owner node: run this request in a slot of the owner.
 
@@ -254,7 +254,7 @@
     may_queue: bool = True
 
 
-@dataclass(slots=True)
+@define
 class AttemptCancel:
     """Entry node to owner node: the attempt's answer is no longer needed."""
 
@@ -262,7 +262,7 @@
     attempt_id: AttemptId
 
 
-@dataclass(slots=True)
+@define
 class AttemptRefused:
     """Owner node to entry node: the request did not run and will not run.
 
@@ -281,7 +281,7 @@
     free_slots: int
 
 
-@dataclass(slots=True)
+@define
 class AnswerBegun:
     """Input at the entry node: the head of an attempt's answer arrived.
 
@@ -299,7 +299,7 @@
     free_slots: int
 
 
-@dataclass(slots=True)
+@define
 class AnswerEnded:
     """Input at the entry node: no more of the answer's body will arrive.
 
@@ -317,7 +317,7 @@
     body_bytes: int = 0
 
 
-@dataclass(slots=True)
+@define
 class AttemptFailed:
     """Owner node to entry node: the attempt failed and may have run.
 
@@ -330,14 +330,14 @@
     free_slots: int
 
 
-@dataclass(slots=True)
+@define
 class OfferUndelivered:
     """Input at the entry node: the offer certainly never left this node."""
 
     attempt_id: AttemptId
 
 
-@dataclass(slots=True)
+@define
 class OwnerConnectionLost:
     """Input at the entry node: messages sent to an owner node may be lost.
 
@@ -349,7 +349,7 @@
     cause: LossCause = LossCause.CONNECTION
 
 
-@dataclass(slots=True)
+@define
 class DropAnswer:
     """Effect at the entry node: discard the answer of this attempt.
 
@@ -361,7 +361,7 @@
     attempt_id: AttemptId
 
 
-@dataclass(slots=True)
+@define
 class CutAnswer:
     """Effect at the entry node: the rest of a partly sent answer is lost.
 
--- a/packages/papayapost/src/papayapost/traffic/owner/backend_server.py
+++ b/packages/papayapost/src/papayapost/traffic/owner/backend_server.py
@@ -1,7 +1,8 @@
 """Applies the reports of this node's backend server."""
 
-from dataclasses import dataclass, replace
+from dataclasses import replace
 
+from papayapost.define import define
 from papayapost.ids import InstanceId, Micros, ServiceName
 from papayapost.kernel import System, Tick
 from papayapost.membership import Directory, OwnRowChanged
@@ -29,7 +30,7 @@
 _MAX_MISSED_REPORTS = 3
 
 
-@dataclass(slots=True)
+@define
 class BackendServerSilent:
     """Timer: the backend server has missed several reports in a row."""
 
--- a/packages/papayapost/src/papayapost/traffic/owner/seen.py
+++ b/packages/papayapost/src/papayapost/traffic/owner/seen.py
@@ -1,9 +1,9 @@
 """Detection of replayed, cancelled and outdated offers at an owner node."""
 
 from collections import OrderedDict
-from dataclasses import dataclass
 from enum import Enum
 
+from papayapost.define import define
 from papayapost.ids import AttemptId, ConnectionEpoch, Incarnation, NodeId
 from papayapost.kernel import Table
 from papayapost.traffic.messages import AttemptOffer
@@ -28,7 +28,7 @@
     STALE = "stale"
 
 
-@dataclass(slots=True)
+@define
 class SenderRow:
     """What the owner node knows about one entry node from its offers.
 
--- a/packages/papayapost/src/papayapost/traffic/owner/shares.py
+++ b/packages/papayapost/src/papayapost/traffic/owner/shares.py
@@ -1,7 +1,6 @@
 """Floors and ceilings of the ranks' shares of a backend server's slots."""
 
-from dataclasses import dataclass
-
+from papayapost.define import define
 from papayapost.distribution import RulesTable
 from papayapost.rules import (
     DEFAULT_CEILINGS_PERCENT,
@@ -13,7 +12,7 @@
 __all__ = ["DEFAULT_SHARES", "ActiveShares", "RankShares"]
 
 
-@dataclass(frozen=True, slots=True)
+@define(frozen=True)
 class RankShares:
     """Floors and ceilings as fractions, by rank.
 
--- a/packages/papayapost/src/papayapost/traffic/owner/tables.py
+++ b/packages/papayapost/src/papayapost/traffic/owner/tables.py
@@ -1,8 +1,9 @@
 """Tables of the owner node: attempts, its backend server, and counters."""
 
-from dataclasses import dataclass, field
+from dataclasses import field
 from enum import Enum
 
+from papayapost.define import define
 from papayapost.ids import AttemptId, InstanceId, Micros, ServiceName
 from papayapost.kernel import Table
 from papayapost.states import BackendServerState, Rank
@@ -19,7 +20,7 @@
     RUNNING = "running"
 
 
-@dataclass(slots=True)
+@define
 class OwnedRow:
     """One attempt at its owner node.
 
@@ -48,7 +49,7 @@
     arrived_us: Micros
     deadline_us: Micros
     state: OwnedState
-    started_us: Micros = Micros(0)  # noqa: RUF009
+    started_us: Micros = Micros(0)
     charged_us: float = 0.0
     has_answer_begun: bool = False
     is_shed: bool = False
@@ -67,7 +68,7 @@
         return self.offer.content_bytes or 0
 
 
-@dataclass(slots=True)
+@define
 class OwnBackendRow:
     """The backend server of this node according to its last report.
 
@@ -96,7 +97,7 @@
         return (self.instance, self.born_ms)
 
 
-@dataclass(slots=True)
+@define
 class OwnerCounters:
     """Totals of the owner node since its process started.
 
--- a/packages/papayapost/src/papayapost/traffic/owner_messages.py
+++ b/packages/papayapost/src/papayapost/traffic/owner_messages.py
@@ -1,7 +1,6 @@
 """Messages between an owner node, its process and its backend server."""
 
-from dataclasses import dataclass
-
+from papayapost.define import define
 from papayapost.ids import AttemptId, InstanceId, Micros, ReportId, ServiceName
 from papayapost.states import BackendServerState
 
@@ -24,14 +23,14 @@
 ]
 
 
-@dataclass(slots=True)
+@define
 class AttemptExpired:
     """Timer at the owner node: the time budget of the attempt has passed."""
 
     attempt_id: AttemptId
 
 
-@dataclass(slots=True)
+@define
 class BackendCallStart:
     """Effect at the owner node: send the request to the backend server.
 
@@ -42,14 +41,14 @@
     budget_us: Micros
 
 
-@dataclass(slots=True)
+@define
 class BackendCallCancel:
     """Effect at the owner node: stop a call whose answer is not needed."""
 
     attempt_id: AttemptId
 
 
-@dataclass(slots=True)
+@define
 class BackendCallBegun:
     """Input at the owner node: the head of a backend call's answer arrived."""
 
@@ -57,7 +56,7 @@
     status: int
 
 
-@dataclass(slots=True)
+@define
 class BackendCallEnded:
     """Input at the owner node: the call ended and no longer uses a slot.
 
@@ -77,7 +76,7 @@
     is_refused: bool = False
 
 
-@dataclass(slots=True)
+@define
 class AnswerBlocked:
     """Input at the owner node: parts of an ended call's answer are unsent.
 
@@ -87,21 +86,21 @@
     attempt_id: AttemptId
 
 
-@dataclass(slots=True)
+@define
 class AnswerUnblocked:
     """Input at the owner node: no part of a blocked answer is left to send."""
 
     attempt_id: AttemptId
 
 
-@dataclass(slots=True)
+@define
 class DropOffer:
     """Effect at the owner node: discard a request that will not be run."""
 
     attempt_id: AttemptId
 
 
-@dataclass(slots=True)
+@define
 class BackendServerPolled:
     """Input at the owner node: a health check read the backend server's state.
 
@@ -114,7 +113,7 @@
     state: BackendServerState
 
 
-@dataclass(slots=True)
+@define
 class BackendServerReported:
     """Input at the owner node: the backend server sent a report of itself.
 
@@ -148,7 +147,7 @@
         return (self.instance, self.born_ms)
 
 
-@dataclass(slots=True)
+@define
 class BackendServerDeregistered:
     """Input at the owner node: the backend server deregistered itself.
 
@@ -164,19 +163,19 @@
     born_ms: int | None
 
 
-@dataclass(slots=True)
+@define
 class ReportTaken:
     """Effect at the owner node: acknowledge a report that was processed."""
 
     report_id: ReportId
 
 
-@dataclass(slots=True)
+@define
 class RefuseQueuedAttempts:
     """Internal: refuse queued attempts, as no backend server takes them."""
 
 
-@dataclass(slots=True)
+@define
 class DrainRequested:
     """Input: this node must take no new work, finish its work and stop.
 
@@ -189,7 +188,7 @@
     limit_ms: int = 30_000
 
 
-@dataclass(slots=True)
+@define
 class DrainComplete:
     """Effect: the process may exit.
 
--- a/packages/papayapost/src/papayapost/traffic/part.py
+++ b/packages/papayapost/src/papayapost/traffic/part.py
@@ -1,7 +1,6 @@
 """Builds the tables and systems with which a node handles calls."""
 
-from dataclasses import dataclass
-
+from papayapost.define import define
 from papayapost.distribution import RulesTable
 from papayapost.kernel import System
 from papayapost.membership import Directory
@@ -44,7 +43,7 @@
 _REPORT_INTERVAL_US = 1_500_000
 
 
-@dataclass(slots=True)
+@define
 class TrafficPart:
     """Tables and systems that handle a node's calls.
 
@@ -64,7 +63,7 @@
     first_messages: list[object]
 
 
-@dataclass(frozen=True, slots=True)
+@define(frozen=True)
 class TrafficOptions:
     """Settings of a deployment that concern calls.
 
