Pass rows and losses on by relays, so that first contact is linear

Change: a node greets its partners alone. The first two leaders of a region are its relays: they pass new rows on, at most each 100 ms, to their region and to the relays of the others, and all rows to a node that has just come. A loss is confirmed once two nodes have asked in vain, and then passed on instead of asked for by all. Lists carry rows.

--- a/packages/papayapost-node/src/papayapost_node/wire/message_numbers.py
+++ b/packages/papayapost-node/src/papayapost_node/wire/message_numbers.py
@@ -41,8 +41,8 @@
     Hello,
     HelloSuperseded,
     PeersLost,
-    PeersShared,
     PeersWanted,
+    RowsShared,
 )
 from papayapost.traffic import (
     AttemptCancel,
@@ -83,9 +83,9 @@
     Beat: 18,
     Hello: 19,
     HelloSuperseded: 30,
-    PeersShared: 31,
     PeersWanted: 36,
     PeersLost: 37,
+    RowsShared: 38,
 }
 _DISTRIBUTION_NUMBERS: dict[type, int] = {
     RulesRequest: 20,
--- a/packages/papayapost/src/papayapost/roster/__init__.py
+++ b/packages/papayapost/src/papayapost/roster/__init__.py
@@ -15,8 +15,8 @@
     Hello,
     HelloSuperseded,
     PeersLost,
-    PeersShared,
     PeersWanted,
+    RowsShared,
 )
 from papayapost.roster.part import RosterPart, build_roster
 from papayapost.roster.repair import RepairRoster
@@ -31,13 +31,13 @@
     "HelloSuperseded",
     "PeerRow",
     "PeersLost",
-    "PeersShared",
     "PeersWanted",
     "ReadEntries",
     "RepairRoster",
     "RosterEntry",
     "RosterPart",
     "RosterTables",
+    "RowsShared",
     "SendHeartbeats",
     "WriteOwnEntry",
     "build_roster",
--- a/packages/papayapost/src/papayapost/roster/entries.py
+++ b/packages/papayapost/src/papayapost/roster/entries.py
@@ -160,7 +160,8 @@
         roster = self._roster
         for seen in listed.objects:
             if isinstance(seen.value, RosterEntry):
-                self._peers.add(tick, seen.value)
+                roster.add_peer(seen.value, tick.now_us)
+        self._peers.greet_partners(tick)
         is_alone = len(roster.directory) == 1
         self._schedule(
             tick, _READ_INTERVAL_ALONE_US if is_alone else _READ_INTERVAL_US, True
--- a/packages/papayapost/src/papayapost/roster/exchange.py
+++ b/packages/papayapost/src/papayapost/roster/exchange.py
@@ -13,7 +13,7 @@
 )
 from papayapost.observe import Event, Noted
 from papayapost.peering import PeerSend
-from papayapost.roster.messages import Beat, Hello, HelloSuperseded
+from papayapost.roster.messages import Beat, Hello, HelloSuperseded, RowFound
 from papayapost.roster.peers import Peers
 from papayapost.roster.tables import PeerRow, RosterEntry, RosterTables
 from papayapost.states import BackendServerState, MemberState
@@ -121,7 +121,11 @@
         tick.post(OwnRowChanged())
 
     def _announce(self, tick: Tick, row: BackendServerRow) -> None:
-        self._peers.send_to_all(tick, self._peers.hello(row, wants_reply=False))
+        """Send a row of this node to its partners; relays tell the others."""
+        hello = self._peers.hello(row, wants_reply=False)
+        self._peers.send_to_partners(tick, hello)
+        if self._peers.neighbourhood().is_relay:
+            tick.post(RowFound(row))
 
 
 def _is_back_without_restart(peer: PeerRow, row: BackendServerRow) -> bool:
--- a/packages/papayapost/src/papayapost/roster/heartbeats.py
+++ b/packages/papayapost/src/papayapost/roster/heartbeats.py
@@ -24,7 +24,7 @@
 
 _REGION_GREETING_US = 1_800_000
 _CROSS_REGION_GREETING_US = 4_800_000
-"""Time in which a new peer has to answer its first `Hello`."""
+"""Time in which a new peer has to answer, or a leader to pass on its row."""
 
 _EARLY_PROBE_INTERVAL_US = 500_000
 _EARLY_PROBE_PERIOD_US = 15_000_000
@@ -59,13 +59,14 @@
             return
         self._roster.put_row(self._roster.own)
         neighbourhood = self._peers.neighbourhood()
-        partners = neighbourhood.partners()
+        partners = self._peers.partners()
+        self._peers.greet_partners(tick)
         beat = self._beat()
         for peer in list(self._roster.peers):
             if peer.state is MemberState.DEAD:
                 self._probe(tick, peer, neighbourhood)
             elif peer.row is None:
-                self._greet(tick, peer)
+                self._check_unmet(tick, peer)
             else:
                 self._send(tick, peer, beat, partners)
         due_us = Micros(tick.now_us + _TIMER_INTERVAL_US)
@@ -102,14 +103,12 @@
         if is_alive and tick.now_us - silent_since_us > limit_us:
             self._peers.suspect(tick, peer, SuspicionCause.SILENCE)
 
-    def _greet(self, tick: Tick, peer: PeerRow) -> None:
+    def _check_unmet(self, tick: Tick, peer: PeerRow) -> None:
         limit_us = (
             _REGION_GREETING_US if peer.is_same_region else _CROSS_REGION_GREETING_US
         )
         if tick.now_us - peer.added_or_lost_us > limit_us:
-            self._peers.declare_dead(tick, peer, "it never answered")
-        elif _is_due(peer.last_asked_us, tick.now_us, _TIMER_INTERVAL_US):
-            self._peers.ask(tick, peer)
+            self._peers.declare_dead(tick, peer, "no node has met it")
 
     def _probe(self, tick: Tick, peer: PeerRow, neighbourhood: Neighbourhood) -> None:
         dead_for_us = tick.now_us - peer.added_or_lost_us
@@ -117,6 +116,7 @@
         interval_us = _EARLY_PROBE_INTERVAL_US if is_early_probe else _PROBE_INTERVAL_US
         if dead_for_us > _REMOVE_AFTER_US:
             self._roster.peers.pop(peer.node_id)
+            self._roster.changes += 1
         elif _is_due(
             peer.last_asked_us, tick.now_us, interval_us
         ) and neighbourhood.is_next_to(peer.rank, peer.is_same_region):
--- a/packages/papayapost/src/papayapost/roster/messages.py
+++ b/packages/papayapost/src/papayapost/roster/messages.py
@@ -3,7 +3,6 @@
 from papayapost.define import define
 from papayapost.ids import Address, Incarnation, NodeId, RuleVersion
 from papayapost.membership import BackendServerRow
-from papayapost.roster.tables import RosterEntry
 
 __all__ = [
     "Beat",
@@ -11,11 +10,14 @@
     "HeartbeatsDue",
     "Hello",
     "HelloSuperseded",
+    "LossFound",
     "PeersLost",
-    "PeersShared",
     "PeersWanted",
     "ReadDue",
+    "RelayDue",
     "RosterStarted",
+    "RowFound",
+    "RowsShared",
     "SuspicionDue",
 ]
 
@@ -80,7 +82,7 @@
 
 @define
 class PeersWanted:
-    """Request for the nodes that the receiver knows.
+    """Request for the directory of the receiver.
 
     Parameters
     ----------
@@ -93,33 +95,60 @@
 
 
 @define
-class PeersShared:
-    """Answer to a `PeersWanted`: the nodes that the sender knows.
+class RowsShared:
+    """Rows of other nodes that the sender has in its directory.
 
     Parameters
     ----------
-    entries
-        Entries of nodes in the sender's directory.
-    stamps
-        Stamp of the row that the sender has of each of these nodes.
+    rows
+        Rows as their nodes announced them.
+    lost
+        Nodes that the sender has removed from its directory.
+    is_news
+        Whether the sender has just learned all of this. Otherwise it is the
+        answer to a `PeersWanted`, which may be behind.
     """
 
     sender: NodeId
-    entries: tuple[RosterEntry, ...]
-    stamps: tuple[tuple[Incarnation, int], ...] = ()
+    rows: tuple[BackendServerRow, ...]
+    lost: tuple[NodeId, ...] = ()
+    is_news: bool = False
 
 
 @define
 class PeersLost:
-    """Report that the sender has lost some peers.
-
-    The receiver asks each of them before it believes the report.
-    """
+    """Report to the leaders of a region: the sender has lost some peers."""
 
     sender: NodeId
     node_ids: tuple[NodeId, ...]
 
 
+@define
+class RowFound:
+    """Internal: this node has learned a row that others may not know.
+
+    Parameters
+    ----------
+    is_newcomer
+        Whether the node of the row has just come, and needs all rows.
+    """
+
+    row: BackendServerRow
+    is_newcomer: bool = False
+
+
+@define
+class LossFound:
+    """Internal: a peer is lost, which others may not know."""
+
+    node_id: NodeId
+
+
+@define
+class RelayDue:
+    """Timer: pass on the rows and losses that were found."""
+
+
 @define
 class RosterStarted:
     """First message of the process: flat membership starts now."""
--- a/packages/papayapost/src/papayapost/roster/neighbours.py
+++ b/packages/papayapost/src/papayapost/roster/neighbours.py
@@ -2,10 +2,11 @@
 
 The nodes of a region form a ring in the order of their ranks. A node's
 partners are its neighbours in the ring of its region, its neighbours in the
-ring of each other region, and the leaders of its region. Nodes with the same
-directory agree on who is whose partner. The number of partners of a node does
-not grow with the mesh, but for the leaders, whose partners are all nodes of
-their region.
+ring of each other region, and the leaders of its region. The first leaders of
+a region are its relays, which are also partners of those of other regions.
+Nodes with the same directory agree on who is whose partner. The number of
+partners of a node does not grow with the mesh, but for the leaders, whose
+partners are all nodes of their region.
 """
 
 from bisect import bisect_left
@@ -17,7 +18,7 @@
 
 __all__ = ["Neighbourhood", "ring_neighbours"]
 
-_MIN_LEADERS = 2
+_RELAYS = 2
 _REGION_REACH = 2
 _CROSS_REGION_REACH = 1
 
@@ -79,7 +80,22 @@
         node of each of its data centres: if all nodes of a data centre are
         lost, a leader in another one notices.
         """
-        return {*self._own_ring[:_MIN_LEADERS], *self._highest.values()}
+        return {*self._own_ring[:_RELAYS], *self._highest.values()}
+
+    @property
+    def is_relay(self) -> bool:
+        """Whether this node passes rows on to its region."""
+        return self._own in self._own_ring[:_RELAYS]
+
+    def relays(self) -> set[NodeId]:
+        """Return the other relays of this node's region."""
+        return {node_id for _, node_id in self._own_ring[:_RELAYS]} - {self._own[1]}
+
+    def far_relays(self) -> set[NodeId]:
+        """Return the relays of all other regions."""
+        return {
+            node_id for ring in self._rings.values() for _, node_id in ring[:_RELAYS]
+        }
 
     def partners(self) -> set[NodeId]:
         """Return the nodes with which this one exchanges heartbeats."""
@@ -90,7 +106,7 @@
         for ring in self._rings.values():
             partners |= ring_neighbours(ring, own, _CROSS_REGION_REACH)
             partners |= {rank[1] for rank in ring if self.is_next_to(rank, False)}
-        return partners
+        return partners | self.far_relays() if self.is_relay else partners
 
     def is_next_to(self, rank: RankKey, is_same_region: bool) -> bool:
         """Return whether this node is next to a node in its region's ring.
--- a/packages/papayapost/src/papayapost/roster/part.py
+++ b/packages/papayapost/src/papayapost/roster/part.py
@@ -11,6 +11,7 @@
 from papayapost.roster.heartbeats import SendHeartbeats
 from papayapost.roster.messages import RosterStarted
 from papayapost.roster.peers import Peers
+from papayapost.roster.relaying import RelayRows
 from papayapost.roster.repair import RepairRoster
 from papayapost.roster.tables import RosterTables
 
@@ -46,5 +47,6 @@
         RepairRoster(roster, peers),
         ConfirmLosses(roster, peers),
         SendHeartbeats(roster, rules, peers),
+        RelayRows(roster, peers),
     ]
     return RosterPart(roster.directory, roster, systems, [RosterStarted()])
--- a/packages/papayapost/src/papayapost/roster/repair.py
+++ b/packages/papayapost/src/papayapost/roster/repair.py
@@ -1,74 +1,89 @@
-"""The system that finds missed rows, and nodes that are not known yet."""
+"""The system that learns rows from peers, and finds missed ones."""
 
-from papayapost.ids import Incarnation
 from papayapost.kernel import System, Tick
+from papayapost.membership import BackendServerRow
 from papayapost.peering import PeerSend
-from papayapost.roster.messages import PeersLost, PeersShared, PeersWanted
+from papayapost.roster.messages import PeersLost, PeersWanted, RowFound, RowsShared
 from papayapost.roster.peers import Peers
-from papayapost.roster.tables import RosterEntry, RosterTables
+from papayapost.roster.tables import PeerRow, RosterEntry, RosterTables
 from papayapost.states import MemberState
 
-__all__ = ["RepairRoster"]
+__all__ = ["MAX_SHARED_ROWS", "RepairRoster"]
 
-_MAX_SHARED_ENTRIES = 256
+MAX_SHARED_ROWS = 256
 _ASK_INTERVAL_US = 500_000
 
 
 class RepairRoster(System):
-    """Compares the directories of two nodes if their digests differ.
+    """Learns rows that peers pass on, and shares this node's directory.
 
-    A node never takes a row of another node from its peers: it asks the node
-    itself for each row that seems to be missing, old or gone.
+    Of two rows of a node the one with the newer stamp holds, whoever passes it
+    on. A row with the stamp of a peer that counts as dead may be old: only
+    news bring it back, and otherwise the peer itself is asked.
     """
 
-    consumes = (PeersShared, PeersWanted)
+    consumes = (PeersWanted, RowsShared)
 
     def __init__(self, roster: RosterTables, peers: Peers):
         self._roster = roster
         self._peers = peers
 
     def run(self, tick: Tick) -> None:
-        """Share this node's list, and ask the nodes in lists of peers."""
+        """Share the directory, and take over rows and losses of peers."""
         for wanted in tick.take(PeersWanted):
             self._share(tick, wanted)
-        for shared in tick.take(PeersShared):
-            self._roster.peer_list.is_received = True
-            entries = shared.entries[:_MAX_SHARED_ENTRIES]
-            for entry, stamp in zip(entries, shared.stamps, strict=False):
-                self._compare(tick, entry, stamp)
+        for shared in tick.take(RowsShared):
+            self._take_over(tick, shared)
 
     def _share(self, tick: Tick, wanted: PeersWanted) -> None:
-        own_id = self._roster.me.node_id
-        rows = list(self._roster.directory)[:_MAX_SHARED_ENTRIES]
-        entries = tuple(
-            RosterEntry(row.node_id, row.peer_address, row.data_centre, row.region)
-            for row in rows
-        )
-        stamps = tuple((row.incarnation, row.revision) for row in rows)
-        tick.emit(PeerSend(wanted.reply_to, PeersShared(own_id, entries, stamps)))
+        rows = tuple(self._roster.directory)[:MAX_SHARED_ROWS]
         lost = tuple(
             peer.node_id
             for peer in self._roster.peers
             if peer.state is MemberState.DEAD and peer.row is not None
         )
-        if lost:
-            tick.emit(PeerSend(wanted.reply_to, PeersLost(own_id, lost)))
+        shared = RowsShared(self._roster.me.node_id, rows, lost)
+        tick.emit(PeerSend(wanted.reply_to, shared))
+
+    def _take_over(self, tick: Tick, shared: RowsShared) -> None:
+        roster = self._roster
+        if not shared.is_news:
+            roster.peer_list.is_received = True
+        sender = roster.peers.get(shared.sender)
+        is_from_far = sender is not None and not sender.is_same_region
+        is_relay = self._peers.neighbourhood().is_relay
+        for row in shared.rows[:MAX_SHARED_ROWS]:
+            is_new = self._learn(tick, row, shared.is_news)
+            if is_new and (is_relay or is_from_far):
+                tick.post(RowFound(row))
+        if shared.rows:
+            self._peers.greet_partners(tick)
+        if shared.lost and not shared.is_news:
+            tick.post(PeersLost(shared.sender, shared.lost))
+
+    def _learn(self, tick: Tick, row: BackendServerRow, is_news: bool) -> bool:
+        """Take over a row; return whether this node did not have it."""
+        roster = self._roster
+        if row.node_id == roster.me.node_id:
+            return False
+        known = roster.peers.get(row.node_id)
+        if known is not None and known.row is not None:
+            if row.precedence < known.row.precedence:
+                return False
+            if row.precedence == known.row.precedence:
+                return self._learn_again(tick, known, row, is_news)
+        entry = RosterEntry(row.node_id, row.peer_address, row.data_centre, row.region)
+        roster.add_peer(entry, tick.now_us)
+        return self._peers.put_row(tick, roster.peers.require(row.node_id), row)
 
-    def _compare(
-        self, tick: Tick, entry: RosterEntry, stamp: tuple[Incarnation, int]
-    ) -> None:
-        peer = self._roster.peers.get(entry.node_id)
-        if peer is None or peer.address != entry.address:
-            self._peers.add(tick, entry)
-            return
-        asked_us = peer.last_asked_us
-        if asked_us is not None and tick.now_us - asked_us < _ASK_INTERVAL_US:
-            return
-        if peer.row is None:
-            is_missing = True
-        elif peer.state is MemberState.DEAD:
-            is_missing = not peer.row.is_gone or peer.row.stamp < stamp
-        else:
-            is_missing = peer.row.stamp < stamp
-        if is_missing:
+    def _learn_again(
+        self, tick: Tick, peer: PeerRow, row: BackendServerRow, is_news: bool
+    ) -> bool:
+        """Bring a dead peer back whose row is already known."""
+        if row.is_gone or peer.state is not MemberState.DEAD:
+            return False
+        if is_news:
+            return self._peers.put_row(tick, peer, row)
+        if not self._peers.is_asked(tick, peer, _ASK_INTERVAL_US):
             self._peers.ask(tick, peer)
+        return False
--- a/packages/papayapost/src/papayapost/roster/tables.py
+++ b/packages/papayapost/src/papayapost/roster/tables.py
@@ -66,6 +66,8 @@
 
     Parameters
     ----------
+    place
+        Location of the peer.
     link
         Class of the link between this node and the peer.
     added_or_lost_us
@@ -95,10 +97,13 @@
     digest_mismatches
         Number of consecutive heartbeats of the peer with a directory digest
         other than this node's.
+    reporter
+        Node that reported the loss of the peer, until the peer is heard.
     """
 
     node_id: NodeId
     address: Address
+    place: Place
     link: LinkClass
     added_or_lost_us: Micros
     rank: RankKey
@@ -112,6 +117,7 @@
     unanswered: int = 0
     partner_since_us: Micros | None = None
     digest_mismatches: int = 0
+    reporter: NodeId | None = None
 
     @property
     def is_same_region(self) -> bool:
@@ -153,6 +159,8 @@
     entry_version
         Version of this node's entry that the store last reported, 0 if the
         store has no entry.
+    changes
+        Number of changes of the peers that may change who is whose partner.
     """
 
     def __init__(self, me: SelfRow, own: BackendServerRow):
@@ -166,6 +174,7 @@
         self.peer_list = PeerListRow()
         self.entry = EntryState.UNWRITTEN
         self.entry_version = 0
+        self.changes = 0
 
     @property
     def own(self) -> BackendServerRow:
@@ -189,6 +198,10 @@
         self.digests.remove(node_id)
         return self.directory.pop(node_id)
 
+    def peers_of_region(self) -> list[NodeId]:
+        """Return the peers in this node's region."""
+        return [peer.node_id for peer in self.peers if peer.is_same_region]
+
     def add_peer(self, entry: RosterEntry, now_us: Micros) -> PeerRow | None:
         """Add the node of an entry as a peer.
 
@@ -206,6 +219,7 @@
         place = Place(entry.data_centre, entry.region)
         link = self.me.place.distance_to(place)
         rank = rank_key(entry.node_id)
-        peer = PeerRow(entry.node_id, entry.address, link, now_us, rank)
+        peer = PeerRow(entry.node_id, entry.address, place, link, now_us, rank)
         self.peers.put(entry.node_id, peer)
+        self.changes += 1
         return peer
--- a/packages/papayapost/tests/roster/test_large_roster.py
+++ b/packages/papayapost/tests/roster/test_large_roster.py
@@ -1,4 +1,4 @@
-"""A roster of 66 nodes in two regions: losses, partitions, cost of calm."""
+"""A roster of 33 to 195 nodes: first contact, losses, partitions, calm."""
 
 from collections import Counter
 
@@ -7,7 +7,7 @@
 from papayapost.ids import Address
 from papayapost.membership.ranking import rank_key
 from papayapost.observe import Event
-from papayapost.roster import Beat, PeersLost
+from papayapost.roster import Beat, Hello, PeersLost
 from papayapost.states import BackendServerState
 from papayapost_testing.roster_mesh import RosterMesh
 from papayapost_testing.traffic_worlds import FOUR_PLACES
@@ -94,6 +94,52 @@
     return sent
 
 
+def messages_of_first_contact(size):
+    """Return what each node sends and connects to as all nodes start."""
+    mesh = RosterMesh(1)
+    mesh.write_rules(RULES)
+    start_all(mesh, size)
+    mesh.run(1.5)
+    assert_whole(mesh, size)
+    kinds = ("Hello", "PeersWanted", "RowsShared")
+    sent = sum(mesh.traffic.messages[kind] for kind in kinds)
+    return sent / size, len(mesh._connections) / size
+
+
+def test_first_contact_costs_a_node_as_little_in_a_large_mesh():
+    sent, connections = messages_of_first_contact(33)
+    sent_at_195, connections_at_195 = messages_of_first_contact(195)
+    assert sent_at_195 <= 2 * sent
+    assert connections_at_195 <= 2 * connections
+
+
+def test_only_those_who_heard_a_lost_vm_ask_it(monkeypatch):
+    mesh = started_mesh(size=132)
+    sent = record_sent(mesh, monkeypatch)
+    mesh.vanish(name_of(9))
+    mesh.run(3)
+    assert is_forgotten(mesh, {name_of(9)}, mesh.nodes)
+    asking = {sender for _, sender, effect in sent if effect.address == address_of(9)}
+    assert len(asking) <= RING_PARTNERS + 2 * LEADERS + CROSS_REGION_PARTNERS
+
+
+def test_a_node_that_all_have_lost_is_back_with_a_few_messages(monkeypatch):
+    mesh = started_mesh(size=132)
+    mesh.cut_between({address_of(9)}, set(mesh.nodes) - {address_of(9)})
+    mesh.run(5)
+    assert is_forgotten(mesh, {name_of(9)}, set(mesh.nodes) - {address_of(9)})
+    sent = record_sent(mesh, monkeypatch)
+    mesh.cut.clear()
+    mesh.run(3)
+    assert_whole(mesh, 132)
+    greeting = {
+        sender
+        for _, sender, effect in sent
+        if effect.address == address_of(9) and isinstance(effect.message, Hello)
+    }
+    assert len(greeting) <= 2 * (RING_PARTNERS + 2 * LEADERS + CROSS_REGION_PARTNERS)
+
+
 @pytest.mark.parametrize("size", [33, 66, 132])
 def test_messages_of_a_node_in_a_calm_mesh_do_not_grow_with_the_mesh(size):
     mesh = started_mesh(size=size)
