Take no call in a drain that may outlast the process

It can happen here: a draining node took a call if twice the time of the slowest recent calls of its route fitted, so that a call that needed its whole time was cut at the limit. Change: the whole time budget counts. Only if it is longer than the drain itself, and the call may be repeated, does the estimate count. Test: calls in each tenth of a drain of 3.7 s with 2.5 s of budget; six of them were taken before and would have been cut.

--- a/packages/papayapost/src/papayapost/traffic/drain.py
+++ b/packages/papayapost/src/papayapost/traffic/drain.py
@@ -116,6 +116,7 @@
         else:
             self._announce_drain(tick)
         self._start_grace_period(tick)
+        self._drain.started_us = tick.now_us
         self._drain.grace_end_us = Micros(tick.now_us + self._grace_us)
         self._drain.end_us = Micros(tick.now_us + requested.limit_ms * 1000)
         tick.set_timer("drain limit", self._drain.end_us, DrainLimitPassed())
--- a/packages/papayapost/src/papayapost/traffic/drain_row.py
+++ b/packages/papayapost/src/papayapost/traffic/drain_row.py
@@ -21,13 +21,15 @@
     is_grace_period_over
         Whether the grace period has ended in which callers and other nodes
         learn of the drain.
-    grace_end_us, end_us
-        Times of the tick clock in µs at which that period ends and at which
-        the process stops even if calls are left; 0 before a drain.
+    started_us, grace_end_us, end_us
+        Times of the tick clock in µs at which the drain began, at which that
+        period ends and at which the process stops even if calls are left; 0
+        before a drain.
     """
 
     state: NodeState = NodeState.SERVING
     is_announced: bool = False
     is_grace_period_over: bool = False
+    started_us: Micros = Micros(0)
     grace_end_us: Micros = Micros(0)
     end_us: Micros = Micros(0)
--- a/packages/papayapost/src/papayapost/traffic/entry/routing.py
+++ b/packages/papayapost/src/papayapost/traffic/entry/routing.py
@@ -136,16 +136,19 @@
     def _may_outlast_process(self, tick: Tick, call: CallRow) -> bool:
         """Return whether this process may stop before it has the answer.
 
-        The call may take its whole time budget, unless earlier calls of its
-        route show that it needs less.
+        The call may take its whole time budget. If that is longer than the
+        whole drain, what earlier calls of the route needed counts instead, but
+        only if the call may be repeated elsewhere.
         """
-        if self._drain.state is NodeState.SERVING:
+        drain = self._drain
+        if drain.state is NodeState.SERVING:
             return False
         needed_us: float = call.deadline_us - tick.now_us
         slowest_us = self._answer_times.slowest_us(call.route)
-        if slowest_us is not None:
+        is_long = needed_us > drain.end_us - drain.started_us
+        if is_long and call.route.idempotent and slowest_us is not None:
             needed_us = min(needed_us, slowest_us * _ANSWER_TIME_MARGIN)
-        return tick.now_us + needed_us > self._drain.end_us
+        return tick.now_us + needed_us > drain.end_us
 
     def _hold(
         self,
--- a/packages/papayapost/tests/traffic/test_drain.py
+++ b/packages/papayapost/tests/traffic/test_drain.py
@@ -1,3 +1,5 @@
+import pytest
+
 from papayapost.ids import CallId, Micros
 from papayapost.membership import DirectoryChanged
 from papayapost.states import BackendServerState, Outcome
@@ -166,6 +168,33 @@
     assert offers_sent(entry.call())
 
 
+@pytest.mark.parametrize("tenth", range(10))
+@pytest.mark.parametrize("method", ["GET", "POST"])
+def test_no_call_taken_in_a_drain_is_cut_when_it_needs_all_its_time(tenth, method):
+    rules = (
+        "route GET /gusts/* -> gusts idempotent=yes timeout_ms=2500 # Mei: desk\n"
+        "route POST /gusts/* -> gusts timeout_ms=2500 # Mei: bookings\n"
+    )
+    entry = Entry([backend_row("a", "gusts"), backend_row("b", "gusts")], rules)
+    entry.answer(only(entry.call(method=method)), after_us=100_000)
+    limit_us = 3_720_000
+    entry.tick(DrainRequested(limit_ms=limit_us // 1000))
+    entry.tick(after_us=limit_us * tenth // 10)
+    effects = entry.call(method=method)
+    if limit_us * tenth // 10 + 2_500_000 > limit_us:
+        drain_refusal(effects)
+    else:
+        assert offers_sent(effects)
+
+
+def test_a_call_that_may_not_be_repeated_is_not_taken_on_an_estimate():
+    rules = "route POST /gusts/* -> gusts timeout_ms=5000 # Mei: bookings\n"
+    entry = Entry([backend_row("a", "gusts"), backend_row("b", "gusts")], rules)
+    entry.answer(only(entry.call(method="POST")), after_us=10_000)
+    entry.tick(DrainRequested(limit_ms=4_000))
+    drain_refusal(entry.call(method="POST"))
+
+
 def test_a_drain_that_ends_at_its_time_limit_with_work_left_is_not_clean():
     owner = Owner()
     owner.tick(owner.offer())
