Do not take a repeated refusal for the answer to a request

Other operators saw a backend server write an earlier refusal once more on a kept connection; clients were told 'not run' for requests that had run or were running (REFUSED), or such a request ran at a second server (TWICE). It can happen here in two ways: a request that is offered again to the server that refused it, on the same connection and under the same id; and a refusal that names no request. A refusal with another id was skipped already. Their second report, an answer cut in its head and passed on as whole, can't happen: the parser needs a whole head, and an end before it fails the attempt.

--- a/packages/papayapost-node/src/papayapost_node/exchange/backend_call.py
+++ b/packages/papayapost-node/src/papayapost_node/exchange/backend_call.py
@@ -3,7 +3,7 @@
 import asyncio
 
 from papayapost.errors import CreditExceeded
-from papayapost.ids import Micros
+from papayapost.ids import Micros, RequestName
 from papayapost.traffic import (
     AnswerBlocked,
     AnswerUnblocked,
@@ -97,6 +97,12 @@
         self._is_blocked = False
         self._verdict = AnswerVerdict.ANSWER
 
+    @property
+    def name(self) -> RequestName:
+        """Name that the caller gave its request; empty without one."""
+        headers = dict(self._owned.request.headers)
+        return self._services.dialect.parse_call_terms(headers).name
+
     def connection_ready(self, connection: BackendConnection | None) -> None:
         """Send the request on a connection from the pool.
 
@@ -195,6 +201,8 @@
         verdict = self._services.dialect.judge_answer(request.headers, status, headers)
         if verdict is AnswerVerdict.FOREIGN:
             return AnswerReading.SKIPPED
+        if verdict is AnswerVerdict.NOT_RUN_UNNAMED:
+            verdict = self._attributed()
         self._verdict = verdict
         self._status = status
         if verdict is not AnswerVerdict.ANSWER:
@@ -209,6 +217,16 @@
         has_deadline = self._is_held or size is None
         return AnswerReading.WHOLE if has_deadline else AnswerReading.STREAMED
 
+    def _attributed(self) -> AnswerVerdict:
+        """Return the verdict on a refusal that names no request.
+
+        On a connection that has run other requests it may be a repetition of
+        the refusal of one of them.
+        """
+        connection = self._connection
+        is_first = connection is not None and connection.calls == 1
+        return AnswerVerdict.NOT_RUN if is_first else AnswerVerdict.BROKEN
+
     def answer_received(self, data: bytes) -> None:
         """Buffer a piece of the body, to send what one read brings at once."""
         self._buffered += data
@@ -220,6 +238,8 @@
     def answer_ended(self, trailers: Headers) -> None:
         """End the backend call, whose answer is whole."""
         if self._verdict is AnswerVerdict.NOT_RUN:
+            if self._connection is not None:
+                self._connection.record_refusal(self.name)
             self._end(is_sent=True, is_refused=True)
             return
         if self._verdict is AnswerVerdict.BROKEN:
--- a/packages/papayapost-node/src/papayapost_node/exchange/dialect.py
+++ b/packages/papayapost-node/src/papayapost_node/exchange/dialect.py
@@ -39,13 +39,15 @@
     """How the head of a backend server's answer is to be understood.
 
     ``ANSWER`` is a usable answer to the request. ``NOT_RUN`` says that the
-    backend server did not run the request and never will. ``BROKEN`` says
-    that the answer is unusable, while the request may have run. ``FOREIGN``
-    says that the answer belongs to another request.
+    backend server did not run the request and never will. ``NOT_RUN_UNNAMED``
+    says so without the name of a request. ``BROKEN`` says that the answer is
+    unusable, while the request may have run. ``FOREIGN`` says that the answer
+    belongs to another request.
     """
 
     ANSWER = "answer"
     NOT_RUN = "not-run"
+    NOT_RUN_UNNAMED = "not-run-unnamed"
     BROKEN = "broken"
     FOREIGN = "foreign"
 
--- a/packages/papayapost-testing/src/papayapost_testing/node_pair.py
+++ b/packages/papayapost-testing/src/papayapost_testing/node_pair.py
@@ -45,7 +45,9 @@
 
 
 @asynccontextmanager
-async def node_pair(script: Script, slots: int = 4) -> AsyncIterator[NodePair]:
+async def node_pair(
+    script: Script, slots: int = 4, surroundings: str | None = None
+) -> AsyncIterator[NodePair]:
     """Run two nodes, an object store stand-in and a scripted backend server.
 
     The pair is ready to serve calls once the context is entered.
@@ -56,6 +58,9 @@
         Script that the backend server runs on each connection.
     slots
         Number of slots of the backend server.
+    surroundings
+        Module with the platform adapters of the nodes; None for the native
+        ones.
     """
     store_address, backend_address, *addresses = free_addresses(6)
     store = ObjectStoreStandIn(store_address)
@@ -82,6 +87,7 @@
             "store_address": store_address,
             "security": {"mode": "none"},
             "seeds": [peer_addresses[0]],
+            "surroundings": surroundings,
             "backend_server": backend_settings if number else None,
         }
         nodes.append(await build_node(Settings.model_validate(settings)))
