--- a/packages/papayapost-node/src/papayapost_node/store/client.py
+++ b/packages/papayapost-node/src/papayapost_node/store/client.py
@@ -15,6 +15,7 @@
 """
 
 from abc import ABC, abstractmethod
+from collections.abc import Callable
 
 import msgspec
 
@@ -73,7 +74,12 @@
 
     @abstractmethod
     async def watch(
-        self, kind: str, name: str, after_version: int, wait_s: float
+        self,
+        kind: str,
+        name: str,
+        after_version: int,
+        wait_s: float,
+        on_bytes: Callable[[], None] | None = None,
     ) -> StoredObject | None:
         """Wait until an object's version changes, and return the object.
 
@@ -83,6 +89,8 @@
             Version that the caller knows; 0 if the object does not exist.
         wait_s
             Time for which the store holds its answer if nothing changes.
+        on_bytes
+            Called for each part of the answer that arrives.
 
         Returns
         -------
@@ -153,14 +161,21 @@
         return listed
 
     async def watch(
-        self, kind: str, name: str, after_version: int, wait_s: float
+        self,
+        kind: str,
+        name: str,
+        after_version: int,
+        wait_s: float,
+        on_bytes: Callable[[], None] | None = None,
     ) -> StoredObject | None:
         """Wait until an object's version changes, and return the object."""
         headers = [
             (b"if-none-match", _etag_of(after_version)),
             (b"prefer", b"wait=%d" % round(wait_s)),
         ]
-        answer = await self._call("GET", kind, name, headers, wait_s=wait_s)
+        answer = await self._call(
+            "GET", kind, name, headers, wait_s=wait_s, on_bytes=on_bytes
+        )
         if answer.status == 304:
             return None
         return _object_of(answer)
@@ -196,9 +211,12 @@
         headers: Headers,
         body: bytes = b"",
         wait_s: float = 0,
+        on_bytes: Callable[[], None] | None = None,
     ) -> HttpAnswer:
         target = f"/objects/{kind}/{name}"
-        answer = await self._connections.call(method, target, headers, body, wait_s)
+        answer = await self._connections.call(
+            method, target, headers, body, wait_s, on_bytes
+        )
         if answer.status not in _EXPECTED_STATUSES:
             raise self._connections.unusable_answer_error(answer)
         return answer
--- a/packages/papayapost-node/src/papayapost_node/store/connections.py
+++ b/packages/papayapost-node/src/papayapost_node/store/connections.py
@@ -46,6 +46,7 @@
         headers: Headers,
         body: bytes = b"",
         wait_s: float = 0,
+        on_bytes: Callable[[], None] | None = None,
     ) -> HttpAnswer:
         """Send a request and return the answer, whatever its status.
 
@@ -54,6 +55,8 @@
         wait_s
             Time for which the request allows the store to hold its answer;
             the time-out grows by it.
+        on_bytes
+            Called for each part of the answer that arrives.
 
         Raises
         ------
@@ -73,6 +76,8 @@
 
                 def on_read() -> None:
                     limit.reschedule(min(latest_s, loop.time() + self._timeout_s))
+                    if on_bytes is not None:
+                        on_bytes()
 
                 answer = await self._exchange(request, on_read)
         except (OSError, h11.RemoteProtocolError) as error:
--- a/packages/papayapost-node/src/papayapost_node/store/effects.py
+++ b/packages/papayapost-node/src/papayapost_node/store/effects.py
@@ -13,6 +13,7 @@
     ObjectUpdated,
     ReadObject,
     StoreReadFailed,
+    StoreReading,
     StoreRequestId,
     UnwatchObject,
     UpdateConflicted,
@@ -28,6 +29,7 @@
 _WATCH_WAIT_S = 30
 # A watch that ends unchanged within 1/6 of the requested time has failed.
 _MIN_WATCH_DIVISOR = 6
+_READING_INTERVAL_S = 0.3
 
 
 class StoreEffects:
@@ -101,10 +103,18 @@
 
     async def _wait_for_change(self, key: ObjectKey, version: int) -> StoredObject:
         loop = asyncio.get_running_loop()
+        told_s = loop.time()
+
+        def on_bytes() -> None:
+            nonlocal told_s
+            if loop.time() - told_s >= _READING_INTERVAL_S:
+                told_s = loop.time()
+                self._post(StoreReading(key))
+
         while True:
-            started_s = loop.time()
+            started_s = told_s = loop.time()
             stored = await self._client.watch(
-                key.kind.value, key.name, version, self._wait_s
+                key.kind.value, key.name, version, self._wait_s, on_bytes
             )
             if stored is not None:
                 return stored
--- a/packages/papayapost-testing/src/papayapost_testing/roster_mesh.py
+++ b/packages/papayapost-testing/src/papayapost_testing/roster_mesh.py
@@ -20,6 +20,7 @@
     ObjectRead,
     ObjectsListed,
     ObjectUpdated,
+    ReadObject,
     StoreReadFailed,
     UpdateConflicted,
     UpdateObject,
@@ -271,7 +272,7 @@
             traffic.cross_region_bytes += size_bytes
 
     def _call_store(self, address: Address, effect: object) -> None:
-        if not isinstance(effect, (ListObjects, UpdateObject, WatchObject)):
+        if not isinstance(effect, (ListObjects, ReadObject, UpdateObject, WatchObject)):
             return
         self.traffic.store_calls[type(effect).__name__] += 1
         answer = self._answer(address, effect)
@@ -284,6 +285,11 @@
             if is_rejected:
                 return UpdateOutcomeUnknown(effect.key, effect.request_id, "503")
             return self._update(effect)
+        if isinstance(effect, ReadObject):
+            if is_rejected:
+                return StoreReadFailed(effect.key, "503", effect.request_id)
+            version, value = self.objects.get(effect.key, (0, None))
+            return ObjectRead(effect.key, version, value, effect.request_id)
         if isinstance(effect, ListObjects):
             if is_rejected:
                 key = ObjectKey(effect.kind, "")
--- a/packages/papayapost-testing/src/papayapost_testing/roster_store.py
+++ b/packages/papayapost-testing/src/papayapost_testing/roster_store.py
@@ -11,17 +11,21 @@
     ObjectsListed,
     ObjectUnchanged,
     ObjectUpdated,
+    ReadObject,
     StoreReadFailed,
+    StoreReading,
     UnwatchObject,
     UpdateConflicted,
     UpdateObject,
     UpdateOutcomeUnknown,
     WatchObject,
 )
+from papayapost_testing.region_link import RegionLink, Transfer, TransferProgress
 
 __all__ = ["RosterStore", "StorePath", "StoreRequest"]
 
 _DELAY_US = 4_000
+_ENTRY_BYTES = 300
 
 
 class StorePath(Enum):
@@ -39,13 +43,14 @@
     LIST = "list"
     STALE_LIST = "stale-list"
     UPDATE = "update"
+    READ = "read"
 
 
 class RosterStore:
     """Answers the store effects of all nodes and records each call.
 
-    A watch without a usable position begins with a read that is answered at
-    once; afterwards each call waits for a change for a limited time.
+    A watch after no version begins with a read that is answered at once; any
+    other waits for a change since its version for a limited time.
 
     Attributes
     ----------
@@ -55,6 +60,10 @@
         State of the way to the store by node; open if absent.
     wait_us, timeout_us
         Time for which a watch waits, and for the answer beyond that.
+    links
+        Link that answers to a node pass, for nodes of another region.
+    round_trip_us
+        Round trip of those nodes to the store.
     """
 
     def __init__(
@@ -71,6 +80,8 @@
         self.paths: dict[Address, StorePath] = {}
         self.wait_us = 700_000
         self.timeout_us = 700_000
+        self.links: dict[Address, RegionLink] = {}
+        self.round_trip_us = 60_000
         self._version = 0
         self._positions: dict[Address, int] = {}
         self._watches: dict[Address, WatchObject] = {}
@@ -106,8 +117,7 @@
         if isinstance(effect, WatchObject):
             self.forget_watch(address)
             self._watches[address] = effect
-            if self._positions.get(address) != effect.after_version:
-                self._positions.pop(address, None)
+            self._positions[address] = effect.after_version
             self._poll(address, effect)
         elif isinstance(effect, UnwatchObject):
             self.forget_watch(address)
@@ -116,6 +126,10 @@
             stale = effect.may_be_stale
             self._note(address, StoreRequest.STALE_LIST if stale else StoreRequest.LIST)
             self._finish(address, lambda: self._list(effect), self._failed(effect))
+        elif isinstance(effect, ReadObject):
+            self._note(address, StoreRequest.READ)
+            failure = StoreReadFailed(effect.key, "no answer", effect.request_id)
+            self._finish(address, lambda: self._read(effect), failure)
         elif isinstance(effect, UpdateObject):
             self._note(address, StoreRequest.UPDATE)
             unknown = UpdateOutcomeUnknown(effect.key, effect.request_id, "no answer")
@@ -139,7 +153,15 @@
         path = self._path(address)
         if path is StorePath.OPEN:
             message = answer()
-            self._call_later(_DELAY_US, lambda: self._deliver(address, message))
+            count = len(message.objects) if isinstance(message, ObjectsListed) else 1
+            self._send(
+                address,
+                "entries",
+                count * _ENTRY_BYTES,
+                lambda: self._deliver(address, message),
+                lambda: self._deliver(address, failure),
+                lambda: True,
+            )
         else:
             delay_us = self.timeout_us if path is StorePath.SILENT else _DELAY_US
             self._call_later(delay_us, lambda: self._deliver(address, failure))
@@ -168,7 +190,7 @@
             if self._watches.get(address) is watch:
                 self._poll(address, watch)
 
-        self._call_later(_DELAY_US, go_on)
+        self._call_later(self._delay_us(address), go_on)
 
     def _answer_watch(self, address: Address, watch: WatchObject) -> None:
         version, value = self.objects.get(watch.key, (0, None))
@@ -178,7 +200,44 @@
                 self._positions[address] = version
                 self._deliver(address, ObjectRead(watch.key, version, value))
 
-        self._call_later(_DELAY_US, answer)
+        def fail() -> None:
+            self._positions.pop(address, None)
+            if is_wanted():
+                self._deliver(address, StoreReadFailed(watch.key, "no answer"))
+
+        def is_wanted() -> bool:
+            return self._watches.get(address) is watch
+
+        def part_arrived() -> None:
+            self._deliver(address, StoreReading(watch.key))
+
+        size_bytes = len(str(value))
+        self._send(address, "rules", size_bytes, answer, fail, is_wanted, part_arrived)
+
+    def _delay_us(self, address: Address) -> int:
+        return _DELAY_US + (self.round_trip_us if address in self.links else 0)
+
+    def _send(
+        self,
+        address: Address,
+        kind: str,
+        size_bytes: int,
+        done: Callable[[], None],
+        failed: Callable[[], None],
+        is_wanted: Callable[[], bool],
+        part_arrived: Callable[[], None] = lambda: None,
+    ) -> None:
+        """Send an answer, over the link between regions if there is one."""
+        link, delay_us = self.links.get(address), self._delay_us(address)
+        if link is None:
+            self._call_later(delay_us, done)
+            return
+
+        def start() -> None:
+            progress = TransferProgress(is_wanted, part_arrived, done, failed)
+            Transfer(link, kind, size_bytes, self.timeout_us, progress)
+
+        self._call_later(delay_us, start)
 
     def _fail_watch(self, address: Address, watch: WatchObject) -> None:
         is_silent = self._path(address) is StorePath.SILENT
@@ -198,6 +257,10 @@
         )
         return ObjectsListed(effect.kind, effect.request_id, found, effect.may_be_stale)
 
+    def _read(self, effect: ReadObject) -> ObjectRead:
+        version, value = self.objects.get(effect.key, (0, None))
+        return ObjectRead(effect.key, version, value, effect.request_id)
+
     def _failed(self, effect: ListObjects) -> StoreReadFailed:
         return StoreReadFailed(
             ObjectKey(effect.kind, ""), "no answer", effect.request_id
--- a/packages/papayapost-testing/src/papayapost_testing/slow_link_mesh.py
+++ b/packages/papayapost-testing/src/papayapost_testing/slow_link_mesh.py
@@ -7,7 +7,7 @@
 from random import Random
 
 from papayapost.distribution import RULES_KEY
-from papayapost.ids import Address, Incarnation, Micros
+from papayapost.ids import Address, Incarnation, Micros, RegionId
 from papayapost.node import NodeWorld, build_roster_world
 from papayapost.observe import Event, Noted
 from papayapost.peering import PeerSend
@@ -19,6 +19,7 @@
     CompressingCodec,
     MessagePackCodec,
 )
+from papayapost_testing.region_link import RegionLink
 from papayapost_testing.roster_store import RosterStore
 from papayapost_testing.traffic_worlds import backend_row
 
@@ -47,8 +48,9 @@
         Time in µs and version of each change of the rules in force.
     """
 
-    def __init__(self, name: str, place: Place, started_us: int):
+    def __init__(self, name: str, place: Place, started_us: int, link_mbps: float):
         own = backend_row(name, "gusts", place)
+        own.link_mbps = link_mbps
         own.incarnation = Incarnation(started_us)
         self.me = SelfRow(own.node_id, own.incarnation, place, own.peer_address)
         self.built: NodeWorld = build_roster_world(self.me, own, Random(name))
@@ -74,28 +76,45 @@
 class SlowLinkMesh:
     """Runs the worlds of all nodes over simulated links and a store.
 
+    Parameters
+    ----------
+    link_rate_bytes_per_s
+        Rate at which each node sends.
+
     Attributes
     ----------
     messages, sent_bytes
         Number and encoded bytes of messages by sender and type.
     """
 
-    def __init__(self):
+    def __init__(self, link_rate_bytes_per_s: int = _LINK_BYTES_PER_S):
         self.now_us = _START_US
         self.nodes: dict[Address, MeshNode] = {}
         self.messages: Counter[tuple[Address, type]] = Counter()
         self.sent_bytes: Counter[tuple[Address, type]] = Counter()
         self.store = RosterStore(self._clock, self._call_later, self._deliver)
+        self._link_rate_bytes_per_s = link_rate_bytes_per_s
+        self._links: dict[RegionId, RegionLink] = {}
         self._free_us: dict[Address, int] = {}
         self._timers: dict[Address, int] = {}
         self._queue: list = []
         self._count = 0
 
+    def part_from_store(self, region: RegionId, rate_bytes_per_s: int) -> RegionLink:
+        """Let all bytes to a region pass one link, those of the store too."""
+        link = RegionLink(rate_bytes_per_s, self._clock, self._call_later)
+        self._links[region] = link
+        return link
+
     def start(self, name: str, place: Place) -> MeshNode:
         """Start a node, or a new process of it."""
-        node = MeshNode(name, place, self.now_us)
+        link_mbps = self._link_rate_bytes_per_s * 8 / 1e6
+        node = MeshNode(name, place, self.now_us, link_mbps)
         self.store.forget(node.address)
         self.nodes[node.address] = node
+        link = self._links.get(place.region)
+        if link is not None:
+            self.store.links[node.address] = link
         self._tick(node.address, node.built.first_messages())
         return node
 
@@ -165,14 +184,23 @@
         self.messages[key] += 1
         self.sent_bytes[key] += size_bytes
         start_us = max(self.now_us, self._free_us.get(sender.address, 0))
-        end_us = start_us + size_bytes * 1_000_000 // _LINK_BYTES_PER_S
+        end_us = start_us + size_bytes * 1_000_000 // self._link_rate_bytes_per_s
         self._free_us[sender.address] = end_us
         receiver = self.nodes.get(effect.address)
         is_near = receiver and receiver.me.place.region == sender.me.place.region
         delay_us = _REGION_DELAY_US if is_near else _ACROSS_DELAY_US
-        self._call_later(
-            end_us - self.now_us + delay_us, lambda: self._receive(sender, effect)
-        )
+        link = self._links.get(receiver.me.place.region) if receiver else None
+
+        def receive() -> None:
+            self._receive(sender, effect)
+
+        def cross() -> None:
+            if link is None or is_near:
+                receive()
+            else:
+                link.carry(type(effect.message).__name__, size_bytes, receive)
+
+        self._call_later(end_us - self.now_us + delay_us, cross)
 
     def _receive(self, sender: MeshNode, effect: PeerSend) -> None:
         receiver = self.nodes.get(effect.address)
--- a/packages/papayapost/src/papayapost/distribution/part.py
+++ b/packages/papayapost/src/papayapost/distribution/part.py
@@ -34,6 +34,7 @@
 from papayapost.distribution.start import RaiseVersionFloor, StartDistribution, StartDue
 from papayapost.distribution.tables import RelayTables, RulesRequestTable, StoreWatchRow
 from papayapost.distribution.versions import ActivateStagedRules, CompileRules
+from papayapost.distribution.watch_ranks import WatchRanks
 from papayapost.kernel import System
 from papayapost.membership import Directory, TreeTables
 from papayapost.place import SelfRow
@@ -87,17 +88,20 @@
     The systems are ordered along the path of a rules text, so that a relay
     passes a change on in the tick in which it learns of it.
     """
-    contact, history = DirectWatchRow(), ChangeHistory()
+    own = directory.get(me.node_id)
+    contact = DirectWatchRow(link_mbps=own.link_mbps if own else 0.0)
+    history = ChangeHistory()
+    ranks = WatchRanks(directory, me.place.region)
     systems: list[System] = [
-        AssignWatchRole(me, directory, contact),
+        AssignWatchRole(me, ranks, rules, contact),
         WatchStore(rules, contact),
         ApplyRelayedDeltas(rules, directory),
-        ShareRules(me, rules, history),
+        ShareRules(me, rules, contact, history),
         CompileRules(rules),
         RecordChanges(rules, contact, history),
         ActivateCompiledRules(rules),
-        PushToRegion(me, directory, rules, contact, history),
-        FollowRelays(directory, rules, contact),
+        PushToRegion(me, directory, ranks, rules, contact, history),
+        FollowRelays(me, directory, ranks, rules, contact),
     ]
     return DirectDistributionPart(rules, contact, systems, [StartDue()])
 
--- a/packages/papayapost/src/papayapost/distribution/peer_messages.py
+++ b/packages/papayapost/src/papayapost/distribution/peer_messages.py
@@ -209,14 +209,20 @@
 class StoreContact:
     """Relay to the nodes of its region: the store has just answered it.
 
+    A relay also sends it to the relays of the other regions.
+
     Parameters
     ----------
     version
         Rules version that the sender holds.
     is_relay
         Whether the sender is a relay rather than a deputy.
+    watch_us
+        Time in µs that an unchanged watch takes the sender, or took a relay of
+        its region; None if it is not known.
     """
 
     sender: NodeId
     version: RuleVersion
     is_relay: bool
+    watch_us: Micros | None = None
--- /dev/null
+++ b/packages/papayapost/src/papayapost/distribution/watch_ranks.py
@@ -0,0 +1,105 @@
+"""Ranks the nodes of each region by how well they suit as relays of rules."""
+
+from papayapost.define import define
+from papayapost.ids import DataCentreId, NodeId, RegionId
+from papayapost.membership import BackendServerRow, Directory, rank_key
+from papayapost.states import BackendServerState
+
+__all__ = ["RELAYS", "RegionRank", "WatchRanks", "rank_region"]
+
+RELAYS = 2
+_DEPUTIES = 2
+
+_LEAVING_STATES = (BackendServerState.DRAINING, BackendServerState.GONE)
+
+
+def rank_region(directory: Directory, region: RegionId) -> list[BackendServerRow]:
+    """Return the nodes of a region that may become relays, best first.
+
+    Nodes with faster links come first: a relay reads the whole rules from the
+    store, which on a slow link would hold up the calls of its VM.
+    The highest-ranked nodes of all data centres come before the others, so
+    that the loss of one data centre does not take all relays.
+    """
+    rows = [
+        row
+        for row in directory
+        if row.region == region and row.state not in _LEAVING_STATES
+    ]
+    rows.sort(key=lambda row: (-row.link_mbps, rank_key(row.node_id)))
+    firsts: dict[DataCentreId, NodeId] = {}
+    for row in rows:
+        firsts.setdefault(row.data_centre, row.node_id)
+    return sorted(
+        rows,
+        key=lambda row: (-row.link_mbps, firsts[row.data_centre] != row.node_id),
+    )
+
+
+@define
+class RegionRank:
+    """The nodes of one region that may become relays, best first.
+
+    Parameters
+    ----------
+    relays
+        Those that watch the store for their region.
+    deputies
+        Those that watch it first if the relays do not reach it.
+    """
+
+    relays: list[NodeId]
+    deputies: list[NodeId]
+
+
+class WatchRanks:
+    """Ranks of the nodes in the directory, refreshed when that changes.
+
+    Attributes
+    ----------
+    regions
+        First nodes of each region.
+    """
+
+    def __init__(self, directory: Directory, region: RegionId):
+        self._directory = directory
+        self._region = region
+        self._positions: dict[NodeId, int] = {}
+        self.regions: dict[RegionId, RegionRank] = {}
+
+    def refresh(self) -> None:
+        """Rank the nodes of all regions anew."""
+        self.regions = {}
+        for region in {row.region for row in self._directory}:
+            ranked = [row.node_id for row in rank_region(self._directory, region)]
+            heads = ranked[: RELAYS + _DEPUTIES]
+            self.regions[region] = RegionRank(heads[:RELAYS], heads[RELAYS:])
+            if region == self._region:
+                self._positions = {node_id: at for at, node_id in enumerate(ranked)}
+
+    @property
+    def own(self) -> RegionRank:
+        """First nodes of this node's region."""
+        return self.regions.get(self._region) or RegionRank([], [])
+
+    @property
+    def size(self) -> int:
+        """Number of nodes of this node's region that may become relays."""
+        return max(1, len(self._positions))
+
+    def position(self, node_id: NodeId) -> int:
+        """Return a node's place in the rank of this region, from 0 on.
+
+        Nodes that may not become relays come after all others.
+        """
+        return self._positions.get(node_id, len(self._positions))
+
+    def far_relays(self) -> list[BackendServerRow]:
+        """Return the relays of the other regions."""
+        rows = (
+            self._directory.get(node_id)
+            for region, rank in sorted(self.regions.items())
+            if region != self._region
+            for node_id in rank.relays
+        )
+        return [row for row in rows if row is not None]
--- a/packages/papayapost/src/papayapost/roster/entries.py
+++ b/packages/papayapost/src/papayapost/roster/entries.py
@@ -5,15 +5,23 @@
 from papayapost.ids import Micros
 from papayapost.kernel import System, Tick
 from papayapost.observe import Event, Noted
-from papayapost.roster.messages import EntryDue, ReadDue, RosterStarted
+from papayapost.roster.messages import (
+    CheckDue,
+    EntryDue,
+    EntryUnchecked,
+    ReadDue,
+    RosterStarted,
+)
 from papayapost.roster.peers import Peers
 from papayapost.roster.tables import EntryState, RosterEntry, RosterTables
 from papayapost.storage import (
     ListObjects,
     ObjectKey,
     ObjectKind,
+    ObjectRead,
     ObjectsListed,
     ObjectUpdated,
+    ReadObject,
     StoreReadFailed,
     StoreRequestId,
     UpdateConflicted,
@@ -24,6 +32,7 @@
 __all__ = ["ReadEntries", "WriteOwnEntry"]
 
 _WRITE_ID = StoreRequestId("roster/entry")
+_READ_ID = StoreRequestId("roster/own-entry")
 _LIST_ID = StoreRequestId("roster/entries")
 
 _MIN_RETRY_DELAY_US = 150_000
@@ -31,7 +40,7 @@
 """Largest retry delay. Entries that the store lost in an outage must be back
 within 2 s of its end."""
 
-_MAX_READ_RETRY_DELAY_US = 1_600_000
+_MAX_READ_RETRY_DELAY_US = 1_700_000
 """Largest retry delay of a read, which precedes such a write."""
 
 _READ_INTERVAL_US = 15_000_000
@@ -47,10 +56,15 @@
     """
 
     consumes = (
+        CheckDue,
         EntryDue,
+        EntryUnchecked,
+        ObjectRead,
         ObjectsListed,
         ObjectUpdated,
         RosterStarted,
+        StoreReadFailed,
+        StoreRegained,
         UpdateConflicted,
         UpdateOutcomeUnknown,
     )
@@ -65,6 +79,20 @@
         for listed in tick.take(ObjectsListed):
             if listed.request_id == _LIST_ID:
                 self._check_listed_entry(tick, listed)
+        for seen in tick.take(ObjectRead):
+            if seen.request_id == _READ_ID:
+                self._check_entry(tick, seen if seen.version else None)
+        is_failed = any(
+            failed.request_id == _READ_ID for failed in tick.take(StoreReadFailed)
+        )
+        if tick.take(EntryUnchecked) or is_failed:
+            self._retry_check(tick)
+        is_regained, is_check_due = tick.take(StoreRegained), tick.take(CheckDue)
+        if is_regained or is_check_due:
+            # The store may have lost the entry in its outage. It is read by
+            # itself, as all nodes do so at the same time.
+            key = ObjectKey(ObjectKind.ENTRY, self._roster.me.node_id)
+            tick.emit(ReadObject(key, _READ_ID))
         is_due, is_start = tick.take(EntryDue), tick.take(RosterStarted)
         if (is_due or is_start) and self._roster.entry is EntryState.UNWRITTEN:
             self._write(tick)
@@ -104,21 +132,34 @@
         tick.emit(Noted(Event.ENTRY_UNCERTAIN, detail=reason))
         tick.set_timer("roster entry", Micros(tick.now_us + delay_us), EntryDue())
 
+    def _retry_check(self, tick: Tick) -> None:
+        delay_us = jittered_backoff_us(
+            tick.random, self._failures, _MIN_RETRY_DELAY_US, _MAX_READ_RETRY_DELAY_US
+        )
+        self._failures += 1
+        due_us = Micros(tick.now_us + delay_us)
+        tick.set_timer("roster entry check", due_us, CheckDue())
+
     def _check_listed_entry(self, tick: Tick, listed: ObjectsListed) -> None:
         roster = self._roster
-        if roster.entry is EntryState.WRITING:
-            return
         name = roster.me.node_id
         own = next((seen for seen in listed.objects if seen.key.name == name), None)
-        if own is not None and own.value == roster.own_entry:
-            if not listed.may_be_stale:
-                roster.entry_version = own.version
-            return
-        if listed.may_be_stale:
+        is_right = own is not None and own.value == roster.own_entry
+        if not listed.may_be_stale:
+            self._check_entry(tick, own)
+        elif not is_right and roster.entry is not EntryState.WRITING:
             tick.post(ReadDue(may_be_stale=False))
+
+    def _check_entry(self, tick: Tick, own: ObjectRead | None) -> None:
+        """Write the entry again if the store does not hold it as it should."""
+        roster = self._roster
+        if roster.entry is EntryState.WRITING:
             return
-        roster.entry = EntryState.UNWRITTEN
+        self._failures = 0
         roster.entry_version = own.version if own else 0
+        if own is not None and own.value == roster.own_entry:
+            return
+        roster.entry = EntryState.UNWRITTEN
         detail = "differs" if own else "is missing"
         tick.emit(Noted(Event.ENTRY_REWRITTEN, detail=f"the stored entry {detail}"))
         tick.post(EntryDue())
@@ -131,12 +172,13 @@
     two nodes start at the same time, the one that reads last finds the other.
     """
 
-    consumes = (ObjectsListed, ReadDue, StoreReadFailed, StoreRegained)
+    consumes = (ObjectsListed, ReadDue, StoreReadFailed)
 
     def __init__(self, roster: RosterTables, peers: Peers):
         self._roster = roster
         self._peers = peers
         self._failures = 0
+        self._is_listed = False
 
     def run(self, tick: Tick) -> None:
         """Add peers from the listed entries; read again later."""
@@ -147,16 +189,13 @@
             if failed.request_id == _LIST_ID:
                 self._retry(tick)
         due = tick.take(ReadDue)
-        if tick.take(StoreRegained):
-            # The store may have lost entries in its outage, so the current
-            # ones are read, not a state that may be stale.
-            tick.emit(ListObjects(ObjectKind.ENTRY, _LIST_ID))
-        elif due:
+        if due:
             may_be_stale = all(item.may_be_stale for item in due)
             tick.emit(ListObjects(ObjectKind.ENTRY, _LIST_ID, may_be_stale))
 
     def _add_peers(self, tick: Tick, listed: ObjectsListed) -> None:
         self._failures = 0
+        self._is_listed = True
         roster = self._roster
         for seen in listed.objects:
             if isinstance(seen.value, RosterEntry):
@@ -168,6 +207,11 @@
         )
 
     def _retry(self, tick: Tick) -> None:
+        if self._is_listed:
+            # The other nodes are known, but the own entry may be lost.
+            self._schedule(tick, _READ_INTERVAL_US, True)
+            tick.post(EntryUnchecked())
+            return
         delay_us = jittered_backoff_us(
             tick.random, self._failures, _MIN_RETRY_DELAY_US, _MAX_READ_RETRY_DELAY_US
         )
--- a/packages/papayapost/src/papayapost/roster/exchange.py
+++ b/packages/papayapost/src/papayapost/roster/exchange.py
@@ -103,7 +103,10 @@
     def _record_version(self, tick: Tick, peer: PeerRow, version: RuleVersion) -> None:
         peer.version = version
         if version > self._rules.held_version:
-            tick.post(PeerRulesVersionSeen(peer.node_id, peer.address, version))
+            seen = PeerRulesVersionSeen(
+                peer.node_id, peer.address, version, peer.is_same_region
+            )
+            tick.post(seen)
 
     def _raise_incarnation(self, tick: Tick, known: BackendServerRow) -> None:
         """Raise this node's incarnation above that of its earlier process.
--- a/packages/papayapost/src/papayapost/roster/messages.py
+++ b/packages/papayapost/src/papayapost/roster/messages.py
@@ -6,7 +6,9 @@
 
 __all__ = [
     "Beat",
+    "CheckDue",
     "EntryDue",
+    "EntryUnchecked",
     "HeartbeatsDue",
     "Hello",
     "HelloSuperseded",
@@ -159,6 +161,16 @@
     """Timer: write this node's entry if it is not stored yet."""
 
 
+@define
+class CheckDue:
+    """Timer: read this node's entry to see whether the store still has it."""
+
+
+@define
+class EntryUnchecked:
+    """Internal: the store failed, and may have lost this node's entry."""
+
+
 @define
 class ReadDue:
     """Timer: read the entries of all nodes.
--- a/packages/papayapost/src/papayapost/states.py
+++ b/packages/papayapost/src/papayapost/states.py
@@ -89,11 +89,15 @@
 class WatchRole(Enum):
     """Why a node watches the rules object of the store itself, or does not.
 
-    A follower relies on the relays of its region. A node falls back if they
+    A node that starts waits for rules of its peers, or its turn to watch. A
+    follower relies on the relays of its region. A remote relay relies on
+    those of a region that is nearer to the store. A node falls back if they
     report no contact with the store.
     """
 
+    STARTING = "starting"
     RELAY = "relay"
+    REMOTE_RELAY = "remote-relay"
     FOLLOWER = "follower"
     FALLBACK = "fallback"
 
--- a/packages/papayapost/src/papayapost/storage/messages.py
+++ b/packages/papayapost/src/papayapost/storage/messages.py
@@ -19,6 +19,7 @@
     "ObjectsListed",
     "ReadObject",
     "StoreReadFailed",
+    "StoreReading",
     "StoreRequestId",
     "UnwatchObject",
     "UpdateConflicted",
@@ -210,6 +211,16 @@
     reason: str
 
 
+@define
+class StoreReading:
+    """Input: the answer to a watch of an object is arriving.
+
+    It is posted at intervals until the answer is complete.
+    """
+
+    key: ObjectKey
+
+
 @define
 class StoreReadFailed:
     """Input: a watch or a read failed.
--- a/packages/papayapost/tests/roster/test_roster.py
+++ b/packages/papayapost/tests/roster/test_roster.py
@@ -18,6 +18,7 @@
     ObjectRead,
     ObjectsListed,
     ObjectUpdated,
+    ReadObject,
     StoreReadFailed,
     UpdateConflicted,
     UpdateObject,
@@ -153,6 +154,10 @@
                 effect.kind, effect.request_id, found, effect.may_be_stale
             )
             self._schedule(address, listed, STORE_DELAY_US)
+        elif isinstance(effect, ReadObject):
+            version, value = self.objects.get(effect.key, (0, None))
+            seen = ObjectRead(effect.key, version, value, effect.request_id)
+            self._schedule(address, seen, STORE_DELAY_US)
         elif isinstance(effect, WatchObject):
             version, value = self.objects.get(effect.key, (0, None))
             if version != effect.after_version:
@@ -179,6 +184,8 @@
         if isinstance(effect, ListObjects):
             key = ObjectKey(effect.kind, "")
             return StoreReadFailed(key, "503", effect.request_id)
+        if isinstance(effect, ReadObject):
+            return StoreReadFailed(effect.key, "503", effect.request_id)
         if isinstance(effect, WatchObject):
             return StoreReadFailed(effect.key, "503")
         return None
--- a/packages/papayapost/tests/roster/test_rules_relays.py
+++ b/packages/papayapost/tests/roster/test_rules_relays.py
@@ -6,7 +6,7 @@
 import pytest
 
 from papayapost.distribution import RulesDelta, RulesShared, RulesWanted, StoreContact
-from papayapost.distribution.region_relays import rank_region
+from papayapost.distribution.watch_ranks import rank_region
 from papayapost.ids import DataCentreId, RegionId
 from papayapost.membership import LeaveMesh, directory_table
 from papayapost.place import Place
