Rank relays anew only when a rank may have changed

Change: a region is ranked anew when a row's place, link or leaving changes; partners are worked out when they are needed, and kept until a peer changes.

--- a/packages/papayapost/src/papayapost/distribution/region_relays.py
+++ b/packages/papayapost/src/papayapost/distribution/region_relays.py
@@ -114,7 +114,8 @@
 
     def run(self, tick: Tick) -> None:
         """Take or leave the role; a former relay watches until covered."""
-        self._ranks.refresh()
+        for changed in tick.take(DirectoryChanged):
+            self._ranks.refresh(changed.rows)
         if tick.take(SettleDue):
             self._is_settled = True
             self._await_turn(tick)
--- a/packages/papayapost/src/papayapost/distribution/watch_ranks.py
+++ b/packages/papayapost/src/papayapost/distribution/watch_ranks.py
@@ -1,5 +1,7 @@
 """Ranks the nodes of each region by how well they suit as relays of rules."""
 
+from collections.abc import Iterable
+
 from papayapost.define import define
 from papayapost.ids import DataCentreId, NodeId, RegionId
 from papayapost.membership import BackendServerRow, Directory, rank_key
@@ -52,6 +54,23 @@
     deputies: list[NodeId]
 
 
+@define(frozen=True)
+class _Standing:
+    """What the rank of a node depends on, besides its name."""
+
+    region: RegionId
+    data_centre: DataCentreId
+    link_mbps: float
+    is_leaving: bool
+
+    @classmethod
+    def of(cls, row: BackendServerRow | None) -> "_Standing | None":
+        if row is None:
+            return None
+        is_leaving = row.state in _LEAVING_STATES
+        return cls(row.region, row.data_centre, row.link_mbps, is_leaving)
+
+
 class WatchRanks:
     """Ranks of the nodes in the directory, refreshed when that changes.
 
@@ -64,18 +83,36 @@
     def __init__(self, directory: Directory, region: RegionId):
         self._directory = directory
         self._region = region
+        self._standings: dict[NodeId, _Standing] = {}
         self._positions: dict[NodeId, int] = {}
         self.regions: dict[RegionId, RegionRank] = {}
+        self.refresh(directory)
+
+    def refresh(self, changed: Iterable[BackendServerRow]) -> None:
+        """Rank the nodes of those regions anew in which a rank may change.
 
-    def refresh(self) -> None:
-        """Rank the nodes of all regions anew."""
-        self.regions = {}
-        for region in {row.region for row in self._directory}:
-            ranked = [row.node_id for row in rank_region(self._directory, region)]
-            heads = ranked[: RELAYS + _DEPUTIES]
-            self.regions[region] = RegionRank(heads[:RELAYS], heads[RELAYS:])
-            if region == self._region:
-                self._positions = {node_id: at for at, node_id in enumerate(ranked)}
+        Most changes of a row, as of the state of its backend server, leave
+        the ranks as they are.
+        """
+        regions: set[RegionId] = set()
+        for row in changed:
+            before = self._standings.get(row.node_id)
+            standing = _Standing.of(self._directory.get(row.node_id))
+            if standing != before:
+                regions |= {item.region for item in (before, standing) if item}
+                if standing is None:
+                    del self._standings[row.node_id]
+                else:
+                    self._standings[row.node_id] = standing
+        for region in regions:
+            self._rank(region)
+
+    def _rank(self, region: RegionId) -> None:
+        ranked = [row.node_id for row in rank_region(self._directory, region)]
+        heads = ranked[: RELAYS + _DEPUTIES]
+        self.regions[region] = RegionRank(heads[:RELAYS], heads[RELAYS:])
+        if region == self._region:
+            self._positions = {node_id: at for at, node_id in enumerate(ranked)}
 
     @property
     def own(self) -> RegionRank:
--- a/packages/papayapost/src/papayapost/roster/neighbours.py
+++ b/packages/papayapost/src/papayapost/roster/neighbours.py
@@ -72,6 +72,7 @@
         for ring in self._rings.values():
             ring.sort()
         self._own_ring = self._rings.pop(place.region)
+        self._partners: set[NodeId] | None = None
 
     def leaders(self) -> set[RankKey]:
         """Return the leaders of this node's region.
@@ -99,6 +100,11 @@
 
     def partners(self) -> set[NodeId]:
         """Return the nodes with which this one exchanges heartbeats."""
+        if self._partners is None:
+            self._partners = self._find_partners()
+        return self._partners
+
+    def _find_partners(self) -> set[NodeId]:
         own, leaders = self._own, self.leaders()
         chosen = self._own_ring if own in leaders else leaders
         partners = {node_id for _, node_id in chosen} - {own[1]}
--- a/packages/papayapost/src/papayapost/roster/peers.py
+++ b/packages/papayapost/src/papayapost/roster/peers.py
@@ -41,7 +41,7 @@
     def __init__(self, roster: RosterTables, rules: RulesTable):
         self._roster = roster
         self._rules = rules
-        self._neighbourhoods: dict[bool, tuple[int, Neighbourhood, set[NodeId]]] = {}
+        self._neighbourhoods: dict[bool, tuple[int, Neighbourhood]] = {}
 
     def greet_partners(self, tick: Tick) -> None:
         """Greet the partners of this node that it has not met yet."""
@@ -185,16 +185,9 @@
         with_unmet
             Whether nodes of which only the entry is known count as live.
         """
-        return self._current(with_unmet)[1]
-
-    def partners(self, with_unmet: bool = False) -> set[NodeId]:
-        """Return the partners of this node among the live nodes."""
-        return self._current(with_unmet)[2]
-
-    def _current(self, with_unmet: bool) -> tuple[int, Neighbourhood, set[NodeId]]:
         cached = self._neighbourhoods.get(with_unmet)
         if cached is not None and cached[0] == self._roster.changes:
-            return cached
+            return cached[1]
         me = self._roster.me
         others = [
             (peer.rank, peer.place)
@@ -203,9 +196,12 @@
             and (with_unmet or peer.row is not None)
         ]
         found = Neighbourhood(rank_key(me.node_id), me.place, others)
-        current = (self._roster.changes, found, found.partners())
-        self._neighbourhoods[with_unmet] = current
-        return current
+        self._neighbourhoods[with_unmet] = (self._roster.changes, found)
+        return found
+
+    def partners(self, with_unmet: bool = False) -> set[NodeId]:
+        """Return the partners of this node among the live nodes."""
+        return self.neighbourhood(with_unmet).partners()
 
 
 def _suspicion_key(node_id: NodeId) -> tuple[str, NodeId]:
