--- a/packages/papayapost/src/papayapost/distribution/part.py
+++ b/packages/papayapost/src/papayapost/distribution/part.py
@@ -7,7 +7,6 @@
 from papayapost.distribution.direct import (
     ActivateCompiledRules,
     DirectWatchRow,
-    ShareRules,
     WatchStore,
 )
 from papayapost.distribution.newer_children import RequestFromChildren
@@ -16,13 +15,12 @@
 from papayapost.distribution.reconciling import ReconcileObjects, reconciled_objects
 from papayapost.distribution.region_relays import (
     ApplyRelayedDeltas,
-    AssignWatchRole,
-    FollowRelays,
     PushToRegion,
     RecordChanges,
 )
 from papayapost.distribution.reports import PublishStatus
 from papayapost.distribution.requests import FetchSnapshots, RequestFromParent
+from papayapost.distribution.rules_sharing import ShareRules
 from papayapost.distribution.rules_table import RulesTable
 from papayapost.distribution.snapshots import SendSnapshots
 from papayapost.distribution.source import (
@@ -35,6 +33,7 @@
 from papayapost.distribution.tables import RelayTables, RulesRequestTable, StoreWatchRow
 from papayapost.distribution.versions import ActivateStagedRules, CompileRules
 from papayapost.distribution.watch_ranks import WatchRanks
+from papayapost.distribution.watch_roles import AssignWatchRole, FollowRelays
 from papayapost.kernel import System
 from papayapost.membership import Directory, TreeTables
 from papayapost.place import SelfRow
