Do not end the context of the transport from two threads

Cause: the end of a drain ends the ZeroMQ context in a thread of its own; a stop at once ended the same context in the main thread as well, and the one that was second waited on a descriptor that the first had closed. Change: a context whose end has begun is not ended again. Test: fails without the change (ended_twice).

--- a/packages/papayapost-node/src/papayapost_node/transport/zmq_transport.py
+++ b/packages/papayapost-node/src/papayapost_node/transport/zmq_transport.py
@@ -56,6 +56,7 @@
         self._router: zmq.Socket | None = None
         self._zap_handler: ZapHandler | None = None
         self._dealer_changed = asyncio.Event()
+        self._is_terminating = False
 
     @property
     def connection_count(self) -> int:
@@ -128,12 +129,15 @@
                     await self._dealer_changed.wait()
         self._close_sockets(round(max(0.0, due_s - self._loop.time()) * 1000))
         # Waits until ZeroMQ has written the frames, in a thread of its own.
+        self._is_terminating = True
         await self._loop.run_in_executor(None, self._context.term)
 
     def close(self) -> None:
         """Drop all queued frames and close all connections."""
         self._close_sockets(linger_ms=0)
-        self._context.destroy(0)
+        # ZeroMQ aborts the process if two threads end the same context.
+        if not self._is_terminating:
+            self._context.destroy(0)
 
     def dealer_ready(self, dealer: Dealer) -> None:
         """Record that the peer has proved that it holds the expected key."""
--- a/packages/papayapost-node/tests/test_transport.py
+++ b/packages/papayapost-node/tests/test_transport.py
@@ -1,6 +1,7 @@
 """Tests of the ZeroMQ transport between nodes on the loopback interface."""
 
 import asyncio
+import threading
 import time
 
 import pytest
@@ -133,6 +134,42 @@
     run_with_peers(scenario)
 
 
+class SlowlyEndingContext:
+    """A context whose end takes some time; notes who ends it meanwhile."""
+
+    def __init__(self, context):
+        self._context = context
+        self.is_ending = threading.Event()
+        self.ended_twice = False
+
+    def term(self):
+        self.is_ending.set()
+        time.sleep(0.2)
+        self._context.term()
+        self.is_ending.clear()
+
+    def destroy(self, linger):
+        self.ended_twice = self.is_ending.is_set()
+        if not self.ended_twice:
+            self._context.destroy(linger)
+
+
+def test_a_stop_at_once_does_not_end_a_context_that_is_ending():
+    async def scenario(start):
+        (own,) = free_addresses(1)
+        transport = start(own).transport
+        context = SlowlyEndingContext(transport._context)
+        transport._context = context
+        sending = asyncio.create_task(transport.finish_sending(5.0))
+        while not context.is_ending.is_set():
+            await asyncio.sleep(0)
+        sending.cancel()
+        transport.close()
+        assert not context.ended_twice
+
+    run_with_peers(scenario)
+
+
 def test_a_frame_to_an_unreachable_address_is_reported_as_dropped():
     async def scenario(start):
         own, unreachable = free_addresses(2)
