--- a/packages/papayapost/src/papayapost/roster/__init__.py
+++ b/packages/papayapost/src/papayapost/roster/__init__.py
@@ -1,9 +1,10 @@
 """Flat membership: nodes discover each other through the object store.
 
 It serves meshes of up to a few hundred nodes whose settings name no seeds.
-Every node keeps one entry in the store, reads the entries of all other nodes
-and announces its row to each of them. It exchanges heartbeats with its
-partners only. Larger meshes use the tree of `papayapost.membership`.
+Every node keeps one entry in the store and reads the entries of all other
+nodes. It announces its row to its partners and exchanges heartbeats with them;
+two relays a region pass rows on to all others. Larger meshes use the tree of
+`papayapost.membership`.
 """
 
 from papayapost.roster.entries import ReadEntries, WriteOwnEntry
