Report a text as arriving only once it takes long

Change: the time counts from the first bytes of an answer. The client of test_a_watch_that_ends_at_once takes the new parameter of StoreClient.watch.

--- a/packages/papayapost-node/src/papayapost_node/store/effects.py
+++ b/packages/papayapost-node/src/papayapost_node/store/effects.py
@@ -103,16 +103,19 @@
 
     async def _wait_for_change(self, key: ObjectKey, version: int) -> StoredObject:
         loop = asyncio.get_running_loop()
-        told_s = loop.time()
+        told_s: float | None = None
 
         def on_bytes() -> None:
             nonlocal told_s
-            if loop.time() - told_s >= _READING_INTERVAL_S:
+            if told_s is None:
+                # The first bytes of an answer, which most often is complete.
+                told_s = loop.time()
+            elif loop.time() - told_s >= _READING_INTERVAL_S:
                 told_s = loop.time()
                 self._post(StoreReading(key))
 
         while True:
-            started_s = told_s = loop.time()
+            started_s, told_s = loop.time(), None
             stored = await self._client.watch(
                 key.kind.value, key.name, version, self._wait_s, on_bytes
             )
--- a/packages/papayapost-testing/tests/test_store_client.py
+++ b/packages/papayapost-testing/tests/test_store_client.py
@@ -25,7 +25,7 @@
     WatchObject,
 )
 from papayapost_node.http import ClientConnection
-from papayapost_node.store import HttpStoreClient, StoreEffects
+from papayapost_node.store import HttpStoreClient, StoredObject, StoreEffects
 from papayapost_node.store.values import decode_value, encode_value
 from papayapost_node.wire import CompressingCodec, MessagePackCodec
 from papayapost_node.wire.message_numbers import CONTROL_TYPES, MESSAGE_NUMBERS
@@ -162,7 +162,7 @@
 
 def test_a_watch_that_ends_at_once_fails_instead_of_being_repeated():
     class EarlyAnswerClient(HttpStoreClient):
-        async def watch(self, kind, name, after_version, wait_s):
+        async def watch(self, kind, name, after_version, wait_s, on_bytes=None):
             return None
 
     async def scenario(store, client):
@@ -234,3 +234,22 @@
             await client.list_kind("entry", may_be_stale=False)
 
     run_with_store(scenario)
+
+
+def test_an_answer_that_takes_long_to_arrive_is_reported_while_it_does():
+    class SlowAnswerClient(HttpStoreClient):
+        async def watch(self, kind, name, after_version, wait_s, on_bytes=None):
+            for _ in range(8):
+                await asyncio.sleep(0.1)
+                on_bytes()
+            return StoredObject(1, b"text")
+
+    async def scenario(store, client):
+        results = []
+        effects = StoreEffects(SlowAnswerClient("127.0.0.1:1"), results.append)
+        effects.watch(WatchObject(RULES_KEY, 0))
+        await asyncio.sleep(1.2)
+        kinds = [type(result).__name__ for result in results]
+        assert kinds == ["StoreReading", "StoreReading", "ObjectRead"]
+
+    run_with_store(scenario)
