Ask a peer that others have lost before it is dropped

Cause, from the log of all nodes: under overload live nodes of the far region were silent to two others, and since all nodes believed such a loss without asking ('two peers lost it' at 26.4 s everywhere). Their calls were given up. Change: relays pass reports on, and each node asks the peer itself, as before.

--- a/packages/papayapost/src/papayapost/roster/failures.py
+++ b/packages/papayapost/src/papayapost/roster/failures.py
@@ -24,17 +24,15 @@
     SuspicionCause.CONNECTION: "its connection broke and it did not answer",
     SuspicionCause.REPORT: "a peer lost it and it did not answer",
 }
-_CONFIRMED = "two peers lost it"
 
 
 class ConfirmLosses(System):
     """Asks suspected peers, and removes those that do not answer.
 
     A report of another node, like a broken connection, only makes a peer
-    suspected. The loss is confirmed once two nodes have asked the peer in
-    vain, and then it is passed on to all nodes, which need not ask. A node
-    that is itself partitioned can therefore not remove its peers from the
-    directories of others.
+    suspected. The relays pass it on to all nodes, and each asks the peer
+    itself: a node that is busy or behind a full link is silent to some. A
+    broken connection is passed on once two nodes report it.
     """
 
     consumes = (OwnerConnectionLost, PeersLost, RowsShared, SuspicionDue)
@@ -50,7 +48,7 @@
                 self._suspect_at(tick, lost.address)
         for report in tick.take(PeersLost):
             for node_id in report.node_ids[:_MAX_REPORTED]:
-                self._receive_report(tick, report.sender, node_id)
+                self._receive_report(tick, report, node_id)
         for shared in tick.take(RowsShared):
             if shared.is_news:
                 self._receive_news(tick, shared)
@@ -67,47 +65,33 @@
         for peer in list(self._roster.peers.find("address", address)):
             if peer.state is MemberState.ALIVE:
                 self._peers.suspect(tick, peer, SuspicionCause.CONNECTION)
+                if self._is_reporter(peer, SuspicionCause.CONNECTION):
+                    self._peers.report_losses(tick, (peer.node_id,), is_asked=False)
 
     def _receive_news(self, tick: Tick, news: RowsShared) -> None:
         for node_id in news.lost[:_MAX_REPORTED]:
-            self._receive_confirmed(tick, news.sender, node_id)
+            report = PeersLost(news.sender, (node_id,))
+            self._receive_report(tick, report, node_id)
 
-    def _receive_report(self, tick: Tick, reporter: NodeId, node_id: NodeId) -> None:
-        """Suspect a reported peer; a second report confirms the first."""
+    def _receive_report(self, tick: Tick, report: PeersLost, node_id: NodeId) -> None:
+        """Suspect a reported peer, and pass a sound report on once."""
         peer = self._roster.peers.get(node_id)
         if peer is None or peer.row is None:
             return
-        is_second = peer.reporter not in (None, reporter)
-        if peer.state is MemberState.DEAD:
-            if peer.reporter is None:
-                self._pass_on(tick, peer, reporter)
-        elif peer.suspicion is None:
-            if not self._is_heard(tick, peer):
-                peer.reporter = reporter
-                self._peers.suspect(tick, peer, SuspicionCause.REPORT)
-        elif is_second:
-            self._peers.declare_dead(tick, peer, _CONFIRMED)
-            self._pass_on(tick, peer, reporter)
-        else:
-            peer.reporter = reporter
-
-    def _receive_confirmed(self, tick: Tick, sender: NodeId, node_id: NodeId) -> None:
-        """Drop a peer whose loss a relay has passed on."""
-        peer = self._roster.peers.get(node_id)
-        if peer is None or peer.row is None:
-            return
-        if peer.state is not MemberState.DEAD:
+        reporter, known_reporter = report.sender, peer.reporter
+        peer.reporter = reporter
+        is_second = known_reporter not in (None, reporter)
+        if peer.state is not MemberState.DEAD and peer.suspicion is None:
             if self._is_heard(tick, peer):
-                self._receive_report(tick, sender, node_id)
+                peer.reporter = None
                 return
-            self._peers.declare_dead(tick, peer, _CONFIRMED)
-            peer.reporter = None
-        if peer.reporter is None:
-            self._pass_on(tick, peer, sender)
+            self._peers.suspect(tick, peer, SuspicionCause.REPORT)
+        if (report.is_asked or is_second) and not peer.is_loss_passed_on:
+            self._pass_on(tick, peer, reporter)
 
     def _pass_on(self, tick: Tick, peer: PeerRow, reporter: NodeId) -> None:
-        """Pass a confirmed loss on once, if others rely on this node."""
-        peer.reporter = reporter
+        """Pass a loss on once, if others rely on this node."""
+        peer.is_loss_passed_on = True
         sender = self._roster.peers.get(reporter)
         is_from_far = sender is not None and not sender.is_same_region
         if is_from_far or self._peers.neighbourhood().is_relay:
@@ -118,7 +102,7 @@
         return heard_us is not None and tick.now_us - heard_us < _RECENTLY_US
 
     def _ask_again(self, tick: Tick, peer: PeerRow, found_dead: list[PeerRow]) -> None:
-        cause, reporter = peer.suspicion, peer.reporter
+        cause = peer.suspicion
         if cause is None:
             return
         peer.unanswered += 1
@@ -128,8 +112,8 @@
         if self._is_reporter(peer, cause):
             found_dead.append(peer)
         self._peers.declare_dead(tick, peer, _REASONS[cause])
-        if reporter is not None:
-            self._pass_on(tick, peer, reporter)
+        if cause is SuspicionCause.SILENCE and not peer.is_loss_passed_on:
+            self._pass_on(tick, peer, self._roster.me.node_id)
 
     def _is_reporter(self, peer: PeerRow, cause: SuspicionCause) -> bool:
         """Return whether this node reports that a peer is dead.
--- a/packages/papayapost/src/papayapost/roster/messages.py
+++ b/packages/papayapost/src/papayapost/roster/messages.py
@@ -119,10 +119,18 @@
 
 @define
 class PeersLost:
-    """Report to the leaders of a region: the sender has lost some peers."""
+    """Report to the leaders of a region: the sender has lost some peers.
+
+    Parameters
+    ----------
+    is_asked
+        Whether the sender has asked them in vain. Otherwise its connection to
+        them broke.
+    """
 
     sender: NodeId
     node_ids: tuple[NodeId, ...]
+    is_asked: bool = True
 
 
 @define
--- a/packages/papayapost/src/papayapost/roster/peers.py
+++ b/packages/papayapost/src/papayapost/roster/peers.py
@@ -78,12 +78,14 @@
         for node_id in sorted(self.partners()):
             tick.emit(PeerSend(self._roster.peers.require(node_id).address, message))
 
-    def report_losses(self, tick: Tick, node_ids: tuple[NodeId, ...]) -> None:
+    def report_losses(
+        self, tick: Tick, node_ids: tuple[NodeId, ...], is_asked: bool = True
+    ) -> None:
         """Tell the leaders of this node's region which peers are lost.
 
         A relay also tells the relays of the other regions.
         """
-        report = PeersLost(self._roster.me.node_id, node_ids)
+        report = PeersLost(self._roster.me.node_id, node_ids, is_asked)
         neighbourhood = self.neighbourhood()
         told = {node_id for _, node_id in neighbourhood.leaders()}
         if neighbourhood.is_relay:
@@ -118,7 +120,7 @@
         peer.last_heard_us = tick.now_us
         if peer.suspicion is not None:
             peer.state, peer.suspicion = MemberState.ALIVE, None
-            peer.reporter = None
+            peer.reporter, peer.is_loss_passed_on = None, False
             tick.cancel_timer(_suspicion_key(peer.node_id))
         is_newcomer = is_revived or is_restarted
         if (is_relay and (is_news or is_newcomer)) or is_revived:
@@ -138,7 +140,8 @@
             peer.state = MemberState.DEAD
             return not was_known
         if peer.suspicion is None and peer.state is not MemberState.ALIVE:
-            peer.state, peer.reporter = MemberState.ALIVE, None
+            peer.state = MemberState.ALIVE
+            peer.reporter, peer.is_loss_passed_on = None, False
             self._roster.changes += 1
         if before is None:
             tick.emit(Noted(Event.PEER_FOUND, peer=peer.node_id))
--- a/packages/papayapost/src/papayapost/roster/tables.py
+++ b/packages/papayapost/src/papayapost/roster/tables.py
@@ -99,6 +99,8 @@
         other than this node's.
     reporter
         Node that reported the loss of the peer, until the peer is heard.
+    is_loss_passed_on
+        Whether this node has passed the loss on, until the peer is heard.
     """
 
     node_id: NodeId
@@ -118,6 +120,7 @@
     partner_since_us: Micros | None = None
     digest_mismatches: int = 0
     reporter: NodeId | None = None
+    is_loss_passed_on: bool = False
 
     @property
     def is_same_region(self) -> bool:
