Close the clients of the store that tests and the demo open

Cause: clients of the store were opened for one call and never closed. Change: they are closed after the call, in the pair of nodes, the demo, the mesh of the latency benchmark and two tests.

--- a/packages/papayapost-node/tests/test_process.py
+++ b/packages/papayapost-node/tests/test_process.py
@@ -5,7 +5,7 @@
 import signal
 import sys
 from collections.abc import AsyncIterator
-from contextlib import asynccontextmanager, suppress
+from contextlib import asynccontextmanager, closing, suppress
 from dataclasses import dataclass
 from pathlib import Path
 
@@ -116,7 +116,8 @@
 async def running_mesh(folder: Path) -> AsyncIterator[ProcessMesh]:
     mesh = ProcessMesh(folder)
     await mesh.store.start()
-    await HttpStoreClient(mesh.store_address).update("config", "rules", RULES, 0)
+    with closing(HttpStoreClient(mesh.store_address)) as client:
+        await client.update("config", "rules", RULES, 0)
     await mesh.backend.start()
     try:
         async with asyncio.timeout(25):
--- a/packages/papayapost-testing/src/papayapost_testing/demo/director.py
+++ b/packages/papayapost-testing/src/papayapost_testing/demo/director.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import Awaitable, Callable, Sequence
+from contextlib import closing
 from dataclasses import replace
 from pathlib import Path
 from random import Random
@@ -221,7 +222,8 @@
                 f"papaya apply ended with exit code {process.returncode}: "
                 + (self._files.folder / "papaya.log").read_text()
             )
-        stored = await HttpStoreClient(self._store_address).read("config", "rules")
+        with closing(HttpStoreClient(self._store_address)) as client:
+            stored = await client.read("config", "rules")
         store_counts = await read_store_counts(self._store_address)
         version = RuleVersion(stored.version)
         applied_us = Micros(store_counts.written_us["/objects/config/rules"])
--- a/packages/papayapost-testing/src/papayapost_testing/demo/fault_steps.py
+++ b/packages/papayapost-testing/src/papayapost_testing/demo/fault_steps.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import Callable
+from contextlib import closing
 
 import msgspec
 
@@ -116,7 +117,8 @@
         address = next(iter(self._files.store_addresses.values()))
         await set_faults(address, faults)
         if faults == FaultsRow():
-            stored = await HttpStoreClient(address).read("config", "rules")
+            with closing(HttpStoreClient(address)) as client:
+                stored = await client.read("config", "rules")
             self._post(StoredRulesRead(stored.value.decode()))
 
     async def try_apply(self, step: StepRow, line: str) -> None:
--- a/packages/papayapost-testing/src/papayapost_testing/latency_mesh/processes.py
+++ b/packages/papayapost-testing/src/papayapost_testing/latency_mesh/processes.py
@@ -3,6 +3,7 @@
 import asyncio
 import subprocess
 import sys
+from contextlib import closing
 from dataclasses import dataclass, field
 from pathlib import Path
 
@@ -55,7 +56,8 @@
         store_address, backend, owner, entry, *peer_addresses = free_addresses(6)
         store = ObjectStoreStandIn(store_address)
         await store.start()
-        await HttpStoreClient(store_address).update("config", "rules", _RULES, 0)
+        with closing(HttpStoreClient(store_address)) as client:
+            await client.update("config", "rules", _RULES, 0)
         mesh = cls(folder, store, store_address, backend, owner, entry, peer_addresses)
         mesh._spawn("-m", f"{_PACKAGE}.backend", backend)
         for number in range(2):
--- a/packages/papayapost-testing/src/papayapost_testing/node_pair.py
+++ b/packages/papayapost-testing/src/papayapost_testing/node_pair.py
@@ -2,7 +2,7 @@
 
 import asyncio
 from collections.abc import AsyncIterator
-from contextlib import asynccontextmanager
+from contextlib import asynccontextmanager, closing
 from dataclasses import dataclass
 
 from papayapost.ids import Address
@@ -65,8 +65,8 @@
     store_address, backend_address, *addresses = free_addresses(6)
     store = ObjectStoreStandIn(store_address)
     await store.start()
-    client = HttpStoreClient(store_address)
-    await client.update("config", "rules", _RULES.encode(), 0)
+    with closing(HttpStoreClient(store_address)) as client:
+        await client.update("config", "rules", _RULES.encode(), 0)
     backend = ScriptedServer(backend_address, script)
     await backend.start()
     caller_addresses, peer_addresses = addresses[:2], addresses[2:]
--- a/packages/papayapost-testing/tests/test_whole_path.py
+++ b/packages/papayapost-testing/tests/test_whole_path.py
@@ -83,6 +83,7 @@
         await node.start()
     client = HttpStoreClient(store_address)
     version = await client.update("config", "rules", RULES.encode(), 0)
+    client.close()
     entry = Address(settings[0].caller_address)
     answer = await get_until_ok(entry, "/gusts/wanli?now")
     unknown = await get(entry, "/bookings")
