Keep a node's incarnation when only a greeting of it was late

Since a row can reach a peer by a relay before an older greeting of the same node; the peer answered with the row that it had, and the node took its own row for that of an earlier process. A node that had left, but still ran for its last answers, came back the same way; that is older. Change: only a stamp above the own one raises the incarnation. A node that has left sends no heartbeats and answers no greeting. Tests: a greeting that is overtaken, and a node that has left and runs on; both failed (incarnation raised; back in all directories).

--- a/packages/papayapost/src/papayapost/roster/exchange.py
+++ b/packages/papayapost/src/papayapost/roster/exchange.py
@@ -48,8 +48,10 @@
             own = self._roster.own
             self._roster.put_row(own)
             tick.post(DirectoryChanged((own,)))
-            self._announce(tick, own)
+            if not self._roster.has_left:
+                self._announce(tick, own)
         if tick.take(LeaveMesh):
+            self._roster.has_left = True
             own = self._roster.own
             state = BackendServerState.GONE
             gone = replace(own, revision=own.revision + 1, state=state)
@@ -70,7 +72,7 @@
         was_cut_off = _is_back_without_restart(peer, row)
         self._record_version(tick, peer, hello.version)
         self._peers.apply_row(tick, peer, row)
-        if hello.wants_reply:
+        if hello.wants_reply and not roster.has_left:
             self._peers.send_hello(tick, hello.reply_to, wants_reply=False)
         if (is_new and not roster.peer_list.is_received) or (
             was_cut_off and not hello.wants_reply
@@ -112,11 +114,14 @@
         """Raise this node's incarnation above that of its earlier process.
 
         Peers hold a newer stamp than this process has if the clock was set
-        back before it started.
+        back before it started. If they hold its own stamp, only a greeting was
+        late: relays had passed on the row of a later one.
         """
         roster = self._roster
         own_row = roster.own
-        if known.node_id != own_row.node_id or known.stamp < own_row.stamp:
+        if known.node_id != own_row.node_id or known.stamp <= own_row.stamp:
+            return
+        if roster.has_left:
             return
         roster.me.incarnation = Incarnation(known.incarnation + 1)
         roster.put_row(replace(own_row, incarnation=roster.me.incarnation))
--- a/packages/papayapost/src/papayapost/roster/heartbeats.py
+++ b/packages/papayapost/src/papayapost/roster/heartbeats.py
@@ -55,7 +55,7 @@
     def run(self, tick: Tick) -> None:
         """Send the heartbeats and probes that are due."""
         is_due, is_start = tick.take(HeartbeatsDue), tick.take(RosterStarted)
-        if not is_due and not is_start:
+        if not (is_due or is_start) or self._roster.has_left:
             return
         self._roster.put_row(self._roster.own)
         neighbourhood = self._peers.neighbourhood()
--- a/packages/papayapost/src/papayapost/roster/tables.py
+++ b/packages/papayapost/src/papayapost/roster/tables.py
@@ -162,6 +162,9 @@
     entry_version
         Version of this node's entry that the store last reported, 0 if the
         store has no entry.
+    has_left
+        Whether this node has announced that it leaves. It may still run for
+        the last answers.
     changes
         Number of changes of the peers that may change who is whose partner.
     """
@@ -177,6 +180,7 @@
         self.peer_list = PeerListRow()
         self.entry = EntryState.UNWRITTEN
         self.entry_version = 0
+        self.has_left = False
         self.changes = 0
 
     @property
@@ -201,10 +205,6 @@
         self.digests.remove(node_id)
         return self.directory.pop(node_id)
 
-    def peers_of_region(self) -> list[NodeId]:
-        """Return the peers in this node's region."""
-        return [peer.node_id for peer in self.peers if peer.is_same_region]
-
     def add_peer(self, entry: RosterEntry, now_us: Micros) -> PeerRow | None:
         """Add the node of an entry as a peer.
 
--- a/packages/papayapost/tests/roster/test_large_roster.py
+++ b/packages/papayapost/tests/roster/test_large_roster.py
@@ -5,6 +5,7 @@
 import pytest
 
 from papayapost.ids import Address
+from papayapost.membership import LeaveMesh
 from papayapost.membership.ranking import rank_key
 from papayapost.observe import Event
 from papayapost.roster import Beat, Hello, PeersLost, RowsShared
@@ -145,6 +146,48 @@
     assert len(greeting) <= 2 * (RING_PARTNERS + 2 * LEADERS + CROSS_REGION_PARTNERS)
 
 
+def refutations(mesh):
+    return sum(
+        event is Event.DEATH_REFUTED
+        for node in mesh.nodes.values()
+        for _, event, _ in node.events
+    )
+
+
+def test_a_greeting_that_its_sender_has_overtaken_costs_it_nothing(monkeypatch):
+    mesh = started_mesh()
+    post = mesh._post
+    slow = address_of(9)
+
+    def post_later(address, message, delay_us=0):
+        is_slow = isinstance(message, Hello) and message.sender == name_of(9)
+        is_slow = is_slow and address not in leaders
+        post(address, message, delay_us + (300_000 if is_slow else 0))
+
+    region = region_of(mesh, "north")
+    ranked = sorted(region, key=lambda a: rank_key(mesh.nodes[a].me.node_id))
+    leaders = set(ranked[:2])
+    monkeypatch.setattr(mesh, "_post", post_later)
+    incarnation = mesh.nodes[slow].own.incarnation
+    mesh.change_state(name_of(9), BackendServerState.COLD)
+    mesh.run(0.1)
+    mesh.change_state(name_of(9), BackendServerState.READY)
+    mesh.run(2)
+    assert mesh.nodes[slow].own.incarnation == incarnation
+    assert not refutations(mesh)
+
+
+def test_a_node_that_has_left_but_still_runs_does_not_come_back():
+    mesh = started_mesh()
+    mesh._post(address_of(9), LeaveMesh())
+    mesh.run(0.2)
+    others = set(mesh.nodes) - {address_of(9)}
+    for _ in range(40):
+        assert is_forgotten(mesh, {name_of(9)}, others)
+        mesh.run(0.1)
+    assert not refutations(mesh)
+
+
 @pytest.mark.parametrize("size", [33, 66, 132])
 def test_messages_of_a_node_in_a_calm_mesh_do_not_grow_with_the_mesh(size):
     mesh = started_mesh(size=size)
