Keep refusals with the call, reports of losses in one way, tests without sleep

Found by reading the change again; behaviour stays. - The names of refused requests are looked at only when an idle connection has refused any: before, each call read its headers anew for the pool. - Losses in a peer's list and in news go the same way as reports. - Relays take the nodes of their region from the ring that they have. - define() loses an option that nobody used. - Two new tests wait for what they expect instead of sleeping.

--- a/packages/papayapost-node/src/papayapost_node/exchange/backend_call.py
+++ b/packages/papayapost-node/src/papayapost_node/exchange/backend_call.py
@@ -51,6 +51,9 @@
 
 _CONTINUE_STATUS = 100
 
+_MAX_REFUSED = 64
+"""Refused requests after which a connection is closed, to forget them."""
+
 
 class BackendCall(AnswerSink):
     """Runs one admitted request on a connection to the backend server.
@@ -97,11 +100,13 @@
         self._is_blocked = False
         self._verdict = AnswerVerdict.ANSWER
 
-    @property
-    def name(self) -> RequestName:
-        """Name that the caller gave its request; empty without one."""
-        headers = dict(self._owned.request.headers)
-        return self._services.dialect.parse_call_terms(headers).name
+    def may_use(self, connection: BackendConnection) -> bool:
+        """Return whether the request may be sent on an idle connection.
+
+        It is not sent once more where it was refused: if that refusal were
+        repeated there, it would be taken for the answer.
+        """
+        return not connection.refused or self._name() not in connection.refused
 
     def connection_ready(self, connection: BackendConnection | None) -> None:
         """Send the request on a connection from the pool.
@@ -217,6 +222,17 @@
         has_deadline = self._is_held or size is None
         return AnswerReading.WHOLE if has_deadline else AnswerReading.STREAMED
 
+    def _record_refusal(self) -> None:
+        connection = self._connection
+        if connection is not None:
+            connection.refused.add(self._name())
+            if len(connection.refused) >= _MAX_REFUSED:
+                connection.abort()
+
+    def _name(self) -> RequestName:
+        headers = dict(self._owned.request.headers)
+        return self._services.dialect.parse_call_terms(headers).name
+
     def _attributed(self) -> AnswerVerdict:
         """Return the verdict on a refusal that names no request.
 
@@ -238,8 +254,7 @@
     def answer_ended(self, trailers: Headers) -> None:
         """End the backend call, whose answer is whole."""
         if self._verdict is AnswerVerdict.NOT_RUN:
-            if self._connection is not None:
-                self._connection.record_refusal(self.name)
+            self._record_refusal()
             self._end(is_sent=True, is_refused=True)
             return
         if self._verdict is AnswerVerdict.BROKEN:
--- a/packages/papayapost-node/src/papayapost_node/exchange/owner_side.py
+++ b/packages/papayapost-node/src/papayapost_node/exchange/owner_side.py
@@ -151,7 +151,7 @@
             return
         call = BackendCall(owned, effect.budget_us, self._services)
         self._running.put(effect.attempt_id, call)
-        self._pool.acquire(call.connection_ready, call.name)
+        self._pool.acquire(call.connection_ready, call.may_use)
 
     def _cancel(self, effect: BackendCallCancel) -> None:
         call = self._running.get(effect.attempt_id)
--- a/packages/papayapost-node/src/papayapost_node/http/backend.py
+++ b/packages/papayapost-node/src/papayapost_node/http/backend.py
@@ -27,9 +27,6 @@
 _DISCARD_TIMEOUT_S = 0.1
 """Time for the rest of an unused answer, which a refusal has at once."""
 
-_MAX_REFUSED = 64
-"""Refused requests after which a connection is closed, to forget them."""
-
 _BODILESS_STATUSES = frozenset([204, 304])
 
 
@@ -53,6 +50,8 @@
         the request slowly.
     calls
         Number of calls started on this connection.
+    refused
+        Names of the requests that were refused on this connection.
     """
 
     def __init__(
@@ -72,7 +71,6 @@
         self._bounds = AnswerBounds()
         self._head_check: HeadCheck | None = None
         self._method = ""
-        self._refused: set[RequestName] = set()
         self._is_paused = False
         self._is_processing = False
         self._is_yielding = False
@@ -80,6 +78,7 @@
         self._deadline = DeadlineTimer(asyncio.get_running_loop(), self._on_deadline)
         self.is_writable = True
         self.calls = 0
+        self.refused: set[RequestName] = set()
 
     @property
     def is_open(self) -> bool:
@@ -212,16 +211,6 @@
             if not self._is_processing and not self._is_yielding:
                 self._process_events()
 
-    def record_refusal(self, name: RequestName) -> None:
-        """Record that a request of this name was refused on the connection."""
-        self._refused.add(name)
-        if len(self._refused) >= _MAX_REFUSED:
-            self.abort()
-
-    def has_refused(self, name: RequestName) -> bool:
-        """Return whether a request of this name was refused here before."""
-        return name in self._refused
-
     def close_after(self, delay_s: float) -> None:
         """Close the connection in `delay_s` seconds unless a call starts."""
         self._deadline.set_in(delay_s)
--- a/packages/papayapost-node/src/papayapost_node/http/pool.py
+++ b/packages/papayapost-node/src/papayapost_node/http/pool.py
@@ -3,7 +3,7 @@
 import asyncio
 from collections.abc import Callable
 
-from papayapost.ids import Address, RequestName
+from papayapost.ids import Address
 from papayapost_node.addresses import split_address
 from papayapost_node.batch import InputBatching
 from papayapost_node.http.backend import BackendConnection
@@ -13,9 +13,8 @@
 _IDLE_TIMEOUT_S = 4.0
 _READ_BUFFER_BYTES = 64 << 10
 
-_UNNAMED = RequestName("")
-
 ConnectionReady = Callable[[BackendConnection | None], None]
+IsSuitable = Callable[[BackendConnection], bool]
 
 
 class BackendPool:
@@ -54,7 +53,9 @@
         """Number of connections that are open now."""
         return len(self._open)
 
-    def acquire(self, on_ready: ConnectionReady, name: RequestName = _UNNAMED) -> None:
+    def acquire(
+        self, on_ready: ConnectionReady, is_suitable: IsSuitable = lambda idle: True
+    ) -> None:
         """Pass a connection to `on_ready`: an idle one at once, or a new one.
 
         Parameters
@@ -62,22 +63,14 @@
         on_ready
             Called with the connection. Called with None if the pool is full
             or the backend server cannot be reached.
-        name
-            Name of the request. It is not sent once more on a connection on
-            which it was refused: if the refusal were repeated there, it would
-            be taken for the answer.
+        is_suitable
+            Whether an idle connection may be used.
         """
-        unsuitable: list[BackendConnection] = []
-        while self._idle:
-            connection = self._idle.pop()
-            if not connection.is_open:
-                continue
-            if not connection.has_refused(name):
-                self._idle += reversed(unsuitable)
+        for connection in reversed(self._idle):
+            if connection.is_open and is_suitable(connection):
+                self._idle.remove(connection)
                 on_ready(connection)
                 return
-            unsuitable.append(connection)
-        self._idle += reversed(unsuitable)
         if self._address is None or self._connection_count() >= self._max_connections:
             on_ready(None)
             return
--- a/packages/papayapost-node/tests/test_lines.py
+++ b/packages/papayapost-node/tests/test_lines.py
@@ -21,16 +21,15 @@
         writer = LineWriter(sink)
         for number in range(5):
             writer.write(f"line {number}")
-        await asyncio.sleep(0.2)
+        together = await asyncio.to_thread(os.read, source, 4096)
         writer.write("last")
-        return writer
+        return writer, together, len(writes)
 
-    writer = asyncio.run(run())
-    first = len(writes)
-    writer.flush()
-    lines = os.read(source, 4096).decode().splitlines()
-    assert lines == [*(f"line {number}" for number in range(5)), "last"]
+    writer, together, first = asyncio.run(run())
+    assert together.decode().splitlines() == [f"line {number}" for number in range(5)]
     assert first == 1
+    writer.flush()
+    assert os.read(source, 4096) == b"last\n"
 
 
 def test_without_a_loop_each_line_is_written_at_once():
--- a/packages/papayapost-testing/src/papayapost_testing/bench/hop.py
+++ b/packages/papayapost-testing/src/papayapost_testing/bench/hop.py
@@ -139,7 +139,7 @@
         self._connection = BackendConnection(lambda connection: None, batch, _BUFFER)
         self._connection.connection_made(_MemoryTransport())
 
-    def acquire(self, on_ready, name="") -> None:
+    def acquire(self, on_ready, is_suitable=lambda idle: True) -> None:
         on_ready(self._connection)
 
     def answer(self) -> None:
--- a/packages/papayapost-testing/tests/test_store_client.py
+++ b/packages/papayapost-testing/tests/test_store_client.py
@@ -25,7 +25,12 @@
     WatchObject,
 )
 from papayapost_node.http import ClientConnection
-from papayapost_node.store import HttpStoreClient, StoredObject, StoreEffects
+from papayapost_node.store import (
+    HttpStoreClient,
+    StoredObject,
+    StoreEffects,
+    effects as effects_module,
+)
 from papayapost_node.store.values import decode_value, encode_value
 from papayapost_node.wire import CompressingCodec, MessagePackCodec
 from papayapost_node.wire.message_numbers import CONTROL_TYPES, MESSAGE_NUMBERS
@@ -236,20 +241,20 @@
     run_with_store(scenario)
 
 
-def test_an_answer_that_takes_long_to_arrive_is_reported_while_it_does():
+def test_an_answer_that_takes_long_to_arrive_is_reported_while_it_does(monkeypatch):
+    monkeypatch.setattr(effects_module, "_READING_INTERVAL_S", 0)
+
     class SlowAnswerClient(HttpStoreClient):
         async def watch(self, kind, name, after_version, wait_s, on_bytes=None):
-            for _ in range(8):
-                await asyncio.sleep(0.1)
+            for _ in range(3):
                 on_bytes()
             return StoredObject(1, b"text")
 
     async def scenario(store, client):
-        results = []
-        effects = StoreEffects(SlowAnswerClient("127.0.0.1:1"), results.append)
+        results = asyncio.Queue()
+        effects = StoreEffects(SlowAnswerClient("127.0.0.1:1"), results.put_nowait)
         effects.watch(WatchObject(RULES_KEY, 0))
-        await asyncio.sleep(1.2)
-        kinds = [type(result).__name__ for result in results]
+        kinds = [type(await results.get()).__name__ for _ in range(3)]
         assert kinds == ["StoreReading", "StoreReading", "ObjectRead"]
 
     run_with_store(scenario)
--- a/packages/papayapost/src/papayapost/define.py
+++ b/packages/papayapost/src/papayapost/define.py
@@ -22,7 +22,6 @@
     frozen: bool = False,
     order: bool = False,
     eq: bool = True,
-    slots: bool = True,
 ) -> Any:
     """Make a class a dataclass with slots; compile its methods at first use.
 
@@ -38,8 +37,6 @@
         Whether instances compare by their fields in order.
     eq
         Whether instances with equal fields are equal.
-    slots
-        Whether instances have slots in place of a dictionary.
 
     Examples
     --------
@@ -53,16 +50,11 @@
     (True, Point(x_mm=2, y_mm=3))
     """
     if cls is None:
-        return lambda item: _define(
-            item, frozen=frozen, order=order, eq=eq, slots=slots
-        )
-    has_own_repr = "__repr__" in vars(cls)
-    defined: Any = dataclasses.dataclass(init=False, repr=False, eq=False, slots=slots)(
-        cls
-    )
+        return lambda item: _define(item, frozen=frozen, order=order, eq=eq)
+    make = dataclasses.dataclass(init=False, repr=False, eq=False, slots=True)
+    defined: Any = make(cls)
     _compile_at_first_use(defined, "__init__", _init if not frozen else _frozen_init)
-    if not has_own_repr:
-        defined.__repr__ = _repr
+    defined.__repr__ = _repr
     if eq:
         _compile_at_first_use(defined, "__eq__", _eq)
         if frozen:
--- a/packages/papayapost/src/papayapost/roster/failures.py
+++ b/packages/papayapost/src/papayapost/roster/failures.py
@@ -46,12 +46,11 @@
         for lost in tick.take(OwnerConnectionLost):
             if lost.cause is LossCause.CONNECTION:
                 self._suspect_at(tick, lost.address)
-        for report in tick.take(PeersLost):
+        shared = tick.take(RowsShared)
+        passed_on = [PeersLost(item.sender, item.lost) for item in shared]
+        for report in [*tick.take(PeersLost), *passed_on]:
             for node_id in report.node_ids[:_MAX_REPORTED]:
                 self._receive_report(tick, report, node_id)
-        for shared in tick.take(RowsShared):
-            if shared.is_news:
-                self._receive_news(tick, shared)
         found_dead: list[PeerRow] = []
         for due in tick.take(SuspicionDue):
             suspect = self._roster.peers.get(due.node_id)
@@ -68,11 +67,6 @@
                 if self._is_reporter(peer, SuspicionCause.CONNECTION):
                     self._peers.report_losses(tick, (peer.node_id,), is_asked=False)
 
-    def _receive_news(self, tick: Tick, news: RowsShared) -> None:
-        for node_id in news.lost[:_MAX_REPORTED]:
-            report = PeersLost(news.sender, (node_id,))
-            self._receive_report(tick, report, node_id)
-
     def _receive_report(self, tick: Tick, report: PeersLost, node_id: NodeId) -> None:
         """Suspect a reported peer, and pass a sound report on once."""
         peer = self._roster.peers.get(node_id)
--- a/packages/papayapost/src/papayapost/roster/neighbours.py
+++ b/packages/papayapost/src/papayapost/roster/neighbours.py
@@ -88,6 +88,10 @@
         """Whether this node passes rows on to its region."""
         return self._own in self._own_ring[:_RELAYS]
 
+    def others_of_region(self) -> set[NodeId]:
+        """Return the other nodes of this node's region."""
+        return {node_id for _, node_id in self._own_ring} - {self._own[1]}
+
     def relays(self) -> set[NodeId]:
         """Return the other relays of this node's region."""
         return {node_id for _, node_id in self._own_ring[:_RELAYS]} - {self._own[1]}
--- a/packages/papayapost/src/papayapost/roster/relaying.py
+++ b/packages/papayapost/src/papayapost/roster/relaying.py
@@ -67,7 +67,7 @@
                 self._send(tick, peer, rows.values(), lost)
             return
         directory = self._roster.directory
-        for peer in self._live(self._roster.peers_of_region()):
+        for peer in self._live(neighbourhood.others_of_region()):
             is_newcomer = peer.node_id in newcomers
             self._send(tick, peer, directory if is_newcomer else rows.values(), lost)
         region = self._roster.me.place.region
--- a/packages/papayapost/src/papayapost/roster/repair.py
+++ b/packages/papayapost/src/papayapost/roster/repair.py
@@ -3,7 +3,7 @@
 from papayapost.kernel import System, Tick
 from papayapost.membership import BackendServerRow
 from papayapost.peering import PeerSend
-from papayapost.roster.messages import PeersLost, PeersWanted, RowFound, RowsShared
+from papayapost.roster.messages import PeersWanted, RowFound, RowsShared
 from papayapost.roster.peers import Peers
 from papayapost.roster.tables import PeerRow, RosterEntry, RosterTables
 from papayapost.states import MemberState
@@ -29,7 +29,7 @@
         self._peers = peers
 
     def run(self, tick: Tick) -> None:
-        """Share the directory, and take over rows and losses of peers."""
+        """Share the directory, and take over the rows of peers."""
         for wanted in tick.take(PeersWanted):
             self._share(tick, wanted)
         for shared in tick.take(RowsShared):
@@ -58,8 +58,6 @@
                 tick.post(RowFound(row))
         if shared.rows:
             self._peers.greet_partners(tick)
-        if shared.lost and not shared.is_news:
-            tick.post(PeersLost(shared.sender, shared.lost))
 
     def _learn(self, tick: Tick, row: BackendServerRow, is_news: bool) -> bool:
         """Take over a row; return whether this node did not have it."""
