Remember a backend server that left before the node knew it

Change: the start time of the process that left is kept, and reports of it or of earlier processes are ignored. It takes the place of the state GONE of the last report. Test: fails without the change (the late report was taken).

--- a/packages/papayapost/src/papayapost/traffic/owner/backend_server.py
+++ b/packages/papayapost/src/papayapost/traffic/owner/backend_server.py
@@ -89,7 +89,9 @@
             self._apply_silence(tick, silent.instance)
 
     def _apply_report(self, tick: Tick, reported: BackendServerReported) -> None:
-        known = self._owner.backend
+        known, departed_ms = self._owner.backend, self._owner.departed_born_ms
+        if departed_ms is not None and reported.born_ms <= departed_ms:
+            return
         if known is not None and not _is_outdated_by(known, reported):
             return
         is_same_process = known is not None and known.process == reported.process
@@ -110,12 +112,17 @@
         self._publish_state(tick, row.service, row.slots, row.state)
 
     def _apply_departure(self, tick: Tick, left: BackendServerDeregistered) -> None:
-        known = self._owner.backend
-        if known is None or known.instance != left.instance:
+        owner, known = self._owner, self._owner.backend
+        if known is None:
+            # The node has restarted since the last report. A report that is
+            # still on its way must not bring the process back.
+            owner.departed_born_ms = left.born_ms
+            return
+        if known.instance != left.instance:
             return
         if left.born_ms is not None and left.born_ms != known.born_ms:
             return
-        known.state = BackendServerState.GONE
+        owner.departed_born_ms = known.born_ms
         tick.cancel_timer("backend server silent")
         self._publish_state(
             tick, known.service, known.slots, BackendServerState.DRAINING
@@ -182,6 +189,4 @@
     """Return whether a report is newer than the last one that was applied."""
     if reported.process != known.process:
         return reported.born_ms > known.born_ms
-    if known.state is BackendServerState.GONE:
-        return False
     return reported.sequence > known.sequence
--- a/packages/papayapost/src/papayapost/traffic/owner/tables.py
+++ b/packages/papayapost/src/papayapost/traffic/owner/tables.py
@@ -81,7 +81,7 @@
     slots
         Calls that the backend server runs at once.
     state
-        Reported state; ``GONE`` once the backend server has deregistered.
+        Reported state.
     """
 
     instance: InstanceId
@@ -158,6 +158,9 @@
         Whether the backend server has reported that it drains or has left.
     backend
         The backend server's last report; None before the first.
+    departed_born_ms
+        Unix time in ms at which the backend server's process that deregistered
+        last was started; None before one has.
     blocked_answers
         Attempts that hold no slot any more, but whose answer waits for credit
         of its entry node.
@@ -173,6 +176,7 @@
         self.refuses_offers = False
         self.is_backend_draining = False
         self.backend: OwnBackendRow | None = None
+        self.departed_born_ms: int | None = None
         self.attempts: Table[AttemptId, OwnedRow] = Table("owned attempts")
         self.blocked_answers: set[AttemptId] = set()
         self.counters = OwnerCounters()
--- a/packages/papayapost/tests/traffic/test_backend_server.py
+++ b/packages/papayapost/tests/traffic/test_backend_server.py
@@ -112,6 +112,15 @@
     assert owner.run_attempt() is RefusalCode.DRAINING
 
 
+def test_a_late_report_does_not_bring_back_a_process_that_left_a_restarted_node():
+    owner = ReportedOwner()
+    owner.leave(born_ms=100)
+    owner.report(READY, born_ms=100)
+    assert owner.run_attempt() is RefusalCode.UNREACHABLE
+    owner.report(READY, born_ms=200)
+    assert owner.run_attempt() is True
+
+
 def test_report_numbers_start_again_after_a_restart():
     owner = ReportedOwner()
     owner.report(sequence=50, born_ms=100)
