Hand over the progress of a transfer as one, and versions seen by row

Found by reading the change again; behaviour stays: the stand-in of the store took four functions where TransferProgress holds them, and two systems built the same message from a directory row.

--- a/packages/papayapost-testing/src/papayapost_testing/roster_store.py
+++ b/packages/papayapost-testing/src/papayapost_testing/roster_store.py
@@ -154,14 +154,13 @@
         if path is StorePath.OPEN:
             message = answer()
             count = len(message.objects) if isinstance(message, ObjectsListed) else 1
-            self._send(
-                address,
-                "entries",
-                count * _ENTRY_BYTES,
-                lambda: self._deliver(address, message),
-                lambda: self._deliver(address, failure),
-                lambda: True,
+            progress = TransferProgress(
+                is_wanted=lambda: True,
+                part_arrived=lambda: None,
+                done=lambda: self._deliver(address, message),
+                failed=lambda: self._deliver(address, failure),
             )
+            self._send(address, "entries", count * _ENTRY_BYTES, progress)
         else:
             delay_us = self.timeout_us if path is StorePath.SILENT else _DELAY_US
             self._call_later(delay_us, lambda: self._deliver(address, failure))
@@ -211,30 +210,22 @@
         def part_arrived() -> None:
             self._deliver(address, StoreReading(watch.key))
 
-        size_bytes = len(str(value))
-        self._send(address, "rules", size_bytes, answer, fail, is_wanted, part_arrived)
+        progress = TransferProgress(is_wanted, part_arrived, answer, fail)
+        self._send(address, "rules", len(str(value)), progress)
 
     def _delay_us(self, address: Address) -> int:
         return _DELAY_US + (self.round_trip_us if address in self.links else 0)
 
     def _send(
-        self,
-        address: Address,
-        kind: str,
-        size_bytes: int,
-        done: Callable[[], None],
-        failed: Callable[[], None],
-        is_wanted: Callable[[], bool],
-        part_arrived: Callable[[], None] = lambda: None,
+        self, address: Address, kind: str, size_bytes: int, progress: TransferProgress
     ) -> None:
         """Send an answer, over the link between regions if there is one."""
         link, delay_us = self.links.get(address), self._delay_us(address)
         if link is None:
-            self._call_later(delay_us, done)
+            self._call_later(delay_us, progress.done)
             return
 
         def start() -> None:
-            progress = TransferProgress(is_wanted, part_arrived, done, failed)
             Transfer(link, kind, size_bytes, self.timeout_us, progress)
 
         self._call_later(delay_us, start)
--- a/packages/papayapost/src/papayapost/distribution/direct.py
+++ b/packages/papayapost/src/papayapost/distribution/direct.py
@@ -21,6 +21,7 @@
 from papayapost.distribution.source import RULES_KEY
 from papayapost.ids import Address, Micros, NodeId, RuleVersion
 from papayapost.kernel import System, Tick
+from papayapost.membership import BackendServerRow
 from papayapost.observe import Event, Noted
 from papayapost.states import StagedState, WatchRole
 from papayapost.storage import (
@@ -140,6 +141,13 @@
     version: RuleVersion
     is_same_region: bool = True
 
+    @classmethod
+    def at(
+        cls, row: BackendServerRow, version: RuleVersion, is_same_region: bool = True
+    ) -> "PeerRulesVersionSeen":
+        """Return that the node of a directory row holds a version."""
+        return cls(row.node_id, row.peer_address, version, is_same_region)
+
 
 class WatchStore(System):
     """Keeps one watch on the rules object and offers each newer text.
--- a/packages/papayapost/src/papayapost/distribution/region_relays.py
+++ b/packages/papayapost/src/papayapost/distribution/region_relays.py
@@ -59,9 +59,7 @@
         for delta in refused:
             sender = self._directory.get(delta.sender)
             if sender is not None and delta.version > chain.version:
-                address = sender.peer_address
-                seen = PeerRulesVersionSeen(delta.sender, address, delta.version)
-                tick.post(seen)
+                tick.post(PeerRulesVersionSeen.at(sender, delta.version))
 
     def _note_refused(self, tick: Tick, delta: RulesDelta, error: DeltaRefused) -> None:
         event, peer = Event.RULES_DELTA_REFUSED, delta.sender
--- a/packages/papayapost/src/papayapost/distribution/watch_roles.py
+++ b/packages/papayapost/src/papayapost/distribution/watch_roles.py
@@ -16,7 +16,7 @@
 from papayapost.distribution.rules_table import RulesTable
 from papayapost.distribution.start import StartDue
 from papayapost.distribution.watch_ranks import WatchRanks
-from papayapost.ids import Micros, RuleVersion
+from papayapost.ids import Micros
 from papayapost.kernel import System, Tick
 from papayapost.membership import (
     BackendServerRow,
@@ -182,7 +182,8 @@
                 self._await_cover(tick)
             if report.version > self._rules.held_version:
                 if self._may_ask(tick, sender):
-                    self._await_version(tick, sender, report.version, is_near)
+                    version = report.version
+                    tick.post(PeerRulesVersionSeen.at(sender, version, is_near))
             elif report.version and is_followed:
                 self._record_cover(tick, is_near)
         if tick.take(CoverDue):
@@ -217,14 +218,6 @@
             return False
         return report.watch_us + _MIN_GAIN_US < contact.watch_us
 
-    def _await_version(
-        self, tick: Tick, sender: BackendServerRow, version: RuleVersion, is_near: bool
-    ) -> None:
-        seen = PeerRulesVersionSeen(
-            sender.node_id, sender.peer_address, version, is_near
-        )
-        tick.post(seen)
-
     def _record_cover(self, tick: Tick, is_near: bool) -> None:
         contact = self._contact
         if contact.is_relay and not is_near:
