--- a/packages/papayapost-node/src/papayapost_node/composition.py
+++ b/packages/papayapost-node/src/papayapost_node/composition.py
@@ -2,6 +2,8 @@
 
 from pathlib import Path
 
+from msgspec.structs import asdict
+
 from papayapost.errors import SettingsRefused
 from papayapost.ids import (
     Address,
@@ -45,6 +47,7 @@
 from papayapost_node.runner import WorldRunner
 from papayapost_node.security import KeyRing, SenderCheck
 from papayapost_node.settings import (
+    HttpSettings,
     SecurityMode,
     Settings,
     load_keys,
@@ -127,7 +130,7 @@
         self._server = StreamingServer(
             Address(settings.caller_address),
             self._entry_side,
-            HttpLimits(**settings.http.model_dump(exclude={"hold_answer_bytes"})),
+            _http_limits(settings.http),
             self.runner,
             "caller_address",
         )
@@ -320,6 +323,12 @@
         return self._self_row.place.distance_to(row.place) if row else None
 
 
+def _http_limits(settings: HttpSettings) -> HttpLimits:
+    limits = asdict(settings)
+    del limits["hold_answer_bytes"]
+    return HttpLimits(**limits)
+
+
 async def build_node(
     settings: Settings,
     clock: Clock | None = None,
--- a/packages/papayapost-node/src/papayapost_node/settings/keys.py
+++ b/packages/papayapost-node/src/papayapost_node/settings/keys.py
@@ -5,8 +5,9 @@
 from pathlib import Path
 from typing import Annotated
 
+import msgspec
 import zmq
-from pydantic import Field
+from msgspec import Meta
 from zmq.utils import z85
 
 from papayapost.errors import SettingsRefused
@@ -29,11 +30,11 @@
 # A holder needs two keys while its old key is replaced by a new one.
 _MAX_KEYS_PER_HOLDER = 2
 
-KeyText = Annotated[str, Field(min_length=_KEY_CHARACTERS, max_length=_KEY_CHARACTERS)]
+KeyText = Annotated[str, Meta(min_length=_KEY_CHARACTERS, max_length=_KEY_CHARACTERS)]
 """A CURVE key in Z85, the printable encoding that ZeroMQ uses for keys."""
 
 
-class OwnKeys(SettingsModel):
+class OwnKeys(SettingsModel, frozen=True):
     """The node's own key pair.
 
     Attributes
@@ -46,7 +47,7 @@
     secret_key: KeyText
 
 
-class AllowedKey(SettingsModel):
+class AllowedKey(SettingsModel, frozen=True):
     """A public key whose holder may connect to this node.
 
     Attributes
@@ -65,7 +66,7 @@
     node_id: NameText | None = None
 
 
-class KeysFile(SettingsModel):
+class KeysFile(SettingsModel, frozen=True):
     """Contents of a keys file.
 
     Attributes
@@ -108,7 +109,7 @@
     text = read_settings_file(path)
     findings = findings_in(text, KeysFile)
     if not findings:
-        keys = KeysFile.model_validate_json(text)
+        keys = msgspec.json.decode(text, type=KeysFile)
         findings = [*_own_pair_findings(keys), *_allowed_key_findings(keys)]
     if findings:
         raise SettingsRefused([_with_file(path, item) for item in findings])
--- a/packages/papayapost-node/src/papayapost_node/settings/load.py
+++ b/packages/papayapost-node/src/papayapost_node/settings/load.py
@@ -36,7 +36,7 @@
     ]
     if findings:
         raise SettingsRefused(findings)
-    return Settings.model_validate_json(text)
+    return msgspec.json.decode(text, type=Settings)
 
 
 def _decode_json(text: str) -> object:
--- a/packages/papayapost-node/src/papayapost_node/settings/model.py
+++ b/packages/papayapost-node/src/papayapost_node/settings/model.py
@@ -3,7 +3,7 @@
 from enum import Enum, StrEnum
 from typing import Annotated
 
-from pydantic import Field
+from msgspec import Meta
 
 from papayapost_node.settings_file import AddressText, NameText, SettingsModel
 
@@ -19,11 +19,11 @@
 ]
 
 
-PathText = Annotated[str, Field(pattern=r"^/[!-~]*$")]
+PathText = Annotated[str, Meta(pattern=r"^/[!-~]*$")]
 """Path of an HTTP request: a slash and printable ASCII without spaces."""
 
 
-class BackendServerSettings(SettingsModel):
+class BackendServerSettings(SettingsModel, frozen=True):
     """The backend server that runs on the node's VM.
 
     Attributes
@@ -49,14 +49,14 @@
 
     service: NameText
     address: AddressText
-    slots: int | None = Field(default=None, ge=1, le=10_000)
-    connections: int | None = Field(default=None, ge=1, le=100_000)
-    report_interval_ms: int = Field(default=1_500, ge=50, le=600_000)
+    slots: Annotated[int, Meta(ge=1, le=10_000)] | None = None
+    connections: Annotated[int, Meta(ge=1, le=100_000)] | None = None
+    report_interval_ms: Annotated[int, Meta(ge=50, le=600_000)] = 1_500
     health_path: PathText | None = None
-    health_interval_ms: int = Field(default=5_000, ge=500, le=600_000)
+    health_interval_ms: Annotated[int, Meta(ge=500, le=600_000)] = 5_000
 
 
-class HttpSettings(SettingsModel):
+class HttpSettings(SettingsModel, frozen=True):
     """Limits on the HTTP connections and requests of callers.
 
     Attributes
@@ -81,17 +81,17 @@
         that it can still start another attempt if an answer breaks off.
     """
 
-    connections: int = Field(default=2_000, ge=1, le=100_000)
-    head_bytes: int = Field(default=16_384, ge=1_024, le=262_144)
-    head_timeout_ms: int = Field(default=10_000, ge=10, le=600_000)
-    idle_timeout_ms: int = Field(default=60_000, ge=10, le=3_600_000)
-    pace_timeout_ms: int = Field(default=10_000, ge=10, le=600_000)
-    pace_bytes: int = Field(default=4_096, ge=1, le=1_048_576)
-    pipelined: int = Field(default=1, ge=1, le=64)
-    hold_answer_bytes: int = Field(default=0, ge=0, le=4_194_304)
+    connections: Annotated[int, Meta(ge=1, le=100_000)] = 2_000
+    head_bytes: Annotated[int, Meta(ge=1_024, le=262_144)] = 16_384
+    head_timeout_ms: Annotated[int, Meta(ge=10, le=600_000)] = 10_000
+    idle_timeout_ms: Annotated[int, Meta(ge=10, le=3_600_000)] = 60_000
+    pace_timeout_ms: Annotated[int, Meta(ge=10, le=600_000)] = 10_000
+    pace_bytes: Annotated[int, Meta(ge=1, le=1_048_576)] = 4_096
+    pipelined: Annotated[int, Meta(ge=1, le=64)] = 1
+    hold_answer_bytes: Annotated[int, Meta(ge=0, le=4_194_304)] = 0
 
 
-class RetryBudgetSettings(SettingsModel):
+class RetryBudgetSettings(SettingsModel, frozen=True):
     """The retry budget that all nodes of the mesh share.
 
     The budget bounds the retries and hedges, which are the attempts after
@@ -107,9 +107,9 @@
         Length of the window over which retries are counted.
     """
 
-    ratio: float = Field(ge=0, le=10)
-    slack: float = Field(ge=0, le=1_000_000)
-    window_ms: int = Field(ge=100, le=600_000)
+    ratio: Annotated[float, Meta(ge=0, le=10)]
+    slack: Annotated[float, Meta(ge=0, le=1_000_000)]
+    window_ms: Annotated[int, Meta(ge=100, le=600_000)]
 
 
 class Discovery(StrEnum):
@@ -143,7 +143,7 @@
     NONE = "none"
 
 
-class SecuritySettings(SettingsModel):
+class SecuritySettings(SettingsModel, frozen=True):
     """Authentication and encryption between nodes.
 
     Attributes
@@ -155,11 +155,11 @@
         Path of the keys file; required with ``curve``.
     """
 
-    mode: Annotated[SecurityMode, Field(strict=False)]
+    mode: SecurityMode
     keys_file: str | None = None
 
 
-class Settings(SettingsModel):
+class Settings(SettingsModel, frozen=True):
     """Settings of one node.
 
     Attributes
@@ -239,23 +239,23 @@
     seeds: list[AddressText] = []
     backend_server: BackendServerSettings | None = None
     admin_address: AddressText | None = None
-    link_mbps: float = Field(default=0.0, ge=0)
+    link_mbps: Annotated[float, Meta(ge=0)] = 0.0
     http: HttpSettings = HttpSettings()
-    stop_limit_s: float = Field(default=30.0, ge=0.1, le=3_600)
-    drain_accept_ms: int = Field(default=0, ge=0, le=600_000)
-    drain_grace_ms: int = Field(default=3_000, ge=0, le=600_000)
-    drain_announce_ms: int = Field(default=0, ge=0, le=600_000)
+    stop_limit_s: Annotated[float, Meta(ge=0.1, le=3_600)] = 30.0
+    drain_accept_ms: Annotated[int, Meta(ge=0, le=600_000)] = 0
+    drain_grace_ms: Annotated[int, Meta(ge=0, le=600_000)] = 3_000
+    drain_announce_ms: Annotated[int, Meta(ge=0, le=600_000)] = 0
     surroundings: str | None = None
-    discovery: Annotated[Discovery, Field(strict=False)] = Discovery.TREE
+    discovery: Discovery = Discovery.TREE
     readiness_address: AddressText | None = None
     report_address: AddressText | None = None
-    store_wait_ms: int = Field(default=30_000, ge=100, le=30_000)
-    store_timeout_ms: int = Field(default=5_000, ge=50, le=60_000)
-    queue: Annotated[QueueOrder, Field(strict=False)] = QueueOrder.SHARES
-    hold_ms: int = Field(default=2_000, ge=0, le=60_000)
+    store_wait_ms: Annotated[int, Meta(ge=100, le=30_000)] = 30_000
+    store_timeout_ms: Annotated[int, Meta(ge=50, le=60_000)] = 5_000
+    queue: QueueOrder = QueueOrder.SHARES
+    hold_ms: Annotated[int, Meta(ge=0, le=60_000)] = 2_000
     retry_budget: RetryBudgetSettings | None = None
 
     def differing_keys(self, other: "Settings") -> list[str]:
         """Return the names of the keys that have another value in `other`."""
-        names = type(self).model_fields
+        names = type(self).__struct_fields__
         return [name for name in names if getattr(self, name) != getattr(other, name)]
--- a/packages/papayapost-node/src/papayapost_node/settings_file.py
+++ b/packages/papayapost-node/src/papayapost_node/settings_file.py
@@ -1,11 +1,14 @@
 """Reads a JSON settings file and reports all of its findings at once."""
 
 import ipaddress
+from collections.abc import Iterator
 from enum import Enum
 from pathlib import Path
-from typing import Annotated, TypeVar
+from types import NoneType
+from typing import Annotated, Any, TypeVar, get_args, get_type_hints
 
-from pydantic import AfterValidator, BaseModel, ConfigDict, Field, ValidationError
+import msgspec
+from msgspec.structs import fields
 
 from papayapost.errors import SettingsRefused
 from papayapost.findings import Finding
@@ -16,8 +19,10 @@
     "SettingsFault",
     "SettingsModel",
     "findings_in",
+    "is_address",
     "load_settings_file",
     "read_settings_file",
+    "settings_from",
 ]
 
 _MAX_PORT = 65_535
@@ -42,43 +47,26 @@
     BAD_KEY = "S011"
 
 
-class SettingsModel(BaseModel):
+class SettingsModel(
+    msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True
+):
     """Base of all settings.
 
-    It refuses unknown keys, does not convert types, and is immutable.
+    `settings_from` refuses unknown keys and does not convert types. The
+    settings themselves are immutable.
     """
 
-    model_config = ConfigDict(extra="forbid", frozen=True, strict=True)
 
+_AddressFormat = msgspec.Meta(title="IP address and port")
 
-def _check_address(text: str) -> str:
-    ip, colon, port = text.rpartition(":")
-    try:
-        ipaddress.ip_address(ip.strip("[]"))
-    except ValueError:
-        colon = ""
-    if not colon or not port.isascii() or not port.isdigit():
-        raise ValueError(f"{text!r} is not an address")
-    if not 0 < int(port[:6]) <= _MAX_PORT:
-        raise ValueError(f"{text!r} has no port number from 1 to {_MAX_PORT}")
-    return text
-
-
-AddressText = Annotated[str, AfterValidator(_check_address)]
+AddressText = Annotated[str, _AddressFormat]
 """An IP address and a port number, as in ``10.0.0.7:4100``."""
 
-NameText = Annotated[str, Field(pattern=r"^[a-z0-9][a-z0-9-]{0,62}$")]
+NameText = Annotated[str, msgspec.Meta(pattern=r"^[a-z0-9][a-z0-9-]{0,62}$")]
 """A name of up to 63 lower-case letters, digits and ``-``."""
 
 M = TypeVar("M", bound=SettingsModel)
 
-_FAULTS_BY_ERROR_TYPE = {
-    "json_invalid": SettingsFault.NOT_JSON,
-    "extra_forbidden": SettingsFault.UNKNOWN_KEY,
-    "missing": SettingsFault.MISSING_KEY,
-    "greater_than_equal": SettingsFault.OUT_OF_RANGE,
-    "less_than_equal": SettingsFault.OUT_OF_RANGE,
-}
 _REMEDIES = {
     SettingsFault.NOT_JSON: "write one JSON object",
     SettingsFault.UNKNOWN_KEY: "remove it, or correct its name",
@@ -99,11 +87,22 @@
         If the file cannot be read or has findings. The error holds all of
         them, each with the path of its key in the file.
     """
-    text = read_settings_file(path)
+    return settings_from(read_settings_file(path), model)
+
+
+def settings_from(text: str, model: type[M]) -> M:
+    """Return the settings that a JSON text holds.
+
+    Raises
+    ------
+    SettingsRefused
+        If the text has findings. The error holds all of them, each with the
+        path of its key in the text.
+    """
     findings = findings_in(text, model)
     if findings:
         raise SettingsRefused(findings)
-    return model.model_validate_json(text)
+    return msgspec.json.decode(text, type=model)
 
 
 def read_settings_file(path: Path) -> str:
@@ -127,19 +126,89 @@
 
 
 def findings_in(text: str, model: type[SettingsModel]) -> list[Finding]:
-    """Check a JSON text against a settings model and return all findings."""
+    """Check a JSON text against a settings model and return all findings.
+
+    No finding quotes a value of the text but an address.
+    """
+    try:
+        value = msgspec.json.decode(text)
+    except (msgspec.DecodeError, RecursionError) as error:
+        return [_finding(SettingsFault.NOT_JSON, "file", f"no JSON: {error}")]
+    return list(_model_findings(value, model, ""))
+
+
+def is_address(text: str) -> bool:
+    """Return whether a text is an IP address and a port number."""
+    ip, colon, port = text.rpartition(":")
     try:
-        model.model_validate_json(text)
-    except ValidationError as error:
-        return [_finding_of(item) for item in error.errors()]
-    return []
-
-
-def _finding_of(item) -> Finding:
-    error_type = item["type"]
-    fault = _FAULTS_BY_ERROR_TYPE.get(error_type)
-    if fault is None:
-        is_type_error = error_type.endswith("_type")
-        fault = SettingsFault.WRONG_TYPE if is_type_error else SettingsFault.BAD_VALUE
-    place = ".".join(str(part) for part in item["loc"]) or "file"
-    return Finding(fault.value, place, item["msg"], _REMEDIES[fault])
+        ipaddress.ip_address(ip.strip("[]"))
+    except ValueError:
+        return False
+    is_number = port.isascii() and port.isdigit()
+    return bool(colon) and is_number and 0 < int(port[:6]) <= _MAX_PORT
+
+
+def _model_findings(
+    value: object, model: type[SettingsModel], place: str
+) -> Iterator[Finding]:
+    if not isinstance(value, dict):
+        fault, message = SettingsFault.WRONG_TYPE, "expected an object with keys"
+        yield _finding(fault, place or "file", message)
+        return
+    prefix = f"{place}." if place else ""
+    types = get_type_hints(model, include_extras=True)
+    for field in fields(model):
+        name = field.name
+        if name in value:
+            yield from _value_findings(value[name], types[name], f"{prefix}{name}")
+        elif field.required:
+            message = "a key without a default is missing"
+            yield _finding(SettingsFault.MISSING_KEY, f"{prefix}{name}", message)
+    for name in value:
+        if name not in types:
+            message = "there is no such key"
+            yield _finding(SettingsFault.UNKNOWN_KEY, f"{prefix}{name}", message)
+
+
+def _value_findings(value: object, kind: Any, place: str) -> Iterator[Finding]:
+    choices = get_args(kind)
+    if NoneType in choices:
+        if value is None:
+            return
+        kind = next(choice for choice in choices if choice is not NoneType)
+        choices = get_args(kind)
+    if isinstance(kind, type) and issubclass(kind, SettingsModel):
+        yield from _model_findings(value, kind, place)
+    elif getattr(kind, "__origin__", None) is list and isinstance(value, list):
+        for number, item in enumerate(value):
+            yield from _value_findings(item, choices[0], f"{place}.{number}")
+    else:
+        yield from _leaf_findings(value, kind, place)
+
+
+def _leaf_findings(value: object, kind: Any, place: str) -> Iterator[Finding]:
+    try:
+        msgspec.convert(value, kind)
+    except msgspec.ValidationError as error:
+        yield _finding(_fault_of(value, kind), place, str(error))
+        return
+    is_address_key = _AddressFormat in getattr(kind, "__metadata__", ())
+    if is_address_key and not is_address(str(value)):
+        message = f"{value!r} is not an IP address with a port"
+        yield _finding(SettingsFault.BAD_VALUE, place, message)
+
+
+def _fault_of(value: object, kind: Any) -> SettingsFault:
+    """Return why a value does not convert to a type."""
+    plain = getattr(kind, "__origin__", kind)
+    if isinstance(plain, type) and issubclass(plain, Enum):
+        plain = str
+    try:
+        msgspec.convert(value, plain)
+    except msgspec.ValidationError:
+        return SettingsFault.WRONG_TYPE
+    return SettingsFault.BAD_VALUE if plain is str else SettingsFault.OUT_OF_RANGE
+
+
+def _finding(fault: SettingsFault, place: str, message: str) -> Finding:
+    return Finding(fault.value, place, message, _REMEDIES[fault])
--- a/packages/papayapost-node/tests/test_settings.py
+++ b/packages/papayapost-node/tests/test_settings.py
@@ -3,12 +3,13 @@
 import json
 from pathlib import Path
 
+import msgspec
 import pytest
-from pydantic import BaseModel
 
 from papayapost.errors import SettingsRefused
 from papayapost_node.security import new_key_pair
 from papayapost_node.settings import KeysFile, Settings, load_keys, load_settings
+from papayapost_node.settings_file import SettingsModel
 
 SETTINGS_PAGE = Path(__file__).parents[3] / "docs" / "SETTINGS.md"
 VALID_SETTINGS = {
@@ -51,9 +52,12 @@
 def test_valid_settings_are_loaded(tmp_path):
     path = tmp_path / "settings.json"
     path.write_text(json.dumps(VALID_SETTINGS))
-    assert load_settings(path) == Settings.model_validate_json(
-        json.dumps(VALID_SETTINGS)
-    )
+    loaded = load_settings(path)
+    assert loaded == msgspec.convert(VALID_SETTINGS, Settings)
+    backend = loaded.backend_server
+    assert (backend.slots, backend.report_interval_ms) == (8, 1_500)
+    with pytest.raises(AttributeError):
+        loaded.region = "south"
 
 
 @pytest.mark.parametrize(
@@ -66,6 +70,15 @@
         ({"http": {"connections": "many"}}, "S005 http.connections"),
         (with_backend_server(slots=0), "S006 backend_server.slots"),
         (with_backend_server(slots=True), "S005 backend_server.slots"),
+        (with_backend_server(slots="8"), "S005 backend_server.slots"),
+        (with_backend_server(slots=1.5), "S005 backend_server.slots"),
+        (with_backend_server(health_path="x"), "S007 backend_server.health_path"),
+        ({"backend_server": [1]}, "S005 backend_server"),
+        ({"retry_budget": {"ratio": 0.2, "slack": 1}}, "S004 retry_budget.window_ms"),
+        ({"seeds": "127.0.0.1:1"}, "S005 seeds"),
+        ({"seeds": [7]}, "S005 seeds.0"),
+        ({"link_mbps": -0.5}, "S006 link_mbps"),
+        ({"security": {"mode": 1}}, "S005 security.mode"),
         ({"stop_limit_s": -1}, "S006 stop_limit_s"),
         ({"caller_address": "localhost:80"}, "S007 caller_address"),
         ({"caller_address": "127.0.0.1:99999"}, "S007 caller_address"),
@@ -169,23 +182,25 @@
     assert secret[:-1] not in str(refused.value)
 
 
-def defaults_of(model: type[BaseModel], prefix: str = "") -> dict[str, str]:
+def defaults_of(model: type[SettingsModel], prefix: str = "") -> dict[str, str]:
     """Return the default of each key as JSON, or ``needed`` without one."""
     defaults = {}
-    for name, field in model.model_fields.items():
+    for field in msgspec.structs.fields(model):
         nested_models = [
             kind
-            for kind in (field.annotation, *getattr(field.annotation, "__args__", ()))
-            if isinstance(kind, type) and issubclass(kind, BaseModel)
+            for kind in (field.type, *getattr(field.type, "__args__", ()))
+            if isinstance(kind, type) and issubclass(kind, SettingsModel)
         ]
+        place = f"{prefix}{field.name}"
         if nested_models:
-            is_list = "list" in str(field.annotation)
-            defaults |= defaults_of(
-                nested_models[0], f"{prefix}{name}{'.N' if is_list else ''}."
-            )
+            is_list = "list" in str(field.type)
+            defaults |= defaults_of(nested_models[0], f"{place}{'.N' * is_list}.")
+        elif field.required:
+            defaults[place] = "needed"
+        elif field.default_factory is not msgspec.NODEFAULT:
+            defaults[place] = json.dumps(field.default_factory())
         else:
-            default = "needed" if field.is_required() else json.dumps(field.default)
-            defaults[f"{prefix}{name}"] = default
+            defaults[place] = json.dumps(field.default)
     return defaults
 
 
--- a/packages/papayapost-operator/src/papayapost_operator/settings.py
+++ b/packages/papayapost-operator/src/papayapost_operator/settings.py
@@ -1,8 +1,10 @@
 """Settings of the command-line tool ``papaya``."""
 
 from pathlib import Path
+from typing import Annotated
 
-from pydantic import Field
+from msgspec import Meta
+from msgspec.structs import replace
 
 from papayapost.errors import UsageRefused
 from papayapost.ids import Address
@@ -10,13 +12,14 @@
     AddressText,
     NameText,
     SettingsModel,
+    is_address,
     load_settings_file,
 )
 
 __all__ = ["OperatorSettings", "StoreOptions", "store_address_of"]
 
 
-class OperatorSettings(SettingsModel):
+class OperatorSettings(SettingsModel, frozen=True):
     """Settings of the tool, as the operator's settings file holds them.
 
     Attributes
@@ -32,15 +35,11 @@
     """
 
     store_address: AddressText
-    store_timeout_ms: int = Field(default=5_000, ge=50, le=60_000)
-    operator: str | None = Field(default=None, min_length=1, max_length=100)
+    store_timeout_ms: Annotated[int, Meta(ge=50, le=60_000)] = 5_000
+    operator: Annotated[str, Meta(min_length=1, max_length=100)] | None = None
     data_centres: list[NameText] = []
 
 
-class _StoreOption(SettingsModel):
-    store_address: AddressText
-
-
 class StoreOptions:
     """The options that name the store, as given on the command line.
 
@@ -77,7 +76,7 @@
         loaded = load_settings_file(Path(self._settings), OperatorSettings)
         if self._store:
             address = store_address_of(self._store)
-            return loaded.model_copy(update={"store_address": address})
+            return replace(loaded, store_address=address)
         return loaded
 
 
@@ -89,10 +88,9 @@
     UsageRefused
         If the text is not an address.
     """
-    try:
-        return Address(_StoreOption(store_address=text).store_address)
-    except ValueError:
+    if not is_address(text):
         raise UsageRefused(
             f"--store {text!r} is not an address; write an IP address and a port, "
             "as in 10.0.0.7:4100"
-        ) from None
+        )
+    return Address(text)
--- a/packages/papayapost-testing/src/papayapost_testing/node_pair.py
+++ b/packages/papayapost-testing/src/papayapost_testing/node_pair.py
@@ -5,6 +5,8 @@
 from contextlib import asynccontextmanager, closing
 from dataclasses import dataclass
 
+import msgspec
+
 from papayapost.ids import Address
 from papayapost_node.composition import Node, build_node
 from papayapost_node.http import ClientConnection, HttpRequest
@@ -90,7 +92,7 @@
             "surroundings": surroundings,
             "backend_server": backend_settings if number else None,
         }
-        nodes.append(await build_node(Settings.model_validate(settings)))
+        nodes.append(await build_node(msgspec.convert(settings, Settings)))
     for node in nodes:
         await node.start()
     try:
--- a/packages/papayapost-testing/tests/test_whole_path.py
+++ b/packages/papayapost-testing/tests/test_whole_path.py
@@ -36,7 +36,7 @@
 
 def node_settings(addresses: list[Address], store: Address, number: int) -> Settings:
     caller, peer, backend, admin = addresses[number * 4 : number * 4 + 4]
-    return Settings.model_validate(
+    return msgspec.convert(
         {
             "node_id": f"n{number}",
             "data_centre": "north-1",
@@ -53,7 +53,8 @@
                 "slots": 8,
                 "connections": 100,
             },
-        }
+        },
+        Settings,
     )
 
 
