--- /dev/null
+++ b/packages/papayapost-testing/src/papayapost_testing/load_patterns/patterns.py
@@ -0,0 +1,143 @@
+"""The load patterns: loads that meshes were seen to serve badly."""
+
+from dataclasses import replace
+
+from papayapost.ids import ServiceName
+from papayapost.states import Rank
+from papayapost_testing.load_patterns.rows import (
+    BurstRow,
+    InnerCalls,
+    KindRow,
+    LoadPattern,
+    ServiceRow,
+    Trouble,
+    TroubleRow,
+)
+from papayapost_testing.traffic_worlds import FOUR_PLACES, NORTH_1
+
+__all__ = ["LOAD_PATTERNS", "pattern"]
+
+_DESK = ServiceName("desk")
+_STOCK = ServiceName("stock")
+_LOOKUP, _ORDER, _SCAN, _COUNT = "lookup", "order", "scan", "count"
+
+
+def _mesh(nodes: int) -> tuple[ServiceRow, ...]:
+    """Return two services on a number of nodes, four fifths for the first."""
+    per_place = nodes // len(FOUR_PLACES)
+    stock = max(1, per_place // 5)
+    return (
+        ServiceRow(_DESK, 4, dict.fromkeys(FOUR_PLACES, per_place - stock)),
+        ServiceRow(_STOCK, 4, dict.fromkeys(FOUR_PLACES, stock)),
+    )
+
+
+def _kinds(nodes: int, load: float) -> tuple[KindRow, ...]:
+    """Return kinds that use a share of the slots of the first service."""
+    desk, _ = _mesh(nodes)
+    slots = sum(desk.servers.values()) * desk.slots
+    # A lookup holds its slot for its own work or, if longer, its inner calls.
+    orders_per_s = load * slots / 4 / 0.42
+    lookups_per_s = load * slots * 3 / 4 / 0.34
+    return (
+        KindRow(
+            _LOOKUP,
+            _DESK,
+            Rank.URGENT,
+            lookups_per_s,
+            320,
+            1_000,
+            2_000,
+            3_000,
+            inner=InnerCalls(_COUNT, 2, 0.3),
+        ),
+        KindRow(
+            _ORDER, _DESK, Rank.HIGH, orders_per_s, 420, 1_500, 2_500, 4_000, False
+        ),
+        KindRow(
+            _SCAN, _STOCK, Rank.NORMAL, lookups_per_s / 20, 260, 3_000, 4_000, 4_000
+        ),
+        KindRow(_COUNT, _STOCK, Rank.URGENT, 0, 81, 300, 1_000, 1_000),
+    )
+
+
+def _burst(nodes: int) -> LoadPattern:
+    return LoadPattern(
+        "a burst of 1.7 times the slots",
+        _mesh(nodes),
+        _kinds(nodes, 0.85),
+        8,
+        bursts=(BurstRow(2, 7, 2.0),),
+    )
+
+
+def _repeats(nodes: int) -> LoadPattern:
+    burst = _burst(nodes)
+    return replace(
+        burst,
+        name="a burst whose callers repeat three times at once",
+        impatient_share=0.4,
+    )
+
+
+def _slow(nodes: int) -> LoadPattern:
+    trouble = TroubleRow(2, 7, _DESK, Trouble.SLOW, 0.5, 4.0, NORTH_1)
+    return LoadPattern(
+        "half of one data centre's servers are slow",
+        _mesh(nodes),
+        _kinds(nodes, 0.6),
+        8,
+        troubles=(trouble,),
+    )
+
+
+def _shedding(nodes: int) -> LoadPattern:
+    trouble = TroubleRow(2, 7, _STOCK, Trouble.SHEDDING, 0.25, 1.0)
+    return LoadPattern(
+        "a quarter of the servers of inner calls refuse everything",
+        _mesh(nodes),
+        _kinds(nodes, 0.7),
+        8,
+        troubles=(trouble,),
+    )
+
+
+def _failing(nodes: int) -> LoadPattern:
+    trouble = TroubleRow(2, 7, _STOCK, Trouble.FAILING, 0.25, 1.0)
+    return LoadPattern(
+        "a quarter of the servers of inner calls fail everything",
+        _mesh(nodes),
+        _kinds(nodes, 0.7),
+        8,
+        troubles=(trouble,),
+    )
+
+
+def _partly_shedding(nodes: int) -> LoadPattern:
+    trouble = TroubleRow(2, 7, _STOCK, Trouble.SHEDDING, 1.0, 0.55)
+    return LoadPattern(
+        "all servers of inner calls refuse half of their calls",
+        _mesh(nodes),
+        _kinds(nodes, 0.7),
+        8,
+        troubles=(trouble,),
+    )
+
+
+_BUILDERS = {
+    "calm": lambda nodes: LoadPattern("calm", _mesh(nodes), _kinds(nodes, 0.5), 6),
+    "burst": _burst,
+    "repeats": _repeats,
+    "slow": _slow,
+    "shedding": _shedding,
+    "failing": _failing,
+    "partly-shedding": _partly_shedding,
+}
+
+LOAD_PATTERNS = tuple(_BUILDERS)
+"""Names of the patterns."""
+
+
+def pattern(name: str, nodes: int) -> LoadPattern:
+    """Return a pattern for a mesh of about a number of nodes."""
+    return _BUILDERS[name](nodes)
