Refuse at once what would wait long for a slot

Cause: an attempt was queued as long as it could still meet its target by the mean service time, so that in a burst all waited that long; half of those that started were late, and the others went back to their callers after a second. Change: queue_wait decides: an attempt waits only if its expected wait is at most a quarter of the time left to its target (or a sixteenth of its budget, once late), and is given back after twice that. Slots stay in use as long as anybody waits. The scenario of test_a_queued_attempt_is_refused_when_its_time_left_is_too_short_to_run had 300 ms to wait with 1,000 ms to its target, which is refused now; it has 200 ms and checks that the attempt was queued.

--- a/packages/papayapost/src/papayapost/traffic/owner/admission.py
+++ b/packages/papayapost/src/papayapost/traffic/owner/admission.py
@@ -13,6 +13,7 @@
     RefusalCode,
 )
 from papayapost.traffic.owner.concurrency import ConcurrencyLimit, ServiceTimes
+from papayapost.traffic.owner.queue_wait import is_wait_worthwhile, longest_hold_us
 from papayapost.traffic.owner.queues import QueueDiscipline
 from papayapost.traffic.owner.replies import Replies
 from papayapost.traffic.owner.seen import OfferStatus, SeenAttempts
@@ -34,10 +35,6 @@
 __all__ = ["AdmitAttempts"]
 
 _SHED_STATUS = 503
-_MAX_WAIT_FRACTION = 0.5
-"""Longest queueing time of an attempt with a target latency, as a fraction of
-its time budget."""
-
 _MAX_CLAIMED_BUDGET_US = 300_000_000
 """Cap on the time budget of an attempt that claims an idempotency key. It is
 below the retention of claims, so that the claim outlasts the attempt."""
@@ -176,7 +173,8 @@
         if not (offer.may_queue or self._has_free_slot(offer)):
             self._replies.refuse(tick, offer, RefusalCode.NO_FREE_SLOT, wait_us)
             return None
-        if self._would_expire_in_queue(tick, offer, wait_us):
+        min_service_us = self._service_times.low_estimate_us(offer.rank, tick.now_us)
+        if not is_wait_worthwhile(offer, wait_us, min_service_us):
             self._replies.refuse(tick, offer, RefusalCode.DEADLINE, wait_us)
             return None
         needs_claim = not offer.idempotent and offer.idempotency_key is not None
@@ -209,21 +207,6 @@
             return RefusalCode.QUEUE_FULL
         return None
 
-    def _would_expire_in_queue(
-        self, tick: Tick, offer: AttemptOffer, wait_us: float
-    ) -> bool:
-        """Return whether an offer would be refused after queueing.
-
-        That is so if the expected wait and the shortest service time exceed
-        the time budget, or if an attempt with a target latency would wait for
-        more than the permitted fraction of its budget.
-        """
-        min_service_us = self._service_times.low_estimate_us(offer.rank, tick.now_us)
-        if wait_us + min_service_us > offer.budget_us:
-            return True
-        has_target = offer.target_us is not None
-        return has_target and wait_us > offer.budget_us * _MAX_WAIT_FRACTION
-
     def _has_free_slot(self, offer: AttemptOffer) -> bool:
         """Return whether an attempt can start now and be answered soon.
 
@@ -310,9 +293,9 @@
                 self._service_times.low_estimate_us(row.offer.rank, tick.now_us)
             )
             due_us = Micros(max(tick.now_us, row.deadline_us - min_service_us))
-            if row.offer.target_us is not None:
-                max_wait_us = int(row.offer.budget_us * _MAX_WAIT_FRACTION)
-                due_us = min(due_us, Micros(row.arrived_us + max_wait_us))
+            hold_us = longest_hold_us(row.offer)
+            if hold_us is not None:
+                due_us = min(due_us, Micros(row.arrived_us + hold_us))
             tick.set_timer(("owned", attempt_id), due_us, expired)
 
     def _record_answer_begun(self, tick: Tick, begun: BackendCallBegun) -> None:
--- /dev/null
+++ b/packages/papayapost/tests/traffic/test_load_patterns.py
@@ -0,0 +1,64 @@
+"""Replays of the load patterns on the traffic systems of a mesh.
+
+The bounds are what callers are promised under overload: a refusal that is due
+comes at once, and servers that fail are left alone.
+"""
+
+import functools
+
+import pytest
+
+from papayapost_testing.load_patterns import (
+    CallEnd,
+    KindFigures,
+    LoadSimulation,
+    pattern,
+    quantile,
+)
+
+SIZES = (12, 64)
+LOOKUP_TARGET_MS = 1_000
+
+
+@functools.cache
+def replay(name: str, nodes: int) -> dict[str, KindFigures]:
+    return LoadSimulation(pattern(name, nodes)).run()
+
+
+def answered(figures: KindFigures) -> float:
+    return figures.share(CallEnd.TIMELY, CallEnd.LATE)
+
+
+@pytest.mark.parametrize("nodes", SIZES)
+def test_calm_calls_are_answered_in_time_with_one_offer_each(nodes):
+    lookups = replay("calm", nodes)["lookup"]
+    assert lookups.share(CallEnd.TIMELY) > 0.97
+    assert lookups.offers < 1.2 * lookups.attempts
+
+
+@pytest.mark.parametrize("name", ["burst", "repeats"])
+def test_a_lookup_that_gets_no_slot_is_refused_at_once(name):
+    lookups = replay(name, 64)["lookup"]
+    assert quantile(lookups.refusals_ms, 0.5) < 50
+    assert quantile(lookups.refusals_ms, 0.99) < 150
+
+
+@pytest.mark.parametrize("name", ["burst", "repeats"])
+@pytest.mark.parametrize("nodes", SIZES)
+def test_lookups_refused_in_the_end_were_not_held(name, nodes):
+    lookups = replay(name, nodes)["lookup"]
+    assert quantile(lookups.refused_in_the_end_ms, 0.9) < LOOKUP_TARGET_MS / 8
+
+
+@pytest.mark.parametrize("name", ["burst", "repeats"])
+@pytest.mark.parametrize("nodes", SIZES)
+def test_few_lookups_are_answered_too_late_in_a_burst(name, nodes):
+    lookups = replay(name, nodes)["lookup"]
+    assert lookups.share(CallEnd.LATE) < 0.05
+
+
+@pytest.mark.parametrize("name", ["burst", "repeats", "slow"])
+@pytest.mark.parametrize("nodes", SIZES)
+def test_urgent_lookups_are_served_no_less_than_orders(name, nodes):
+    figures = replay(name, nodes)
+    assert answered(figures["lookup"]) > answered(figures["order"]) - 0.05
--- a/packages/papayapost/tests/traffic/test_targets.py
+++ b/packages/papayapost/tests/traffic/test_targets.py
@@ -86,10 +86,10 @@
     owner = TargetedOwner(slots=1)
     for _ in range(4):
         offer = owner.fill_slot()
-        owner.end(offer.attempt_id, after_us=300_000)
+        owner.end(offer.attempt_id, after_us=200_000)
     owner.fill_slot()
     waiting = owner.targeted_offer(1_000, budget_ms=1_000)
-    owner.tick(waiting)
+    assert not refusals(owner.tick(waiting))
     effects = owner.tick(after_us=750_000)
     assert refusals(effects) == {waiting.attempt_id: RefusalCode.DEADLINE}
     assert not len([row for row in owner.tables.attempts if row.offer is waiting])
