Ask one full owner of another region at most

Callers saw refusals 62 ms later than needed, and the link between regions carried offers that were refused: once an owner of another region had no free slot, a further one there was asked, 60 ms later. Change: the call then stays in its region, as a download does.

--- a/packages/papayapost/src/papayapost/traffic/entry/failed_attempts.py
+++ b/packages/papayapost/src/papayapost/traffic/entry/failed_attempts.py
@@ -3,6 +3,7 @@
 from papayapost.ids import AttemptId, CallId
 from papayapost.kernel import System, Tick
 from papayapost.observe import Event, Noted
+from papayapost.states import LinkClass
 from papayapost.traffic.entry.offers import (
     Offers,
     close_call,
@@ -119,6 +120,7 @@
         if refused.code is RefusalCode.NO_FREE_SLOT:
             # The attempt did not wait there, so a later one may.
             call.tried.remove(upstream.node_id)
+            call.is_refused_across |= upstream.distance is LinkClass.ACROSS
         if refused.code is RefusalCode.SERVER_FAILING:
             call.failing_servers += 1
         if refused.code in _FAILURE_CODES:
--- a/packages/papayapost/src/papayapost/traffic/entry/offers.py
+++ b/packages/papayapost/src/papayapost/traffic/entry/offers.py
@@ -193,7 +193,8 @@
         if route.cross_link and self._link.allows(route.rank, tick.now_us):
             reach = LinkClass.ACROSS
         service = self._upstreams.service(call.service, tick.now_us)
-        if route.link_last and any(service.tiers[: LinkClass.ACROSS]):
+        is_last_resort = route.link_last or call.is_refused_across
+        if is_last_resort and any(service.tiers[: LinkClass.ACROSS]):
             reach = LinkClass.REGION
         return self._policy.choose(service, call.tried, reach, tick.now_us, tick.random)
 
--- a/packages/papayapost/src/papayapost/traffic/entry/tables.py
+++ b/packages/papayapost/src/papayapost/traffic/entry/tables.py
@@ -58,6 +58,9 @@
         but for refusals for want of a free slot.
     failing_servers
         Number of refusals because a backend server fails.
+    is_refused_across
+        Whether an owner node of another region had no free slot. A further one
+        would cost the time of the way there and back again.
     may_have_run
         Whether an attempt that is no longer outstanding may have run.
     arrived_us
@@ -82,6 +85,7 @@
     retries: int = 0
     redirects: int = 0
     failing_servers: int = 0
+    is_refused_across: bool = False
     is_hedged: bool = False
     may_have_run: bool = False
     step: CallStep = CallStep.NONE
