Take the longer of the own and the mean slot time for the wait

Cause: the wait was counted in the mean slot time of all work. Many short inner calls make it small, while long work has the slots. Change: the larger of that mean and the attempt's own class.

--- a/packages/papayapost/src/papayapost/traffic/owner/admission.py
+++ b/packages/papayapost/src/papayapost/traffic/owner/admission.py
@@ -240,7 +240,11 @@
         tables = self._tables
         if self._has_free_slot(offer):
             return 0.0
-        service_us = self._service_times.mean_of_all_us(tick.now_us)
+        # Work ahead may be longer than the attempt's own, or of its kind.
+        service_us = max(
+            self._service_times.mean_of_all_us(tick.now_us),
+            self._service_times.mean_us(work_class(offer), tick.now_us),
+        )
         next_slot_us = service_us / max(1, self._concurrency.limit)
         if not tables.waiting:
             return next_slot_us
