--- a/packages/papayapost/src/papayapost/distribution/__init__.py
+++ b/packages/papayapost/src/papayapost/distribution/__init__.py
@@ -9,6 +9,7 @@
 )
 from papayapost.distribution.messages import (
     AcceptedRules,
+    PeersListed,
     RulesInForce,
     RulesRejected,
     RulesStaged,
@@ -60,6 +61,7 @@
     "Laggard",
     "LineEdit",
     "PeerRulesVersionSeen",
+    "PeersListed",
     "RefusedVersion",
     "RulesBusy",
     "RulesChunk",
--- a/packages/papayapost/src/papayapost/distribution/messages.py
+++ b/packages/papayapost/src/papayapost/distribution/messages.py
@@ -16,6 +16,7 @@
     "FetchDue",
     "FloorWaitExpired",
     "ObjectReconciled",
+    "PeersListed",
     "ProgressCollected",
     "ProgressDue",
     "ReconcileDue",
@@ -139,6 +140,11 @@
     """Internal: the store answers this node, or its relays, again."""
 
 
+@define
+class PeersListed:
+    """Internal: the store has told this node which other nodes there are."""
+
+
 @define
 class ReconcileObject:
     """Internal: request to bring a store object to a desired value."""
--- a/packages/papayapost/src/papayapost/distribution/part.py
+++ b/packages/papayapost/src/papayapost/distribution/part.py
@@ -20,7 +20,11 @@
 )
 from papayapost.distribution.reports import PublishStatus
 from papayapost.distribution.requests import FetchSnapshots, RequestFromParent
-from papayapost.distribution.rules_sharing import ShareRules
+from papayapost.distribution.rules_sharing import (
+    AnswerWaitingPeers,
+    RulesAnswers,
+    ShareRules,
+)
 from papayapost.distribution.rules_table import RulesTable
 from papayapost.distribution.snapshots import SendSnapshots
 from papayapost.distribution.source import (
@@ -91,14 +95,16 @@
     contact = DirectWatchRow(link_mbps=own.link_mbps if own else 0.0)
     history = ChangeHistory()
     ranks = WatchRanks(directory, me.place.region)
+    answers = RulesAnswers(me, rules, contact, history)
     systems: list[System] = [
         AssignWatchRole(me, ranks, rules, contact),
         WatchStore(rules, contact),
         ApplyRelayedDeltas(rules, directory),
-        ShareRules(me, rules, contact, history),
+        ShareRules(me, rules, contact, answers),
         CompileRules(rules),
         RecordChanges(rules, contact, history),
         ActivateCompiledRules(rules),
+        AnswerWaitingPeers(answers),
         PushToRegion(me, directory, ranks, rules, contact, history),
         FollowRelays(me, directory, ranks, rules, contact),
     ]
--- a/packages/papayapost/src/papayapost/distribution/watch_ranks.py
+++ b/packages/papayapost/src/papayapost/distribution/watch_ranks.py
@@ -11,6 +11,10 @@
 
 RELAYS = 2
 _DEPUTIES = 2
+_MIN_SERVED = 4
+_MBPS_FOR_EACH_SERVED = 2.0
+"""How many nodes that start get the whole rules from one node, by the rate of
+its link: a compressed text of 150 KB takes 0.6 s at 2 Mbit/s."""
 
 _LEAVING_STATES = (BackendServerState.DRAINING, BackendServerState.GONE)
 
@@ -85,6 +89,7 @@
         self._region = region
         self._standings: dict[NodeId, _Standing] = {}
         self._positions: dict[NodeId, int] = {}
+        self._ranked: list[NodeId] = []
         self.regions: dict[RegionId, RegionRank] = {}
         self.refresh(directory)
 
@@ -112,6 +117,7 @@
         heads = ranked[: RELAYS + _DEPUTIES]
         self.regions[region] = RegionRank(heads[:RELAYS], heads[RELAYS:])
         if region == self._region:
+            self._ranked = ranked
             self._positions = {node_id: at for at, node_id in enumerate(ranked)}
 
     @property
@@ -131,6 +137,24 @@
         """
         return self._positions.get(node_id, len(self._positions))
 
+    def text_source(self, node_id: NodeId) -> NodeId | None:
+        """Return from whom a node of this region gets the whole rules.
+
+        The region is a tree in the order of rank. Each node serves as many
+        others as its link allows; None for a relay and for an unknown node.
+        """
+        position = self.position(node_id)
+        if position < RELAYS or position >= len(self._ranked):
+            return None
+        served_until = RELAYS
+        for above in self._ranked[:position]:
+            row = self._directory.get(above)
+            link_mbps = row.link_mbps if row else 0.0
+            served_until += max(_MIN_SERVED, int(link_mbps / _MBPS_FOR_EACH_SERVED))
+            if position < served_until:
+                return above
+        return None
+
     def far_relays(self) -> list[BackendServerRow]:
         """Return the relays of the other regions."""
         rows = (
--- a/packages/papayapost/src/papayapost/distribution/watch_roles.py
+++ b/packages/papayapost/src/papayapost/distribution/watch_roles.py
@@ -8,6 +8,7 @@
 from papayapost.define import define
 from papayapost.distribution.direct import DirectWatchRow, PeerRulesVersionSeen
 from papayapost.distribution.messages import (
+    PeersListed,
     StoreAnswered,
     StoreRegained,
     WatchRoleChanged,
@@ -45,6 +46,9 @@
 """Time without a new peer after which a node that starts has met its peers,
 and longest time that it waits for them."""
 
+_MAX_LIST_US = 2_500_000
+"""Longest time that it waits for the store to tell it of its peers."""
+
 _MAX_START_US = 4_000_000
 """Time in which a node that starts leaves the store to relays that report."""
 
@@ -54,11 +58,6 @@
 """Time for which a node that has started waits for rules of its peers. Nodes
 read them from the store by rank, as one reader is enough for a region."""
 
-_MIN_SERVED = 4
-_MBPS_FOR_EACH_SERVED = 2.0
-"""How many nodes without rules ask a relay after each of its reports, by the
-rate of its link: a compressed text of 150 KB takes 0.6 s at 2 Mbit/s."""
-
 _MIN_GAIN_US = 20_000
 """How much nearer to the store a region must be for others to rely on it."""
 
@@ -77,10 +76,12 @@
     """Makes this node a relay or deputy if it ranks high in its region.
 
     A node that starts knows no other at first, and would take itself for a
-    relay. It therefore waits until it has met its peers.
+    relay. It therefore waits until the store has told it of its peers and it
+    has met them. A node that loses the role goes on reading: a text that is
+    half read has used the link already.
     """
 
-    consumes = (DirectoryChanged, SettleDue, StartDue)
+    consumes = (DirectoryChanged, PeersListed, SettleDue, StartDue)
 
     def __init__(
         self,
@@ -94,6 +95,7 @@
         self._rules = rules
         self._contact = contact
         self._is_settled = False
+        self._is_listed = False
         self._settle_by_us = 0
 
     def run(self, tick: Tick) -> None:
@@ -114,8 +116,14 @@
         contact = self._contact
         if tick.take(StartDue):
             contact.starting_until_us = Micros(tick.now_us + _MAX_START_US)
-            self._settle_by_us = tick.now_us + _MAX_SETTLE_US
-        due_us = min(self._settle_by_us, tick.now_us + _SETTLE_US)
+            self._settle_by_us = tick.now_us + _MAX_LIST_US
+        if tick.take(PeersListed):
+            self._is_listed = True
+            settle_by_us = tick.now_us + _MAX_SETTLE_US
+            self._settle_by_us = min(self._settle_by_us, settle_by_us)
+        due_us = self._settle_by_us
+        if self._is_listed:
+            due_us = min(due_us, tick.now_us + _SETTLE_US)
         tick.set_timer(SettleDue, Micros(due_us), SettleDue())
 
     def _await_turn(self, tick: Tick) -> None:
@@ -134,9 +142,6 @@
         if is_relay:
             contact.role = WatchRole.RELAY
             tick.cancel_timer(CoverDue)
-        elif self._rules.held is None:
-            contact.role = WatchRole.STARTING
-            self._await_turn(tick)
         else:
             contact.role = WatchRole.FALLBACK
         if contact.is_watching != was_watching:
@@ -181,9 +186,9 @@
             if is_followed and self._is_starting(tick):
                 self._await_cover(tick)
             if report.version > self._rules.held_version:
-                if self._may_ask(tick, sender):
-                    version = report.version
-                    tick.post(PeerRulesVersionSeen.at(sender, version, is_near))
+                source = self._text_source(tick, sender) if is_near else sender
+                version = report.version
+                tick.post(PeerRulesVersionSeen.at(source, version, is_near))
             elif report.version and is_followed:
                 self._record_cover(tick, is_near)
         if tick.take(CoverDue):
@@ -194,16 +199,17 @@
         is_early = tick.now_us < contact.starting_until_us
         return contact.role is WatchRole.STARTING and is_early
 
-    def _may_ask(self, tick: Tick, sender: BackendServerRow) -> bool:
-        """Return whether this node asks a relay for the rules at once.
+    def _text_source(self, tick: Tick, relay: BackendServerRow) -> BackendServerRow:
+        """Return whom to ask for the rules that a relay has reported.
 
-        If all nodes of a region start, only so many ask as the relay's link
-        can serve until its next report. The others get the rules from them.
+        A node that starts asks the one above it in a tree, which may be about
+        to get them itself: if all nodes of a region start, the link of a relay
+        would take long to serve them all.
         """
         if self._rules.held is not None or not self._is_starting(tick):
-            return True
-        served = max(_MIN_SERVED, sender.link_mbps / _MBPS_FOR_EACH_SERVED)
-        return tick.random.random() < served / self._ranks.size
+            return relay
+        above = self._ranks.text_source(self._me.node_id)
+        return (self._directory.get(above) if above else None) or relay
 
     def _outranks(self, report: StoreContact) -> bool:
         if self._contact.is_relay:
--- a/packages/papayapost/src/papayapost/roster/entries.py
+++ b/packages/papayapost/src/papayapost/roster/entries.py
@@ -1,6 +1,6 @@
 """Systems that write this node's store entry and read those of all nodes."""
 
-from papayapost.distribution import StoreRegained
+from papayapost.distribution import PeersListed, StoreRegained
 from papayapost.distribution.backoff import jittered_backoff_us
 from papayapost.ids import Micros
 from papayapost.kernel import System, Tick
@@ -195,7 +195,9 @@
 
     def _add_peers(self, tick: Tick, listed: ObjectsListed) -> None:
         self._failures = 0
-        self._is_listed = True
+        if not self._is_listed:
+            self._is_listed = True
+            tick.post(PeersListed())
         roster = self._roster
         for seen in listed.objects:
             if isinstance(seen.value, RosterEntry):
--- a/packages/papayapost/tests/roster/test_far_region.py
+++ b/packages/papayapost/tests/roster/test_far_region.py
@@ -187,3 +187,24 @@
     assert max(delays_of_storm(mesh, versions=2)) <= CONFIG_US // 2
     shared = sum(n for (_, kind), n in mesh.messages.items() if kind is RulesShared)
     assert shared <= 2 * len(mesh.nodes)
+
+
+@pytest.mark.parametrize("far_nodes", [48, 97])
+def test_half_of_a_far_region_has_rules_within_two_seconds_of_a_power_loss(far_nodes):
+    mesh, link = started_mesh(far_nodes)
+    nodes = list(mesh.nodes.values())
+    for node in nodes:
+        mesh.stop(node)
+    mesh.run(SECOND_US)
+    before, started_us = rules_bytes(link), mesh.now_us
+    for node in nodes:
+        mesh.start(node.me.node_id, node.me.place)
+    mesh.run(IN_TOUCH_US)
+    applied_us = sorted(
+        node.applied_us(1) or mesh.now_us
+        for node in mesh.nodes.values()
+        if node.me.place.region == FAR
+    )
+    assert applied_us[len(applied_us) // 2] - started_us < 2 * SECOND_US
+    assert applied_us[-1] - started_us < IN_TOUCH_US
+    assert texts_over(link, before) <= MAX_TEXTS_OF_A_CHANGE
