Split the estimates of slots from admission, and the mesh from the simulation

Admission keeps what it decides, SlotTimes what it estimates; rows of servers and worlds of a pattern have a file of their own.

--- a/packages/papayapost-testing/src/papayapost_testing/load_patterns/simulation.py
+++ b/packages/papayapost-testing/src/papayapost_testing/load_patterns/simulation.py
@@ -4,13 +4,12 @@
 import itertools
 import math
 from collections.abc import Callable
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 from functools import partial
 from random import Random
 
-from papayapost.ids import AttemptId, CallId, Micros, NodeId, ServiceName
+from papayapost.ids import AttemptId, CallId, Micros, NodeId
 from papayapost.peering import PeerSend
-from papayapost.place import Place
 from papayapost.states import LinkClass, Outcome
 from papayapost.traffic import (
     AnswerBegun,
@@ -25,30 +24,21 @@
     CutAnswer,
     ForwardAnswer,
     OfferSend,
-    SharedBudget,
-    TrafficOptions,
 )
 from papayapost_testing.load_patterns.figures import CallEnd, KindFigures
+from papayapost_testing.load_patterns.mesh import nodes_of, servers_of
 from papayapost_testing.load_patterns.rows import (
     KindRow,
     LoadPattern,
     Trouble,
     TroubleRow,
 )
-from papayapost_testing.traffic_worlds import (
-    TrafficWorld,
-    backend_row,
-    traffic_world,
-)
 
 __all__ = ["LoadSimulation"]
 
 _HOP_US = 500
 _HOP_BETWEEN_REGIONS_US = 30_000
 _WORK_SPREAD = 0.5
-_SPEEDS = (0.8, 0.8, 1.4)
-_RETRY_BUDGET_RATIO = 0.2
-_BUDGET_WINDOW_US = 10_000_000
 _CALLER_PAUSE_US = 50_000
 """Pause of a caller that was not told when to return."""
 
@@ -94,14 +84,6 @@
     is_cancelled: bool = False
 
 
-@dataclass(slots=True)
-class _Server:
-    service: ServiceName
-    place: Place
-    speed: float
-    troubles: list[TroubleRow] = field(default_factory=list)
-
-
 class LoadSimulation:
     """A mesh of nodes, each with a backend server, and their callers.
 
@@ -123,8 +105,8 @@
         self._sequence = itertools.count()
         self._call_ids = itertools.count(1)
         self._kinds = {kind.name: kind for kind in pattern.kinds}
-        self._servers = _servers(pattern, self._random)
-        self._nodes = _nodes(pattern, self._servers)
+        self._servers = servers_of(pattern, self._random)
+        self._nodes = nodes_of(pattern, self._servers)
         self._wakes: dict[NodeId, int] = {}
         self._calls: dict[tuple[NodeId, CallId], _Request] = {}
         self._offers: dict[AttemptId, tuple[_Request, AttemptOffer]] = {}
@@ -352,61 +334,6 @@
             request.on_end(end in (CallEnd.TIMELY, CallEnd.LATE))
 
 
-def _servers(pattern: LoadPattern, random: Random) -> dict[NodeId, _Server]:
-    servers: dict[NodeId, _Server] = {}
-    for service in pattern.services:
-        for place, count in service.servers.items():
-            for number in range(count):
-                node_id = NodeId(f"{place.data_centre}-{service.name}-{number}")
-                speed = _SPEEDS[len(servers) % len(_SPEEDS)]
-                servers[node_id] = _Server(service.name, place, speed)
-    for trouble in pattern.troubles:
-        candidates = [
-            server
-            for server in servers.values()
-            if server.service == trouble.service
-            and trouble.place in (None, server.place)
-        ]
-        count = math.ceil(trouble.share * len(candidates))
-        for server in random.sample(candidates, count):
-            server.troubles.append(trouble)
-    return servers
-
-
-def _nodes(
-    pattern: LoadPattern, servers: dict[NodeId, _Server]
-) -> dict[NodeId, TrafficWorld]:
-    slots = {service.name: service.slots for service in pattern.services}
-    rows = [
-        backend_row(node_id, server.service, server.place, slots[server.service])
-        for node_id, server in servers.items()
-    ]
-    options = TrafficOptions(
-        shared_budget=SharedBudget(
-            _RETRY_BUDGET_RATIO, pattern.retry_slack, _BUDGET_WINDOW_US
-        ),
-        has_targets=True,
-        has_exact_slots=True,
-    )
-    rules = "".join(map(_rule_of, pattern.kinds))
-    return {
-        row.node_id: traffic_world(
-            row, [other for other in rows if other is not row], rules, options=options
-        )
-        for row in rows
-    }
-
-
-def _rule_of(kind: KindRow) -> str:
-    method = "GET" if kind.is_idempotent else "POST"
-    idempotent = "yes" if kind.is_idempotent else "no"
-    return (
-        f"route {method} /{kind.name}/* -> {kind.service} rank={kind.rank.name.lower()}"
-        f" idempotent={idempotent} retries=2 timeout_ms={kind.timeout_ms}"
-        f" target_ms={kind.target_ms} link=yes # Ana: load pattern\n"
-    )
-
-
 def _active(troubles: list[TroubleRow], now_us: int) -> list[TroubleRow]:
     now_s = now_us / 1e6
     return [row for row in troubles if row.from_s <= now_s < row.to_s]
--- a/packages/papayapost/src/papayapost/traffic/owner/admission.py
+++ b/packages/papayapost/src/papayapost/traffic/owner/admission.py
@@ -12,19 +12,15 @@
     AttemptOffer,
     RefusalCode,
 )
-from papayapost.traffic.owner.concurrency import ConcurrencyLimit, ServiceTimes
+from papayapost.traffic.owner.concurrency import ConcurrencyLimit
 from papayapost.traffic.owner.queue_wait import QueueWaits, longest_hold_us
 from papayapost.traffic.owner.queues import QueueDiscipline
 from papayapost.traffic.owner.replies import Replies
 from papayapost.traffic.owner.seen import OfferStatus, SeenAttempts
 from papayapost.traffic.owner.server_breaker import BreakerState, ServerBreaker
 from papayapost.traffic.owner.shares import ActiveShares
-from papayapost.traffic.owner.tables import (
-    OwnedRow,
-    OwnedState,
-    OwnerTables,
-    work_class,
-)
+from papayapost.traffic.owner.slot_times import SlotTimes
+from papayapost.traffic.owner.tables import OwnedRow, OwnedState, OwnerTables
 from papayapost.traffic.owner.waiting import WaitingAttempts
 from papayapost.traffic.owner_messages import (
     AnswerBlocked,
@@ -87,7 +83,7 @@
         self._shares = shares
         self._replies = replies
         self._waiting_attempts = WaitingAttempts(tables, queue, replies)
-        self._service_times = ServiceTimes()
+        self._slot_times = SlotTimes(me.node_id, tables, queue, concurrency)
         self._breaker = ServerBreaker(tables)
         self._queue_waits = QueueWaits()
 
@@ -182,13 +178,11 @@
             trial_us = self._breaker.wait_us(tick.now_us)
             self._replies.refuse(tick, offer, RefusalCode.SERVER_FAILING, trial_us)
             return None
-        wait_us = self._expected_wait_us(tick, offer)
-        if not (offer.may_queue or self._has_free_slot(offer)):
+        wait_us = self._slot_times.expected_wait_us(offer, tick.now_us)
+        if not (offer.may_queue or self._slot_times.has_free_slot(offer)):
             self._replies.refuse(tick, offer, RefusalCode.NO_FREE_SLOT, wait_us)
             return None
-        min_service_us = self._service_times.low_estimate_us(
-            work_class(offer), tick.now_us
-        )
+        min_service_us = self._slot_times.shortest_us(offer, tick.now_us)
         if not self._queue_waits.is_worthwhile(
             offer, wait_us, min_service_us, tick.now_us
         ):
@@ -224,37 +218,6 @@
             return RefusalCode.QUEUE_FULL
         return None
 
-    def _has_free_slot(self, offer: AttemptOffer) -> bool:
-        """Return whether an attempt can start now and be answered soon.
-
-        Answers that wait to be sent hold no slot. They show that the link of
-        this VM is full, and an answer to another node would wait behind them.
-        """
-        tables = self._tables
-        taken = tables.running + tables.waiting
-        if offer.sender != self._me.node_id:
-            taken += len(tables.blocked_answers)
-        return taken < self._concurrency.limit
-
-    def _expected_wait_us(self, tick: Tick, offer: AttemptOffer) -> float:
-        tables = self._tables
-        if self._has_free_slot(offer):
-            return 0.0
-        # Work ahead may be longer than the attempt's own, or of its kind.
-        service_us = max(
-            self._service_times.mean_of_all_us(tick.now_us),
-            self._service_times.mean_us(work_class(offer), tick.now_us),
-        )
-        next_slot_us = service_us / max(1, self._concurrency.limit)
-        if not tables.waiting:
-            return next_slot_us
-        due_us = None if offer.target_us is None else tick.now_us + offer.target_us
-        queue_wait_us = self._queue.expected_wait_us(
-            offer.rank, due_us, service_us, tables.limit
-        )
-        oldest_wait_us = self._queue.oldest_wait_us(offer.rank, due_us, tick.now_us)
-        return max(queue_wait_us + next_slot_us, oldest_wait_us)
-
     def _apply_claim_verdict(self, tick: Tick, settled: ClaimSettled) -> None:
         row = self._tables.attempts.get(settled.attempt_id)
         if row is None or row.state is not OwnedState.CLAIMING:
@@ -288,15 +251,15 @@
     def _start(self, tick: Tick, row: OwnedRow) -> None:
         offer = row.offer
         remaining_us = row.deadline_us - tick.now_us
-        if remaining_us <= 0 or remaining_us < self._service_times.low_estimate_us(
-            work_class(offer), tick.now_us
+        if remaining_us <= 0 or remaining_us < self._slot_times.shortest_us(
+            offer, tick.now_us
         ):
             self._tables.counters.expired += 1
             self._waiting_attempts.refuse(tick, row, RefusalCode.DEADLINE, 0)
             return
         row.state = OwnedState.RUNNING
         row.started_us = tick.now_us
-        service_us = self._service_times.mean_us(work_class(offer), tick.now_us)
+        service_us = self._slot_times.mean_us(offer, tick.now_us)
         self._queue.started(row, service_us)
         self._tables.running += 1
         self._tables.running_by_rank[offer.rank] += 1
@@ -312,9 +275,7 @@
             expired = AttemptExpired(attempt_id)
             # The attempt is refused as soon as the remaining time is too short
             # to run it, while its caller still has time to retry.
-            min_service_us = int(
-                self._service_times.low_estimate_us(work_class(row.offer), tick.now_us)
-            )
+            min_service_us = int(self._slot_times.shortest_us(row.offer, tick.now_us))
             due_us = Micros(max(tick.now_us, row.deadline_us - min_service_us))
             hold_us = longest_hold_us(row.offer)
             if hold_us is not None:
@@ -354,7 +315,7 @@
             self._waiting_attempts.release_claim(tick, row)
             self._replies.refuse(tick, offer, RefusalCode.UNREACHABLE, 0)
         elif ended.is_whole and not row.is_shed:
-            self._service_times.add_sample(work_class(offer), held_us, tick.now_us)
+            self._slot_times.add_sample(offer, held_us, tick.now_us)
             self._concurrency.ended(offer.rank, held_us, is_saturated, tick.now_us)
         elif not (row.has_answer_begun or row.is_cancelled or ended.is_whole):
             self._replies.fail(tick, offer)
@@ -390,7 +351,7 @@
 
     def _refuse_late_overflow(self, tick: Tick) -> None:
         for row in self._queue.advance(tick.now_us):
-            wait_us = self._expected_wait_us(tick, row.offer)
+            wait_us = self._slot_times.expected_wait_us(row.offer, tick.now_us)
             self._waiting_attempts.refuse(tick, row, RefusalCode.QUEUE_FULL, wait_us)
         self._tables.waiting = len(self._queue)
 
@@ -404,7 +365,7 @@
         if row is None or row.state is OwnedState.RUNNING:
             return
         self._tables.counters.expired += 1
-        wait_us = self._expected_wait_us(tick, row.offer)
+        wait_us = self._slot_times.expected_wait_us(row.offer, tick.now_us)
         self._waiting_attempts.remove(row)
         self._waiting_attempts.refuse(tick, row, RefusalCode.DEADLINE, wait_us)
 
