Ask the node above only once while starting

A node whose source in the tree is alive, but gets no rules, would have asked it again with each report of a relay for up to 4 s. Found by reading the change before; the new test, a source that is cut off, passed without the change too, because heartbeats of other nodes lead to rules there.

--- a/packages/papayapost/src/papayapost/distribution/watch_roles.py
+++ b/packages/papayapost/src/papayapost/distribution/watch_roles.py
@@ -172,6 +172,7 @@
         self._ranks = ranks
         self._rules = rules
         self._contact = contact
+        self._has_asked_above = False
 
     def run(self, tick: Tick) -> None:
         """Process the reports of relays, then fall back if there are none."""
@@ -202,12 +203,14 @@
     def _text_source(self, tick: Tick, relay: BackendServerRow) -> BackendServerRow:
         """Return whom to ask for the rules that a relay has reported.
 
-        A node that starts asks the one above it in a tree, which may be about
-        to get them itself: if all nodes of a region start, the link of a relay
-        would take long to serve them all.
+        A node that starts asks the one above it in a tree first, which may be
+        about to get them itself: if all nodes of a region start, the link of a
+        relay would take long to serve them all.
         """
-        if self._rules.held is not None or not self._is_starting(tick):
+        is_first = self._rules.held is None and not self._has_asked_above
+        if not is_first or not self._is_starting(tick):
             return relay
+        self._has_asked_above = True
         above = self._ranks.text_source(self._me.node_id)
         return (self._directory.get(above) if above else None) or relay
 
--- a/packages/papayapost/tests/roster/test_far_region.py
+++ b/packages/papayapost/tests/roster/test_far_region.py
@@ -208,3 +208,20 @@
     assert applied_us[len(applied_us) // 2] - started_us < 2 * SECOND_US
     assert applied_us[-1] - started_us < IN_TOUCH_US
     assert texts_over(link, before) <= MAX_TEXTS_OF_A_CHANGE
+
+
+def test_a_node_that_starts_does_not_depend_on_the_one_that_it_asks_first():
+    mesh, _ = started_mesh(16)
+    nodes = [node for node in mesh.nodes.values() if node.me.place.region == FAR]
+    for node in nodes:
+        mesh.stop(node)
+    mesh.run(SECOND_US)
+    for node in nodes:
+        mesh.start(node.me.node_id, node.me.place)
+    mesh.run(SECOND_US)
+    ranked = rank_region(next(iter(mesh.nodes.values())).built.directory, FAR)
+    # It is in the directory of all, but gets and sends nothing from now on.
+    mesh.nodes[ranked[2].peer_address].link = LinkState.CUT
+    mesh.run(IN_TOUCH_US)
+    others = [n for n in mesh.nodes.values() if n.link is LinkState.UP]
+    assert all(node.version for node in others)
