Let a call reach a failing server if there is no other one

Callers of a service with one backend server were refused for 0.1 to 0.8 s because other requests had made it fail. Cause: a call that no other owner can take ended with the refusal. Change: it is offered to the same owner again, despite the failures. Under the default retry policy such a refusal costs no retry either, as it never reached the server.

--- a/packages/papayapost/src/papayapost/traffic/entry/failed_attempts.py
+++ b/packages/papayapost/src/papayapost/traffic/entry/failed_attempts.py
@@ -37,6 +37,10 @@
 """Longest time for which an upstream counts as full after a refusal. Within
 that time, slots and links of an owner node become free and full again."""
 
+_MAX_FAILING_SERVERS = 2
+"""Number of refusals because a backend server fails, after which the next
+server is tried even if it fails too."""
+
 _FULL_CODES = frozenset(
     [
         RefusalCode.EVICTED,
@@ -117,12 +121,7 @@
         if call is None:
             return
         call.retry_after_ms = refused.retry_after_ms
-        if refused.code is RefusalCode.NO_FREE_SLOT:
-            # The attempt did not wait there, so a later one may.
-            call.tried.remove(upstream.node_id)
-            call.is_refused_across |= upstream.distance is LinkClass.ACROSS
-        if refused.code is RefusalCode.SERVER_FAILING:
-            call.failing_servers += 1
+        _note_refusal(call, upstream, refused.code)
         if refused.code in _FAILURE_CODES:
             self._record_failure(tick, call, upstream)
         self._record_not_run(tick, call, refused.attempt_id, refused.code)
@@ -204,7 +203,9 @@
 
     def _redirect(self, tick: Tick, call: CallRow) -> bool:
         """Offer the call to another upstream without counting a retry."""
-        if not self._offers.offer(tick, call):
+        if not (
+            self._offers.offer(tick, call) or self._offer_despite_failures(tick, call)
+        ):
             return False
         if call.last_code is not RefusalCode.NO_FREE_SLOT:
             call.redirects += 1
@@ -212,6 +213,15 @@
         self._offers.set_next_step(tick, call)
         return True
 
+    def _offer_despite_failures(self, tick: Tick, call: CallRow) -> bool:
+        """Offer the call to a failing server again if there is no other."""
+        is_refused = call.last_code is RefusalCode.SERVER_FAILING
+        if call.despite_failures or not is_refused:
+            return False
+        call.despite_failures = True
+        call.tried.pop()
+        return self._offers.offer(tick, call)
+
     def _may_retry(self, call: CallRow) -> bool:
         if self._retries.may_retry(call):
             return True
@@ -305,3 +315,15 @@
 
     def _call_of(self, attempt: AttemptRow | None) -> CallRow | None:
         return None if attempt is None else self._tables.calls.get(attempt.call_id)
+
+
+def _note_refusal(call: CallRow, upstream: UpstreamRow, code: RefusalCode) -> None:
+    """Record in a call what a refusal says about its further attempts."""
+    if code is RefusalCode.NO_FREE_SLOT:
+        # The attempt did not wait there, so a later one may.
+        call.tried.remove(upstream.node_id)
+        call.is_refused_across |= upstream.distance is LinkClass.ACROSS
+    elif code is RefusalCode.SERVER_FAILING:
+        call.failing_servers += 1
+        if call.failing_servers >= _MAX_FAILING_SERVERS:
+            call.despite_failures = True
--- a/packages/papayapost/src/papayapost/traffic/entry/offers.py
+++ b/packages/papayapost/src/papayapost/traffic/entry/offers.py
@@ -57,10 +57,6 @@
 or refuse. The next attempt may queue, so that the number of messages for each
 call stays bounded when all slots are taken."""
 
-_MAX_FAILING_SERVERS = 2
-"""Number of refusals because a backend server fails, after which the next
-server is tried even if it fails too."""
-
 _STATUS_BY_CODE = {
     RefusalCode.NO_ROUTE: 404,
     RefusalCode.DUPLICATE: 409,
@@ -242,7 +238,7 @@
             upstream.incarnation,
             self._target_remaining_us(tick, call, margin_us),
             may_queue,
-            call.failing_servers >= _MAX_FAILING_SERVERS,
+            call.despite_failures,
             None if route.target_ms is None else Micros(route.target_ms * 1000),
         )
 
--- a/packages/papayapost/src/papayapost/traffic/entry/retries.py
+++ b/packages/papayapost/src/papayapost/traffic/entry/retries.py
@@ -17,6 +17,9 @@
 _HEDGE_RESERVE_TOKENS = 5.0
 _PAUSE_MIN_US = 5_000
 _PAUSE_MAX_US = 100_000
+_NO_RETRY_CODES = frozenset(
+    [RefusalCode.DRAINING, RefusalCode.NO_FREE_SLOT, RefusalCode.SERVER_FAILING]
+)
 
 
 class RetryPolicy(ABC):
@@ -105,13 +108,16 @@
         """Do nothing, because only successes earn budget."""
 
     def costs_no_retry(self, call: CallRow, code: RefusalCode) -> bool:
-        """Return whether the owner node drains or had no free slot.
+        """Return whether the attempt was refused before the backend server.
+
+        That is so if the owner node drains, had no free slot, or keeps
+        attempts from a server that fails.
 
         Such refusals are few: after the first one, the entry node sends a
         draining owner node no more attempts, and each call has few attempts
         that may not queue.
         """
-        return code in (RefusalCode.DRAINING, RefusalCode.NO_FREE_SLOT)
+        return code in _NO_RETRY_CODES
 
     def may_retry(self, call: CallRow) -> bool:
         """Return whether the rule's limit and the budget allow a retry."""
--- a/packages/papayapost/src/papayapost/traffic/entry/tables.py
+++ b/packages/papayapost/src/papayapost/traffic/entry/tables.py
@@ -56,8 +56,9 @@
         Number of further attempts that count against the retry limit of the
         rule, and number of those that follow a refusal which costs no retry,
         but for refusals for want of a free slot.
-    failing_servers
-        Number of refusals because a backend server fails.
+    failing_servers, despite_failures
+        Number of refusals because a backend server fails, and whether the call
+        is to be tried all the same.
     is_refused_across
         Whether an owner node of another region had no free slot. A further one
         would cost the time of the way there and back again.
@@ -85,6 +86,7 @@
     retries: int = 0
     redirects: int = 0
     failing_servers: int = 0
+    despite_failures: bool = False
     is_refused_across: bool = False
     is_hedged: bool = False
     may_have_run: bool = False
--- a/packages/papayapost/src/papayapost/traffic/owner/server_breaker.py
+++ b/packages/papayapost/src/papayapost/traffic/owner/server_breaker.py
@@ -40,9 +40,10 @@
     before they reach the server, and lets single attempts through to learn of
     the end of the trouble.
 
-    A call that other owner nodes refused for the same reason is let through.
-    If most servers of a service fail, the cause is likely elsewhere, and they
-    are not closed to everybody.
+    A call that two owner nodes refused for this reason, or that has no other
+    server left, is let through. If most servers of a service fail, the cause
+    is likely elsewhere, and they are not closed to everybody; and requests of
+    one kind that make a server fail don't keep all others from it.
     """
 
     def __init__(self, tables: OwnerTables):
--- a/packages/papayapost/tests/traffic/test_server_breaker.py
+++ b/packages/papayapost/tests/traffic/test_server_breaker.py
@@ -1,8 +1,8 @@
 """The breaker before a backend server, by ticks of its owner node."""
 
-from papayapost.ids import InstanceId, ServiceName
+from papayapost.ids import CallId, InstanceId, ServiceName
 from papayapost.states import BackendServerState
-from papayapost.traffic import BackendCallEnded, RefusalCode
+from papayapost.traffic import BackendCallEnded, CallArrived, RefusalCode
 from papayapost.traffic.owner.tables import OwnBackendRow
 
 from .owners import Owner, refusals, started
@@ -90,3 +90,9 @@
         InstanceId("i2"), 5, 1, ServiceName("gusts"), 2, BackendServerState.READY
     )
     assert refused_code(owner) is None
+
+
+def test_a_call_without_another_server_reaches_the_failing_one():
+    owner = owner_of_failing_server()
+    arrived = CallArrived(CallId(1), "GET", "h", "/x")
+    assert len(started(owner.tick(arrived))) == 1
