--- a/packages/papayapost/src/papayapost/traffic/owner/server_breaker.py
+++ b/packages/papayapost/src/papayapost/traffic/owner/server_breaker.py
@@ -10,7 +10,8 @@
 
 _FAILURES_TO_OPEN = 5
 """Number of failures in a row after which the backend server gets trials only.
-A server that refuses or fails half of its attempts seldom reaches it."""
+A server that refuses half of its attempts reaches it at times; the next good
+answer ends it."""
 
 _MIN_TRIAL_INTERVAL_US = 100_000
 _MAX_TRIAL_INTERVAL_US = 800_000
