Refuse names and paths in the settings that end in a line break

Since settings are checked with msgspec a node id of 'n1' with a line break, or such a health path, was accepted; the path would have broken the health request. Change: the patterns end in '\Z'.

--- a/packages/papayapost-node/src/papayapost_node/settings/model.py
+++ b/packages/papayapost-node/src/papayapost_node/settings/model.py
@@ -19,7 +19,7 @@
 ]
 
 
-PathText = Annotated[str, Meta(pattern=r"^/[!-~]*$")]
+PathText = Annotated[str, Meta(pattern=r"^/[!-~]*\Z")]
 """Path of an HTTP request: a slash and printable ASCII without spaces."""
 
 
--- a/packages/papayapost-node/src/papayapost_node/settings_file.py
+++ b/packages/papayapost-node/src/papayapost_node/settings_file.py
@@ -62,7 +62,7 @@
 AddressText = Annotated[str, _AddressFormat]
 """An IP address and a port number, as in ``10.0.0.7:4100``."""
 
-NameText = Annotated[str, msgspec.Meta(pattern=r"^[a-z0-9][a-z0-9-]{0,62}$")]
+NameText = Annotated[str, msgspec.Meta(pattern=r"^[a-z0-9][a-z0-9-]{0,62}\Z")]
 """A name of up to 63 lower-case letters, digits and ``-``."""
 
 M = TypeVar("M", bound=SettingsModel)
--- a/packages/papayapost-node/tests/test_settings.py
+++ b/packages/papayapost-node/tests/test_settings.py
@@ -67,6 +67,11 @@
         (with_backend_server(slot=1), "S003 backend_server.slot"),
         ({"node_id": 7}, "S005 node_id"),
         ({"node_id": "No 1"}, "S007 node_id"),
+        ({"node_id": "n1\n"}, "S007 node_id"),
+        (
+            with_backend_server(health_path="/health\n"),
+            "S007 backend_server.health_path",
+        ),
         ({"http": {"connections": "many"}}, "S005 http.connections"),
         (with_backend_server(slots=0), "S006 backend_server.slots"),
         (with_backend_server(slots=True), "S005 backend_server.slots"),
