--- a/review/standins/mesh.py
+++ b/review/standins/mesh.py
@@ -206,10 +206,14 @@
             ],
         }
         item = await self.store.put("config", "main", spec)
-        size = len(json.dumps(spec, separators=(",", ":")))
-        self.record("config acknowledged", version=version, bytes=size)
+        size = len(self.encoded(item))
+        self.record("config acknowledged", version=version, object_bytes=size)
         return item
 
+    @staticmethod
+    def encoded(item):
+        return json.dumps(item, separators=(",", ":")).encode()
+
     async def request(self, node, method, host, path, timeout_ms=2000, body=b""):
         request_id = f"{self._ids.getrandbits(64):016x}"
         headers = [
--- a/review/standins/store.py
+++ b/review/standins/store.py
@@ -17,7 +17,7 @@
         self.objects = {}
         self.changes = []
         self.revision = 7
-        self.changed = asyncio.Condition()
+        self._changed = asyncio.Event()
 
     async def start(self, host, port):
         # A value may have up to 1 MiB.
@@ -27,24 +27,24 @@
 
     async def put(self, kind, name, spec):
         """Create or replace an object, as the operator does."""
-        async with self.changed:
-            self.revision += 1
-            known = self.objects.get((kind, name))
-            item = {
-                "metadata": {
-                    "name": name,
-                    "revision": self.revision,
-                    "created": known["metadata"]["created"] if known else self.revision,
-                    "finalizers": [],
-                    "deleting": False,
-                },
-                "spec": spec,
-                "status": None,
-            }
-            self.objects[kind, name] = item
-            self.changes.append((self.revision, kind, item))
-            self.changed.notify_all()
-            return item
+        self.revision += 1
+        known = self.objects.get((kind, name))
+        item = {
+            "metadata": {
+                "name": name,
+                "revision": self.revision,
+                "created": known["metadata"]["created"] if known else self.revision,
+                "finalizers": [],
+                "deleting": False,
+            },
+            "spec": spec,
+            "status": None,
+        }
+        self.objects[kind, name] = item
+        self.changes.append((self.revision, kind, item))
+        self._changed.set()
+        self._changed = asyncio.Event()
+        return item
 
     async def _serve(self, reader, writer):
         try:
@@ -107,17 +107,16 @@
     async def _watch(self, kind, options):
         since = int(options["watch"])
         due_s = asyncio.get_running_loop().time() + int(options.get("wait_ms", 0)) / 1000
-        async with self.changed:
-            while True:
-                found = [
-                    {"deleted": False, "object": item}
-                    for revision, changed_kind, item in self.changes
-                    if changed_kind == kind and revision > since
-                ]
-                left_s = due_s - asyncio.get_running_loop().time()
-                if found or left_s <= 0:
-                    return {"events": found, "current_rev": self.revision}
-                try:
-                    await asyncio.wait_for(self.changed.wait(), left_s)
-                except asyncio.TimeoutError:
-                    pass
+        while True:
+            found = [
+                {"deleted": False, "object": item}
+                for revision, changed_kind, item in self.changes
+                if changed_kind == kind and revision > since
+            ]
+            left_s = due_s - asyncio.get_running_loop().time()
+            if found or left_s <= 0:
+                return {"events": found, "current_rev": self.revision}
+            try:
+                await asyncio.wait_for(self._changed.wait(), left_s)
+            except asyncio.TimeoutError:
+                pass
--- a/review/standins/upstream.py
+++ b/review/standins/upstream.py
@@ -99,6 +99,11 @@
         if self.running >= self.slots:
             headers = [*echo, ("X-Not-Executed", "1")]
             return encode("HTTP/1.1 503 Service Unavailable", headers)
+        return await self._run(request, echo)
+
+    async def _run(self, request, echo):
+        method, target, _ = request.start.split()
+        request_id = request.get("x-request-id")
         self.running += 1
         self.runs.append((time.monotonic(), request_id))
         self.record("run", server=self.name, id=request_id, method=method, path=target)
