--- a/review/standins/mesh.py
+++ b/review/standins/mesh.py
@@ -5,6 +5,7 @@
 import os
 import random
 import re
+import resource
 import signal
 import socket
 import subprocess
@@ -29,6 +30,7 @@
     "bounds.grace_s": 6,
 }
 STABLE_WINDOW_S = 4.0
+MAX_FDS = 4100
 DRAIN_S = 2.5
 CONFIG_S = 2.5
 
@@ -130,7 +132,7 @@
         self.process = subprocess.Popen(
             ["python3", "-S", "-m", "papayapost_platform"],
             cwd=ROOT, env=environment, stdin=subprocess.DEVNULL,
-            stdout=self.log, stderr=self.log,
+            stdout=self.log, stderr=self.log, preexec_fn=_limit_descriptors,
         )
         self.record("start", node=self.name)
 
@@ -164,6 +166,11 @@
             self.process.wait()
 
 
+def _limit_descriptors():
+    """Give the process the descriptors that `limits.max_fds` allows it."""
+    resource.setrlimit(resource.RLIMIT_NOFILE, (MAX_FDS, MAX_FDS))
+
+
 def _text(address):
     return f"{address[0]}:{address[1]}"
 
