--- a/review/standins/mesh.py
+++ b/review/standins/mesh.py
@@ -33,6 +33,7 @@
 MAX_FDS = 4100
 DRAIN_S = 2.5
 CONFIG_S = 2.5
+GRACE_S = 6.0
 
 
 class CannotRun(Exception):
