Store a departure before it is acknowledged

Cause: the node kept the departure in its memory alone. After a kill, the next process took a late heartbeat for the first report of a ready server. It is the same for "draining" heartbeats, for two kills and for a kill of all nodes.

Change: each node has a departure object in the store. A report that says that a process leaves closes the door at once, but is acknowledged only once the store holds it; after 0.8 s without that it is answered 503, and the server reports again. A node that starts reads the object once and keeps the first report back until then. If it cannot be read, a report is believed that comes 5 s or more after the start: a late one was sent before the kill.

A departure is final for its process, and one of a process that the node has never seen, or of an earlier one, is kept as well.

--- a/packages/papayapost-node/src/papayapost_node/reports.py
+++ b/packages/papayapost-node/src/papayapost_node/reports.py
@@ -11,6 +11,7 @@
 from papayapost.traffic import (
     BackendServerDeregistered,
     BackendServerReported,
+    ReportDeferred,
     ReportTaken,
 )
 from papayapost_node.event_limit import EventRateLimit
@@ -21,6 +22,7 @@
 Report = BackendServerReported | BackendServerDeregistered
 
 _BAD_REQUEST = 400
+_UNAVAILABLE = 503
 
 
 class ReportCodec(ABC):
@@ -71,7 +73,7 @@
 
     def handlers(self) -> dict[type, Callable]:
         """Return the functions that carry out effects, by type of effect."""
-        return {ReportTaken: self._acknowledge}
+        return {ReportTaken: self._acknowledge, ReportDeferred: self._defer}
 
     async def start(self) -> None:
         """Start to listen.
@@ -102,3 +104,8 @@
         call = self._unacknowledged.pop(taken.report_id)
         if call is not None:
             call.answer(self._codec.acknowledgement())
+
+    def _defer(self, deferred: ReportDeferred) -> None:
+        call = self._unacknowledged.pop(deferred.report_id)
+        if call is not None:
+            call.answer(HttpAnswer(_UNAVAILABLE))
--- a/packages/papayapost-node/src/papayapost_node/store/values.py
+++ b/packages/papayapost-node/src/papayapost_node/store/values.py
@@ -21,7 +21,7 @@
 from papayapost.roster import RosterEntry
 from papayapost.rules import decode_text
 from papayapost.storage import ObjectKind
-from papayapost.traffic import ClaimsObject
+from papayapost.traffic import ClaimsObject, Departure
 
 __all__ = ["VALUE_TYPES", "decode_value", "encode_value"]
 
@@ -34,6 +34,7 @@
     ObjectKind.RECORD: RecordPage,
     ObjectKind.RECORD_DETAIL: ChangeDetail,
     ObjectKind.ENTRY: RosterEntry,
+    ObjectKind.DEPARTURE: Departure,
 }
 
 _ACCEPTED_PREFIX = "# papayapost version "
--- a/packages/papayapost/src/papayapost/storage/messages.py
+++ b/packages/papayapost/src/papayapost/storage/messages.py
@@ -43,6 +43,7 @@
     RECORD_DETAIL = "record-detail"
     CLAIMS = "claims"
     ENTRY = "entry"
+    DEPARTURE = "departure"
 
 
 @define(frozen=True)
--- a/packages/papayapost/src/papayapost/traffic/__init__.py
+++ b/packages/papayapost/src/papayapost/traffic/__init__.py
@@ -31,6 +31,7 @@
     RefusalCode,
 )
 from papayapost.traffic.owner.admission import AdmitAttempts
+from papayapost.traffic.owner.departures import Departure
 from papayapost.traffic.owner.tables import OwnerTables
 from papayapost.traffic.owner_messages import (
     AnswerBlocked,
@@ -46,6 +47,7 @@
     DrainComplete,
     DrainRequested,
     DropOffer,
+    ReportDeferred,
     ReportTaken,
 )
 from papayapost.traffic.part import TrafficOptions, TrafficPart, build_traffic
@@ -78,6 +80,7 @@
     "ClaimToken",
     "ClaimsObject",
     "CutAnswer",
+    "Departure",
     "DrainComplete",
     "DrainRequested",
     "DropAnswer",
@@ -94,6 +97,7 @@
     "OwnerConnectionLost",
     "OwnerTables",
     "RefusalCode",
+    "ReportDeferred",
     "ReportTaken",
     "RetryPolicy",
     "RouteCalls",
--- a/packages/papayapost/src/papayapost/traffic/internal.py
+++ b/packages/papayapost/src/papayapost/traffic/internal.py
@@ -1,13 +1,17 @@
 """Timers and internal messages that the traffic systems send each other."""
 
 from papayapost.define import define
-from papayapost.ids import AttemptId, CallId, NodeId
+from papayapost.ids import AttemptId, CallId, NodeId, ReportId
 
 __all__ = [
     "AnnouncementDue",
     "AttemptDoubted",
     "AttemptLost",
     "CallStepDue",
+    "DepartureApplied",
+    "DepartureReadDue",
+    "DepartureWriteDue",
+    "DeparturesRead",
     "DrainCheck",
     "DrainFinished",
     "DrainLimitPassed",
@@ -15,6 +19,7 @@
     "GracePeriodEnded",
     "HoldExpired",
     "LastAnswersDue",
+    "ReportDeadline",
     "TrafficStarted",
 ]
 
@@ -97,3 +102,39 @@
     """
 
     is_clean: bool
+
+
+@define
+class DepartureApplied:
+    """Internal: a backend process leaves; acknowledge it once it is stored.
+
+    Parameters
+    ----------
+    born_ms
+        Unix time in ms at which the process started.
+    """
+
+    report_id: ReportId
+    born_ms: int
+
+
+@define
+class DepartureReadDue:
+    """Timer and first message: read the departure object of this node."""
+
+
+@define
+class DeparturesRead:
+    """Internal: the departure object of this node has been read."""
+
+
+@define
+class DepartureWriteDue:
+    """Timer: the write of the departure object may be repeated."""
+
+
+@define
+class ReportDeadline:
+    """Timer: a report has waited for the store as long as it may."""
+
+    report_id: ReportId
--- a/packages/papayapost/src/papayapost/traffic/owner/backend_server.py
+++ b/packages/papayapost/src/papayapost/traffic/owner/backend_server.py
@@ -3,7 +3,7 @@
 from dataclasses import replace
 
 from papayapost.define import define
-from papayapost.ids import InstanceId, Micros, ServiceName
+from papayapost.ids import InstanceId, Micros, ReportId, ServiceName
 from papayapost.kernel import System, Tick
 from papayapost.membership import Directory, OwnRowChanged
 from papayapost.observe import Event, Noted
@@ -11,13 +11,16 @@
 from papayapost.states import BackendServerState
 from papayapost.traffic.drain_row import DrainRow
 from papayapost.traffic.entry.upstreams import Upstreams
+from papayapost.traffic.internal import DepartureApplied, DeparturesRead
 from papayapost.traffic.owner.concurrency import ConcurrencyLimit
+from papayapost.traffic.owner.departures import Departure
 from papayapost.traffic.owner.queues import QueueDiscipline
 from papayapost.traffic.owner.tables import OwnBackendRow, OwnerTables
 from papayapost.traffic.owner_messages import (
     BackendServerDeregistered,
     BackendServerReported,
     RefuseQueuedAttempts,
+    ReportDeferred,
     ReportTaken,
 )
 
@@ -43,11 +46,14 @@
     Requests reach the backend server only through this node. Before the node
     acknowledges that the backend server drains or leaves, it stops forwarding
     and refuses all waiting attempts as not run, so that entry nodes can retry
-    them elsewhere.
+    them elsewhere. `RecordDepartures` acknowledges departures, all other
+    reports are acknowledged at once.
 
     Reports are ordered by the start time of the reporting process and by the
     process's report counter. A delayed report, sent by an earlier process or
-    before a drain, is ignored.
+    before a drain, is ignored. The first report of a process is kept back
+    until it is known whether it has left during an earlier process of this
+    node.
 
     Parameters
     ----------
@@ -55,7 +61,12 @@
         Expected time between two reports, in µs.
     """
 
-    consumes = (BackendServerReported, BackendServerDeregistered, BackendServerSilent)
+    consumes = (
+        BackendServerDeregistered,
+        BackendServerReported,
+        BackendServerSilent,
+        DeparturesRead,
+    )
 
     def __init__(
         self,
@@ -78,23 +89,80 @@
         self._silence_us = max(_MIN_SILENCE_US, _MAX_MISSED_REPORTS * interval_us)
 
     def run(self, tick: Tick) -> None:
-        """Apply reports in order of arrival and acknowledge them."""
+        """Apply reports in order of arrival."""
         for reported in tick.take(BackendServerReported):
-            self._apply_report(tick, reported)
-            tick.emit(ReportTaken(reported.report_id))
+            if reported.state is BackendServerState.DRAINING:
+                self._apply_drain(tick, reported)
+            else:
+                self._apply_ready(tick, reported)
+                tick.emit(ReportTaken(reported.report_id))
         for left in tick.take(BackendServerDeregistered):
-            self._apply_departure(tick, left)
-            tick.emit(ReportTaken(left.report_id))
+            self._apply_deregistration(tick, left)
+        if tick.take(DeparturesRead):
+            self._apply_unconfirmed(tick)
         for silent in tick.take(BackendServerSilent):
             self._apply_silence(tick, silent.instance)
 
-    def _apply_report(self, tick: Tick, reported: BackendServerReported) -> None:
-        known, departed_ms = self._owner.backend, self._owner.departed_born_ms
-        if departed_ms is not None and reported.born_ms <= departed_ms:
+    def _apply_ready(self, tick: Tick, reported: BackendServerReported) -> None:
+        owner, known = self._owner, self._owner.backend
+        if owner.departures.has_left(reported.born_ms):
             return
         if known is not None and not _is_outdated_by(known, reported):
             return
-        is_same_process = known is not None and known.process == reported.process
+        if known is None and not owner.departures.is_trusted(tick.now_us):
+            unconfirmed = owner.unconfirmed
+            if unconfirmed is None or _order(unconfirmed) < _order(reported):
+                owner.unconfirmed = reported
+            return
+        row = self._take_over(tick, reported)
+        self._restart_silence_timer(tick, row)
+        self._publish_state(tick, row.service, row.slots, row.state)
+
+    def _apply_unconfirmed(self, tick: Tick) -> None:
+        unconfirmed, self._owner.unconfirmed = self._owner.unconfirmed, None
+        if unconfirmed is not None:
+            self._apply_ready(tick, unconfirmed)
+
+    def _apply_drain(self, tick: Tick, reported: BackendServerReported) -> None:
+        owner, known = self._owner, self._owner.backend
+        is_newer = known is None or _is_outdated_by(known, reported)
+        if is_newer and not owner.departures.has_left(reported.born_ms):
+            self._take_over(tick, reported)
+        departure = Departure(reported.instance, reported.born_ms)
+        self._apply_departure(tick, reported.report_id, departure)
+
+    def _apply_deregistration(
+        self, tick: Tick, left: BackendServerDeregistered
+    ) -> None:
+        known, born_ms = self._owner.backend or self._owner.unconfirmed, left.born_ms
+        if born_ms is None and known is not None and known.instance == left.instance:
+            born_ms = known.born_ms
+        if born_ms is None:
+            # The next process of this node could not tell which process left.
+            tick.emit(ReportDeferred(left.report_id))
+            return
+        departure = Departure(left.instance, born_ms)
+        self._apply_departure(tick, left.report_id, departure)
+
+    def _apply_departure(
+        self, tick: Tick, report_id: ReportId, departure: Departure
+    ) -> None:
+        """Take no more work for a process that drains or has deregistered.
+
+        A process never comes back from that, whatever it still reports.
+        """
+        owner, known = self._owner, self._owner.backend
+        if not owner.departures.has_left(departure.born_ms):
+            owner.departures.latest = departure
+            if known is not None and known.born_ms <= departure.born_ms:
+                tick.cancel_timer("backend server silent")
+                draining = BackendServerState.DRAINING
+                self._publish_state(tick, known.service, known.slots, draining)
+        tick.post(DepartureApplied(report_id, departure.born_ms))
+
+    def _take_over(self, tick: Tick, reported: BackendServerReported) -> OwnBackendRow:
+        """Replace the row of the backend server by that of a newer report."""
+        owner, known = self._owner, self._owner.backend
         row = OwnBackendRow(
             reported.instance,
             reported.born_ms,
@@ -103,30 +171,12 @@
             reported.slots,
             reported.state,
         )
-        self._owner.backend = row
-        if not is_same_process:
+        owner.backend = row
+        if known is None or known.process != row.process:
             detail = f"instance {row.instance}, started at {row.born_ms} ms"
             tick.emit(Noted(Event.BACKEND_SERVER_SEEN, detail=detail))
-        self._restart_silence_timer(tick, row)
         self._resize(row.slots)
-        self._publish_state(tick, row.service, row.slots, row.state)
-
-    def _apply_departure(self, tick: Tick, left: BackendServerDeregistered) -> None:
-        owner, known = self._owner, self._owner.backend
-        if known is None:
-            # The node has restarted since the last report. A report that is
-            # still on its way must not bring the process back.
-            owner.departed_born_ms = left.born_ms
-            return
-        if known.instance != left.instance:
-            return
-        if left.born_ms is not None and left.born_ms != known.born_ms:
-            return
-        owner.departed_born_ms = known.born_ms
-        tick.cancel_timer("backend server silent")
-        self._publish_state(
-            tick, known.service, known.slots, BackendServerState.DRAINING
-        )
+        return row
 
     def _apply_silence(self, tick: Tick, instance: InstanceId) -> None:
         known = self._owner.backend
@@ -185,6 +235,10 @@
         tick.emit(Noted(Event.BACKEND_SERVER_CHANGED, detail=detail))
 
 
+def _order(reported: BackendServerReported) -> tuple[int, int]:
+    return (reported.born_ms, reported.sequence)
+
+
 def _is_outdated_by(known: OwnBackendRow, reported: BackendServerReported) -> bool:
     """Return whether a report is newer than the last one that was applied."""
     if reported.process != known.process:
--- a/packages/papayapost/src/papayapost/traffic/owner/tables.py
+++ b/packages/papayapost/src/papayapost/traffic/owner/tables.py
@@ -9,6 +9,8 @@
 from papayapost.kernel import Table
 from papayapost.states import BackendServerState, Rank
 from papayapost.traffic.messages import AttemptOffer
+from papayapost.traffic.owner.departures import DepartureTables
+from papayapost.traffic.owner_messages import BackendServerReported
 
 __all__ = [
     "OwnBackendRow",
@@ -177,9 +179,11 @@
         Whether the backend server has reported that it drains or has left.
     backend
         The backend server's last report; None before the first.
-    departed_born_ms
-        Unix time in ms at which the backend server's process that deregistered
-        last was started; None before one has.
+    unconfirmed
+        The newest report of a process that an earlier process of this node may
+        have seen leave; None if there is none.
+    departures
+        The backend process that left last.
     blocked_answers
         Attempts that hold no slot any more, but whose answer waits for credit
         of its entry node.
@@ -195,7 +199,8 @@
         self.refuses_offers = False
         self.is_backend_draining = False
         self.backend: OwnBackendRow | None = None
-        self.departed_born_ms: int | None = None
+        self.unconfirmed: BackendServerReported | None = None
+        self.departures = DepartureTables()
         self.attempts: Table[AttemptId, OwnedRow] = Table("owned attempts")
         self.blocked_answers: set[AttemptId] = set()
         self.counters = OwnerCounters()
--- a/packages/papayapost/src/papayapost/traffic/owner_messages.py
+++ b/packages/papayapost/src/papayapost/traffic/owner_messages.py
@@ -19,6 +19,7 @@
     "DrainRequested",
     "DropOffer",
     "RefuseQueuedAttempts",
+    "ReportDeferred",
     "ReportTaken",
 ]
 
@@ -170,6 +171,16 @@
     report_id: ReportId
 
 
+@define
+class ReportDeferred:
+    """Effect at the owner node: leave a report unacknowledged for now.
+
+    The backend server reports again.
+    """
+
+    report_id: ReportId
+
+
 @define
 class RefuseQueuedAttempts:
     """Internal: refuse queued attempts, as no backend server takes them."""
--- a/packages/papayapost/src/papayapost/traffic/part.py
+++ b/packages/papayapost/src/papayapost/traffic/part.py
@@ -23,7 +23,7 @@
 from papayapost.traffic.entry.tables import EntryTables
 from papayapost.traffic.entry.upstream_tracking import OutlierEjector, TrackUpstreams
 from papayapost.traffic.entry.upstreams import Upstreams
-from papayapost.traffic.internal import TrafficStarted
+from papayapost.traffic.internal import DepartureReadDue, TrafficStarted
 from papayapost.traffic.owner.admission import AdmitAttempts
 from papayapost.traffic.owner.backend_server import ApplyBackendReports
 from papayapost.traffic.owner.concurrency import (
@@ -31,6 +31,7 @@
     ConcurrencyLimit,
     FixedLimit,
 )
+from papayapost.traffic.owner.departure_record import RecordDepartures
 from papayapost.traffic.owner.queues import QueueDiscipline, RankedQueues
 from papayapost.traffic.owner.replies import Replies
 from papayapost.traffic.owner.seen import SeenAttempts
@@ -168,6 +169,7 @@
             drain,
             options.report_interval_us,
         ),
+        RecordDepartures(me, owner.departures),
         TrackUpstreams(directory, upstreams, calls, link),
         RouteCalls(rules, calls, offers, retries, options.hold_us, drain, answer_times),
         ApplyClaimResults(claims, requests),
@@ -186,6 +188,7 @@
         EndCalls(calls, upstreams, offers, retries, ejector, link, answer_times),
         FinishDrain(drain, calls, owner, claims, me, replies),
     ]
-    return TrafficPart(
-        calls, upstreams, owner, claims, link, drain, systems, [TrafficStarted()]
-    )
+    first: list[object] = [TrafficStarted()]
+    if options.has_exact_slots:
+        first.append(DepartureReadDue())
+    return TrafficPart(calls, upstreams, owner, claims, link, drain, systems, first)
--- a/packages/papayapost/tests/traffic/test_backend_server.py
+++ b/packages/papayapost/tests/traffic/test_backend_server.py
@@ -2,66 +2,12 @@
 
 import pytest
 
-from papayapost.ids import InstanceId, ReportId, ServiceName
+from papayapost.ids import ReportId
 from papayapost.states import BackendServerState
-from papayapost.traffic import (
-    BackendServerDeregistered,
-    BackendServerReported,
-    DrainRequested,
-    RefusalCode,
-    ReportTaken,
-    TrafficOptions,
-)
-from papayapost_testing.traffic_worlds import backend_row, traffic_world
-
-from .owners import RULES, Owner, refusals, started
-
-READY, DRAINING = BackendServerState.READY, BackendServerState.DRAINING
-INTERVAL_US = 1_000_000
-
-
-class ReportedOwner(Owner):
-    def __init__(self):
-        own = backend_row("owner", "gusts", slots=0, state=BackendServerState.COLD)
-        options = TrafficOptions(
-            report_interval_us=INTERVAL_US, has_exact_slots=True, has_targets=True
-        )
-        super().__init__(node=traffic_world(own, [], RULES, options=options))
-        self.reports = 0
-
-    def report(self, state=READY, name="i-1", born_ms=100, sequence=None, slots=2):
-        self.reports += 1
-        number = self.reports if sequence is None else sequence
-        return self.tick(
-            BackendServerReported(
-                ReportId(self.reports),
-                InstanceId(name),
-                born_ms,
-                number,
-                ServiceName("gusts"),
-                slots,
-                state,
-            )
-        )
-
-    def leave(self, name="i-1", born_ms=None):
-        self.reports += 1
-        left = BackendServerDeregistered(
-            ReportId(self.reports), InstanceId(name), born_ms
-        )
-        return self.tick(left)
-
-    @property
-    def state(self):
-        return self.node.directory.require("owner").state
-
-    def run_attempt(self):
-        offer = self.offer()
-        effects = self.tick(offer)
-        if started(effects) != [offer.attempt_id]:
-            return refusals(effects)[offer.attempt_id]
-        self.end(offer.attempt_id)
-        return True
+from papayapost.traffic import DrainRequested, RefusalCode, ReportTaken
+
+from .owners import refusals, started
+from .reported_owner import DRAINING, INTERVAL_US, READY, ReportedOwner
 
 
 def test_attempts_are_refused_before_the_first_report():
