Put each configuration into force that the store takes

Change: one setting, max_rules_bytes, bounds the text; compiler, deltas and frames follow it. The text stays as it is: one rule a line, each with its owner.

A refused version is shown by the metric papayapost_rules_refused_version, the status page and papaya top, besides event 201.

--- a/packages/papayapost-node/src/papayapost_node/admin/pages.py
+++ b/packages/papayapost-node/src/papayapost_node/admin/pages.py
@@ -70,6 +70,9 @@
         The active rules version; 0 while there is none.
     staged_version
         A rules version that waits until its services are known, or None.
+    refused_version, refusal
+        The newest rules version, if it was refused, and the first reason; None
+        and empty if it was not.
     """
 
     node_id: NodeId
@@ -82,6 +85,8 @@
     children: int
     directory_rows: int
     free_slots: int
+    refused_version: RuleVersion | None = None
+    refusal: str = ""
 
 
 class TimelinePage(AdminPage):
@@ -137,6 +142,7 @@
         rules = self._world.rules
         tree = self._world.tree
         parent = tree.parent if tree else None
+        refused = rules.refused
         status = NodeStatus(
             node_id=self._self_row.node_id,
             data_centre=self._self_row.place.data_centre,
@@ -148,5 +154,7 @@
             children=len(tree.children) if tree else 0,
             directory_rows=len(self._world.directory),
             free_slots=self._world.traffic.owner.free_slots,
+            refused_version=refused.version if refused else None,
+            refusal=str(refused.findings[0]) if refused else "",
         )
         return HttpAnswer(200, _JSON, msgspec.json.encode(status))
--- a/packages/papayapost-node/src/papayapost_node/composition.py
+++ b/packages/papayapost-node/src/papayapost_node/composition.py
@@ -39,6 +39,7 @@
     OwnerSide,
     WindowBudget,
 )
+from papayapost_node.frames import max_frame_bytes
 from papayapost_node.http import BackendPool, HealthPoller, HttpLimits, StreamingServer
 from papayapost_node.observe import CallMeter, EventRecorder
 from papayapost_node.peer_messages import PeerMessages
@@ -98,11 +99,12 @@
         self._key_ring = self._build_key_ring()
         self._peers = PeerTable(self._link_class_of)
         self._event_limit = EventRateLimit(self._recorder.note_event, clock)
+        frame_bytes = max_frame_bytes(settings.max_rules_bytes)
         self._transport = ZmqTransport(
-            self._self_row.peer_address, self._peers, self._key_ring
+            self._self_row.peer_address, self._peers, self._key_ring, frame_bytes
         )
         message_codec = CompressingCodec(
-            MessagePackCodec(MESSAGE_NUMBERS), CONTROL_TYPES
+            MessagePackCodec(MESSAGE_NUMBERS), CONTROL_TYPES, frame_bytes
         )
         self._messages = PeerMessages(
             self._self_row.peer_address,
--- a/packages/papayapost-node/src/papayapost_node/observe/exposition.py
+++ b/packages/papayapost-node/src/papayapost_node/observe/exposition.py
@@ -99,9 +99,11 @@
 
     def _gauges(self) -> Iterator[Metric]:
         world = self._world
+        refused = world.rules.refused
         times = self._process.cpu_times()
         values = {
             "rules_version": world.rules.version,
+            "rules_refused_version": refused.version if refused else 0,
             "directory_rows": len(world.directory),
             "children": len(world.tree.children) if world.tree else 0,
             "free_slots": world.traffic.owner.free_slots,
--- a/packages/papayapost-node/src/papayapost_node/settings/model.py
+++ b/packages/papayapost-node/src/papayapost_node/settings/model.py
@@ -5,6 +5,7 @@
 
 from msgspec import Meta
 
+from papayapost.rules import MAX_TEXT_BYTES
 from papayapost_node.settings_file import AddressText, NameText, SettingsModel
 
 __all__ = [
@@ -219,6 +220,9 @@
         Time within which the store must begin to answer, and longest time
         without further bytes of its answer; for a watch it is added to
         `store_wait_ms`.
+    max_rules_bytes
+        Size limit of the rules text of a mesh that keeps a roster. A text that
+        is derived from another document may be several times as large.
     queue
         Order in which queued attempts get a slot of the backend server.
     hold_ms
@@ -251,6 +255,7 @@
     report_address: AddressText | None = None
     store_wait_ms: Annotated[int, Meta(ge=100, le=30_000)] = 30_000
     store_timeout_ms: Annotated[int, Meta(ge=50, le=60_000)] = 5_000
+    max_rules_bytes: Annotated[int, Meta(ge=1_000, le=256 << 20)] = MAX_TEXT_BYTES
     queue: QueueOrder = QueueOrder.SHARES
     hold_ms: Annotated[int, Meta(ge=0, le=60_000)] = 2_000
     retry_budget: RetryBudgetSettings | None = None
--- a/packages/papayapost-node/src/papayapost_node/transport/dealer.py
+++ b/packages/papayapost-node/src/papayapost_node/transport/dealer.py
@@ -9,13 +9,13 @@
 from zmq.utils.monitor import parse_monitor_message
 
 from papayapost.ids import Address
+from papayapost_node.frames import MAX_FRAME_BYTES
 from papayapost_node.security.keys import KeyPair, PublicKey
 from papayapost_node.transport.base import DroppedCallback
 
 __all__ = ["Dealer", "DealerListener", "DealerState", "open_socket"]
 
 _SOCKET_QUEUE_FRAMES = 1_000
-_MAX_FRAME_BYTES = 4 << 20
 _MAX_UNSENT_FRAMES = 256
 _CONNECT_TIMEOUT_MS = 2_000
 _NO_RECONNECT = -1
@@ -72,6 +72,8 @@
     own_keys, peer_key
         Key pair of this node and public key of the peer for CURVE; both None
         for a connection without encryption and authentication.
+    max_frame_bytes
+        Size limit of a received frame.
     """
 
     def __init__(
@@ -81,6 +83,7 @@
         listener: DealerListener,
         own_keys: KeyPair | None,
         peer_key: PublicKey | None,
+        max_frame_bytes: int = MAX_FRAME_BYTES,
     ):
         self.address = address
         self.peer_key = peer_key
@@ -88,7 +91,7 @@
         self.unsent_frames: deque[tuple[bytes, DroppedCallback | None]] = deque()
         self._listener = listener
         self._loop = asyncio.get_running_loop()
-        self._socket = open_socket(context, zmq.DEALER)
+        self._socket = open_socket(context, zmq.DEALER, max_frame_bytes)
         self._socket.setsockopt(zmq.IMMEDIATE, 1)
         self._socket.setsockopt(zmq.RECONNECT_IVL, _NO_RECONNECT)
         self._socket.setsockopt(zmq.CONNECT_TIMEOUT, _CONNECT_TIMEOUT_MS)
@@ -174,11 +177,11 @@
             self._listener.dealer_ended(self, was_ready)
 
 
-def open_socket(context: zmq.Context, kind: int) -> zmq.Socket:
+def open_socket(context: zmq.Context, kind: int, max_frame_bytes: int) -> zmq.Socket:
     """Return a socket with bounded queues that drops its frames on close."""
     socket = context.socket(kind)
     socket.setsockopt(zmq.LINGER, 0)
     socket.setsockopt(zmq.SNDHWM, _SOCKET_QUEUE_FRAMES)
     socket.setsockopt(zmq.RCVHWM, _SOCKET_QUEUE_FRAMES)
-    socket.setsockopt(zmq.MAXMSGSIZE, _MAX_FRAME_BYTES)
+    socket.setsockopt(zmq.MAXMSGSIZE, max_frame_bytes)
     return socket
--- a/packages/papayapost-node/src/papayapost_node/transport/zmq_transport.py
+++ b/packages/papayapost-node/src/papayapost_node/transport/zmq_transport.py
@@ -10,6 +10,7 @@
 from papayapost.ids import Address
 from papayapost_node.batch import InputBatching
 from papayapost_node.deadline import DeadlineTimer
+from papayapost_node.frames import MAX_FRAME_BYTES
 from papayapost_node.security.key_ring import KeyRing
 from papayapost_node.security.keys import PublicKey
 from papayapost_node.security.zap_handler import ZapHandler
@@ -42,10 +43,19 @@
     key_ring
         Keys of this node and of its peers; None disables encryption and
         authentication.
+    max_frame_bytes
+        Size limit of a received frame.
     """
 
-    def __init__(self, address: Address, peers: PeerTable, key_ring: KeyRing | None):
+    def __init__(
+        self,
+        address: Address,
+        peers: PeerTable,
+        key_ring: KeyRing | None,
+        max_frame_bytes: int = MAX_FRAME_BYTES,
+    ):
         self._address = address
+        self._max_frame_bytes = max_frame_bytes
         self._peers = peers
         self._key_ring = key_ring
         self._context = zmq.Context(io_threads=1)
@@ -74,7 +84,7 @@
                 self._context, self._key_ring, listener.unknown_key_refused
             )
             self._zap_handler.start()
-        self._router = open_socket(self._context, zmq.ROUTER)
+        self._router = open_socket(self._context, zmq.ROUTER, self._max_frame_bytes)
         self._set_server_keys()
         try:
             self._router.bind(f"tcp://{self._address}")
@@ -186,7 +196,9 @@
 
     def _open(self, address: Address, key: PublicKey | None) -> Dealer:
         own_keys = self._key_ring.own if self._key_ring else None
-        dealer = Dealer(self._context, address, self, own_keys, key)
+        dealer = Dealer(
+            self._context, address, self, own_keys, key, self._max_frame_bytes
+        )
         self._dealers[address] = dealer
         self._rows[address] = self._peers.row_for_connection(address)
         self._idle_check.set_in(_IDLE_TIMEOUT_S)
--- a/packages/papayapost-node/src/papayapost_node/wire/compression.py
+++ b/packages/papayapost-node/src/papayapost_node/wire/compression.py
@@ -5,12 +5,12 @@
 import zstandard
 
 from papayapost.errors import FrameError
+from papayapost_node.frames import MAX_FRAME_BYTES
 from papayapost_node.wire.codec import Codec
 
 __all__ = ["CompressingCodec"]
 
 _MIN_FRAME_BYTES = 512
-_MAX_DECOMPRESSED_BYTES = 4 << 20
 _COMPRESSION_LEVEL = 3
 _ZSTD_MAGIC = b"\x28\xb5\x2f\xfd"
 
@@ -27,10 +27,18 @@
         Codec of the uncompressed frames.
     message_types
         Message types whose frames may be compressed.
+    max_frame_bytes
+        Size limit of a frame after decompression.
     """
 
-    def __init__(self, inner: Codec, message_types: Collection[type]):
+    def __init__(
+        self,
+        inner: Codec,
+        message_types: Collection[type],
+        max_frame_bytes: int = MAX_FRAME_BYTES,
+    ):
         self._inner = inner
+        self._max_frame_bytes = max_frame_bytes
         self._message_types = frozenset(message_types)
         self._compressor = zstandard.ZstdCompressor(level=_COMPRESSION_LEVEL)
         self._decompressor = zstandard.ZstdDecompressor()
@@ -49,7 +57,7 @@
         ------
         FrameError
             If the frame does not decode, or its size after decompression is
-            unknown or more than 4 MB.
+            unknown or above the limit.
         """
         if not frame.startswith(_ZSTD_MAGIC):
             return self._inner.decode(frame)
@@ -58,10 +66,10 @@
     def _decompress(self, frame: bytes) -> bytes:
         try:
             size_bytes = zstandard.frame_content_size(frame)
-            if not 0 <= size_bytes <= _MAX_DECOMPRESSED_BYTES:
+            if not 0 <= size_bytes <= self._max_frame_bytes:
                 raise FrameError(
                     f"a compressed frame declares {size_bytes} bytes, but at most "
-                    f"{_MAX_DECOMPRESSED_BYTES} are allowed; check the versions of "
+                    f"{self._max_frame_bytes} are allowed; check the versions of "
                     "the two nodes"
                 )
             return self._decompressor.decompress(frame)
--- a/packages/papayapost-node/src/papayapost_node/world.py
+++ b/packages/papayapost-node/src/papayapost_node/world.py
@@ -50,7 +50,9 @@
     own_row, random = _own_row(settings, me), Random(me.incarnation)
     options = _traffic_options(settings)
     if settings.discovery is Discovery.ROSTER:
-        return build_roster_world(me, own_row, random, queue, options)
+        return build_roster_world(
+            me, own_row, random, queue, options, settings.max_rules_bytes
+        )
     seeds = [Address(seed) for seed in settings.seeds]
     return build_node_world(me, seeds, own_row, random, queue, options)
 
--- a/packages/papayapost-operator/src/papayapost_operator/top.py
+++ b/packages/papayapost-operator/src/papayapost_operator/top.py
@@ -68,6 +68,7 @@
         """Read the pages of all nodes concurrently."""
         report = asyncio.run(_read_nodes(self._addresses, self._timeout_s))
         lines = [_HEADING, *map(_node_line, report.nodes)]
+        lines += [line for node in report.nodes for line in _refusal_lines(node)]
         lines += [f"gap: {gap.source}: {gap.reason}" for gap in report.gaps]
         return Result(report, tuple(lines))
 
@@ -89,6 +90,14 @@
     )
 
 
+def _refusal_lines(node: NodeOverview) -> list[str]:
+    status = node.status
+    if status.refused_version is None:
+        return []
+    refused = f"{status.node_id} refuses version {status.refused_version}"
+    return [f"{refused}: {status.refusal}"]
+
+
 def _role_of(status: NodeStatus) -> str:
     if status.is_link_relay:
         return "link relay"
--- a/packages/papayapost-testing/tests/test_distribution_systems.py
+++ b/packages/papayapost-testing/tests/test_distribution_systems.py
@@ -18,12 +18,11 @@
     RulesRequest,
     TextOffered,
 )
-from papayapost.distribution.line_edits import MAX_RULES_BYTES
 from papayapost.ids import Address, NodeId, RuleVersion
 from papayapost.membership import ChildJoined, DirectoryChanged, RoleChanged
 from papayapost.observe import Event, Noted
 from papayapost.peering import PeerSend
-from papayapost.rules import rules_digest
+from papayapost.rules import MAX_TEXT_BYTES, rules_digest
 from papayapost.storage import (
     ObjectRead,
     ObjectUpdated,
@@ -101,7 +100,7 @@
     "with another result digest": (delta(text="other"), True),
     "truncated": (delta(edits=()), True),
     "out of range": (delta(edits=(LineEdit(3, 9, ()),)), True),
-    "oversized": (delta(edits=(LineEdit(0, 0, ("#" * MAX_RULES_BYTES,)),)), True),
+    "oversized": (delta(edits=(LineEdit(0, 0, ("#" * MAX_TEXT_BYTES,)),)), True),
 }
 
 
--- a/packages/papayapost-testing/tests/test_metrics.py
+++ b/packages/papayapost-testing/tests/test_metrics.py
@@ -5,7 +5,8 @@
 
 from prometheus_client.parser import text_string_to_metric_families
 
-from papayapost.ids import CallId
+from papayapost.distribution import TextOffered
+from papayapost.ids import CallId, RuleVersion
 from papayapost.node import build_node_world
 from papayapost.place import SelfRow
 from papayapost.states import LinkClass, Rank
@@ -77,20 +78,36 @@
     assert "papayapost_claims_conflicts_total 2.0" in lines
 
 
+async def run_top(address, me, node, meter):
+    peers = PeerTable(lambda _: None)
+    pages = [MetricsPage(meter, node, peers), StatusPage(me, node)]
+    server = AdminServer(address, pages)
+    await server.start()
+    code = await asyncio.to_thread(run, ["top", f"--nodes={address}"])
+    await server.close()
+    return code
+
+
 def test_top_shows_the_p99_latency_of_urgent_calls(capsys):
-    async def main(address):
-        me, node = build_node()
-        meter = CallMeter(SystemClock())
-        meter.record(Hop.ENTRY, Rank.URGENT, 150_000)
-        peers = PeerTable(lambda _: None)
-        pages = [MetricsPage(meter, node, peers), StatusPage(me, node)]
-        server = AdminServer(address, pages)
-        await server.start()
-        code = await asyncio.to_thread(run, ["top", f"--nodes={address}"])
-        await server.close()
-        return code
-
-    assert asyncio.run(main(*free_addresses(1))) is ExitCode.DONE
+    me, node = build_node()
+    meter = CallMeter(SystemClock())
+    meter.record(Hop.ENTRY, Rank.URGENT, 150_000)
+    (address,) = free_addresses(1)
+    assert asyncio.run(run_top(address, me, node, meter)) is ExitCode.DONE
     heading, line = capsys.readouterr().out.splitlines()
     assert heading.endswith("urgent p99")
     assert 149 < float(line.split()[-2]) < 152
+
+
+# A version that every node refuses changes nothing that callers see at once.
+def test_a_refused_version_is_shown_by_top_and_by_a_metric(capsys):
+    me, node = build_node()
+    node.world.tick(1, [TextOffered(RuleVersion(12), "oops")])
+    meter = CallMeter(SystemClock())
+    (address,) = free_addresses(1)
+    assert asyncio.run(run_top(address, me, node, meter)) is ExitCode.DONE
+    last_line = capsys.readouterr().out.splitlines()[-1]
+    assert last_line.startswith("n1 refuses version 12: ")
+    assert "unknown rule 'oops'" in last_line
+    text = expose(meter, node, PeerTable(lambda _: None)).decode()
+    assert "papayapost_rules_refused_version 12.0" in text.splitlines()
--- a/packages/papayapost/src/papayapost/distribution/__init__.py
+++ b/packages/papayapost/src/papayapost/distribution/__init__.py
@@ -2,7 +2,6 @@
 
 from papayapost.distribution.direct import DirectWatchRow, PeerRulesVersionSeen
 from papayapost.distribution.line_edits import (
-    MAX_RULES_BYTES,
     LineEdit,
     apply_edits,
     diff_lines,
@@ -50,7 +49,6 @@
 __all__ = [
     "ACCEPTED_KEY",
     "MAX_REPORTED_LAGGARDS",
-    "MAX_RULES_BYTES",
     "RULES_KEY",
     "AcceptedRules",
     "ChunkRequest",
--- a/packages/papayapost/src/papayapost/distribution/deltas.py
+++ b/packages/papayapost/src/papayapost/distribution/deltas.py
@@ -1,6 +1,6 @@
 """The system that applies the rules deltas that the parent sends."""
 
-from papayapost.distribution.line_edits import MAX_RULES_BYTES, LineEdit, apply_edits
+from papayapost.distribution.line_edits import LineEdit, apply_edits
 from papayapost.distribution.messages import FetchDue, RequestDue, TextOffered
 from papayapost.distribution.peer_messages import RulesDelta
 from papayapost.distribution.rules_table import RulesTable
@@ -51,6 +51,7 @@
 
     def __init__(self, rules: RulesTable):
         held = rules.held
+        self._max_bytes = rules.max_bytes
         self._base_version = rules.held_version
         self._digest = rules.held_digest
         self._text = held.rules.text if held else ""
@@ -81,7 +82,7 @@
             )
         text = apply_edits(self._text, delta.edits)
         size_bytes = len(text.encode())
-        if size_bytes > MAX_RULES_BYTES or rules_digest(text) != delta.digest:
+        if size_bytes > self._max_bytes or rules_digest(text) != delta.digest:
             raise DeltaRefused(
                 f"the delta to version {delta.version} yields {size_bytes} bytes, "
                 f"which do not match digest {delta.digest} or exceed the size limit; "
--- a/packages/papayapost/src/papayapost/distribution/line_edits.py
+++ b/packages/papayapost/src/papayapost/distribution/line_edits.py
@@ -7,13 +7,7 @@
 from papayapost.define import define
 from papayapost.errors import DeltaRefused
 
-__all__ = ["MAX_RULES_BYTES", "LineEdit", "apply_edits", "diff_lines", "edits_size"]
-
-MAX_RULES_BYTES = 1 << 20
-"""Largest rules text in bytes of UTF-8.
-
-This is the largest value that the object store accepts.
-"""
+__all__ = ["LineEdit", "apply_edits", "diff_lines", "edits_size"]
 
 _MAX_COMPARISONS = 250_000
 _MAX_LINES_AHEAD = 200
--- a/packages/papayapost/src/papayapost/distribution/requests.py
+++ b/packages/papayapost/src/papayapost/distribution/requests.py
@@ -1,7 +1,6 @@
 """Systems that request rules from the parent and fetch snapshots."""
 
 from papayapost.distribution.backoff import jittered_backoff_us
-from papayapost.distribution.line_edits import MAX_RULES_BYTES
 from papayapost.distribution.messages import (
     CatchUpDue,
     FetchDue,
@@ -166,12 +165,13 @@
     def _start_fetch(self, tick: Tick, notice: RulesNotice) -> None:
         if not self._is_wanted(notice):
             return
-        if notice.size_bytes > MAX_RULES_BYTES:
+        max_bytes = self._rules.max_bytes
+        if notice.size_bytes > max_bytes:
             self._refuse(
                 tick,
                 notice,
                 f"version {notice.version} is announced with {notice.size_bytes} "
-                f"bytes, the limit is {MAX_RULES_BYTES}; split the rules file",
+                f"bytes, the limit is {max_bytes}; split the rules file",
             )
             return
         fetch = self._requests.fetch
--- a/packages/papayapost/src/papayapost/distribution/rules_table.py
+++ b/packages/papayapost/src/papayapost/distribution/rules_table.py
@@ -5,7 +5,7 @@
 from papayapost.define import define
 from papayapost.distribution.status import RefusedVersion
 from papayapost.ids import RuleVersion, ServiceName
-from papayapost.rules import RuleSet
+from papayapost.rules import MAX_TEXT_BYTES, RuleSet
 from papayapost.states import StagedState
 
 __all__ = ["RulesTable", "VersionRow"]
@@ -36,6 +36,11 @@
 class RulesTable:
     """The version in force, the staged version and the last refused one.
 
+    Parameters
+    ----------
+    max_bytes
+        Size limit of a rules text in bytes of UTF-8.
+
     Attributes
     ----------
     candidate
@@ -55,7 +60,8 @@
         included.
     """
 
-    def __init__(self):
+    def __init__(self, max_bytes: int = MAX_TEXT_BYTES):
+        self.max_bytes = max_bytes
         self.candidate: VersionRow | None = None
         self.in_force: VersionRow | None = None
         self.staged: VersionRow | None = None
--- a/packages/papayapost/src/papayapost/distribution/versions.py
+++ b/packages/papayapost/src/papayapost/distribution/versions.py
@@ -59,7 +59,8 @@
         rules.newest_seen_version = max(rules.newest_seen_version, version)
         held = rules.held
         try:
-            compiled = compile_rules(offered.text, held.rules if held else None)
+            previous = held.rules if held else None
+            compiled = compile_rules(offered.text, previous, rules.max_bytes)
         except RulesRefused as refused:
             self._refuse(tick, version, refused)
             return False
--- a/packages/papayapost/src/papayapost/node.py
+++ b/packages/papayapost/src/papayapost/node.py
@@ -20,6 +20,7 @@
 from papayapost.place import SelfRow
 from papayapost.record import build_record
 from papayapost.roster import build_roster
+from papayapost.rules import MAX_TEXT_BYTES
 from papayapost.traffic import TrafficOptions, TrafficPart, build_traffic
 from papayapost.traffic.owner.queues import QueueDiscipline
 
@@ -105,13 +106,19 @@
     random: Random,
     queue: QueueDiscipline | None = None,
     options: TrafficOptions | None = None,
+    max_rules_bytes: int = MAX_TEXT_BYTES,
 ) -> NodeWorld:
     """Return the world of a node that reads the other nodes from the store.
 
     Such a node joins no tree of relays. `build_node_world` describes the
-    parameters.
+    other parameters.
+
+    Parameters
+    ----------
+    max_rules_bytes
+        Size limit of a rules text in bytes of UTF-8.
     """
-    rules = RulesTable()
+    rules = RulesTable(max_rules_bytes)
     roster = build_roster(me, own, rules)
     distribution = build_direct_distribution(me, roster.directory, rules)
     traffic = build_traffic(
--- a/packages/papayapost/src/papayapost/rules/characters.py
+++ b/packages/papayapost/src/papayapost/rules/characters.py
@@ -9,7 +9,8 @@
 __all__ = ["MAX_TEXT_BYTES", "check_characters", "check_size", "decode_text"]
 
 MAX_TEXT_BYTES = 1_000_000
-"""Size limit in bytes of UTF-8; the object store takes values up to 1 MB."""
+"""Default size limit in bytes of UTF-8; the object store takes values up to
+1 MB. A mesh whose rules come from another document has a limit of its own."""
 
 # Bidirectional controls, Unicode line separators and the byte order mark are
 # refused because an editor shows such a line differently from how it compiles.
@@ -32,17 +33,17 @@
     return data.decode("utf-8", "surrogateescape")
 
 
-def check_size(text: str) -> Finding | None:
-    """Return a finding if the text exceeds `MAX_TEXT_BYTES`, else None."""
-    if len(text) * 4 <= MAX_TEXT_BYTES:
+def check_size(text: str, max_bytes: int) -> Finding | None:
+    """Return a finding if the text exceeds a size limit, else None."""
+    if len(text) * 4 <= max_bytes:
         return None
     size_bytes = len(text.encode("utf-8", "surrogatepass"))
-    if size_bytes <= MAX_TEXT_BYTES:
+    if size_bytes <= max_bytes:
         return None
     return Finding(
         RuleFault.TEXT_TOO_LARGE.value,
         "1:1",
-        f"the text has {size_bytes} bytes, more than the limit of {MAX_TEXT_BYTES}",
+        f"the text has {size_bytes} bytes, more than the limit of {max_bytes}",
         "remove rules that are no longer needed, or merge paths into a prefix",
     )
 
--- a/packages/papayapost/src/papayapost/rules/compile.py
+++ b/packages/papayapost/src/papayapost/rules/compile.py
@@ -5,7 +5,7 @@
 import xxhash
 
 from papayapost.errors import RulesRefused
-from papayapost.rules.characters import check_characters, check_size
+from papayapost.rules.characters import MAX_TEXT_BYTES, check_characters, check_size
 from papayapost.rules.checks import FILE_CHECKS
 from papayapost.rules.faults import RuleFault
 from papayapost.rules.finding_list import FindingList, TooManyFindings
@@ -29,11 +29,13 @@
     return xxhash.xxh3_64_hexdigest(text.encode("utf-8", "surrogatepass"))
 
 
-def compile_rules(text: str, previous: RuleSet | None = None) -> RuleSet:
+def compile_rules(
+    text: str, previous: RuleSet | None = None, max_bytes: int = MAX_TEXT_BYTES
+) -> RuleSet:
     """Compile a rules text.
 
-    The result depends on the text alone, so that all nodes accept the same
-    texts and refuse the same texts.
+    The result depends on the text and the size limit of the mesh alone, so
+    that all nodes accept the same texts and refuse the same texts.
 
     Parameters
     ----------
@@ -42,6 +44,8 @@
     previous
         An earlier compiled text. Rows of lines that both texts have are
         reused, which saves time and never changes the result.
+    max_bytes
+        Size limit of the text in bytes of UTF-8.
 
     Raises
     ------
@@ -56,7 +60,7 @@
     >>> rules.routes[0].service, rules.routes[0].owner
     ('gusts', 'Mei')
     """
-    size_finding = check_size(text)
+    size_finding = check_size(text, max_bytes)
     if size_finding is not None:
         raise RulesRefused([size_finding])
     findings = FindingList()
