Decode what other programs wrote without failing as a whole

What callers saw: with one store entry nested 1,200 levels deep, nodes no longer learned of a backend server that started afterwards (report of another operator; shown here by a list of the stand-in store).

Cause: the decoder raises RecursionError for deep nesting, also in a field that nobody reads. It is no ValueError, so that the task of the list, or of the watch on the configuration, ended without an answer.

Change: decode_json is the one way to decode JSON of others. It replaces values nested over 64 levels by null, so that the other objects of the page hold, and raises ValueError for all else. An entry whose address is no IP address with a port is refused as well.

--- a/packages/papayapost-node/src/papayapost_node/http/health.py
+++ b/packages/papayapost-node/src/papayapost_node/http/health.py
@@ -9,6 +9,7 @@
 from papayapost.ids import Address
 from papayapost.states import BackendServerState
 from papayapost.traffic import BackendServerPolled
+from papayapost_node.foreign_json import decode_json
 from papayapost_node.http.connection import ClientConnection
 from papayapost_node.http.messages import HttpAnswer, HttpRequest
 
@@ -108,8 +109,8 @@
     if answer.status != 200:
         return None
     try:
-        health = msgspec.json.decode(answer.body, type=_Health)
-    except msgspec.DecodeError:
+        health = decode_json(answer.body, _Health)
+    except ValueError:
         return BackendServerState.READY
     matching = [state for state in BackendServerState if state.value == health.state]
     if matching and matching[0] is not BackendServerState.GONE:
--- a/packages/papayapost-node/src/papayapost_node/store/client.py
+++ b/packages/papayapost-node/src/papayapost_node/store/client.py
@@ -17,11 +17,10 @@
 from abc import ABC, abstractmethod
 from collections.abc import Callable
 
-import msgspec
-
 from papayapost.define import define
 from papayapost.errors import StoreConflict, StoreUnavailable
 from papayapost.ids import Address
+from papayapost_node.foreign_json import decode_json
 from papayapost_node.http import Headers, HttpAnswer
 from papayapost_node.store.connections import StoreConnections
 
@@ -152,8 +151,8 @@
         if answer.status == 404:
             return {}
         try:
-            listed = msgspec.json.decode(answer.body, type=dict[str, StoredObject])
-        except msgspec.MsgspecError as error:
+            listed = decode_json(answer.body, dict[str, StoredObject])
+        except ValueError as error:
             raise StoreUnavailable(
                 f"the list of {kind} objects does not decode: {error}; check that "
                 "this is the platform's object API"
--- a/packages/papayapost-node/src/papayapost_node/store/values.py
+++ b/packages/papayapost-node/src/papayapost_node/store/values.py
@@ -22,6 +22,8 @@
 from papayapost.rules import decode_text
 from papayapost.storage import ObjectKind
 from papayapost.traffic import ClaimsObject, Departure
+from papayapost_node.foreign_json import decode_json
+from papayapost_node.settings_file import is_address
 
 __all__ = ["VALUE_TYPES", "decode_value", "encode_value"]
 
@@ -68,7 +70,10 @@
         return _decode_accepted(data.decode())
     if value_type is DirectoryObject:
         data = _decompress(data)
-    return msgspec.json.decode(data, type=value_type)
+    value: object = decode_json(data, value_type)
+    if isinstance(value, RosterEntry) and not is_address(value.address):
+        raise ValueError(f"{value.address[:80]!r} is not an IP address with a port")
+    return value
 
 
 def _decode_accepted(data: str) -> AcceptedRules:
--- a/packages/papayapost-operator/src/papayapost_operator/event_collection.py
+++ b/packages/papayapost-operator/src/papayapost_operator/event_collection.py
@@ -4,8 +4,6 @@
 from collections.abc import Sequence
 from pathlib import Path
 
-import msgspec
-
 from papayapost.ids import Address, Micros
 from papayapost.timeline import (
     CollectEvents,
@@ -17,6 +15,7 @@
 )
 from papayapost_node.admin import TimelineReport
 from papayapost_node.clock import SystemClock
+from papayapost_node.foreign_json import decode_json
 from papayapost_node.runner import EffectHandler, WorldRunner
 from papayapost_operator.nodes import PageUnavailable, read_page
 
@@ -79,8 +78,8 @@
             body = Path(source).read_bytes()
         else:
             body = await read_page(Address(source), "/timeline", timeout_s)
-        report = msgspec.json.decode(body, type=TimelineReport)
-    except (PageUnavailable, OSError, msgspec.MsgspecError) as error:
+        report = decode_json(body, TimelineReport)
+    except (PageUnavailable, OSError, ValueError) as error:
         return SourceFailed(source, str(error))
     return SourceAnswered(
         source,
--- a/packages/papayapost-operator/src/papayapost_operator/top.py
+++ b/packages/papayapost-operator/src/papayapost_operator/top.py
@@ -3,13 +3,12 @@
 import asyncio
 from collections.abc import Sequence
 
-import msgspec
-
 from papayapost.define import define
 from papayapost.errors import UsageRefused
 from papayapost.ids import Address
 from papayapost.timeline import TimelineGap
 from papayapost_node.admin import NodeStatus
+from papayapost_node.foreign_json import decode_json
 from papayapost_operator.command import Command, Result
 from papayapost_operator.nodes import PageUnavailable, read_page
 from papayapost_operator.numbers import parse_whole_number
@@ -117,7 +116,7 @@
     try:
         status_body = await read_page(address, "/status", timeout_s)
         metrics_body = await read_page(address, "/metrics", timeout_s)
-        status = msgspec.json.decode(status_body, type=NodeStatus)
+        status = decode_json(status_body, NodeStatus)
         samples = MetricSamples(metrics_body.decode())
     except (PageUnavailable, ValueError) as error:
         return TimelineGap(address, str(error))
