Free the descriptors of a connection that ZeroMQ refuses to open

Cause: a Dealer opened its socket and monitor and registered the monitor with the event loop; when connect raised, nothing closed them, and each greeting of that peer tried again.

Change: a connection that cannot begin is closed like any other.

--- a/packages/papayapost-node/src/papayapost_node/transport/dealer.py
+++ b/packages/papayapost-node/src/papayapost_node/transport/dealer.py
@@ -112,7 +112,11 @@
             self._socket.close(0)
             raise
         self._loop.add_reader(self._monitor.fileno(), self._receive_events)
-        self._socket.connect(f"tcp://{address}")
+        try:
+            self._socket.connect(f"tcp://{address}")
+        except zmq.ZMQError:
+            self.close()
+            raise
         self._loop.call_soon(self._receive_events)
 
     def send(self, frame: bytes, on_dropped: DroppedCallback | None) -> bool:
--- a/packages/papayapost-node/tests/test_transport.py
+++ b/packages/papayapost-node/tests/test_transport.py
@@ -1,6 +1,7 @@
 """Tests of the ZeroMQ transport between nodes on the loopback interface."""
 
 import asyncio
+import os
 import threading
 import time
 
@@ -245,6 +246,24 @@
     run_with_peers(scenario)
 
 
+# Each greeting of a peer whose entry held no valid address took descriptors,
+# until the node accepted no connection any more.
+@pytest.mark.parametrize("address", ["127.0.0.1", "127.0.0.1:port", "10.0.0.1:-1"])
+def test_a_frame_to_an_invalid_address_takes_no_descriptor(address):
+    async def scenario(start):
+        sender = start(*free_addresses(1))
+        before = len(os.listdir("/proc/self/fd"))
+        for _ in range(20):
+            assert not sender.transport.send(Address(address), b"frame")
+            await asyncio.sleep(0)
+        deadline_s = time.monotonic() + 5
+        while len(os.listdir("/proc/self/fd")) > before:
+            assert time.monotonic() < deadline_s
+            await asyncio.sleep(0.01)
+
+    run_with_peers(scenario)
+
+
 def test_an_address_in_use_raises_an_error_with_its_code():
     async def scenario(start):
         (address,) = free_addresses(1)
