--- a/packages/papayapost/src/papayapost/traffic/owner/backend_server.py
+++ b/packages/papayapost/src/papayapost/traffic/owner/backend_server.py
@@ -134,11 +134,15 @@
     def _apply_deregistration(
         self, tick: Tick, left: BackendServerDeregistered
     ) -> None:
-        known, born_ms = self._owner.backend or self._owner.unconfirmed, left.born_ms
-        if born_ms is None and known is not None and known.instance == left.instance:
+        known = self._owner.backend or self._owner.unconfirmed
+        is_known = known is not None and known.instance == left.instance
+        born_ms = left.born_ms
+        if born_ms is None and known is not None and is_known:
             born_ms = known.born_ms
-        if born_ms is None:
-            # The next process of this node could not tell which process left.
+        if born_ms is None or (
+            known is not None and not is_known and born_ms > known.born_ms
+        ):
+            # Nothing shows which process left, or that it has ever been here.
             tick.emit(ReportDeferred(left.report_id))
             return
         departure = Departure(left.instance, born_ms)
--- a/packages/papayapost/tests/traffic/test_departures.py
+++ b/packages/papayapost/tests/traffic/test_departures.py
@@ -196,3 +196,21 @@
     owner = ReportedOwner()
     effects = owner.report() + owner.run_for(10)
     assert not [e for e in effects if isinstance(e, (ReadObject, UpdateObject))]
+
+
+# The drain was acknowledged without effect behind a report with a larger
+# number, which another program had sent.
+def test_a_drain_counts_whatever_numbers_other_reports_have():
+    owner = ReportedOwner()
+    owner.report(sequence=1_004)
+    assert is_taken(owner.report(DRAINING, sequence=5))
+    assert_takes_no_work(owner)
+    owner.report(READY, sequence=1_005)
+    assert_takes_no_work(owner)
+
+
+def test_a_departure_of_a_later_process_that_never_reported_is_deferred():
+    owner = ReportedOwner()
+    owner.report(name="i-1", born_ms=100)
+    assert is_deferred(owner.leave(name="i-2", born_ms=10**15))
+    assert owner.run_attempt() is True
