Limit an answer that has begun by the deadline of its call

Cause: the timer of a call was cancelled when the head of its answer arrived. What was left was a stall limit of 30 s.

Change: an answer that is not whole when its head has been processed keeps the deadline of its call. From then on it may stall for 0.3 s; one that makes progress, or whose caller is slow to read, goes on.

test_an_answer_that_a_draining_owner_does_not_complete_is_cut_in_time expected no effect at all before the cut; it expects exactly the new one now.

--- a/packages/papayapost-node/src/papayapost_node/exchange/answers.py
+++ b/packages/papayapost-node/src/papayapost_node/exchange/answers.py
@@ -19,8 +19,9 @@
 
 __all__ = ["AnswerForwarding"]
 
-_STALL_TIMEOUT_S = 30.0
-"""Longest time without a part of an answer that is being forwarded."""
+_OVERDUE_STALL_TIMEOUT_S = 0.3
+"""Longest time without a part of an answer whose call is past its deadline.
+A part takes half of it on a link of 3.5 Mbit/s."""
 
 
 class AnswerForwarding:
@@ -105,6 +106,15 @@
         """Grant the owner node credit after a slow caller has caught up."""
         self._grant_credit(attempt)
 
+    def hurry(self, attempt: OfferedRow) -> None:
+        """Cut the answer of a call past its deadline as soon as it stalls."""
+        call = attempt.call
+        if call.chosen_attempt is not attempt or call.stall_deadline is None:
+            return
+        call.stall_timeout_s = _OVERDUE_STALL_TIMEOUT_S
+        if call.exchange.is_writable:
+            call.stall_deadline.shorten_to(call.stall_timeout_s)
+
     def _head_arrived(self, head: AnswerCarrier) -> None:
         attempt = self._attempts.get(head.attempt_id)
         if attempt is None or attempt.head is not None:
@@ -170,7 +180,7 @@
                 stall_deadline.clear()
             return
         if stall_deadline is not None:
-            stall_deadline.set_in(_STALL_TIMEOUT_S)
+            stall_deadline.set_in(attempt.call.stall_timeout_s)
         attempt.body_receiver.consume_all()
 
     def _use_credit(self, attempt: OfferedRow, size_bytes: int) -> bool:
--- a/packages/papayapost-node/src/papayapost_node/exchange/entry_side.py
+++ b/packages/papayapost-node/src/papayapost_node/exchange/entry_side.py
@@ -10,6 +10,7 @@
 from papayapost.kernel import Table
 from papayapost.states import Outcome
 from papayapost.traffic import (
+    AnswerOverdue,
     CallerGone,
     CallRefusal,
     CutAnswer,
@@ -104,6 +105,7 @@
             ForwardAnswer: self._forward,
             DropAnswer: self._drop,
             CutAnswer: self._cut,
+            AnswerOverdue: self._hurry,
         }
 
     def carriers(self) -> dict[type, Callable]:
@@ -274,6 +276,11 @@
         if attempt is not None and attempt.call.call_id == effect.call_id:
             self.answers.forward(attempt)
 
+    def _hurry(self, effect: AnswerOverdue) -> None:
+        attempt = self._attempts.get(effect.attempt_id)
+        if attempt is not None and attempt.call.call_id == effect.call_id:
+            self.answers.hurry(attempt)
+
     def _drop(self, effect: DropAnswer) -> None:
         attempt = self._attempts.get(effect.attempt_id)
         if attempt is not None:
--- a/packages/papayapost-node/src/papayapost_node/exchange/tables.py
+++ b/packages/papayapost-node/src/papayapost_node/exchange/tables.py
@@ -14,6 +14,10 @@
 __all__ = ["CallerRow", "OfferedRow", "OwnedRequest"]
 
 
+STALL_TIMEOUT_S = 30.0
+"""Longest time without a part of an answer whose call has time left."""
+
+
 @define(eq=False)
 class CallerRow:
     """A caller's request at its entry node.
@@ -41,6 +45,8 @@
         The attempt whose answer is forwarded to the caller, or None.
     stall_deadline
         Deadline for the next part of the forwarded answer.
+    stall_timeout_s
+        Longest time in s between two parts of that answer.
     """
 
     call_id: CallId
@@ -53,6 +59,7 @@
     attempts: list["OfferedRow"] = field(default_factory=list)
     chosen_attempt: "OfferedRow | None" = None
     stall_deadline: DeadlineTimer | None = None
+    stall_timeout_s: float = STALL_TIMEOUT_S
 
 
 @define(eq=False)
--- a/packages/papayapost-node/tests/test_exchange.py
+++ b/packages/papayapost-node/tests/test_exchange.py
@@ -21,6 +21,7 @@
 from papayapost.traffic import (
     AnswerBegun,
     AnswerEnded,
+    AnswerOverdue,
     AttemptCancel,
     AttemptOffer,
     CallerGone,
@@ -205,6 +206,47 @@
     assert not entry.posted[-1].is_whole
 
 
+async def overdue_answer(is_writable, parts=0):
+    """Return an entry node whose call's deadline passes amid an answer."""
+    entry = EntryNode()
+    entry.exchange.is_writable = is_writable
+    entry.take(answer_head(b"one", False))
+    attempt_id = offer_of().attempt_id
+    entry.apply(ForwardAnswer(entry.call_id, attempt_id))
+    entry.apply(AnswerOverdue(entry.call_id, attempt_id))
+    for _ in range(parts):
+        await asyncio.sleep(0.1)
+        entry.take(answer_part(b"more", False))
+    return entry
+
+
+def test_an_overdue_answer_that_stalls_is_cut_and_its_attempt_ended():
+    async def scenario():
+        entry = await overdue_answer(is_writable=True)
+        async with asyncio.timeout(0.5):
+            while "cut" not in entry.exchange.recorded:
+                await asyncio.sleep(0.01)
+        assert entry.posted[-1] == CallerGone(entry.call_id)
+        assert entry.side.open_calls == 0
+
+    asyncio.run(scenario())
+
+
+@pytest.mark.parametrize(("is_writable", "parts"), [(True, 6), (False, 0)])
+def test_an_overdue_answer_goes_on_while_parts_arrive_or_the_caller_is_slow(
+    is_writable, parts
+):
+    async def scenario():
+        entry = await overdue_answer(is_writable, parts)
+        if not parts:
+            await asyncio.sleep(0.6)
+        assert "cut" not in entry.exchange.recorded
+        entry.take(answer_part(b"end", True))
+        assert entry.exchange.recorded[-1] == (b"end", True)
+
+    asyncio.run(scenario())
+
+
 def granted_bytes(entry: EntryNode) -> int:
     offer, *credits = entry.carrier_delivery.carriers
     return offer.answer_window_bytes + sum(credit.size_bytes for credit in credits)
--- a/packages/papayapost/src/papayapost/traffic/__init__.py
+++ b/packages/papayapost/src/papayapost/traffic/__init__.py
@@ -12,6 +12,7 @@
 from papayapost.traffic.messages import (
     AnswerBegun,
     AnswerEnded,
+    AnswerOverdue,
     AttemptCancel,
     AttemptFailed,
     AttemptOffer,
@@ -57,6 +58,7 @@
     "AnswerBegun",
     "AnswerBlocked",
     "AnswerEnded",
+    "AnswerOverdue",
     "AnswerUnblocked",
     "AttemptCancel",
     "AttemptExpired",
--- a/packages/papayapost/src/papayapost/traffic/entry/call_endings.py
+++ b/packages/papayapost/src/papayapost/traffic/entry/call_endings.py
@@ -24,6 +24,7 @@
 from papayapost.traffic.messages import (
     AnswerBegun,
     AnswerEnded,
+    AnswerOverdue,
     CallerGone,
     CallExpired,
     DropAnswer,
@@ -62,10 +63,13 @@
 
     def run(self, tick: Tick) -> None:
         """Process answers, expired calls and callers that left."""
-        for begun in tick.take(AnswerBegun):
+        begun_answers = tick.take(AnswerBegun)
+        for begun in begun_answers:
             self._begin_answer(tick, begun)
         for ended in tick.take(AnswerEnded):
             self._end_answer(tick, ended)
+        for begun in begun_answers:
+            self._limit_answer(tick, begun)
         for expired in tick.take(CallExpired):
             self._expire_call(tick, expired.call_id)
         for gone in tick.take(CallerGone):
@@ -91,6 +95,16 @@
             self._cancel_others(tick, call, attempt)
         tick.emit(ForwardAnswer(call.call_id, attempt.attempt_id))
 
+    def _limit_answer(self, tick: Tick, begun: AnswerBegun) -> None:
+        """Set the deadline of an answer that has begun, but not ended."""
+        attempt = self._tables.attempts.get(begun.attempt_id)
+        if attempt is None or attempt.state is not AttemptState.ANSWERING:
+            return
+        call = self._tables.calls.get(attempt.call_id)
+        if call is not None:
+            expired = CallExpired(call.call_id)
+            tick.set_timer(("call", call.call_id), call.deadline_us, expired)
+
     def _record_outcome(
         self, tick: Tick, begun: AnswerBegun, attempt: AttemptRow, call: CallRow
     ) -> None:
@@ -157,6 +171,9 @@
             return
         for attempt_id in call.outstanding:
             attempt = self._tables.attempts.require(attempt_id)
+            if attempt.state is AttemptState.ANSWERING:
+                tick.emit(AnswerOverdue(call_id, attempt_id))
+                return
             service = self._upstreams.service(call.service, tick.now_us)
             self._ejector.unanswered(tick, attempt, service)
         call.may_have_run = call.may_have_run or bool(call.outstanding)
--- a/packages/papayapost/src/papayapost/traffic/messages.py
+++ b/packages/papayapost/src/papayapost/traffic/messages.py
@@ -28,6 +28,7 @@
     "NO_INCARNATION",
     "AnswerBegun",
     "AnswerEnded",
+    "AnswerOverdue",
     "AttemptCancel",
     "AttemptFailed",
     "AttemptOffer",
@@ -370,6 +371,18 @@
     attempt_id: AttemptId
 
 
+@define
+class AnswerOverdue:
+    """Effect at the entry node: the call's deadline has passed midway.
+
+    An answer that still makes progress goes on. One that stalls is cut soon,
+    so that its caller is not kept waiting.
+    """
+
+    call_id: CallId
+    attempt_id: AttemptId
+
+
 @define
 class CutAnswer:
     """Effect at the entry node: the rest of a partly sent answer is lost.
--- a/packages/papayapost/tests/traffic/test_retries.py
+++ b/packages/papayapost/tests/traffic/test_retries.py
@@ -7,6 +7,7 @@
 from papayapost.traffic import (
     AnswerBegun,
     AnswerEnded,
+    AnswerOverdue,
     AttemptCancel,
     AttemptFailed,
     AttemptRefused,
@@ -120,6 +121,28 @@
     assert entry.is_idle()
 
 
+# Nothing limited a call whose answer had begun, so that its caller waited for
+# an owner node that stood still until it gave up itself.
+def test_an_answer_that_is_not_whole_at_the_deadline_may_stall_no_longer():
+    entry = RetryEntry()
+    offer = only(entry.call()).offer
+    begun = AnswerBegun(offer.sender, offer.attempt_id, 200, 0)
+    assert ForwardAnswer(CallId(1), offer.attempt_id) in entry.tick(begun)
+    assert not entry.tick(after_us=390_000)
+    overdue = AnswerOverdue(CallId(1), offer.attempt_id)
+    assert entry.tick(after_us=10_000) == [overdue]
+    effects = entry.tick(CallerGone(CallId(1)))
+    assert cancelled(effects) == [offer.attempt_id]
+    assert entry.is_idle()
+
+
+def test_an_answer_that_ends_in_time_leaves_no_deadline_behind():
+    entry = RetryEntry()
+    offer = only(entry.call())
+    entry.answer(offer)
+    assert not entry.tick(after_us=1_000_000)
+
+
 def test_an_idempotent_call_is_retried_at_once_when_its_owner_is_silent():
     entry = RetryEntry()
     first = only(entry.call())
@@ -218,7 +241,8 @@
     entry.tick(DirectoryChanged((row,)))
     entry.tick(AnswerBegun(offer.offer.sender, attempt_id, 200, 1))
     entry.tick(OwnerConnectionLost(offer.address))
-    assert not entry.tick(after_us=4_900_000)
+    overdue = AnswerOverdue(CallId(1), attempt_id)
+    assert entry.tick(after_us=4_900_000) == [overdue]
     assert CutAnswer(CallId(1), attempt_id) in entry.tick(after_us=100_000)
     assert entry.is_idle()
 
