Refuse in a drain what the owner node cannot finish

Cause: an owner node compared no attempt's time budget with the end of its own drain; the entry node does so for its calls.

Change: a draining owner node refuses, as not run, an attempt that may outlast its process. As at the entry, a budget longer than the whole drain counts only for attempts that may not be repeated.

--- a/packages/papayapost/src/papayapost/traffic/owner/admission.py
+++ b/packages/papayapost/src/papayapost/traffic/owner/admission.py
@@ -5,7 +5,9 @@
 from papayapost.membership import Directory
 from papayapost.observe import Event, Noted
 from papayapost.place import SelfRow
+from papayapost.states import NodeState
 from papayapost.traffic.claims.messages import ClaimSettled, ClaimVerdict
+from papayapost.traffic.drain_row import DrainRow
 from papayapost.traffic.messages import (
     NO_INCARNATION,
     AttemptCancel,
@@ -38,6 +40,10 @@
 
 _SHED_STATUS = 503
 _FAILED_STATUSES = frozenset([500, 502, _SHED_STATUS])
+_SERVICE_TIME_MARGIN = 4.0
+"""Time allowed for an attempt in a drain, in multiples of the mean time of its
+kind."""
+
 _MAX_CLAIMED_BUDGET_US = 300_000_000
 """Cap on the time budget of an attempt that claims an idempotency key. It is
 below the retention of claims, so that the claim outlasts the attempt."""
@@ -73,6 +79,7 @@
         concurrency: ConcurrencyLimit,
         shares: ActiveShares,
         replies: Replies,
+        drain: DrainRow,
     ):
         self._me = me
         self._directory = directory
@@ -82,6 +89,7 @@
         self._concurrency = concurrency
         self._shares = shares
         self._replies = replies
+        self._drain = drain
         self._waiting_attempts = WaitingAttempts(tables, queue, replies)
         self._slot_times = SlotTimes(me.node_id, tables, queue, concurrency)
         self._breaker = ServerBreaker(tables)
@@ -170,7 +178,7 @@
 
     def _admit(self, tick: Tick, offer: AttemptOffer) -> OwnedRow | None:
         tables = self._tables
-        code = self._reason_to_refuse(offer)
+        code = self._reason_to_refuse(tick, offer)
         if code is not None:
             self._replies.refuse(tick, offer, code, 0)
             return None
@@ -201,7 +209,7 @@
             self._waiting_attempts.enqueue(tick, row, wait_us)
         return row
 
-    def _reason_to_refuse(self, offer: AttemptOffer) -> RefusalCode | None:
+    def _reason_to_refuse(self, tick: Tick, offer: AttemptOffer) -> RefusalCode | None:
         """Return why this node cannot admit an offer at all, or None."""
         tables = self._tables
         if not tables.slots:
@@ -216,8 +224,27 @@
             return RefusalCode.DRAINING
         if tables.waiting_for_claim >= self._queue.capacity:
             return RefusalCode.QUEUE_FULL
+        if self._may_outlast_process(tick, offer):
+            return RefusalCode.DEADLINE
         return None
 
+    def _may_outlast_process(self, tick: Tick, offer: AttemptOffer) -> bool:
+        """Return whether this process may stop amid the attempt.
+
+        The attempt may take its whole time budget. If that is longer than the
+        whole drain, what others of its kind needed counts instead, but only if
+        the attempt may be repeated.
+        """
+        drain = self._drain
+        if drain.state is NodeState.SERVING:
+            return False
+        needed_us: float = offer.budget_us
+        is_long = needed_us > drain.end_us - drain.started_us
+        if is_long and offer.idempotent:
+            mean_us = self._slot_times.mean_us(offer, tick.now_us)
+            needed_us = min(needed_us, mean_us * _SERVICE_TIME_MARGIN)
+        return tick.now_us + needed_us > drain.end_us
+
     def _apply_claim_verdict(self, tick: Tick, settled: ClaimSettled) -> None:
         row = self._tables.attempts.get(settled.attempt_id)
         if row is None or row.state is not OwnedState.CLAIMING:
--- a/packages/papayapost/src/papayapost/traffic/part.py
+++ b/packages/papayapost/src/papayapost/traffic/part.py
@@ -183,6 +183,7 @@
             concurrency,
             ActiveShares(rules),
             replies,
+            drain,
         ),
         HandleFailedAttempts(calls, upstreams, offers, retries, ejector),
         EndCalls(calls, upstreams, offers, retries, ejector, link, answer_times),
--- a/packages/papayapost/tests/traffic/test_drain.py
+++ b/packages/papayapost/tests/traffic/test_drain.py
@@ -49,6 +49,35 @@
     assert owner.node.world.next_due_us() is None
 
 
+# An owner node broke off a booking that it had admitted in its drain, 4.2 s
+# later and before its caller's deadline.
+@pytest.mark.parametrize(
+    ("budget_ms", "is_idempotent", "is_admitted"),
+    [
+        (2_900, False, True),
+        (3_100, False, False),
+        (3_100, True, False),
+        (9_000, False, False),
+        (9_000, True, True),
+    ],
+)
+def test_a_draining_owner_admits_only_what_it_can_finish(
+    budget_ms, is_idempotent, is_admitted
+):
+    owner = Owner()
+    for _ in range(20):
+        usual = owner.offer(idempotent=is_idempotent)
+        owner.tick(usual)
+        owner.end(usual.attempt_id)
+    owner.tick(DrainRequested(limit_ms=5_000))
+    offer = owner.offer(budget_us=Micros(budget_ms * 1_000), idempotent=is_idempotent)
+    effects = owner.tick(offer, after_us=2_000_000)
+    if is_admitted:
+        assert started(effects) == [offer.attempt_id]
+    else:
+        assert refusals(effects) == {offer.attempt_id: RefusalCode.DEADLINE}
+
+
 def test_a_node_serves_other_nodes_until_it_announces_its_drain():
     own = backend_row("owner", "gusts", slots=2)
     options = TrafficOptions(drain_announce_us=1_000_000)
