Let the soak kill nodes after departures, and deliver reports late

A fault of its own lets a server leave and kills its node, or all nodes, up to 2 s later.

Endless answers to callers that do not read have a test now: eight of them through one node and two keep the traced memory under 64 MB, and further calls are served.

--- a/packages/papayapost-node/tests/test_streaming.py
+++ b/packages/papayapost-node/tests/test_streaming.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import hashlib
+import tracemalloc
 from contextlib import AsyncExitStack
 
 import pytest
@@ -299,3 +300,41 @@
         assert pair.owner.world.traffic.owner.running == 0
 
     run(scenario, backend)
+
+
+# A machine that kept all bytes of a faulty upstream ran out of memory.
+def test_endless_answers_to_callers_that_do_not_read_take_bounded_memory(run):
+    async def backend(head, reader, writer):
+        if b"/good" in head:
+            writer.write(b"HTTP/1.1 200 OK\r\ncontent-length: 4\r\n\r\ngood")
+            return
+        writer.write(b"HTTP/1.1 200 OK\r\ncontent-length: 900000000000\r\n\r\n")
+        while True:
+            writer.write(PIECE)
+            await writer.drain()
+
+    async def scenario(pair):
+        callers = []
+        tracemalloc.start()
+        try:
+            for address in addresses_of(pair) * 4:
+                reader, writer = await open_caller(address)
+                writer.transport.pause_reading()
+                writer.write(GET)
+                callers.append(writer)
+            await asyncio.sleep(1)
+            _, peak_bytes = tracemalloc.get_traced_memory()
+        finally:
+            tracemalloc.stop()
+        assert peak_bytes < 64 << 20
+        for writer in callers:
+            writer.transport.abort()
+        while pair.owner.world.traffic.owner.running:
+            await asyncio.sleep(0.01)
+        for address in addresses_of(pair):
+            reader, writer = await open_caller(address)
+            writer.write(GET.replace(b"/scan", b"/good"))
+            assert (await read_head(reader)).startswith(b"HTTP/1.1 200")
+            writer.close()
+
+    run(scenario, backend)
--- a/packages/papayapost-testing/src/papayapost_testing/soak/servers.py
+++ b/packages/papayapost-testing/src/papayapost_testing/soak/servers.py
@@ -11,7 +11,7 @@
 from papayapost.ids import Address, InstanceId
 from papayapost_node.addresses import split_address
 from papayapost_node.clock import SystemClock
-from papayapost_node.http import ClientConnection
+from papayapost_node.http import ClientConnection, HttpRequest
 from papayapost_testing.soak.http import hash_of, next_event
 from papayapost_testing.soak.messages import (
     DrainAcknowledged,
@@ -35,10 +35,14 @@
 _ACK_TIMEOUT_S = 1.0
 _DRAIN_S = 2.5
 _LAST_RUNS_S = 4.0
+_LONG_STAY_S = (5.0, 8.0)
+_LATE_REPORT_S = (0.2, 4.0)
 _DOWNLOAD_BYTES = 150_000
 _LONG_SHARE = 0.03
 _FAILED_SHARE = 0.01
 _GARBLED_SHARE = 0.4
+_LONG_STAY_SHARE = 0.5
+_UNANNOUNCED_SHARE = 0.3
 
 _ids = itertools.count(1)
 
@@ -75,6 +79,7 @@
         self._tasks: set[asyncio.Task] = set()
         self._active = 0
         self._is_draining = False
+        self._has_drained = False
         self._is_away = True
         self._reported = 0
         self._reporting: asyncio.Task | None = None
@@ -89,7 +94,8 @@
             f"{self._place.node_id}-i{next(_ids)}"
         )
         self._born_ms = max(self._born_ms + 1, time.time_ns() // 1_000_000)
-        self._reported, self._is_draining, self._is_away = 0, False, False
+        self._reported, self._is_away = 0, False
+        self._is_draining = self._has_drained = False
         self._server = await asyncio.start_server(
             self._serve, *split_address(self._address)
         )
@@ -127,14 +133,24 @@
         await self.start(self._server_id)
 
     async def _leave(self, away_s: float) -> None:
+        """Drain or deregister, and stay for a while.
+
+        A report from before arrives while it does.
+        """
+        late = asyncio.create_task(self._send_late(self._next_report()))
+        self._tasks.add(late)
+        late.add_done_callback(self._tasks.discard)
         self._is_draining = True
+        is_announced = self._random.random() >= _UNANNOUNCED_SHARE
         for _ in range(8):
-            if await self._report():
+            if await (self._report() if is_announced else self._deregister()):
                 break
             await asyncio.sleep(0.5)
         await asyncio.sleep(_DRAIN_S + self._random.uniform(0.05, 1.0))
-        farewell = self._wire.farewell(self._server_id, self._born_ms)
-        await self._send_report(farewell)
+        if self._random.random() < _LONG_STAY_SHARE:
+            await asyncio.sleep(self._random.uniform(*_LONG_STAY_S))
+        if is_announced:
+            await self._deregister()
         due_s = time.monotonic() + _LAST_RUNS_S
         while self._active and time.monotonic() < due_s:
             await asyncio.sleep(0.02)
@@ -144,31 +160,46 @@
 
     async def _report_regularly(self) -> None:
         while True:
-            await self._report()
+            # A server that has deregistered without a drain says no more.
+            if self._has_drained or not self._is_draining:
+                await self._report()
             await asyncio.sleep(_REPORT_INTERVAL_S * self._random.uniform(0.9, 1.1))
 
     async def _report(self) -> bool:
-        self._reported += 1
         is_draining = self._is_draining
-        report = self._wire.report(
+        self._has_drained = self._has_drained or is_draining
+        is_acknowledged = await self._send_report(self._next_report())
+        if is_acknowledged and is_draining:
+            self._note_acknowledged()
+        return is_acknowledged
+
+    async def _deregister(self) -> bool:
+        farewell = self._wire.farewell(self._server_id, self._born_ms)
+        is_acknowledged = await self._send_report(farewell)
+        if is_acknowledged:
+            self._note_acknowledged()
+        return is_acknowledged
+
+    async def _send_late(self, report: HttpRequest) -> None:
+        await asyncio.sleep(self._random.uniform(*_LATE_REPORT_S))
+        await self._send_report(report)
+
+    def _next_report(self) -> HttpRequest:
+        self._reported += 1
+        return self._wire.report(
             self._place,
             self._server_id,
             self._born_ms,
             self._reported,
             SLOTS,
-            is_draining,
+            self._is_draining,
         )
-        is_acknowledged = await self._send_report(report)
-        if is_acknowledged and is_draining:
-            self._post(
-                DrainAcknowledged(
-                    self._server_id,
-                    self._place.node_id,
-                    self._born_ms,
-                    self._clock.now_us(),
-                )
-            )
-        return is_acknowledged
+
+    def _note_acknowledged(self) -> None:
+        acknowledged = DrainAcknowledged(
+            self._server_id, self._place.node_id, self._born_ms, self._clock.now_us()
+        )
+        self._post(acknowledged)
 
     async def _send_report(self, report) -> bool:
         try:
--- a/packages/papayapost-testing/src/papayapost_testing/soak/unplanned.py
+++ b/packages/papayapost-testing/src/papayapost_testing/soak/unplanned.py
@@ -20,7 +20,9 @@
 )
 from papayapost_testing.soak.scene import Scene
 
-__all__ = ["UNPLANNED_FAULTS"]
+__all__ = ["UNPLANNED_FAULTS", "KillAfterDeparture"]
+
+_ALONE_SHARE = 0.8
 
 
 class SecondTerm(Fault):
@@ -49,6 +51,28 @@
         return None
 
 
+class KillAfterDeparture(Fault):
+    """Lets a backend server leave, and kills its node or all nodes.
+
+    Its place in the plan is drawn by itself, so that the other faults of a
+    seed stay as they are.
+    """
+
+    def advance(self, scene: Scene) -> Micros | None:
+        """Tell the server to leave, then kill."""
+        if self.node_ids is None:
+            self.node_ids = scene.draw_nodes(1)
+            for node_id in self.node_ids:
+                away_ms = scene.random.randint(200, 2_000)
+                scene.tick.emit(CommandServer(node_id, ServerCommand.LEAVE, away_ms))
+            return scene.draw_ms(5, 2_000)
+        everyone = [node.node_id for node in scene.tables.nodes]
+        is_alone = scene.random.random() < _ALONE_SHARE
+        for node_id in self.node_ids if is_alone else everyone:
+            scene.kill(node_id)
+        return None
+
+
 class PowerLoss(Fault):
     """Kills all nodes at the same moment."""
 
