Pace whole rules texts without the host names that repeat

Cause: a node sends whole texts at the pace of a third of their length, but host names that repeat compress to almost nothing.

Change: they are left out of that length.

--- a/packages/papayapost/src/papayapost/distribution/rules_sharing.py
+++ b/packages/papayapost/src/papayapost/distribution/rules_sharing.py
@@ -9,7 +9,7 @@
 )
 from papayapost.distribution.peer_messages import RulesBusy, RulesShared, RulesWanted
 from papayapost.distribution.rules_table import RulesTable, VersionRow
-from papayapost.ids import Micros, NodeId
+from papayapost.ids import Micros, NodeId, RuleVersion
 from papayapost.kernel import System, Tick
 from papayapost.peering import PeerSend
 from papayapost.place import SelfRow
@@ -38,7 +38,8 @@
 _TEXT_COMPRESSION = 3
 _DEFAULT_LINK_MBPS = 100.0
 """Whole texts are sent for at most this time ahead of a node's link, with what
-they compress to at least, and the rate of a link that the settings lack."""
+they compress to at least, and the rate of a link that the settings lack. Host
+names, which the lines repeat, are left out of the text for that."""
 
 
 class RulesAnswers:
@@ -56,6 +57,7 @@
         self._contact = contact
         self._history = history
         self._text_free_us = 0
+        self._counted: tuple[RuleVersion, int] = (RuleVersion(0), 0)
         self._waiting: dict[NodeId, RulesWanted] = {}
 
     def take_waiting(self) -> list[RulesWanted]:
@@ -94,10 +96,20 @@
         backlog_us = self._text_free_us - tick.now_us
         if backlog_us > _MAX_TEXT_BACKLOG_US:
             return RulesBusy(sender, Micros(backlog_us))
-        sent_bytes = len(text) // _TEXT_COMPRESSION
+        sent_bytes = self._distinct_characters(held) // _TEXT_COMPRESSION
         self._text_free_us += int(sent_bytes * 8 / rate_mbps)
         return RulesShared(sender, held.version, text)
 
+    def _distinct_characters(self, held: VersionRow) -> int:
+        """Return the length of the text without repeated host names."""
+        version, count = self._counted
+        if version != held.version:
+            hosts = [route.host for route in held.rules.routes]
+            repeated = sum(map(len, hosts)) - sum(map(len, set(hosts)))
+            count = len(held.rules.text) - repeated
+            self._counted = (held.version, count)
+        return count
+
 
 class AnswerWaitingPeers(System):
     """Answers those who asked this node before it had rules itself."""
