Test a departure whose store answers only after the report was deferred

The tests had a store that is silent, refuses or loses its answer, none that is slow. The write is confirmed 1.5 s later: the report has been deferred by then, and the next one is acknowledged without another write. It passes on the code as it is; nothing but the test changes.

--- a/packages/papayapost/tests/traffic/test_departures.py
+++ b/packages/papayapost/tests/traffic/test_departures.py
@@ -81,6 +81,22 @@
     assert_takes_no_work(owner)
 
 
+# The report has been answered by then, and the server reports again.
+def test_a_slow_store_defers_the_report_and_lets_the_next_one_be_acknowledged():
+    owner = ReportedOwner()
+    owner.report()
+    owner.store.answers = StoreAnswers.SILENT
+    effects = owner.report(DRAINING)
+    (write,) = (effect for effect in effects if isinstance(effect, UpdateObject))
+    effects = owner.run_for(1.5)
+    assert is_deferred(effects)
+    owner.store.answers = StoreAnswers.AT_ONCE
+    assert not is_taken(owner.tick(owner.store.answer(write)))
+    assert is_taken(owner.report(DRAINING))
+    assert owner.store.writes == 1
+    assert_takes_no_work(owner)
+
+
 def test_a_departure_is_acknowledged_once_the_store_is_back():
     owner = ReportedOwner()
     owner.report()
