--- a/packages/papayapost-node/src/papayapost_node/exchange/arrivals.py
+++ b/packages/papayapost-node/src/papayapost_node/exchange/arrivals.py
@@ -37,6 +37,7 @@
         terms.key,
         size,
         terms.name,
+        terms.key_digest,
     )
 
 
--- a/packages/papayapost-node/src/papayapost_node/exchange/backend_call.py
+++ b/packages/papayapost-node/src/papayapost_node/exchange/backend_call.py
@@ -417,7 +417,8 @@
     def _request_headers(self, budget_s: float) -> Headers:
         """Return the request's headers, with those that frame its body."""
         owned, services = self._owned, self._services
-        terms = BackendTerms(max(1, int(budget_s * 1000)), services.instance())
+        budget_ms = max(1, int(budget_s * 1000))
+        terms = BackendTerms(budget_ms, services.instance(), owned.account)
         headers = services.dialect.backend_headers(owned.request.headers, terms)
         headers += framing_headers(headers, len(owned.request.body), owned.is_ended)
         return headers
--- a/packages/papayapost-node/src/papayapost_node/exchange/dialect.py
+++ b/packages/papayapost-node/src/papayapost_node/exchange/dialect.py
@@ -11,9 +11,11 @@
 
 from papayapost.define import define
 from papayapost.ids import (
+    AccountName,
     CallId,
     IdempotencyKey,
     InstanceId,
+    KeyDigest,
     Micros,
     NodeId,
     RequestName,
@@ -65,11 +67,14 @@
         The request's idempotency key, or None.
     name
         The caller's own name for the request; empty without one.
+    key_digest
+        Digest of the secret key of a client account, or None without one.
     """
 
     budget_us: Micros | None
     key: IdempotencyKey | None
     name: RequestName
+    key_digest: KeyDigest | None = None
 
 
 @define(frozen=True)
@@ -82,10 +87,13 @@
         Time in milliseconds that is left for the answer.
     instance
         The only backend server that may run the request; None for any.
+    account
+        Client account that the request belongs to, or None.
     """
 
     budget_ms: int
     instance: InstanceId | None
+    account: AccountName | None = None
 
 
 class Dialect(ABC):
--- a/packages/papayapost-node/src/papayapost_node/exchange/owner_side.py
+++ b/packages/papayapost-node/src/papayapost_node/exchange/owner_side.py
@@ -129,6 +129,7 @@
                     carrier.is_ended,
                     carrier.answer_window_bytes,
                     offer.sender == self._node_id,
+                    offer.account,
                 ),
             )
         if offer.sender != self._node_id:
--- a/packages/papayapost-node/src/papayapost_node/exchange/tables.py
+++ b/packages/papayapost-node/src/papayapost_node/exchange/tables.py
@@ -4,7 +4,7 @@
 from dataclasses import field
 
 from papayapost.define import define
-from papayapost.ids import Address, AttemptId, CallId
+from papayapost.ids import AccountName, Address, AttemptId, CallId
 from papayapost_node.deadline import DeadlineTimer
 from papayapost_node.exchange.body_receiver import BodyReceiver
 from papayapost_node.exchange.body_sender import BodySender
@@ -111,6 +111,8 @@
         Credit that the entry node granted for the answer's body.
     is_local
         Whether this node is itself the entry node.
+    account
+        Client account that the request belongs to, or None.
     """
 
     attempt_id: AttemptId
@@ -119,3 +121,4 @@
     is_ended: bool
     answer_window_bytes: int
     is_local: bool = False
+    account: AccountName | None = None
--- a/packages/papayapost/src/papayapost/distribution/__init__.py
+++ b/packages/papayapost/src/papayapost/distribution/__init__.py
@@ -1,6 +1,7 @@
 """Distribution of rules versions to every node of the mesh."""
 
 from papayapost.distribution.direct import DirectWatchRow, PeerRulesVersionSeen
+from papayapost.distribution.evidence import EvidenceRow
 from papayapost.distribution.line_edits import (
     LineEdit,
     apply_edits,
@@ -56,6 +57,7 @@
     "DirectDistributionPart",
     "DirectWatchRow",
     "DistributionPart",
+    "EvidenceRow",
     "Laggard",
     "LineEdit",
     "PeerRulesVersionSeen",
--- a/packages/papayapost/src/papayapost/ids.py
+++ b/packages/papayapost/src/papayapost/ids.py
@@ -4,6 +4,7 @@
 
 __all__ = [
     "NO_VERSION",
+    "AccountName",
     "Address",
     "AttemptId",
     "CallId",
@@ -12,6 +13,7 @@
     "IdempotencyKey",
     "Incarnation",
     "InstanceId",
+    "KeyDigest",
     "Micros",
     "NodeId",
     "Owner",
@@ -20,6 +22,7 @@
     "RequestName",
     "RuleVersion",
     "ServiceName",
+    "SoftwareVersion",
 ]
 
 NodeId = NewType("NodeId", str)
@@ -35,6 +38,15 @@
 RegionId = NewType("RegionId", str)
 ServiceName = NewType("ServiceName", str)
 
+SoftwareVersion = NewType("SoftwareVersion", str)
+"""Version of the software that a backend server runs; empty if not known."""
+
+AccountName = NewType("AccountName", str)
+"""Name of a client account, unique in the rules."""
+
+KeyDigest = NewType("KeyDigest", str)
+"""Digest of an account's secret key, as 32 lower-case hexadecimal digits."""
+
 Address = NewType("Address", str)
 """An ``ip:port`` pair; the host part is an IP address, never a name."""
 
--- a/packages/papayapost/src/papayapost/rules/checks.py
+++ b/packages/papayapost/src/papayapost/rules/checks.py
@@ -3,11 +3,12 @@
 from abc import ABC, abstractmethod
 from collections.abc import Iterable, Iterator
 
+from papayapost.ids import AccountName, KeyDigest
 from papayapost.rules.defaults import DEFAULT_FLOORS_PERCENT
 from papayapost.rules.faults import RuleFault
 from papayapost.rules.index import RouteIndex
 from papayapost.rules.line_compiler import RulesDraft
-from papayapost.rules.model import ANY_HOST, Route, Share
+from papayapost.rules.model import ANY_HOST, Account, AccountKey, Route, Share
 from papayapost.states import Rank
 
 __all__ = ["FILE_CHECKS", "FileCheck"]
@@ -163,4 +164,44 @@
         )
 
 
-FILE_CHECKS: tuple[FileCheck, ...] = (RouteReachabilityCheck(), ShareFloorsCheck())
+class AccountsCheck(FileCheck):
+    """Checks that names and keys are unique, and that keys name accounts."""
+
+    def run(self, draft: RulesDraft, index: RouteIndex) -> None:
+        """Report repeated accounts and keys, and keys of unknown accounts."""
+        accounts: dict[AccountName, Account] = {}
+        for account in draft.accounts:
+            earlier = accounts.setdefault(account.name, account)
+            if earlier is not account:
+                draft.line(account.line).report(
+                    RuleFault.DUPLICATE_ACCOUNT,
+                    draft.line(account.line).words[1].column,
+                    f"account {account.name!r} is declared on line {earlier.line} "
+                    f"by {earlier.owner!r}",
+                    "keep one of the two",
+                )
+        keys: dict[KeyDigest, AccountKey] = {}
+        for key in draft.keys:
+            line = draft.line(key.line)
+            first = keys.setdefault(key.digest, key)
+            if first is not key:
+                line.report(
+                    RuleFault.DUPLICATE_KEY,
+                    line.words[1].column,
+                    f"the key is assigned to {first.account!r} on line {first.line}",
+                    "keep one of the two; a key belongs to one account",
+                )
+            if key.account not in accounts:
+                line.report(
+                    RuleFault.UNKNOWN_ACCOUNT,
+                    line.words[3].column,
+                    f"no account is named {key.account!r}",
+                    f"add the line 'account {key.account}', or remove the key",
+                )
+
+
+FILE_CHECKS: tuple[FileCheck, ...] = (
+    RouteReachabilityCheck(),
+    ShareFloorsCheck(),
+    AccountsCheck(),
+)
--- a/packages/papayapost/src/papayapost/rules/compile.py
+++ b/packages/papayapost/src/papayapost/rules/compile.py
@@ -5,13 +5,19 @@
 import xxhash
 
 from papayapost.errors import RulesRefused
+from papayapost.rules.access import AccessIndex
+from papayapost.rules.account import (
+    AccessCompiler,
+    AccountCompiler,
+    AccountKeyCompiler,
+)
 from papayapost.rules.characters import MAX_TEXT_BYTES, check_characters, check_size
 from papayapost.rules.checks import FILE_CHECKS
 from papayapost.rules.faults import RuleFault
 from papayapost.rules.finding_list import FindingList, TooManyFindings
 from papayapost.rules.index import RouteIndex
 from papayapost.rules.line_compiler import LineCompiler, RulesDraft
-from papayapost.rules.model import Route, Share
+from papayapost.rules.model import RuleRow
 from papayapost.rules.route import RouteCompiler
 from papayapost.rules.ruleset import RuleSet
 from papayapost.rules.share import ShareCompiler
@@ -20,7 +26,14 @@
 __all__ = ["compile_rules", "rules_digest"]
 
 _COMPILERS_BY_KEYWORD: dict[str, LineCompiler] = {
-    compiler.keyword: compiler for compiler in (RouteCompiler(), ShareCompiler())
+    compiler.keyword: compiler
+    for compiler in (
+        RouteCompiler(),
+        ShareCompiler(),
+        AccountCompiler(),
+        AccountKeyCompiler(),
+        AccessCompiler(),
+    )
 }
 
 
@@ -80,6 +93,10 @@
         tuple(draft.shares),
         services,
         index,
+        tuple(draft.accounts),
+        tuple(draft.keys),
+        tuple(draft.access_rules),
+        AccessIndex(draft.accounts, draft.keys, draft.access_rules),
     )
 
 
@@ -96,7 +113,7 @@
 
 
 def _read_lines(
-    text: str, draft: RulesDraft, previous_rows: dict[str, Route | Share]
+    text: str, draft: RulesDraft, previous_rows: dict[str, RuleRow]
 ) -> None:
     """Add the row of each line, reusing the previous row of an equal line.
 
--- a/packages/papayapost/src/papayapost/rules/line_compiler.py
+++ b/packages/papayapost/src/papayapost/rules/line_compiler.py
@@ -6,7 +6,14 @@
 
 from papayapost.define import define
 from papayapost.rules.finding_list import FindingList
-from papayapost.rules.model import Route, Share
+from papayapost.rules.model import (
+    AccessRule,
+    Account,
+    AccountKey,
+    Route,
+    RuleRow,
+    Share,
+)
 from papayapost.rules.tokens import RuleLine
 
 __all__ = ["LineCompiler", "RulesDraft"]
@@ -22,7 +29,7 @@
         All lines of the rules text, including empty and comment lines.
     findings
         Collects the faults of the text.
-    routes, shares
+    routes, shares, accounts, keys, access_rules
         Rows of the lines read so far, in file order.
     new_route_lines
         Line numbers of the routes that the previous text did not have, or
@@ -33,16 +40,26 @@
     findings: FindingList
     routes: list[Route] = field(default_factory=list)
     shares: list[Share] = field(default_factory=list)
+    accounts: list[Account] = field(default_factory=list)
+    keys: list[AccountKey] = field(default_factory=list)
+    access_rules: list[AccessRule] = field(default_factory=list)
     new_route_lines: set[int] = field(default_factory=set)
 
-    def add(self, row: Route | Share, is_new: bool = True) -> None:
+    def add(self, row: RuleRow, is_new: bool = True) -> None:
         """Append a row; note the line number if the row is a new route."""
-        if isinstance(row, Share):
-            self.shares.append(row)
-            return
-        self.routes.append(row)
-        if is_new:
-            self.new_route_lines.add(row.line)
+        match row:
+            case Route():
+                self.routes.append(row)
+                if is_new:
+                    self.new_route_lines.add(row.line)
+            case Share():
+                self.shares.append(row)
+            case Account():
+                self.accounts.append(row)
+            case AccountKey():
+                self.keys.append(row)
+            case AccessRule():
+                self.access_rules.append(row)
 
     def line(self, number: int) -> RuleLine:
         """Return a line by its number from 1, to report findings at it."""
--- a/packages/papayapost/src/papayapost/rules/model.py
+++ b/packages/papayapost/src/papayapost/rules/model.py
@@ -3,10 +3,20 @@
 from dataclasses import replace
 
 from papayapost.define import define
-from papayapost.ids import Owner, ServiceName
+from papayapost.ids import AccountName, KeyDigest, Owner, ServiceName
 from papayapost.states import Rank
 
-__all__ = ["ANY_HOST", "Route", "RoutePattern", "Share", "WeightedService"]
+__all__ = [
+    "ANY_HOST",
+    "AccessRule",
+    "Account",
+    "AccountKey",
+    "Route",
+    "RoutePattern",
+    "RuleRow",
+    "Share",
+    "WeightedService",
+]
 
 ANY_HOST = "*"
 """Host pattern that matches every host."""
@@ -67,6 +77,8 @@
     link_last
         Whether calls take the link between regions only while no nearer
         backend server is available.
+    anonymous
+        Whether calls need no key of a client account.
     """
 
     line: int
@@ -85,6 +97,7 @@
     target_ms: int | None = None
     parts: tuple[WeightedService, ...] = ()
     link_last: bool = False
+    anonymous: bool = False
 
     def at_line(self, line: int) -> "Route":
         """Return a copy of the route with another line number."""
@@ -107,6 +120,7 @@
             self.target_ms,
             self.parts,
             self.link_last,
+            self.anonymous,
         )
 
     @property
@@ -153,3 +167,71 @@
     def at_line(self, line: int) -> "Share":
         """Return a copy of the share with another line number."""
         return replace(self, line=line)
+
+
+@define(frozen=True)
+class Account:
+    """One ``account`` line: a client account.
+
+    Parameters
+    ----------
+    line
+        Line number in the rules file, from 1.
+    rank
+        Priority of the account's calls, or None to use that of the route.
+    rate_per_s, burst
+        Quota of the account over all nodes together: calls per second, and
+        calls that may exceed this rate at once. A rate of 0 sets no limit.
+    owner, reason
+        Who asked for the rule, and why.
+    """
+
+    line: int
+    name: AccountName
+    rank: Rank | None
+    rate_per_s: float
+    burst: float
+    owner: Owner
+    reason: str
+
+    @property
+    def has_quota(self) -> bool:
+        """Whether the number of the account's calls is limited."""
+        return self.rate_per_s > 0
+
+    def at_line(self, line: int) -> "Account":
+        """Return a copy of the account with another line number."""
+        return replace(self, line=line)
+
+
+@define(frozen=True)
+class AccountKey:
+    """One ``key`` line: the digest of a secret key of a client account."""
+
+    line: int
+    digest: KeyDigest
+    account: AccountName
+    owner: Owner
+    reason: str
+
+    def at_line(self, line: int) -> "AccountKey":
+        """Return a copy of the key with another line number."""
+        return replace(self, line=line)
+
+
+@define(frozen=True)
+class AccessRule:
+    """An ``access`` line: whether calls need a key without any account."""
+
+    line: int
+    requires_keys: bool
+    owner: Owner
+    reason: str
+
+    def at_line(self, line: int) -> "AccessRule":
+        """Return a copy of the rule with another line number."""
+        return replace(self, line=line)
+
+
+RuleRow = Route | Share | Account | AccountKey | AccessRule
+"""Row of any line of a rules text."""
--- a/packages/papayapost/src/papayapost/rules/options.py
+++ b/packages/papayapost/src/papayapost/rules/options.py
@@ -1,5 +1,6 @@
 """Reads the ``name=value`` options at the end of a rule line."""
 
+import re
 from abc import ABC, abstractmethod
 from collections.abc import Mapping, Sequence
 
@@ -8,6 +9,7 @@
 from papayapost.states import LinkUse, Rank
 
 __all__ = [
+    "DecimalReader",
     "FlagReader",
     "LinkReader",
     "NumberReader",
@@ -98,6 +100,30 @@
         return value if self._low <= value <= self._high else None
 
 
+class DecimalReader(OptionReader):
+    """Reads a decimal number between two bounds, both included.
+
+    Examples
+    --------
+    >>> DecimalReader(0, 100).read("2.5"), DecimalReader(0, 100).read("1e3")
+    (2.5, None)
+    """
+
+    _PATTERN = re.compile(r"[0-9]{1,9}(\.[0-9]{1,6})?")
+
+    def __init__(self, low: float, high: float):
+        self._low = low
+        self._high = high
+        self.expected = f"a number from {low} to {high}, with decimals if needed"
+
+    def read(self, text: str) -> float | None:
+        """Return the value of a text, or None if the text is invalid."""
+        if not self._PATTERN.fullmatch(text):
+            return None
+        value = float(text)
+        return value if self._low <= value <= self._high else None
+
+
 class PercentReader(NumberReader):
     """Reads a whole percentage; the percent sign may be left out.
 
--- a/packages/papayapost/src/papayapost/rules/route.py
+++ b/packages/papayapost/src/papayapost/rules/route.py
@@ -34,6 +34,7 @@
     "retries": NumberReader(0, _MAX_RETRIES),
     "hedge_ms": NumberReader(1, _MAX_TIMEOUT_MS),
     "link": LinkReader(),
+    "anonymous": FlagReader(),
 }
 
 
@@ -46,6 +47,7 @@
     retries: int = 0
     hedge_ms: int | None = None
     link: LinkUse = LinkUse.NO
+    anonymous: bool = False
 
 
 class RouteCompiler(LineCompiler):
@@ -90,6 +92,7 @@
             target_ms=options.target_ms,
             parts=parts if len(parts) > 1 else (),
             link_last=options.link is LinkUse.LAST,
+            anonymous=options.anonymous,
         )
         draft.add(route)
 
--- a/packages/papayapost/src/papayapost/rules/ruleset.py
+++ b/packages/papayapost/src/papayapost/rules/ruleset.py
@@ -4,8 +4,16 @@
 
 from papayapost.define import define
 from papayapost.ids import ServiceName
+from papayapost.rules.access import AccessIndex
 from papayapost.rules.index import RouteIndex
-from papayapost.rules.model import Route, Share
+from papayapost.rules.model import (
+    AccessRule,
+    Account,
+    AccountKey,
+    Route,
+    RuleRow,
+    Share,
+)
 
 __all__ = ["RuleSet"]
 
@@ -28,6 +36,10 @@
         All services that the routes name.
     index
         Index that finds the routes by host and path.
+    accounts, keys, access_rules
+        Rows of the ``account``, ``key`` and ``access`` lines in file order.
+    access
+        Index that finds the client accounts by name and by key.
     """
 
     text: str
@@ -36,12 +48,22 @@
     shares: tuple[Share, ...]
     services: frozenset[ServiceName]
     index: RouteIndex = field(repr=False, compare=False)
+    accounts: tuple[Account, ...] = ()
+    keys: tuple[AccountKey, ...] = ()
+    access_rules: tuple[AccessRule, ...] = ()
+    access: AccessIndex = field(default_factory=AccessIndex, repr=False, compare=False)
 
-    def rows_by_line_text(self) -> dict[str, Route | Share]:
+    def rows_by_line_text(self) -> dict[str, RuleRow]:
         """Return the row of each rule line, by the text of the line."""
         lines = self.text.split("\n")
-        rows: dict[str, Route | Share] = {}
-        all_rows: tuple[Route | Share, ...] = (*self.routes, *self.shares)
+        rows: dict[str, RuleRow] = {}
+        all_rows: tuple[RuleRow, ...] = (
+            *self.routes,
+            *self.shares,
+            *self.accounts,
+            *self.keys,
+            *self.access_rules,
+        )
         for row in all_rows:
             rows[lines[row.line - 1].removesuffix("\r")] = row
         return rows
--- a/packages/papayapost/src/papayapost/traffic/entry/offers.py
+++ b/packages/papayapost/src/papayapost/traffic/entry/offers.py
@@ -186,7 +186,7 @@
     def _choose(self, tick: Tick, call: CallRow) -> UpstreamRow | None:
         route = call.route
         reach = LinkClass.REGION
-        if route.cross_link and self._link.allows(route.rank, tick.now_us):
+        if route.cross_link and self._link.allows(call.rank, tick.now_us):
             reach = LinkClass.ACROSS
         service = self._upstreams.service(call.service, tick.now_us)
         is_last_resort = route.link_last or call.is_refused_across
@@ -227,7 +227,7 @@
             attempt_id,
             upstream.epoch,
             call.service,
-            route.rank,
+            call.rank,
             route.idempotent,
             Micros(remaining_us - margin_us),
             arrived.idempotency_key,
@@ -240,6 +240,7 @@
             may_queue,
             call.despite_failures,
             None if route.target_ms is None else Micros(route.target_ms * 1000),
+            call.account,
         )
 
     def _target_remaining_us(
--- a/packages/papayapost/src/papayapost/traffic/entry/retries.py
+++ b/packages/papayapost/src/papayapost/traffic/entry/retries.py
@@ -170,7 +170,7 @@
         return Micros(int(max_pause_us * random.random()))
 
     def _budget(self, call: CallRow) -> RetryBudgetRow:
-        key = (call.service, call.route.rank)
+        key = (call.service, call.rank)
         budget = self.budgets.get(key)
         if budget is None:
             budget = RetryBudgetRow()
--- a/packages/papayapost/src/papayapost/traffic/entry/routing.py
+++ b/packages/papayapost/src/papayapost/traffic/entry/routing.py
@@ -1,12 +1,13 @@
 """System of the entry node that turns a request into its first attempt."""
 
-from papayapost.distribution import RulesInForce, RulesTable
+from papayapost.distribution import EvidenceRow, RulesInForce, RulesTable
 from papayapost.ids import CallId, Micros
 from papayapost.kernel import System, Tick
 from papayapost.membership import DirectoryChanged
 from papayapost.rules import match_route
 from papayapost.states import NodeState, Outcome
 from papayapost.traffic.drain_row import DrainRow
+from papayapost.traffic.entry.access import AccessGrant, decide_access
 from papayapost.traffic.entry.answer_times import AnswerTimes
 from papayapost.traffic.entry.caller_wait import CallerWaitEstimator
 from papayapost.traffic.entry.offers import Offers
@@ -23,6 +24,7 @@
 
 __all__ = ["HOLD_US", "RouteCalls"]
 
+_UNAUTHORIZED = 401
 _NOT_FOUND = 404
 _UNAVAILABLE = 503
 _RETRY_AFTER_MS = 1_000
@@ -31,6 +33,9 @@
 """Time allowed for a call in a drain, in multiples of the time that the
 slowest calls of its route took."""
 
+_FINAL_CODES = (RefusalCode.NO_ROUTE, RefusalCode.UNKNOWN_KEY)
+"""Refusals that a repetition of the call would get again."""
+
 _MAX_HELD_CALLS = 256
 HOLD_US = 2_000_000
 """Default of the longest time for which a call is held."""
@@ -52,6 +57,8 @@
         Progress of this node's drain.
     answer_times
         Times that calls of each route took.
+    evidence
+        How recently the rules in force were known to be the newest.
     """
 
     consumes = (CallArrived, CallerGone, DirectoryChanged, HoldExpired, RulesInForce)
@@ -65,6 +72,7 @@
         hold_us: int = HOLD_US,
         drain: DrainRow | None = None,
         answer_times: AnswerTimes | None = None,
+        evidence: EvidenceRow | None = None,
     ):
         self._rules = rules
         self._tables = tables
@@ -73,6 +81,7 @@
         self._hold_us = hold_us
         self._drain = drain or DrainRow()
         self._answer_times = answer_times or AnswerTimes()
+        self._evidence = evidence or EvidenceRow()
         self._service_chooser = WeightedServiceChooser()
         self._wait_estimator = CallerWaitEstimator()
 
@@ -111,11 +120,21 @@
             self._end_hold(tick, arrived.call_id)
             self._refuse(tick, arrived.call_id, _NOT_FOUND, RefusalCode.NO_ROUTE)
             return
+        access = decide_access(
+            in_force.rules, route, arrived.key_digest, self._evidence, tick.now_us
+        )
+        if isinstance(access, RefusalCode):
+            self._end_hold(tick, arrived.call_id)
+            is_unknown = access is RefusalCode.UNKNOWN_KEY
+            status = _UNAUTHORIZED if is_unknown else _UNAVAILABLE
+            self._refuse(tick, arrived.call_id, status, access)
+            return
         budget_us = route.timeout_ms * 1000
         if arrived.budget_us is not None:
             budget_us = min(budget_us, arrived.budget_us)
         call = CallRow(arrived.call_id, arrived, route, Micros(arrived_us + budget_us))
         call.arrived_us = arrived_us
+        _apply_access(call, access)
         call.waited_us = self._wait_estimator.waited_us(route, arrived.budget_us)
         if self._may_outlast_process(tick, call):
             self._end_hold(tick, arrived.call_id)
@@ -177,10 +196,16 @@
     ) -> None:
         self._tables.counters.refused_calls += 1
         retry_after_ms: int | None = _RETRY_AFTER_MS
-        if code is RefusalCode.NO_ROUTE:
+        if code in _FINAL_CODES:
             retry_after_ms = None
         elif code is RefusalCode.DRAINING:
             # Callers have left for other nodes when the grace period ends.
             grace_ms = -((tick.now_us - self._drain.grace_end_us) // 1000)
             retry_after_ms = max(_MIN_DRAIN_RETRY_AFTER_MS, grace_ms)
         tick.emit(CallRefusal(call_id, status, code, Outcome.NOT_RUN, retry_after_ms))
+
+
+def _apply_access(call: CallRow, access: AccessGrant) -> None:
+    account = access.account
+    if account is not None:
+        call.account, call.account_rank = account.name, account.rank
--- a/packages/papayapost/src/papayapost/traffic/entry/tables.py
+++ b/packages/papayapost/src/papayapost/traffic/entry/tables.py
@@ -4,9 +4,18 @@
 from enum import Enum
 
 from papayapost.define import define
-from papayapost.ids import AttemptId, CallId, Micros, NodeId, RuleVersion, ServiceName
+from papayapost.ids import (
+    AccountName,
+    AttemptId,
+    CallId,
+    Micros,
+    NodeId,
+    RuleVersion,
+    ServiceName,
+)
 from papayapost.kernel import Table
 from papayapost.rules import Route
+from papayapost.states import Rank
 from papayapost.traffic.entry.upstreams import UpstreamRow
 from papayapost.traffic.messages import CallArrived, RefusalCode
 
@@ -74,6 +83,10 @@
     chosen_service
         Service that takes the call if the route divides its calls among
         several services; None if the route has one service.
+    account
+        Client account that the call belongs to, or None.
+    account_rank
+        Rank that the account sets for its calls, or None.
     """
 
     call_id: CallId
@@ -97,6 +110,13 @@
     waited_us: Micros = Micros(0)
     version: RuleVersion = RuleVersion(0)
     chosen_service: ServiceName | None = None
+    account: AccountName | None = None
+    account_rank: Rank | None = None
+
+    @property
+    def rank(self) -> Rank:
+        """Priority of the call."""
+        return self.route.rank if self.account_rank is None else self.account_rank
 
     @property
     def service(self) -> ServiceName:
--- a/packages/papayapost/src/papayapost/traffic/messages.py
+++ b/packages/papayapost/src/papayapost/traffic/messages.py
@@ -10,12 +10,14 @@
 
 from papayapost.define import define
 from papayapost.ids import (
+    AccountName,
     Address,
     AttemptId,
     CallId,
     ConnectionEpoch,
     IdempotencyKey,
     Incarnation,
+    KeyDigest,
     Micros,
     NodeId,
     RequestName,
@@ -74,6 +76,9 @@
     WRONG_SERVICE = "wrong-service"
     NO_FREE_SLOT = "no-free-slot"
     SERVER_FAILING = "server-failing"
+    UNKNOWN_KEY = "unknown-key"
+    KEYS_UNCERTAIN = "keys-uncertain"
+    QUOTA = "quota"
 
 
 class LossCause(Enum):
@@ -100,6 +105,8 @@
         Length of the body in bytes, or None if the caller did not give it.
     name
         The caller's own name for the request, written to the log.
+    key_digest
+        Digest of the secret key that the caller sent, or None.
     """
 
     call_id: CallId
@@ -110,6 +117,7 @@
     idempotency_key: IdempotencyKey | None = None
     content_bytes: int | None = 0
     name: RequestName = RequestName("")
+    key_digest: KeyDigest | None = None
 
 
 @define
@@ -242,6 +250,8 @@
     despite_failures
         Whether the attempt may reach a backend server that fails, because the
         servers of other owner nodes fail too.
+    account
+        Client account that the call belongs to, or None.
     """
 
     sender: NodeId
@@ -262,6 +272,7 @@
     may_queue: bool = True
     despite_failures: bool = False
     rule_target_us: Micros | None = None
+    account: AccountName | None = None
 
 
 @define
--- a/packages/papayapost/src/papayapost/traffic/part.py
+++ b/packages/papayapost/src/papayapost/traffic/part.py
@@ -1,7 +1,7 @@
 """Builds the tables and systems with which a node handles calls."""
 
 from papayapost.define import define
-from papayapost.distribution import RulesTable
+from papayapost.distribution import EvidenceRow, RulesTable
 from papayapost.kernel import System
 from papayapost.membership import Directory
 from papayapost.place import SelfRow
@@ -112,6 +112,7 @@
     concurrency: ConcurrencyLimit | None = None,
     balancing: BalancingPolicy | None = None,
     options: TrafficOptions | None = None,
+    evidence: EvidenceRow | None = None,
 ) -> TrafficPart:
     """Return the traffic tables and systems of a node that has no calls yet.
 
@@ -127,6 +128,8 @@
         `RankedQueues`, `AdaptiveLimit` and `NearestOfTwo`.
     options
         Settings of the deployment; the defaults of `TrafficOptions` if None.
+    evidence
+        How recently the rules in force were known to be the newest.
     """
     options = options or TrafficOptions()
     calls = EntryTables()
@@ -171,7 +174,16 @@
         ),
         RecordDepartures(me, owner.departures),
         TrackUpstreams(directory, upstreams, calls, link),
-        RouteCalls(rules, calls, offers, retries, options.hold_us, drain, answer_times),
+        RouteCalls(
+            rules,
+            calls,
+            offers,
+            retries,
+            options.hold_us,
+            drain,
+            answer_times,
+            evidence,
+        ),
         ApplyClaimResults(claims, requests),
         ClaimKeys(claims, ClaimRateLimit(rules, directory), requests),
         AdmitAttempts(
