--- a/packages/papayapost-node/src/papayapost_node/composition.py
+++ b/packages/papayapost-node/src/papayapost_node/composition.py
@@ -128,7 +128,8 @@
         self._carrier_delivery.add_handlers(self._entry_side.carriers())
         self._carrier_delivery.add_handlers(self._owner_side.carriers())
         store = self._surroundings.store_client(settings)
-        self._store = StoreEffects(store, post, settings.store_wait_ms / 1000)
+        wait_s = settings.store_wait_ms / 1000
+        self._store = StoreEffects(store, post, wait_s, clock.now_us)
         self._server = StreamingServer(
             Address(settings.caller_address),
             self._entry_side,
--- a/packages/papayapost-node/src/papayapost_node/settings/model.py
+++ b/packages/papayapost-node/src/papayapost_node/settings/model.py
@@ -231,6 +231,11 @@
     retry_budget
         Retry budget that all nodes share; with null, each node earns a budget
         of its own from its calls.
+    revocation_ms
+        Time after which a key that was removed from an account is refused by
+        every node, also by one without contact to the store or other nodes.
+        With null, such a node goes on serving the keys that it knows. It needs
+        the discovery method ``roster``.
     """
 
     node_id: NameText
@@ -259,6 +264,7 @@
     queue: QueueOrder = QueueOrder.SHARES
     hold_ms: Annotated[int, Meta(ge=0, le=60_000)] = 2_000
     retry_budget: RetryBudgetSettings | None = None
+    revocation_ms: Annotated[int, Meta(ge=1_000, le=3_600_000)] | None = None
 
     def differing_keys(self, other: "Settings") -> list[str]:
         """Return the names of the keys that have another value in `other`."""
--- a/packages/papayapost-node/src/papayapost_node/store/effects.py
+++ b/packages/papayapost-node/src/papayapost_node/store/effects.py
@@ -4,6 +4,7 @@
 from collections.abc import Callable, Coroutine
 
 from papayapost.errors import StoreConflict, StoreUnavailable
+from papayapost.ids import Micros
 from papayapost.storage import (
     ListObjects,
     ObjectKey,
@@ -43,6 +44,9 @@
         Passes a result to the next tick as an input.
     wait_s
         Time for which a watch asks the store to hold its answer.
+    now_us
+        Returns the time of the tick clock in µs; None if no answer needs the
+        time at which it was asked for.
     """
 
     def __init__(
@@ -50,10 +54,12 @@
         client: StoreClient,
         post: Callable[[object], None],
         wait_s: float = _WATCH_WAIT_S,
+        now_us: Callable[[], Micros | None] | None = None,
     ):
         self._client = client
         self._post = post
         self._wait_s = wait_s
+        self._now_us = now_us or _no_time
         self._watches: dict[ObjectKey, asyncio.Task] = {}
         self._requests: set[asyncio.Task] = set()
 
@@ -95,13 +101,16 @@
     async def _watch(self, request: WatchObject) -> None:
         key = request.key
         try:
-            stored = await self._wait_for_change(key, request.after_version)
+            stored, asked_us = await self._wait_for_change(key, request.after_version)
         except StoreUnavailable as error:
             self._post(StoreReadFailed(key, str(error)))
             return
-        self._post_object(key, stored, None)
+        self._post_object(key, stored, None, asked_us)
 
-    async def _wait_for_change(self, key: ObjectKey, version: int) -> StoredObject:
+    async def _wait_for_change(
+        self, key: ObjectKey, version: int
+    ) -> tuple[StoredObject, Micros | None]:
+        """Return the changed object, and when it was asked for."""
         loop = asyncio.get_running_loop()
         told_s: float | None = None
 
@@ -116,11 +125,12 @@
 
         while True:
             started_s, told_s = loop.time(), None
+            asked_us = self._now_us()
             stored = await self._client.watch(
                 key.kind.value, key.name, version, self._wait_s, on_bytes
             )
             if stored is not None:
-                return stored
+                return stored, asked_us
             if loop.time() - started_s < self._wait_s / _MIN_WATCH_DIVISOR:
                 # A store that answers watches too early would cause a busy
                 # loop if the watch were repeated at once.
@@ -128,11 +138,12 @@
                     f"the watch of {key.kind.value}/{key.name} ended too early; "
                     "the node starts it again after a pause"
                 )
-            self._post(ObjectUnchanged(key))
+            self._post(ObjectUnchanged(key, asked_us))
 
     async def _read(self, request: ReadObject) -> None:
         key, known_version = request.key, request.unless_version
         stored: StoredObject | None
+        asked_us = self._now_us()
         try:
             if known_version:
                 stored = await self._client.watch(
@@ -144,9 +155,12 @@
             self._post(StoreReadFailed(key, str(error), request.request_id))
             return
         if stored is None:
-            self._post(ObjectRead(key, known_version, None, request.request_id))
+            unchanged = ObjectRead(
+                key, known_version, None, request.request_id, asked_us
+            )
+            self._post(unchanged)
         else:
-            self._post_object(key, stored, request.request_id)
+            self._post_object(key, stored, request.request_id, asked_us)
 
     async def _list(self, request: ListObjects) -> None:
         kind, may_be_stale = request.kind, request.may_be_stale
@@ -189,6 +203,7 @@
         key: ObjectKey,
         stored: StoredObject,
         request_id: StoreRequestId | None,
+        asked_us: Micros | None,
     ) -> None:
         try:
             value = decode_value(key.kind, stored.value) if stored.version else None
@@ -196,4 +211,8 @@
             reason = f"{key.kind.value}/{key.name} does not decode: {error}"
             self._post(StoreReadFailed(key, reason, request_id))
             return
-        self._post(ObjectRead(key, stored.version, value, request_id))
+        self._post(ObjectRead(key, stored.version, value, request_id, asked_us))
+
+
+def _no_time() -> None:
+    return None
--- a/packages/papayapost-node/src/papayapost_node/wire/layouts.py
+++ b/packages/papayapost-node/src/papayapost_node/wire/layouts.py
@@ -54,16 +54,21 @@
         self._message_type = message_type
         self._nested = tuple(nested)
         self._values_of = _values_getter(names)
+        self._required_count = _required_count(message_type)
         self.struct_type = struct_type
 
     def to_encodable(self, value: Any) -> Sequence:
         """Return the encodable values of a message's fields."""
         values = self._values_of(value)
+        # The decoder replaces missing values by their defaults.
+        while values and values[-1] is None and len(values) > self._required_count:
+            values = values[:-1]
         if not self._nested:
             return values
         converted = list(values)
         for position, converter in self._nested:
-            converted[position] = converter.to_encodable(converted[position])
+            if position < len(converted):
+                converted[position] = converter.to_encodable(converted[position])
         return converted
 
     def from_decoded(self, decoded: Any) -> Any:
@@ -177,6 +182,15 @@
     return (field.name, hint)
 
 
+def _required_count(message_type: Any) -> int:
+    """Return the number of fields up to the last without the default None."""
+    fields = dataclasses.fields(message_type)
+    return max(
+        (at for at, field in enumerate(fields, 1) if field.default is not None),
+        default=0,
+    )
+
+
 def _values_getter(names: Sequence[str]) -> Callable[[Any], tuple]:
     if not names:
         return lambda message: ()
--- a/packages/papayapost-node/src/papayapost_node/wire/message_numbers.py
+++ b/packages/papayapost-node/src/papayapost_node/wire/message_numbers.py
@@ -6,6 +6,7 @@
 
 from papayapost.distribution import (
     ChunkRequest,
+    ContactEcho,
     RulesBusy,
     RulesChunk,
     RulesDelta,
@@ -99,6 +100,7 @@
     RulesWanted: 28,
     RulesShared: 29,
     StoreContact: 35,
+    ContactEcho: 39,
 }
 _TRAFFIC_NUMBERS: dict[type, int] = {
     AttemptOffer: 40,
--- a/packages/papayapost-node/src/papayapost_node/world.py
+++ b/packages/papayapost-node/src/papayapost_node/world.py
@@ -2,10 +2,12 @@
 
 from random import Random
 
+from papayapost.distribution import EvidenceRow
 from papayapost.ids import (
     Address,
     DataCentreId,
     Incarnation,
+    Micros,
     NodeId,
     RegionId,
     ServiceName,
@@ -21,6 +23,11 @@
 
 __all__ = ["build_world", "self_row"]
 
+_EVIDENCE_SHARE = 0.8
+"""Largest age of the evidence that the rules are the newest, as a fraction of
+the bound on the removal of a key. The rest covers a store whose watches miss
+changes for a second before it cuts them."""
+
 
 def self_row(settings: Settings, clock: Clock) -> SelfRow:
     """Return a row that describes this node.
@@ -51,12 +58,24 @@
     options = _traffic_options(settings)
     if settings.discovery is Discovery.ROSTER:
         return build_roster_world(
-            me, own_row, random, queue, options, settings.max_rules_bytes
+            me,
+            own_row,
+            random,
+            queue,
+            options,
+            settings.max_rules_bytes,
+            EvidenceRow(_evidence_limit_us(settings)),
         )
     seeds = [Address(seed) for seed in settings.seeds]
     return build_node_world(me, seeds, own_row, random, queue, options)
 
 
+def _evidence_limit_us(settings: Settings) -> Micros | None:
+    if settings.revocation_ms is None:
+        return None
+    return Micros(int(settings.revocation_ms * 1000 * _EVIDENCE_SHARE))
+
+
 def _traffic_options(settings: Settings) -> TrafficOptions:
     budget, shared = settings.retry_budget, None
     if budget is not None:
--- a/packages/papayapost-testing/src/papayapost_testing/roster_store.py
+++ b/packages/papayapost-testing/src/papayapost_testing/roster_store.py
@@ -3,7 +3,7 @@
 from collections.abc import Callable
 from enum import Enum
 
-from papayapost.ids import Address
+from papayapost.ids import Address, Micros
 from papayapost.storage import (
     ListObjects,
     ObjectKey,
@@ -64,6 +64,8 @@
         Link that answers to a node pass, for nodes of another region.
     round_trip_us
         Round trip of those nodes to the store.
+    clock_offsets_us
+        How far the clock of a node is ahead of virtual time.
     """
 
     def __init__(
@@ -82,10 +84,12 @@
         self.timeout_us = 700_000
         self.links: dict[Address, RegionLink] = {}
         self.round_trip_us = 60_000
+        self.clock_offsets_us: dict[Address, int] = {}
         self._version = 0
         self._positions: dict[Address, int] = {}
         self._watches: dict[Address, WatchObject] = {}
         self._waiting: dict[Address, WatchObject] = {}
+        self._asked_us: dict[Address, Micros] = {}
 
     def forget(self, address: Address) -> None:
         """End the watch of a process that is gone."""
@@ -144,6 +148,9 @@
     def _path(self, address: Address) -> StorePath:
         return self.paths.get(address, StorePath.OPEN)
 
+    def _node_clock(self, address: Address) -> Micros:
+        return Micros(self._clock() + self.clock_offsets_us.get(address, 0))
+
     def _note(self, address: Address, kind: StoreRequest) -> None:
         self.calls.append((self._clock(), address, kind))
 
@@ -167,6 +174,7 @@
 
     def _poll(self, address: Address, watch: WatchObject) -> None:
         self._note(address, StoreRequest.WATCH)
+        self._asked_us[address] = self._node_clock(address)
         if self._path(address) is not StorePath.OPEN:
             self._fail_watch(address, watch)
         elif self._positions.get(address) == self.objects.get(watch.key, (0, None))[0]:
@@ -185,7 +193,8 @@
 
         def go_on() -> None:
             if self._watches.get(address) is watch:
-                self._deliver(address, ObjectUnchanged(watch.key))
+                asked_us = self._asked_us[address]
+                self._deliver(address, ObjectUnchanged(watch.key, asked_us))
             if self._watches.get(address) is watch:
                 self._poll(address, watch)
 
@@ -193,11 +202,13 @@
 
     def _answer_watch(self, address: Address, watch: WatchObject) -> None:
         version, value = self.objects.get(watch.key, (0, None))
+        asked_us = self._asked_us[address]
 
         def answer() -> None:
             if self._watches.get(address) is watch:
                 self._positions[address] = version
-                self._deliver(address, ObjectRead(watch.key, version, value))
+                read = ObjectRead(watch.key, version, value, None, asked_us)
+                self._deliver(address, read)
 
         def fail() -> None:
             self._positions.pop(address, None)
--- a/packages/papayapost-testing/src/papayapost_testing/slow_link_mesh.py
+++ b/packages/papayapost-testing/src/papayapost_testing/slow_link_mesh.py
@@ -6,7 +6,7 @@
 from enum import Enum
 from random import Random
 
-from papayapost.distribution import RULES_KEY
+from papayapost.distribution import RULES_KEY, EvidenceRow
 from papayapost.ids import Address, Incarnation, Micros, RegionId
 from papayapost.node import NodeWorld, build_roster_world
 from papayapost.observe import Event, Noted
@@ -46,17 +46,32 @@
     ----------
     applied
         Time in µs and version of each change of the rules in force.
+    clock_offset_us
+        How far the clock of the node is ahead of virtual time.
+    evidence
+        Evidence of the node that its rules are the newest.
     """
 
-    def __init__(self, name: str, place: Place, started_us: int, link_mbps: float):
+    def __init__(
+        self,
+        name: str,
+        place: Place,
+        started_us: int,
+        link_mbps: float,
+        evidence_limit_us: Micros | None,
+    ):
         own = backend_row(name, "gusts", place)
         own.link_mbps = link_mbps
         own.incarnation = Incarnation(started_us)
         self.me = SelfRow(own.node_id, own.incarnation, place, own.peer_address)
-        self.built: NodeWorld = build_roster_world(self.me, own, Random(name))
+        self.evidence = EvidenceRow(evidence_limit_us)
+        self.built: NodeWorld = build_roster_world(
+            self.me, own, Random(name), evidence=self.evidence
+        )
         self.events: list[Event] = []
         self.applied: list[tuple[int, int]] = []
         self.link = LinkState.UP
+        self.clock_offset_us = 0
 
     @property
     def address(self) -> Address:
@@ -80,6 +95,8 @@
     ----------
     link_rate_bytes_per_s
         Rate at which each node sends.
+    evidence_limit_us
+        Largest age of the evidence that the rules are the newest, or None.
 
     Attributes
     ----------
@@ -87,13 +104,18 @@
         Number and encoded bytes of messages by sender and type.
     """
 
-    def __init__(self, link_rate_bytes_per_s: int = _LINK_BYTES_PER_S):
+    def __init__(
+        self,
+        link_rate_bytes_per_s: int = _LINK_BYTES_PER_S,
+        evidence_limit_us: Micros | None = None,
+    ):
         self.now_us = _START_US
         self.nodes: dict[Address, MeshNode] = {}
         self.messages: Counter[tuple[Address, type]] = Counter()
         self.sent_bytes: Counter[tuple[Address, type]] = Counter()
         self.store = RosterStore(self._clock, self._call_later, self._deliver)
         self._link_rate_bytes_per_s = link_rate_bytes_per_s
+        self._evidence_limit_us = evidence_limit_us
         self._links: dict[RegionId, RegionLink] = {}
         self._free_us: dict[Address, int] = {}
         self._timers: dict[Address, int] = {}
@@ -106,10 +128,12 @@
         self._links[region] = link
         return link
 
-    def start(self, name: str, place: Place) -> MeshNode:
+    def start(self, name: str, place: Place, clock_offset_us: int = 0) -> MeshNode:
         """Start a node, or a new process of it."""
         link_mbps = self._link_rate_bytes_per_s * 8 / 1e6
-        node = MeshNode(name, place, self.now_us, link_mbps)
+        node = MeshNode(name, place, self.now_us, link_mbps, self._evidence_limit_us)
+        node.clock_offset_us = clock_offset_us
+        self.store.clock_offsets_us[node.address] = clock_offset_us
         self.store.forget(node.address)
         self.nodes[node.address] = node
         link = self._links.get(place.region)
@@ -158,7 +182,8 @@
 
     def _tick(self, address: Address, messages: list) -> None:
         node = self.nodes[address]
-        for effect in node.built.world.tick(Micros(self.now_us), messages):
+        clock_us = Micros(self.now_us + node.clock_offset_us)
+        for effect in node.built.world.tick(clock_us, messages):
             if isinstance(effect, PeerSend):
                 self._send(node, effect)
             elif isinstance(effect, Noted):
@@ -170,7 +195,7 @@
         due_us = node.built.world.next_due_us()
         if due_us is not None and due_us != self._timers.get(address):
             self._timers[address] = due_us
-            delay_us = max(0, due_us - self.now_us)
+            delay_us = max(0, due_us - clock_us)
             self._call_later(delay_us, lambda: self._wake(address, due_us))
 
     def _wake(self, address: Address, due_us: int) -> None:
--- a/packages/papayapost/src/papayapost/distribution/__init__.py
+++ b/packages/papayapost/src/papayapost/distribution/__init__.py
@@ -25,6 +25,8 @@
 )
 from papayapost.distribution.peer_messages import (
     ChunkRequest,
+    Confirmation,
+    ContactEcho,
     DataCentreProgress,
     RulesBusy,
     RulesChunk,
@@ -53,6 +55,8 @@
     "RULES_KEY",
     "AcceptedRules",
     "ChunkRequest",
+    "Confirmation",
+    "ContactEcho",
     "DataCentreProgress",
     "DirectDistributionPart",
     "DirectWatchRow",
--- a/packages/papayapost/src/papayapost/distribution/evidence.py
+++ b/packages/papayapost/src/papayapost/distribution/evidence.py
@@ -1,9 +1,15 @@
-"""How recently the rules in force were known to be the newest."""
+"""Tables of the evidence that the rules in force are the newest."""
 
 from papayapost.define import define
-from papayapost.ids import Micros
+from papayapost.distribution.peer_messages import Confirmation
+from papayapost.ids import Incarnation, Micros, NodeId, RuleVersion
+from papayapost.kernel import Table
 
-__all__ = ["EvidenceRow"]
+__all__ = ["EchoRow", "EvidenceRow", "EvidenceTables"]
+
+_MAX_ECHO_AGE_US = 10_000_000
+"""Age at which a relay forgets the clock of a node. Clocks that run at
+different rates would make older readings wrong by milliseconds."""
 
 
 @define
@@ -18,10 +24,15 @@
     confirmed_us
         Tick time in µs at which the store held no newer rules than those in
         force; None if that is not known.
+    pending_version, pending_us
+        Newest version that is known but not in force yet, and the tick time in
+        µs at which the store held no newer one.
     """
 
     limit_us: Micros | None = None
     confirmed_us: Micros | None = None
+    pending_version: RuleVersion = RuleVersion(0)
+    pending_us: Micros | None = None
 
     def is_fresh(self, now_us: Micros) -> bool:
         """Return whether the keys of the rules in force can be relied on."""
@@ -29,3 +40,66 @@
             return True
         confirmed_us = self.confirmed_us
         return confirmed_us is not None and now_us - confirmed_us <= self.limit_us
+
+    def record(
+        self, version: RuleVersion, newest_at_us: Micros, in_force: RuleVersion
+    ) -> None:
+        """Record that the store held nothing newer than a version."""
+        if version <= in_force:
+            self._confirm(newest_at_us)
+        elif version >= self.pending_version:
+            self.pending_version, self.pending_us = version, newest_at_us
+
+    def apply_in_force(self, in_force: RuleVersion) -> None:
+        """Let the evidence for a version count that is now in force."""
+        if self.pending_us is not None and self.pending_version <= in_force:
+            self._confirm(self.pending_us)
+            self.pending_us = None
+
+    def _confirm(self, newest_at_us: Micros) -> None:
+        confirmed_us = self.confirmed_us
+        if confirmed_us is None or newest_at_us > confirmed_us:
+            self.confirmed_us = newest_at_us
+
+
+@define
+class EchoRow:
+    """The clock of another node, as this node has last heard of it.
+
+    Parameters
+    ----------
+    incarnation
+        Process whose clock it is.
+    clock_us, arrived_us
+        Reading of the other node's clock in µs, and the time of this node's
+        clock at which the reading arrived.
+    """
+
+    node_id: NodeId
+    incarnation: Incarnation
+    clock_us: Micros
+    arrived_us: Micros
+
+
+class EvidenceTables:
+    """Evidence of this node, and the clocks of those it reports to."""
+
+    def __init__(self, row: EvidenceRow):
+        self.row = row
+        self.echoes: Table[NodeId, EchoRow] = Table("echoes")
+
+    def confirmation_for(self, node_id: NodeId, now_us: Micros) -> Confirmation | None:
+        """Return this node's evidence by the clock of another node, or None.
+
+        The reading F of the other clock was taken before it arrived here at B.
+        At the time E of the evidence, the other clock showed F + (E - B) at
+        least, however long the reading was on its way.
+        """
+        echo, confirmed_us = self.echoes.get(node_id), self.row.confirmed_us
+        if echo is None or confirmed_us is None:
+            return None
+        if now_us - echo.arrived_us > _MAX_ECHO_AGE_US:
+            self.echoes.pop(node_id)
+            return None
+        clock_us = Micros(echo.clock_us + confirmed_us - echo.arrived_us)
+        return Confirmation(echo.incarnation, clock_us)
--- a/packages/papayapost/src/papayapost/distribution/messages.py
+++ b/packages/papayapost/src/papayapost/distribution/messages.py
@@ -12,6 +12,7 @@
     "AcceptedRules",
     "CatchUpDue",
     "ChunkDue",
+    "CoverDue",
     "FallbackDue",
     "FetchDue",
     "FloorWaitExpired",
@@ -197,6 +198,11 @@
     """Timer: stop waiting for a parent to report the version floor."""
 
 
+@define
+class CoverDue:
+    """Timer: no relay has reported contact with the store in time."""
+
+
 @define
 class RequestDue:
     """Timer: request newer rules from the parent or a peer."""
--- a/packages/papayapost/src/papayapost/distribution/part.py
+++ b/packages/papayapost/src/papayapost/distribution/part.py
@@ -3,12 +3,14 @@
 from papayapost.define import define
 from papayapost.distribution.accept import AcceptRules
 from papayapost.distribution.change_history import ChangeHistory
+from papayapost.distribution.confirming import ConfirmRules
 from papayapost.distribution.deltas import ApplyDeltas
 from papayapost.distribution.direct import (
     ActivateCompiledRules,
     DirectWatchRow,
     WatchStore,
 )
+from papayapost.distribution.evidence import EvidenceRow, EvidenceTables
 from papayapost.distribution.newer_children import RequestFromChildren
 from papayapost.distribution.progress import ReportProgress
 from papayapost.distribution.pushing import PushToChildren, RecordDeltaHistory
@@ -84,18 +86,28 @@
 
 
 def build_direct_distribution(
-    me: SelfRow, directory: Directory, rules: RulesTable
+    me: SelfRow,
+    directory: Directory,
+    rules: RulesTable,
+    evidence: EvidenceRow | None = None,
 ) -> DirectDistributionPart:
     """Return the part that distributes rules without a tree of relays.
 
     The systems are ordered along the path of a rules text, so that a relay
     passes a change on in the tick in which it learns of it.
+
+    Parameters
+    ----------
+    evidence
+        Row that keeps the evidence that no newer rules exist; None if the
+        deployment needs none.
     """
     own = directory.get(me.node_id)
     contact = DirectWatchRow(link_mbps=own.link_mbps if own else 0.0)
     history = ChangeHistory()
     ranks = WatchRanks(directory, me.place.region)
     answers = RulesAnswers(me, rules, contact, history)
+    tables = EvidenceTables(evidence or EvidenceRow())
     systems: list[System] = [
         AssignWatchRole(me, ranks, rules, contact),
         WatchStore(rules, contact),
@@ -105,7 +117,8 @@
         RecordChanges(rules, contact, history),
         ActivateCompiledRules(rules),
         AnswerWaitingPeers(answers),
-        PushToRegion(me, directory, ranks, rules, contact, history),
+        ConfirmRules(me, directory, rules, contact, tables),
+        PushToRegion(me, directory, ranks, rules, contact, history, tables),
         FollowRelays(me, directory, ranks, rules, contact),
     ]
     return DirectDistributionPart(rules, contact, systems, [StartDue()])
--- a/packages/papayapost/src/papayapost/distribution/peer_messages.py
+++ b/packages/papayapost/src/papayapost/distribution/peer_messages.py
@@ -6,10 +6,19 @@
 from papayapost.define import define
 from papayapost.distribution.line_edits import LineEdit
 from papayapost.distribution.status import Laggard, RefusedVersion
-from papayapost.ids import Address, DataCentreId, Micros, NodeId, RuleVersion
+from papayapost.ids import (
+    Address,
+    DataCentreId,
+    Incarnation,
+    Micros,
+    NodeId,
+    RuleVersion,
+)
 
 __all__ = [
     "ChunkRequest",
+    "Confirmation",
+    "ContactEcho",
     "DataCentreProgress",
     "RulesBusy",
     "RulesChunk",
@@ -205,6 +214,41 @@
     text: str
 
 
+@define(frozen=True)
+class Confirmation:
+    """A time on the clock of another node's process.
+
+    Parameters
+    ----------
+    incarnation
+        The process. A clock may start anew with the next process.
+    clock_us
+        Reading of its clock in µs.
+    """
+
+    incarnation: Incarnation
+    clock_us: Micros
+
+
+@define
+class ContactEcho:
+    """Node to a relay that reported contact: the clock of the node.
+
+    With it the relay can say by the node's clock how old its evidence is.
+
+    Parameters
+    ----------
+    incarnation
+        Process of the sender.
+    clock_us
+        Reading of its clock in µs when it sent the message.
+    """
+
+    sender: NodeId
+    incarnation: Incarnation
+    clock_us: Micros
+
+
 @define
 class StoreContact:
     """Relay to the nodes of its region: the store has just answered it.
@@ -220,9 +264,13 @@
     watch_us
         Time in µs that an unchanged watch takes the sender, or took a relay of
         its region; None if it is not known.
+    confirmed
+        When the store held no newer version than `version`, by the clock of
+        the receiver; None if the sender does not know that clock.
     """
 
     sender: NodeId
     version: RuleVersion
     is_relay: bool
     watch_us: Micros | None = None
+    confirmed: Confirmation | None = None
--- a/packages/papayapost/src/papayapost/distribution/region_relays.py
+++ b/packages/papayapost/src/papayapost/distribution/region_relays.py
@@ -9,6 +9,7 @@
 from papayapost.distribution.change_history import ChangeHistory
 from papayapost.distribution.deltas import DeltaChain
 from papayapost.distribution.direct import DirectWatchRow, PeerRulesVersionSeen
+from papayapost.distribution.evidence import EvidenceTables
 from papayapost.distribution.line_edits import diff_lines
 from papayapost.distribution.messages import (
     RulesCompiled,
@@ -110,6 +111,7 @@
         rules: RulesTable,
         contact: DirectWatchRow,
         history: ChangeHistory,
+        evidence: EvidenceTables,
     ):
         self._me = me
         self._directory = directory
@@ -117,6 +119,7 @@
         self._rules = rules
         self._contact = contact
         self._history = history
+        self._evidence = evidence
 
     def run(self, tick: Tick) -> None:
         """Send the newest delta first, then the report of contact."""
@@ -145,10 +148,11 @@
 
     def _report_contact(self, tick: Tick) -> None:
         version, contact = self._rules.held_version, self._contact
-        report = StoreContact(
-            self._me.node_id, version, contact.is_relay, contact.watch_us
-        )
         for row in self._receivers():
+            confirmed = self._evidence.confirmation_for(row.node_id, tick.now_us)
+            report = StoreContact(
+                self._me.node_id, version, contact.is_relay, contact.watch_us, confirmed
+            )
             tick.emit(PeerSend(row.peer_address, report))
 
     def _receivers(self) -> list[BackendServerRow]:
--- a/packages/papayapost/src/papayapost/distribution/watch_roles.py
+++ b/packages/papayapost/src/papayapost/distribution/watch_roles.py
@@ -8,6 +8,7 @@
 from papayapost.define import define
 from papayapost.distribution.direct import DirectWatchRow, PeerRulesVersionSeen
 from papayapost.distribution.messages import (
+    CoverDue,
     PeersListed,
     StoreAnswered,
     StoreRegained,
@@ -62,11 +63,6 @@
 """How much nearer to the store a region must be for others to rely on it."""
 
 
-@define
-class CoverDue:
-    """Timer: no relay has reported contact with the store in time."""
-
-
 @define
 class SettleDue:
     """Timer: a node that has started has met its peers."""
--- a/packages/papayapost/src/papayapost/node.py
+++ b/packages/papayapost/src/papayapost/node.py
@@ -5,6 +5,7 @@
 
 from papayapost.define import define
 from papayapost.distribution import (
+    EvidenceRow,
     RulesTable,
     build_direct_distribution,
     build_distribution,
@@ -107,6 +108,7 @@
     queue: QueueDiscipline | None = None,
     options: TrafficOptions | None = None,
     max_rules_bytes: int = MAX_TEXT_BYTES,
+    evidence: EvidenceRow | None = None,
 ) -> NodeWorld:
     """Return the world of a node that reads the other nodes from the store.
 
@@ -117,12 +119,21 @@
     ----------
     max_rules_bytes
         Size limit of a rules text in bytes of UTF-8.
+    evidence
+        Evidence that no newer rules exist, with the largest age at which it
+        counts; None if the deployment sets no bound on the removal of a key.
     """
     rules = RulesTable(max_rules_bytes)
     roster = build_roster(me, own, rules)
-    distribution = build_direct_distribution(me, roster.directory, rules)
+    distribution = build_direct_distribution(me, roster.directory, rules, evidence)
     traffic = build_traffic(
-        me, roster.directory, rules, own.slots, queue=queue, options=options
+        me,
+        roster.directory,
+        rules,
+        own.slots,
+        queue=queue,
+        options=options,
+        evidence=evidence,
     )
     systems = [*roster.systems, *distribution.systems, *traffic.systems]
     first = [
--- a/packages/papayapost/src/papayapost/storage/messages.py
+++ b/packages/papayapost/src/papayapost/storage/messages.py
@@ -8,6 +8,7 @@
 from typing import NewType
 
 from papayapost.define import define
+from papayapost.ids import Micros
 
 __all__ = [
     "ListObjects",
@@ -137,19 +138,30 @@
         omitted the value of a known version.
     request_id
         Id of the read; None for a watch.
+    asked_us
+        Tick time in µs at which the request was sent, since when the version
+        was the newest; None if the answer may be stale.
     """
 
     key: ObjectKey
     version: int
     value: object
     request_id: StoreRequestId | None = None
+    asked_us: Micros | None = None
 
 
 @define
 class ObjectUnchanged:
-    """Input: a watch was answered without a change, and goes on."""
+    """Input: a watch was answered without a change, and goes on.
+
+    Parameters
+    ----------
+    asked_us
+        Tick time in µs at which the request was sent; None if not known.
+    """
 
     key: ObjectKey
+    asked_us: Micros | None = None
 
 
 @define
