Limit the calls of accounts over all nodes by lent tokens

An account's rate_per_s and burst were read but limited nothing. Each region now has an equal share of each quota in token buckets at two lenders, relays that hold leases in the store. An entry node asks the lender of its region for a token before the first attempt of a call, and the lender of another region if that one does not answer. Lenders that are short of tokens get those that another region can spare. Calls that end as not run return their token.

--- a/packages/papayapost-node/src/papayapost_node/observe/exposition.py
+++ b/packages/papayapost-node/src/papayapost_node/observe/exposition.py
@@ -15,6 +15,7 @@
 from prometheus_client.registry import Collector
 
 from papayapost.node import NodeWorld
+from papayapost.quota import QuotaCounters
 from papayapost.states import Rank
 from papayapost_node.observe.meter import CallCounter, CallMeter
 from papayapost_node.transport import PeerTable
@@ -58,6 +59,9 @@
         yield from _totals(
             "claims", {"writes": claims.writes, "conflicts": claims.conflicts}
         )
+        quotas = self._world.quotas
+        counters = quotas.counters if quotas is not None else QuotaCounters()
+        yield from _totals("quota", _fields_of(counters))
 
     def _peer_bytes(self) -> Iterator[Metric]:
         peers = self._peers
@@ -110,6 +114,7 @@
             "slot_limit": world.traffic.owner.limit,
             "waiting_attempts": world.traffic.owner.waiting,
             "link_budget_bytes": world.traffic.link.tokens_bytes,
+            "quota_leases": world.quotas.held_leases if world.quotas else 0,
             "memory_bytes": self._process.memory_info().rss,
             "cpu_seconds": times.user + times.system,
         }
@@ -117,19 +122,19 @@
             yield GaugeMetricFamily(f"papayapost_{name}", name, value=value)
 
 
-def _fields_of(counters: Any) -> dict[str, int | list[int]]:
+def _fields_of(counters: Any) -> dict[str, float | list[int]]:
     names = [item.name for item in dataclasses.fields(counters)]
     return {name: getattr(counters, name) for name in names}
 
 
-def _totals(prefix: str, totals: Mapping[str, int | list[int]]) -> Iterator[Metric]:
+def _totals(prefix: str, totals: Mapping[str, float | list[int]]) -> Iterator[Metric]:
     """Yield a counter for each total.
 
     A total that is a list holds one value for each rank.
     """
     for name, total in totals.items():
         full_name = f"papayapost_{prefix}_{name}"
-        if isinstance(total, int):
+        if not isinstance(total, list):
             yield CounterMetricFamily(full_name, name, value=total)
             continue
         family = CounterMetricFamily(full_name, name, labels=["rank"])
--- a/packages/papayapost-node/src/papayapost_node/store/values.py
+++ b/packages/papayapost-node/src/papayapost_node/store/values.py
@@ -17,6 +17,7 @@
 from papayapost.distribution import AcceptedRules, StatusReport
 from papayapost.ids import RuleVersion
 from papayapost.membership import DirectoryObject
+from papayapost.quota import QuotaLease
 from papayapost.record import ChangeDetail, RecordPage
 from papayapost.roster import RosterEntry
 from papayapost.rules import decode_text
@@ -37,6 +38,7 @@
     ObjectKind.RECORD_DETAIL: ChangeDetail,
     ObjectKind.ENTRY: RosterEntry,
     ObjectKind.DEPARTURE: Departure,
+    ObjectKind.QUOTA_LEASE: QuotaLease,
 }
 
 _ACCEPTED_PREFIX = "# papayapost version "
--- a/packages/papayapost-node/src/papayapost_node/wire/message_numbers.py
+++ b/packages/papayapost-node/src/papayapost_node/wire/message_numbers.py
@@ -37,6 +37,15 @@
     ProbeResult,
     Vouch,
 )
+from papayapost.quota import (
+    NotLender,
+    TokenDenied,
+    TokenGranted,
+    TokenReturned,
+    TokensSent,
+    TokensWanted,
+    TokenWanted,
+)
 from papayapost.roster import (
     Beat,
     Hello,
@@ -108,6 +117,15 @@
     AttemptRefused: 42,
     AttemptFailed: 43,
 }
+_QUOTA_NUMBERS: dict[type, int] = {
+    TokenWanted: 67,
+    TokenGranted: 68,
+    TokenDenied: 69,
+    NotLender: 70,
+    TokenReturned: 71,
+    TokensWanted: 72,
+    TokensSent: 73,
+}
 _CARRIER_NUMBERS: dict[type, int] = {
     OfferCarrier: 60,
     AnswerCarrier: 61,
@@ -119,7 +137,11 @@
 }
 
 MESSAGE_NUMBERS: dict[type, int] = (
-    _MEMBERSHIP_NUMBERS | _DISTRIBUTION_NUMBERS | _TRAFFIC_NUMBERS | _CARRIER_NUMBERS
+    _MEMBERSHIP_NUMBERS
+    | _DISTRIBUTION_NUMBERS
+    | _TRAFFIC_NUMBERS
+    | _QUOTA_NUMBERS
+    | _CARRIER_NUMBERS
 )
 """Type number of each message type."""
 
--- a/packages/papayapost-testing/src/papayapost_testing/slow_link_mesh.py
+++ b/packages/papayapost-testing/src/papayapost_testing/slow_link_mesh.py
@@ -2,12 +2,12 @@
 
 import heapq
 from collections import Counter
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from enum import Enum
 from random import Random
 
 from papayapost.distribution import RULES_KEY, EvidenceRow
-from papayapost.ids import Address, Incarnation, Micros, RegionId
+from papayapost.ids import Address, DataCentreId, Incarnation, Micros, RegionId
 from papayapost.node import NodeWorld, build_roster_world
 from papayapost.observe import Event, Noted
 from papayapost.peering import PeerSend
@@ -59,6 +59,7 @@
         started_us: int,
         link_mbps: float,
         evidence_limit_us: Micros | None,
+        data_centres: Mapping[DataCentreId, RegionId] | None = None,
     ):
         own = backend_row(name, "gusts", place)
         own.link_mbps = link_mbps
@@ -66,7 +67,11 @@
         self.me = SelfRow(own.node_id, own.incarnation, place, own.peer_address)
         self.evidence = EvidenceRow(evidence_limit_us)
         self.built: NodeWorld = build_roster_world(
-            self.me, own, Random(name), evidence=self.evidence
+            self.me,
+            own,
+            Random(name),
+            evidence=self.evidence,
+            data_centres=data_centres,
         )
         self.events: list[Event] = []
         self.applied: list[tuple[int, int]] = []
@@ -97,6 +102,8 @@
         Rate at which each node sends.
     evidence_limit_us
         Largest age of the evidence that the rules are the newest, or None.
+    data_centres
+        Region of each data centre, if the mesh keeps quotas.
 
     Attributes
     ----------
@@ -108,6 +115,7 @@
         self,
         link_rate_bytes_per_s: int = _LINK_BYTES_PER_S,
         evidence_limit_us: Micros | None = None,
+        data_centres: Mapping[DataCentreId, RegionId] | None = None,
     ):
         self.now_us = _START_US
         self.nodes: dict[Address, MeshNode] = {}
@@ -116,6 +124,7 @@
         self.store = RosterStore(self._clock, self._call_later, self._deliver)
         self._link_rate_bytes_per_s = link_rate_bytes_per_s
         self._evidence_limit_us = evidence_limit_us
+        self._data_centres = data_centres
         self._links: dict[RegionId, RegionLink] = {}
         self._free_us: dict[Address, int] = {}
         self._timers: dict[Address, int] = {}
@@ -131,7 +140,8 @@
     def start(self, name: str, place: Place, clock_offset_us: int = 0) -> MeshNode:
         """Start a node, or a new process of it."""
         link_mbps = self._link_rate_bytes_per_s * 8 / 1e6
-        node = MeshNode(name, place, self.now_us, link_mbps, self._evidence_limit_us)
+        limit_us, data_centres = self._evidence_limit_us, self._data_centres
+        node = MeshNode(name, place, self.now_us, link_mbps, limit_us, data_centres)
         node.clock_offset_us = clock_offset_us
         self.store.clock_offsets_us[node.address] = clock_offset_us
         self.store.forget(node.address)
@@ -168,6 +178,10 @@
         """Pass a message to a node at once."""
         self._tick(node.address, [message])
 
+    def post_all(self, node: MeshNode, messages: list) -> None:
+        """Pass several messages to a node in one tick."""
+        self._tick(node.address, messages)
+
     def _clock(self) -> int:
         return self.now_us
 
@@ -189,7 +203,7 @@
             elif isinstance(effect, Noted):
                 node.events.append(effect.event)
             else:
-                self.store.apply_effect(address, effect)
+                self._apply_effect(node, effect)
         if node.version != (node.applied[-1][1] if node.applied else 0):
             node.applied.append((self.now_us, node.version))
         due_us = node.built.world.next_due_us()
@@ -198,6 +212,10 @@
             delay_us = max(0, due_us - clock_us)
             self._call_later(delay_us, lambda: self._wake(address, due_us))
 
+    def _apply_effect(self, node: MeshNode, effect: object) -> None:
+        """Carry out any other effect than a message to a peer or an event."""
+        self.store.apply_effect(node.address, effect)
+
     def _wake(self, address: Address, due_us: int) -> None:
         if address in self.nodes and self._timers.get(address) == due_us:
             del self._timers[address]
--- a/packages/papayapost/src/papayapost/distribution/__init__.py
+++ b/packages/papayapost/src/papayapost/distribution/__init__.py
@@ -48,6 +48,7 @@
     StatusReport,
     status_key,
 )
+from papayapost.distribution.watch_ranks import WatchRanks
 
 __all__ = [
     "ACCEPTED_KEY",
@@ -86,6 +87,7 @@
     "StoreRegained",
     "TextOffered",
     "VersionRow",
+    "WatchRanks",
     "apply_edits",
     "build_direct_distribution",
     "build_distribution",
--- a/packages/papayapost/src/papayapost/distribution/part.py
+++ b/packages/papayapost/src/papayapost/distribution/part.py
@@ -75,12 +75,15 @@
 
     Parameters
     ----------
+    ranks
+        Ranks of the nodes, by which relays are chosen.
     first_messages
         Messages for the first tick of the node.
     """
 
     rules: RulesTable
     contact: DirectWatchRow
+    ranks: WatchRanks
     systems: list[System]
     first_messages: list[object]
 
@@ -121,7 +124,7 @@
         PushToRegion(me, directory, ranks, rules, contact, history, tables),
         FollowRelays(me, directory, ranks, rules, contact),
     ]
-    return DirectDistributionPart(rules, contact, systems, [StartDue()])
+    return DirectDistributionPart(rules, contact, ranks, systems, [StartDue()])
 
 
 def build_distribution(
--- a/packages/papayapost/src/papayapost/ids.py
+++ b/packages/papayapost/src/papayapost/ids.py
@@ -14,9 +14,11 @@
     "Incarnation",
     "InstanceId",
     "KeyDigest",
+    "LeaseTerm",
     "Micros",
     "NodeId",
     "Owner",
+    "QuotaPartition",
     "RegionId",
     "ReportId",
     "RequestName",
@@ -47,6 +49,12 @@
 KeyDigest = NewType("KeyDigest", str)
 """Digest of an account's secret key, as 32 lower-case hexadecimal digits."""
 
+QuotaPartition = NewType("QuotaPartition", int)
+"""A group of the accounts with a quota, from 0."""
+
+LeaseTerm = NewType("LeaseTerm", int)
+"""Store version at which a node took a lease; 0 means that it has none."""
+
 Address = NewType("Address", str)
 """An ``ip:port`` pair; the host part is an IP address, never a name."""
 
--- a/packages/papayapost/src/papayapost/node.py
+++ b/packages/papayapost/src/papayapost/node.py
@@ -1,6 +1,6 @@
 """Builds the world of a node: its tables and its systems in order."""
 
-from collections.abc import Sequence
+from collections.abc import Mapping, Sequence
 from random import Random
 
 from papayapost.define import define
@@ -10,7 +10,7 @@
     build_direct_distribution,
     build_distribution,
 )
-from papayapost.ids import Address
+from papayapost.ids import Address, DataCentreId, RegionId
 from papayapost.kernel import World
 from papayapost.membership import (
     BackendServerRow,
@@ -19,6 +19,7 @@
     build_membership,
 )
 from papayapost.place import SelfRow
+from papayapost.quota import QuotaTables, build_quota
 from papayapost.record import build_record
 from papayapost.roster import build_roster
 from papayapost.rules import MAX_TEXT_BYTES
@@ -39,6 +40,9 @@
         no tree.
     first
         Messages for the first tick.
+    quotas
+        Leases, buckets and requests for tokens, or None if the mesh keeps no
+        quotas.
     """
 
     world: World
@@ -47,6 +51,7 @@
     traffic: TrafficPart
     tree: TreeTables | None
     first: list[object]
+    quotas: QuotaTables | None = None
 
     def first_messages(self) -> list[object]:
         """Return the messages to pass to the first tick."""
@@ -109,6 +114,7 @@
     options: TrafficOptions | None = None,
     max_rules_bytes: int = MAX_TEXT_BYTES,
     evidence: EvidenceRow | None = None,
+    data_centres: Mapping[DataCentreId, RegionId] | None = None,
 ) -> NodeWorld:
     """Return the world of a node that reads the other nodes from the store.
 
@@ -122,6 +128,9 @@
     evidence
         Evidence that no newer rules exist, with the largest age at which it
         counts; None if the deployment sets no bound on the removal of a key.
+    data_centres
+        Region of each data centre of the mesh, between which the quotas of
+        accounts are divided; if there are none, no quota is enforced.
     """
     rules = RulesTable(max_rules_bytes)
     roster = build_roster(me, own, rules)
@@ -134,12 +143,23 @@
         queue=queue,
         options=options,
         evidence=evidence,
+        has_lenders=bool(data_centres),
     )
-    systems = [*roster.systems, *distribution.systems, *traffic.systems]
+    quota = None
+    if data_centres:
+        contact, ranks = distribution.contact, distribution.ranks
+        quota = build_quota(me, roster.directory, ranks, rules, contact, data_centres)
+    systems = [
+        *roster.systems,
+        *distribution.systems,
+        *(quota.systems if quota is not None else []),
+        *traffic.systems,
+    ]
     first = [
         *roster.first_messages,
         *distribution.first_messages,
         *traffic.first_messages,
     ]
     world = World(systems, random)
-    return NodeWorld(world, roster.directory, rules, traffic, None, first)
+    tables = quota.tables if quota is not None else None
+    return NodeWorld(world, roster.directory, rules, traffic, None, first, tables)
--- /dev/null
+++ b/packages/papayapost/src/papayapost/quota/leasing.py
@@ -0,0 +1,324 @@
+"""The system that holds the leases of a region's lenders in the store.
+
+Load patterns that it answers: lenders killed, cut off or stopped under load,
+all nodes restarted at once, and a store that is down or refuses some nodes.
+"""
+
+from papayapost.define import define
+from papayapost.distribution import (
+    DirectWatchRow,
+    RulesInForce,
+    RulesTable,
+    WatchRanks,
+)
+from papayapost.ids import LeaseTerm, Micros, NodeId, QuotaPartition
+from papayapost.kernel import System, Tick
+from papayapost.membership import Directory, DirectoryChanged
+from papayapost.observe import Event, Noted
+from papayapost.place import SelfRow
+from papayapost.quota.messages import LeaseStepDue
+from papayapost.quota.tables import (
+    LeaseRow,
+    LeaseState,
+    LeaseStep,
+    QuotaLease,
+    QuotaTables,
+)
+from papayapost.states import BackendServerState, WatchRole
+from papayapost.storage import (
+    ObjectKind,
+    ObjectRead,
+    ObjectUpdated,
+    ReadObject,
+    StoreReadFailed,
+    StoreRequestId,
+    UpdateConflicted,
+    UpdateObject,
+    UpdateOutcomeUnknown,
+)
+
+__all__ = ["HoldLeases", "LeaseLost"]
+
+_VALID_US = 4_000_000
+"""Time for which a lease is valid after its write was sent."""
+
+_TAKEOVER_US = 4_500_000
+"""Time after which an unchanged lease is taken over. The former holder has
+stopped half a second before, whatever the rates of the two clocks."""
+
+_RENEW_US = 1_200_000
+_RETRY_US = 300_000
+_READ_US = 500_000
+_DEPUTY_READ_US = 1_000_000
+"""Time between two reads by a relay and by a deputy that may take over."""
+
+_TURN_US = 600_000
+"""How much later than the one above it each candidate takes a lease."""
+
+_LEAVING_STATES = (BackendServerState.DRAINING, BackendServerState.GONE)
+
+
+@define
+class LeaseLost:
+    """Internal: this node no longer lends the tokens of a partition."""
+
+    partition: QuotaPartition
+
+
+class HoldLeases(System):
+    """Takes, renews, takes over and releases the leases of this region.
+
+    The relays and deputies of the region are candidates. All others make no
+    store call, but for one read of each lease after a start, by which a new
+    process finds the lease of its former one. There is none at all while the
+    rules in force hold no account with a quota.
+    """
+
+    consumes = (
+        DirectoryChanged,
+        LeaseStepDue,
+        ObjectRead,
+        ObjectUpdated,
+        RulesInForce,
+        StoreReadFailed,
+        UpdateConflicted,
+        UpdateOutcomeUnknown,
+    )
+
+    def __init__(
+        self,
+        me: SelfRow,
+        directory: Directory,
+        ranks: WatchRanks,
+        rules: RulesTable,
+        contact: DirectWatchRow,
+        tables: QuotaTables,
+    ):
+        self._me = me
+        self._directory = directory
+        self._ranks = ranks
+        self._rules = rules
+        self._contact = contact
+        self._tables = tables
+        self._requests = 0
+
+    def run(self, tick: Tick) -> None:
+        """Apply the answers of the store, then make the calls that are due."""
+        if tick.take(RulesInForce):
+            self._apply_rules(tick)
+        self._apply_answers(tick)
+        self._apply_failures(tick)
+        if not self._tables.are_quotas_in_force:
+            return
+        if tick.take(DirectoryChanged) and self._is_leaving():
+            self._release_all(tick)
+        self._take_steps(tick)
+
+    def _apply_answers(self, tick: Tick) -> None:
+        for read in tick.take(ObjectRead):
+            lease = self._answered(read.key.kind, read.request_id)
+            if lease is not None:
+                self._apply_read(tick, lease, read)
+        for updated in tick.take(ObjectUpdated):
+            lease = self._answered(updated.key.kind, updated.request_id)
+            if lease is not None:
+                self._apply_update(tick, lease, updated.version)
+        for conflict in tick.take(UpdateConflicted):
+            lease = self._answered(conflict.key.kind, conflict.request_id)
+            if lease is not None:
+                self._lose(tick, lease, "another node has written it")
+                self._read_soon(tick, lease)
+
+    def _apply_failures(self, tick: Tick) -> None:
+        for unknown in tick.take(UpdateOutcomeUnknown):
+            lease = self._answered(unknown.key.kind, unknown.request_id)
+            if lease is not None:
+                lease.version = None
+                self._retry_later(tick, lease)
+        for failed in tick.take(StoreReadFailed):
+            lease = self._answered(failed.key.kind, failed.request_id)
+            if lease is not None:
+                self._retry_later(tick, lease)
+
+    def _apply_rules(self, tick: Tick) -> None:
+        in_force = self._rules.in_force
+        accounts = in_force.rules.accounts if in_force is not None else ()
+        tables = self._tables
+        was_in_force = tables.are_quotas_in_force
+        tables.are_quotas_in_force = any(account.has_quota for account in accounts)
+        if was_in_force and not tables.are_quotas_in_force:
+            self._release_all(tick)
+
+    def _answered(
+        self, kind: ObjectKind, request_id: StoreRequestId | None
+    ) -> LeaseRow | None:
+        """Return the lease whose store call this is the answer to."""
+        if kind is not ObjectKind.QUOTA_LEASE:
+            return None
+        for lease in self._tables.leases:
+            if lease.step is not LeaseStep.NONE and lease.request_id == request_id:
+                return lease
+        return None
+
+    def _apply_read(self, tick: Tick, lease: LeaseRow, read: ObjectRead) -> None:
+        lease.step = LeaseStep.NONE
+        if read.version != lease.version:
+            lease.version, lease.seen_us = read.version, tick.now_us
+        value = read.value
+        lease.holder = value.holder if isinstance(value, QuotaLease) else None
+        if isinstance(value, QuotaLease):
+            lease.incarnation = value.incarnation
+        if lease.state is LeaseState.HELD:
+            if self._is_own_process(lease):
+                lease.due_us = tick.now_us
+                return
+            self._lose(tick, lease, f"{lease.holder} has taken it")
+        self._consider(tick, lease)
+
+    def _is_own_process(self, lease: LeaseRow) -> bool:
+        me = self._me
+        return lease.holder == me.node_id and lease.incarnation == me.incarnation
+
+    def _consider(self, tick: Tick, lease: LeaseRow) -> None:
+        """Take a lease that is free, expired or of a former process."""
+        if self._is_leaving():
+            if lease.holder == self._me.node_id:
+                self._write(tick, lease, LeaseStep.RELEASE)
+            return
+        turn = self._turn(lease)
+        if lease.holder == self._me.node_id:
+            take_us = tick.now_us
+        elif turn is None:
+            return
+        elif lease.holder is None:
+            take_us = Micros(lease.seen_us + turn * _TURN_US)
+        else:
+            take_us = Micros(lease.seen_us + _TAKEOVER_US + turn * _TURN_US)
+        if tick.now_us >= take_us:
+            self._write(tick, lease, LeaseStep.TAKE)
+            return
+        is_first = self._me.node_id in self._ranks.own.relays
+        read_us = tick.now_us + (_READ_US if is_first else _DEPUTY_READ_US)
+        lease.due_us = Micros(min(read_us, take_us))
+
+    def _turn(self, lease: LeaseRow) -> int | None:
+        """Return this node's place among the candidates, or None."""
+        contact = self._contact
+        if not contact.is_relay and not contact.is_deputy:
+            return None
+        rank = self._ranks.own
+        relays: list[NodeId] = rank.relays
+        shift = lease.partition % max(1, len(relays))
+        candidates = [*relays[shift:], *relays[:shift], *rank.deputies]
+        node_id = self._me.node_id
+        return candidates.index(node_id) if node_id in candidates else None
+
+    def _apply_update(self, tick: Tick, lease: LeaseRow, version: int) -> None:
+        step, lease.step = lease.step, LeaseStep.NONE
+        lease.version, lease.seen_us = version, tick.now_us
+        if step is LeaseStep.RELEASE:
+            lease.holder = None
+            lease.due_us = Micros(tick.now_us + _READ_US)
+            return
+        lease.holder, lease.incarnation = self._me.node_id, self._me.incarnation
+        is_released = step is LeaseStep.RENEW and lease.state is LeaseState.OTHERS
+        if is_released or self._is_leaving():
+            self._release(tick, lease)
+            self._write(tick, lease, LeaseStep.RELEASE)
+            return
+        if step is LeaseStep.TAKE:
+            lease.state = LeaseState.HELD
+            lease.term = LeaseTerm(version)
+            lease.taken_us = tick.now_us
+            tick.emit(Noted(Event.LEASE_TAKEN, detail=lease.key.name))
+        lease.valid_until_us = Micros(lease.asked_us + _VALID_US)
+        lease.is_expiry_noted = False
+        lease.due_us = Micros(lease.asked_us + _RENEW_US)
+
+    def _lose(self, tick: Tick, lease: LeaseRow, reason: str) -> None:
+        lease.step = LeaseStep.NONE
+        if lease.state is LeaseState.HELD:
+            lease.state, lease.term = LeaseState.OTHERS, LeaseTerm(0)
+            tick.emit(Noted(Event.LEASE_LOST, detail=f"{lease.key.name}: {reason}"))
+            tick.post(LeaseLost(lease.partition))
+
+    def _read_soon(self, tick: Tick, lease: LeaseRow) -> None:
+        lease.version = None
+        lease.due_us = tick.now_us
+
+    def _is_leaving(self) -> bool:
+        own = self._directory.get(self._me.node_id)
+        return own is None or own.state in _LEAVING_STATES
+
+    def _release_all(self, tick: Tick) -> None:
+        """Let other nodes take the leases of this node at once."""
+        for lease in self._tables.leases:
+            if lease.state is not LeaseState.HELD:
+                continue
+            self._release(tick, lease)
+            if lease.step is LeaseStep.NONE and lease.version is not None:
+                self._write(tick, lease, LeaseStep.RELEASE)
+
+    def _release(self, tick: Tick, lease: LeaseRow) -> None:
+        """Stop to lend, before the store holds the release."""
+        if lease.state is not LeaseState.HELD:
+            return
+        lease.state, lease.term = LeaseState.OTHERS, LeaseTerm(0)
+        tick.emit(Noted(Event.LEASE_RELEASED, detail=lease.key.name))
+        tick.post(LeaseLost(lease.partition))
+
+    def _retry_later(self, tick: Tick, lease: LeaseRow) -> None:
+        lease.step = LeaseStep.NONE
+        lease.due_us = Micros(tick.now_us + _RETRY_US)
+
+    def _take_steps(self, tick: Tick) -> None:
+        """Make the store calls that are due, and set the timer of the next."""
+        next_us: Micros | None = None
+        for lease in self._tables.leases:
+            if lease.state is LeaseState.HELD:
+                self._note_expiry(tick, lease)
+            if lease.step is not LeaseStep.NONE:
+                continue
+            if tick.now_us >= lease.due_us and not self._step(tick, lease):
+                continue
+            if lease.step is LeaseStep.NONE:
+                next_us = (
+                    lease.due_us if next_us is None else min(next_us, lease.due_us)
+                )
+        if next_us is not None:
+            tick.set_timer("quota leases", next_us, LeaseStepDue())
+
+    def _step(self, tick: Tick, lease: LeaseRow) -> bool:
+        """Make the call that is due; return False if there is none to make."""
+        if lease.state is LeaseState.HELD and lease.version is not None:
+            self._write(tick, lease, LeaseStep.RENEW)
+        elif self._turn(lease) is not None or lease.version is None:
+            self._read(tick, lease)
+        elif self._contact.role is WatchRole.STARTING:
+            lease.due_us = Micros(tick.now_us + _READ_US)
+        else:
+            return False
+        return True
+
+    def _note_expiry(self, tick: Tick, lease: LeaseRow) -> None:
+        if tick.now_us >= lease.valid_until_us and not lease.is_expiry_noted:
+            lease.is_expiry_noted = True
+            tick.emit(Noted(Event.LEASE_EXPIRED, detail=lease.key.name))
+
+    def _read(self, tick: Tick, lease: LeaseRow) -> None:
+        self._begin(tick, lease, LeaseStep.READ)
+        tick.emit(ReadObject(lease.key, lease.request_id))
+
+    def _write(self, tick: Tick, lease: LeaseRow, step: LeaseStep) -> None:
+        self._begin(tick, lease, step)
+        me = self._me
+        lease.renewals += 1
+        holder = None if step is LeaseStep.RELEASE else me.node_id
+        value = QuotaLease(holder, me.incarnation, lease.renewals)
+        expected = lease.version or 0
+        tick.emit(UpdateObject(lease.key, lease.request_id, expected, value))
+
+    def _begin(self, tick: Tick, lease: LeaseRow, step: LeaseStep) -> None:
+        self._requests += 1
+        lease.step, lease.asked_us = step, tick.now_us
+        lease.request_id = StoreRequestId(f"quota-{self._requests}")
--- a/packages/papayapost/src/papayapost/storage/messages.py
+++ b/packages/papayapost/src/papayapost/storage/messages.py
@@ -45,6 +45,7 @@
     CLAIMS = "claims"
     ENTRY = "entry"
     DEPARTURE = "departure"
+    QUOTA_LEASE = "quota-lease"
 
 
 @define(frozen=True)
--- a/packages/papayapost/src/papayapost/traffic/drain.py
+++ b/packages/papayapost/src/papayapost/traffic/drain.py
@@ -205,6 +205,7 @@
     def _is_idle(self) -> bool:
         calls, owner = self._calls, self._owner
         has_calls = len(calls.calls) or len(calls.attempts) or len(calls.held)
+        has_calls = has_calls or len(calls.quota_waits)
         has_work = has_calls or len(owner.attempts) or owner.blocked_answers
         return not has_work and not self._claims.is_busy()
 
--- a/packages/papayapost/src/papayapost/traffic/entry/offers.py
+++ b/packages/papayapost/src/papayapost/traffic/entry/offers.py
@@ -5,6 +5,7 @@
 from papayapost.observe import Event, Noted
 from papayapost.peering import PeerSend
 from papayapost.place import SelfRow
+from papayapost.quota import TokenUnused
 from papayapost.states import LinkClass, Outcome
 from papayapost.traffic.claims.tables import digest_of_key, partition_of
 from papayapost.traffic.entry.balancing import BalancingPolicy
@@ -303,6 +304,8 @@
     """End a call with a refusal that says whether the call may have run."""
     close_call(tick, tables, call)
     outcome = Outcome.UNKNOWN if call.may_have_run else Outcome.NOT_RUN
+    if call.token is not None and outcome is Outcome.NOT_RUN:
+        tick.post(TokenUnused(call.token))
     counters = tables.counters
     if outcome is Outcome.UNKNOWN:
         counters.unknown_outcomes += 1
--- a/packages/papayapost/src/papayapost/traffic/entry/routing.py
+++ b/packages/papayapost/src/papayapost/traffic/entry/routing.py
@@ -4,6 +4,15 @@
 from papayapost.ids import CallId, Micros
 from papayapost.kernel import System, Tick
 from papayapost.membership import DirectoryChanged
+from papayapost.observe import Event, Noted
+from papayapost.quota import (
+    TokenGrant,
+    TokenNeeded,
+    TokenSettled,
+    TokenUnneeded,
+    TokenUnused,
+    TokenVerdict,
+)
 from papayapost.rules import match_route
 from papayapost.states import NodeState, Outcome
 from papayapost.traffic.drain_row import DrainRow
@@ -12,7 +21,12 @@
 from papayapost.traffic.entry.caller_wait import CallerWaitEstimator
 from papayapost.traffic.entry.offers import Offers
 from papayapost.traffic.entry.retries import RetryPolicy
-from papayapost.traffic.entry.tables import CallRow, EntryTables, HeldCallRow
+from papayapost.traffic.entry.tables import (
+    CallRow,
+    EntryTables,
+    HeldCallRow,
+    QuotaWaitRow,
+)
 from papayapost.traffic.entry.weighted_services import WeightedServiceChooser
 from papayapost.traffic.internal import HoldExpired
 from papayapost.traffic.messages import (
@@ -26,7 +40,9 @@
 
 _UNAUTHORIZED = 401
 _NOT_FOUND = 404
+_TOO_MANY_REQUESTS = 429
 _UNAVAILABLE = 503
+_TIMED_OUT = 504
 _RETRY_AFTER_MS = 1_000
 _MIN_DRAIN_RETRY_AFTER_MS = 200
 _ANSWER_TIME_MARGIN = 2.0
@@ -47,7 +63,8 @@
     A call is held for a limited time if there are no rules yet, or if no
     backend server of the service is available. After a node's start, or while
     the backend servers of a service restart one after the other, callers then
-    wait instead of getting an error.
+    wait instead of getting an error. A call of an account with a quota waits
+    for its token before the first attempt.
 
     Parameters
     ----------
@@ -59,9 +76,18 @@
         Times that calls of each route took.
     evidence
         How recently the rules in force were known to be the newest.
+    has_lenders
+        Whether lenders grant tokens. Without them, no quota is enforced.
     """
 
-    consumes = (CallArrived, CallerGone, DirectoryChanged, HoldExpired, RulesInForce)
+    consumes = (
+        CallArrived,
+        CallerGone,
+        DirectoryChanged,
+        HoldExpired,
+        RulesInForce,
+        TokenSettled,
+    )
 
     def __init__(
         self,
@@ -73,6 +99,7 @@
         drain: DrainRow | None = None,
         answer_times: AnswerTimes | None = None,
         evidence: EvidenceRow | None = None,
+        has_lenders: bool = False,
     ):
         self._rules = rules
         self._tables = tables
@@ -82,14 +109,13 @@
         self._drain = drain or DrainRow()
         self._answer_times = answer_times or AnswerTimes()
         self._evidence = evidence or EvidenceRow()
+        self._has_lenders = has_lenders
         self._service_chooser = WeightedServiceChooser()
         self._wait_estimator = CallerWaitEstimator()
 
     def run(self, tick: Tick) -> None:
         """Route new calls, and held calls if rules or upstreams changed."""
         held = self._tables.held
-        for gone in tick.take(CallerGone):
-            self._end_hold(tick, gone.call_id)
         for arrived in tick.take(CallArrived):
             self._tables.counters.calls += 1
             if self._drain.is_grace_period_over:
@@ -100,16 +126,29 @@
                 self._refuse(tick, arrived.call_id, _UNAVAILABLE, code)
                 continue
             self._route(tick, arrived, tick.now_us)
+        for gone in tick.take(CallerGone):
+            self._abandon(tick, gone.call_id)
+        for settled in tick.take(TokenSettled):
+            self._apply_token(tick, settled)
         new_rules, changes = tick.take(RulesInForce), tick.take(DirectoryChanged)
+        if new_rules and not self._has_lenders:
+            self._note_ignored_quotas(tick)
         if new_rules or changes:
             for row in list(held):
-                self._route(tick, row.arrived, row.arrived_us)
+                self._route(tick, row.arrived, row.arrived_us, row.token)
         for expired in tick.take(HoldExpired):
             held_call = held.pop(expired.call_id)
             if held_call is not None:
+                _return_token(tick, held_call.token)
                 self._refuse(tick, expired.call_id, _UNAVAILABLE, held_call.code)
 
-    def _route(self, tick: Tick, arrived: CallArrived, arrived_us: Micros) -> None:
+    def _route(
+        self,
+        tick: Tick,
+        arrived: CallArrived,
+        arrived_us: Micros,
+        token: TokenGrant | None = None,
+    ) -> None:
         in_force = self._rules.in_force
         if in_force is None:
             budget_us = arrived.budget_us or self._hold_us
@@ -117,14 +156,14 @@
             return
         route = match_route(in_force.rules, arrived.method, arrived.host, arrived.path)
         if route is None:
-            self._end_hold(tick, arrived.call_id)
+            self._abandon(tick, arrived.call_id)
             self._refuse(tick, arrived.call_id, _NOT_FOUND, RefusalCode.NO_ROUTE)
             return
         access = decide_access(
             in_force.rules, route, arrived.key_digest, self._evidence, tick.now_us
         )
         if isinstance(access, RefusalCode):
-            self._end_hold(tick, arrived.call_id)
+            self._abandon(tick, arrived.call_id)
             is_unknown = access is RefusalCode.UNKNOWN_KEY
             status = _UNAUTHORIZED if is_unknown else _UNAVAILABLE
             self._refuse(tick, arrived.call_id, status, access)
@@ -137,21 +176,60 @@
         _apply_access(call, access)
         call.waited_us = self._wait_estimator.waited_us(route, arrived.budget_us)
         if self._may_outlast_process(tick, call):
-            self._end_hold(tick, arrived.call_id)
+            self._abandon(tick, arrived.call_id)
             code = RefusalCode.DRAINING
             self._refuse(tick, arrived.call_id, _UNAVAILABLE, code)
             return
         call.version = in_force.version
         call.chosen_service = self._service_chooser.choose(route, tick.random)
+        call.token = token
+        account = access.account
+        is_limited = account is not None and account.has_quota
+        if account is not None and is_limited and self._has_lenders and token is None:
+            self._end_hold(tick, arrived.call_id)
+            self._tables.quota_waits.put(call.call_id, QuotaWaitRow(call))
+            tick.post(TokenNeeded(call.call_id, account.name, call.deadline_us))
+            return
+        self._start(tick, call)
+
+    def _start(self, tick: Tick, call: CallRow) -> None:
+        """Offer the first attempt of a call, or hold the call."""
         if call.deadline_us <= tick.now_us or not self._offers.offer(tick, call):
             code = RefusalCode.NO_BACKEND_SERVER
-            self._hold(tick, arrived, arrived_us, budget_us, code)
+            budget_us = call.deadline_us - call.arrived_us
+            self._hold(tick, call.arrived, call.arrived_us, budget_us, code, call.token)
             return
-        self._end_hold(tick, arrived.call_id)
+        self._end_hold(tick, call.call_id)
         self._tables.calls.put(call.call_id, call)
         self._retries.record_call_start(call, tick.now_us)
         self._offers.set_next_step(tick, call)
 
+    def _note_ignored_quotas(self, tick: Tick) -> None:
+        in_force = self._rules.in_force
+        accounts = in_force.rules.accounts if in_force is not None else ()
+        count = sum(account.has_quota for account in accounts)
+        if count:
+            detail = f"{count} accounts; the settings give no data centres"
+            tick.emit(Noted(Event.QUOTAS_IGNORED, detail=detail))
+
+    def _apply_token(self, tick: Tick, settled: TokenSettled) -> None:
+        """Start a call that got its token, or refuse one that got none."""
+        row = self._tables.quota_waits.pop(settled.call_id)
+        if row is None:
+            _return_token(tick, settled.grant)
+        elif settled.verdict is TokenVerdict.DENIED:
+            code, after_ms = RefusalCode.QUOTA, settled.retry_after_ms
+            self._refuse(tick, settled.call_id, _TOO_MANY_REQUESTS, code, after_ms)
+        elif settled.verdict is TokenVerdict.NO_LENDER:
+            code = RefusalCode.QUOTA_UNKNOWN
+            self._refuse(tick, settled.call_id, _UNAVAILABLE, code)
+        elif row.call.deadline_us <= tick.now_us:
+            _return_token(tick, settled.grant)
+            self._refuse(tick, settled.call_id, _TIMED_OUT, RefusalCode.DEADLINE)
+        else:
+            row.call.token = settled.grant
+            self._start(tick, row.call)
+
     def _may_outlast_process(self, tick: Tick, call: CallRow) -> bool:
         """Return whether this process may stop before it has the answer.
 
@@ -176,26 +254,41 @@
         arrived_us: Micros,
         budget_us: int,
         code: RefusalCode,
+        token: TokenGrant | None = None,
     ) -> None:
         held = self._tables.held
         call_id = arrived.call_id
         if call_id not in held and len(held) >= _MAX_HELD_CALLS:
+            _return_token(tick, token)
             self._refuse(tick, call_id, _UNAVAILABLE, code)
             return
-        held.put(call_id, HeldCallRow(arrived, arrived_us, code))
+        held.put(call_id, HeldCallRow(arrived, arrived_us, code, token))
         # A fifth of the time budget stays free for an attempt after the hold.
         hold_end_us = arrived_us + min(self._hold_us, budget_us * 4 // 5)
         tick.set_timer(("held", call_id), Micros(hold_end_us), HoldExpired(call_id))
 
+    def _abandon(self, tick: Tick, call_id: CallId) -> None:
+        """End the wait of a call that will have no attempt."""
+        held_call = self._tables.held.get(call_id)
+        if held_call is not None:
+            _return_token(tick, held_call.token)
+            self._end_hold(tick, call_id)
+        elif self._tables.quota_waits.pop(call_id) is not None:
+            tick.post(TokenUnneeded(call_id))
+
     def _end_hold(self, tick: Tick, call_id: CallId) -> None:
         if self._tables.held.pop(call_id) is not None:
             tick.cancel_timer(("held", call_id))
 
     def _refuse(
-        self, tick: Tick, call_id: CallId, status: int, code: RefusalCode
+        self,
+        tick: Tick,
+        call_id: CallId,
+        status: int,
+        code: RefusalCode,
+        retry_after_ms: int | None = _RETRY_AFTER_MS,
     ) -> None:
         self._tables.counters.refused_calls += 1
-        retry_after_ms: int | None = _RETRY_AFTER_MS
         if code in _FINAL_CODES:
             retry_after_ms = None
         elif code is RefusalCode.DRAINING:
@@ -205,6 +298,11 @@
         tick.emit(CallRefusal(call_id, status, code, Outcome.NOT_RUN, retry_after_ms))
 
 
+def _return_token(tick: Tick, token: TokenGrant | None) -> None:
+    if token is not None:
+        tick.post(TokenUnused(token))
+
+
 def _apply_access(call: CallRow, access: AccessGrant) -> None:
     account = access.account
     if account is not None:
--- a/packages/papayapost/src/papayapost/traffic/entry/tables.py
+++ b/packages/papayapost/src/papayapost/traffic/entry/tables.py
@@ -14,6 +14,7 @@
     ServiceName,
 )
 from papayapost.kernel import Table
+from papayapost.quota import TokenGrant
 from papayapost.rules import Route
 from papayapost.states import Rank
 from papayapost.traffic.entry.upstreams import UpstreamRow
@@ -27,6 +28,7 @@
     "EntryCounters",
     "EntryTables",
     "HeldCallRow",
+    "QuotaWaitRow",
 ]
 
 
@@ -87,6 +89,8 @@
         Client account that the call belongs to, or None.
     account_rank
         Rank that the account sets for its calls, or None.
+    token
+        Token of the account's quota that the call uses, or None.
     """
 
     call_id: CallId
@@ -112,6 +116,7 @@
     chosen_service: ServiceName | None = None
     account: AccountName | None = None
     account_rank: Rank | None = None
+    token: TokenGrant | None = None
 
     @property
     def rank(self) -> Rank:
@@ -180,18 +185,35 @@
     ----------
     code
         Code with which the call is refused if it is held for too long.
+    token
+        Token of its account's quota that the call already has, or None.
     """
 
     arrived: CallArrived
     arrived_us: Micros
     code: RefusalCode
+    token: TokenGrant | None = None
+
+
+@define
+class QuotaWaitRow:
+    """A call that waits for a token of its account's quota.
+
+    Parameters
+    ----------
+    call
+        The call, ready for its first attempt.
+    """
+
+    call: CallRow
 
 
 class EntryTables:
-    """Tables of calls, held calls and attempts at the entry node."""
+    """Tables of calls, waiting calls and attempts at the entry node."""
 
     def __init__(self):
         self.calls: Table[CallId, CallRow] = Table("calls")
         self.held: Table[CallId, HeldCallRow] = Table("held calls")
+        self.quota_waits: Table[CallId, QuotaWaitRow] = Table("quota waits")
         self.attempts: Table[AttemptId, AttemptRow] = Table("attempts")
         self.counters = EntryCounters()
--- a/packages/papayapost/src/papayapost/traffic/messages.py
+++ b/packages/papayapost/src/papayapost/traffic/messages.py
@@ -79,6 +79,7 @@
     UNKNOWN_KEY = "unknown-key"
     KEYS_UNCERTAIN = "keys-uncertain"
     QUOTA = "quota"
+    QUOTA_UNKNOWN = "quota-unknown"
 
 
 class LossCause(Enum):
--- a/packages/papayapost/src/papayapost/traffic/part.py
+++ b/packages/papayapost/src/papayapost/traffic/part.py
@@ -113,6 +113,7 @@
     balancing: BalancingPolicy | None = None,
     options: TrafficOptions | None = None,
     evidence: EvidenceRow | None = None,
+    has_lenders: bool = False,
 ) -> TrafficPart:
     """Return the traffic tables and systems of a node that has no calls yet.
 
@@ -130,6 +131,8 @@
         Settings of the deployment; the defaults of `TrafficOptions` if None.
     evidence
         How recently the rules in force were known to be the newest.
+    has_lenders
+        Whether lenders grant the tokens of accounts with a quota.
     """
     options = options or TrafficOptions()
     calls = EntryTables()
@@ -183,6 +186,7 @@
             drain,
             answer_times,
             evidence,
+            has_lenders,
         ),
         ApplyClaimResults(claims, requests),
         ClaimKeys(claims, ClaimRateLimit(rules, directory), requests),
