--- a/packages/papayapost-node/src/papayapost_node/settings/consistency.py
+++ b/packages/papayapost-node/src/papayapost_node/settings/consistency.py
@@ -33,6 +33,7 @@
         *_duplicate_seed_findings(raw),
         *_connection_limit_findings(raw.get("backend_server")),
         *_missing_capacity_findings(raw),
+        *_data_centre_findings(raw),
     ]
 
 
@@ -84,5 +85,16 @@
             yield _finding(SettingsFault.MISSING_KEY, place, message, remedy)
 
 
+def _data_centre_findings(raw: dict) -> Iterator[Finding]:
+    regions, own = raw.get("data_centres"), raw.get("data_centre")
+    if not isinstance(regions, dict) or not regions or not isinstance(own, str):
+        return
+    if regions.get(own) != raw.get("region"):
+        message = f"the region of {own} is {regions.get(own)}, not that of this node"
+        remedy = "give each data centre its region, as in the key region"
+        place = f"data_centres.{own}"
+        yield _finding(SettingsFault.CONTRADICTION, place, message, remedy)
+
+
 def _finding(fault: SettingsFault, place: str, message: str, remedy: str) -> Finding:
     return Finding(fault.value, place, message, remedy)
--- a/packages/papayapost-node/src/papayapost_node/settings/model.py
+++ b/packages/papayapost-node/src/papayapost_node/settings/model.py
@@ -236,6 +236,11 @@
         every node, also by one without contact to the store or other nodes.
         With null, such a node goes on serving the keys that it knows. It needs
         the discovery method ``roster``.
+    data_centres
+        All data centres of the mesh with the region of each. The quotas of
+        accounts are divided between these regions, whether they have live
+        nodes or not. With null or without an entry, no quota is enforced. It
+        needs the discovery method ``roster``.
     """
 
     node_id: NameText
@@ -265,6 +270,7 @@
     hold_ms: Annotated[int, Meta(ge=0, le=60_000)] = 2_000
     retry_budget: RetryBudgetSettings | None = None
     revocation_ms: Annotated[int, Meta(ge=1_000, le=3_600_000)] | None = None
+    data_centres: dict[NameText, NameText] | None = None
 
     def differing_keys(self, other: "Settings") -> list[str]:
         """Return the names of the keys that have another value in `other`."""
--- a/packages/papayapost-node/src/papayapost_node/world.py
+++ b/packages/papayapost-node/src/papayapost_node/world.py
@@ -65,6 +65,7 @@
             options,
             settings.max_rules_bytes,
             EvidenceRow(_evidence_limit_us(settings)),
+            _data_centres(settings),
         )
     seeds = [Address(seed) for seed in settings.seeds]
     return build_node_world(me, seeds, own_row, random, queue, options)
@@ -76,6 +77,13 @@
     return Micros(int(settings.revocation_ms * 1000 * _EVIDENCE_SHARE))
 
 
+def _data_centres(settings: Settings) -> dict[DataCentreId, RegionId]:
+    return {
+        DataCentreId(name): RegionId(region)
+        for name, region in (settings.data_centres or {}).items()
+    }
+
+
 def _traffic_options(settings: Settings) -> TrafficOptions:
     budget, shared = settings.retry_budget, None
     if budget is not None:
--- a/packages/papayapost-node/tests/test_settings.py
+++ b/packages/papayapost-node/tests/test_settings.py
@@ -93,6 +93,9 @@
         (with_backend_server(address="127.0.0.1:8080"), "S008 backend_server.address"),
         (with_backend_server(connections=7), "S009 backend_server.connections"),
         ({"security": {"mode": "trust"}}, "S007 security.mode"),
+        ({"data_centres": {"south-1": "south"}}, "S009 data_centres.north-1"),
+        ({"data_centres": {"north-1": "east"}}, "S009 data_centres.north-1"),
+        ({"data_centres": ["north-1"]}, "S005 data_centres"),
         ({"security": {"mode": "curve"}}, "S010 security.keys_file"),
     ],
 )
