--- a/packages/papayapost-testing/src/papayapost_testing/quota_mesh.py
+++ b/packages/papayapost-testing/src/papayapost_testing/quota_mesh.py
@@ -103,8 +103,9 @@
     ----------
     calls
         What became of the calls of each account.
-    refusing
-        Whether owner nodes refuse all attempts as not run.
+    refusing, answer_us
+        Whether owner nodes refuse all attempts as not run, and the time in µs
+        from an offer to its answer.
     """
 
     def __init__(self, quotas: dict[str, tuple[float, float]]):
@@ -114,6 +115,7 @@
         )
         self.calls: defaultdict[str, AccountCalls] = defaultdict(AccountCalls)
         self.refusing = False
+        self.answer_us = _ANSWER_US
         self._sent: dict[tuple[Address, CallId], tuple[str, int]] = {}
         self._count_of_calls = 0
         self.set_quotas(quotas)
@@ -227,7 +229,7 @@
             if self.nodes.get(node.address) is node:
                 self.post(node, message)
 
-        self._call_later(_ANSWER_US, post)
+        self._call_later(self.answer_us, post)
 
 
 def allowed_in_window(rate_per_s: float, burst: float) -> float:
--- a/packages/papayapost/src/papayapost/quota/leasing.py
+++ b/packages/papayapost/src/papayapost/quota/leasing.py
@@ -18,6 +18,7 @@
 from papayapost.place import SelfRow
 from papayapost.quota.messages import LeaseStepDue
 from papayapost.quota.tables import (
+    MAX_RETURN_AGE_US,
     LeaseRow,
     LeaseState,
     LeaseStep,
@@ -48,7 +49,7 @@
 
 _RENEW_US = 1_200_000
 _RETRY_US = 300_000
-_READ_US = 500_000
+_READ_US = 250_000
 _DEPUTY_READ_US = 1_000_000
 """Time between two reads by a relay and by a deputy that may take over."""
 
@@ -185,16 +186,19 @@
             if lease.holder == self._me.node_id:
                 self._write(tick, lease, LeaseStep.RELEASE)
             return
-        turn = self._turn(lease)
+        turn, stopped_us = self._turn(lease), lease.seen_us
         if lease.holder == self._me.node_id:
-            take_us = tick.now_us
+            # The former process of this node has stopped at an unknown time.
+            take_us = stopped_us = tick.now_us
         elif turn is None:
             return
         elif lease.holder is None:
             take_us = Micros(lease.seen_us + turn * _TURN_US)
         else:
             take_us = Micros(lease.seen_us + _TAKEOVER_US + turn * _TURN_US)
+            stopped_us = Micros(lease.seen_us + _VALID_US)
         if tick.now_us >= take_us:
+            lease.fill_from_us = Micros(stopped_us + MAX_RETURN_AGE_US)
             self._write(tick, lease, LeaseStep.TAKE)
             return
         is_first = self._me.node_id in self._ranks.own.relays
@@ -229,7 +233,7 @@
         if step is LeaseStep.TAKE:
             lease.state = LeaseState.HELD
             lease.term = LeaseTerm(version)
-            lease.taken_us = tick.now_us
+            lease.fill_from_us = max(lease.fill_from_us, tick.now_us)
             tick.emit(Noted(Event.LEASE_TAKEN, detail=lease.key.name))
         lease.valid_until_us = Micros(lease.asked_us + _VALID_US)
         lease.is_expiry_noted = False
--- a/packages/papayapost/src/papayapost/quota/lending.py
+++ b/packages/papayapost/src/papayapost/quota/lending.py
@@ -32,6 +32,7 @@
     WaitingDue,
 )
 from papayapost.quota.tables import (
+    MAX_RETURN_AGE_US,
     BucketRow,
     Entrant,
     LeaseRow,
@@ -43,10 +44,6 @@
 
 __all__ = ["LendTokens"]
 
-_MAX_RETURN_AGE_US = 500_000
-"""Age up to which a token may be returned. The bound on the tokens used in a
-window contains this time once."""
-
 _MAX_TRANSFER_US = 250_000
 """Time from the request after which tokens of another region are dropped. The
 bound on the tokens used in a window contains it, too."""
@@ -162,7 +159,7 @@
     def _bucket(self, lease: LeaseRow, name: AccountName) -> BucketRow | None:
         """Return the bucket of an account, or None if it has no quota.
 
-        A new bucket was empty when the lease was taken.
+        A new bucket is empty until tokens of a former lender are too old.
         """
         row = self._tables.buckets.get(name)
         if row is None:
@@ -176,7 +173,7 @@
                 account.burst,
                 self._tables.share,
                 0.0,
-                lease.taken_us,
+                lease.fill_from_us,
             )
             self._tables.buckets.put(name, row)
         return row
@@ -218,7 +215,7 @@
         row.refill(tick.now_us)
         row.record_demand(tick.now_us)
         if row.tokens >= 1 and not row.waiting:
-            row.tokens -= 1
+            row.spend(1, tick.now_us)
             self._grant(entrant, row.partition, call_id)
             self._order_ahead(tick, row)
             return
@@ -318,7 +315,7 @@
             return
         row.refill(tick.now_us)
         while row.waiting and row.tokens >= 1:
-            row.tokens -= 1
+            row.spend(1, tick.now_us)
             call = row.waiting.popleft()
             self._grant(call.entrant, row.partition, call.call_id)
         while row.waiting and row.waiting[0].due_us <= tick.now_us:
@@ -343,13 +340,13 @@
         age_us = tick.now_us - returned.granted_us
         if lease is None or lease.term != returned.term:
             return
-        if not 0 <= age_us <= _MAX_RETURN_AGE_US:
+        if not 0 <= age_us <= MAX_RETURN_AGE_US:
             return
         for name in returned.accounts:
             row = self._tables.buckets.get(name)
             if row is not None and row.partition == returned.partition:
                 row.refill(tick.now_us)
-                row.add(1.0)
+                row.take_back(returned.granted_us)
 
     def _order_ahead(self, tick: Tick, row: BucketRow) -> None:
         """Ask another region before the bucket is empty."""
@@ -403,7 +400,7 @@
             row.refill(tick.now_us)
             reserve = row.demand_at(tick.now_us) * _SELF_RESERVE_S + len(row.waiting)
             count = max(0.0, min(asked.count, (row.tokens - reserve) / 2))
-            row.tokens -= count
+            row.spend(count, tick.now_us)
         self._tables.counters.sent += count
         sent = TokensSent(
             self._me.node_id, asked.incarnation, asked.account, count, asked.asked_us
@@ -422,7 +419,7 @@
         age_us = tick.now_us - sent.asked_us
         if age_us <= _MAX_TRANSFER_US and sent.count > 0:
             row.refill(tick.now_us)
-            row.add(sent.count)
+            row.receive(sent.count, tick.now_us)
             self._tables.counters.received += sent.count
         if sent.count < 1:
             row.next_ask_us = Micros(tick.now_us + _ASK_PAUSE_US)
--- a/packages/papayapost/src/papayapost/quota/tables.py
+++ b/packages/papayapost/src/papayapost/quota/tables.py
@@ -26,6 +26,7 @@
 from papayapost.storage import ObjectKey, ObjectKind, StoreRequestId
 
 __all__ = [
+    "MAX_RETURN_AGE_US",
     "PARTITIONS",
     "AskRow",
     "AskState",
@@ -37,6 +38,7 @@
     "QuotaCounters",
     "QuotaLease",
     "QuotaTables",
+    "SpentSlot",
     "WaitingCall",
     "partition_of_account",
 ]
@@ -51,6 +53,13 @@
 come at random exceed a quota without a burst for moments. Both regions
 together get 12 tokens, or 0.2 s, which the slack of the bound covers."""
 
+MAX_RETURN_AGE_US = 500_000
+"""Age up to which a token may be returned. For this time after a lender has
+stopped, the buckets of the next one get no tokens."""
+
+_SLOT_US = 50_000
+_SPENT_US = MAX_RETURN_AGE_US + _SLOT_US
+
 _DEMAND_US = 500_000
 """Time constant of the average of an account's demand."""
 
@@ -107,8 +116,9 @@
         Tick time in µs at which that version was first seen.
     term
         Version at which this node took the lease; 0 if it has not.
-    taken_us
-        Tick time in µs at which this node took the lease.
+    fill_from_us
+        Tick time in µs from which buckets get tokens under that term. Before
+        it, calls may still use tokens that a former lender has granted.
     valid_until_us
         Tick time in µs until which this node may lend.
     is_expiry_noted
@@ -129,7 +139,7 @@
     incarnation: Incarnation = Incarnation(0)
     seen_us: Micros = Micros(0)
     term: LeaseTerm = LeaseTerm(0)
-    taken_us: Micros = Micros(0)
+    fill_from_us: Micros = Micros(0)
     valid_until_us: Micros = Micros(0)
     is_expiry_noted: bool = False
     step: LeaseStep = LeaseStep.NONE
@@ -167,6 +177,20 @@
     due_us: Micros
 
 
+@define
+class SpentSlot:
+    """Tokens of a bucket that were granted or sent in a short time.
+
+    Parameters
+    ----------
+    count
+        Their number, less those that were returned or received.
+    """
+
+    start_us: Micros
+    count: float
+
+
 @define
 class BucketRow:
     """The share of this region in an account's quota, at its lender.
@@ -178,7 +202,10 @@
     share
         Share of this region in the quota.
     tokens, refilled_us
-        Number of tokens at a tick time in µs.
+        Number of tokens at a tick time in µs; none are added before that.
+    slots, spent
+        Tokens spent while they may still be returned, oldest first, and
+        their sum.
     demand_per_s, demand_us
         Decayed average of the tokens that calls asked for, and its time.
     waiting
@@ -201,6 +228,8 @@
     share: float
     tokens: float
     refilled_us: Micros
+    slots: deque[SpentSlot] = field(default_factory=deque)
+    spent: float = 0.0
     demand_per_s: float = 0.0
     demand_us: Micros = Micros(0)
     waiting: deque[WaitingCall] = field(default_factory=deque)
@@ -223,13 +252,51 @@
 
     def refill(self, now_us: Micros) -> None:
         """Add the tokens of the time since the last refill."""
+        if now_us <= self.refilled_us:
+            return
+        while self.slots and self.slots[0].start_us <= now_us - _SPENT_US:
+            self.spent -= self.slots.popleft().count
         added = (now_us - self.refilled_us) * self.own_rate_per_s / 1e6
-        self.tokens = min(self.cap, self.tokens + added)
         self.refilled_us = now_us
-
-    def add(self, count: float) -> None:
-        """Add tokens that were sent or returned, up to the capacity."""
-        self.tokens = min(self.cap, self.tokens + count)
+        self._add(added)
+
+    def spend(self, count: float, now_us: Micros) -> None:
+        """Take tokens that are granted to a call or sent to a region."""
+        self.tokens -= count
+        self._record_spent(count, now_us)
+
+    def receive(self, count: float, now_us: Micros) -> None:
+        """Add tokens that another region has sent."""
+        self._record_spent(-count, now_us)
+        self._add(count)
+
+    def take_back(self, granted_us: Micros) -> None:
+        """Add a token that was granted at a time and is not used."""
+        for slot in reversed(self.slots):
+            if slot.start_us <= granted_us:
+                slot.count -= 1
+                self.spent -= 1
+                self._add(1)
+                return
+
+    def _add(self, count: float) -> None:
+        """Add tokens up to the capacity.
+
+        Tokens that are returned and granted again must not add up beside the
+        bucket. Those that may still be returned therefore count as if they
+        were in it, beyond the rate of that time.
+        """
+        rate_us = self.own_rate_per_s * _SPENT_US / 1e6
+        most = max(0.0, self.cap + rate_us - self.spent)
+        self.tokens = min(self.cap, self.tokens + count, most)
+
+    def _record_spent(self, count: float, now_us: Micros) -> None:
+        self.spent += count
+        slots = self.slots
+        if slots and now_us - slots[-1].start_us < _SLOT_US:
+            slots[-1].count += count
+        else:
+            slots.append(SpentSlot(now_us, count))
 
     def set_quota(self, account: Account, now_us: Micros) -> None:
         """Replace the quota; the tokens of the time before stay, within it."""
