--- a/packages/papayapost-node/src/papayapost_node/exchange/__init__.py
+++ b/packages/papayapost-node/src/papayapost_node/exchange/__init__.py
@@ -13,11 +13,18 @@
     parse_milliseconds,
 )
 from papayapost_node.exchange.entry_side import EntrySide
+from papayapost_node.exchange.keys import (
+    AUTHORIZATION_HEADER,
+    digest_of_key,
+    key_digest_of,
+    without_key,
+)
 from papayapost_node.exchange.owner_side import OwnerSide
 from papayapost_node.exchange.pacing import BulkPacer
 from papayapost_node.exchange.windows import WindowBudget
 
 __all__ = [
+    "AUTHORIZATION_HEADER",
     "AnswerVerdict",
     "BackendTerms",
     "BulkPacer",
@@ -29,5 +36,8 @@
     "NodeCarrierDelivery",
     "OwnerSide",
     "WindowBudget",
+    "digest_of_key",
+    "key_digest_of",
     "parse_milliseconds",
+    "without_key",
 ]
--- a/packages/papayapost-node/src/papayapost_node/exchange/dialect.py
+++ b/packages/papayapost-node/src/papayapost_node/exchange/dialect.py
@@ -22,6 +22,11 @@
 )
 from papayapost.traffic import CallRefusal
 from papayapost_node.exchange.call_header import call_header
+from papayapost_node.exchange.keys import (
+    AUTHORIZATION_HEADER,
+    key_digest_of,
+    without_key,
+)
 from papayapost_node.http import Headers, forwardable
 
 __all__ = [
@@ -34,6 +39,7 @@
 ]
 
 _TIMEOUT_HEADER = b"papayapost-timeout-ms"
+_ACCOUNT_HEADER = b"papayapost-account"
 _MAX_TIMEOUT_DIGITS = 9
 
 
@@ -111,6 +117,10 @@
     def forwarded_headers(self, headers: Headers) -> Headers:
         """Return the request headers to send on to the owner node."""
 
+    @abstractmethod
+    def forwarded_trailers(self, trailers: Headers) -> Headers:
+        """Return the trailers of the request's body for the owner node."""
+
     @abstractmethod
     def backend_headers(self, headers: Headers, terms: BackendTerms) -> Headers:
         """Return the request headers to send to the backend server."""
@@ -141,16 +151,27 @@
             None if timeout_ms is None else Micros(timeout_ms * 1000),
             IdempotencyKey(key.decode("latin-1")) if key else None,
             RequestName(""),
+            key_digest_of(headers.get(AUTHORIZATION_HEADER, b"")),
         )
 
     def forwarded_headers(self, headers: Headers) -> Headers:
-        """Return all headers but the hop-by-hop ones."""
-        return forwardable(headers)
+        """Return all headers but the hop-by-hop ones, keys and account."""
+        return [
+            item
+            for item in without_key(forwardable(headers))
+            if item[0] != _ACCOUNT_HEADER
+        ]
+
+    def forwarded_trailers(self, trailers: Headers) -> Headers:
+        """Return the trailers without those that a caller may not set."""
+        return self.forwarded_headers(trailers)
 
     def backend_headers(self, headers: Headers, terms: BackendTerms) -> Headers:
-        """Return the headers with the time budget that is left."""
+        """Return the headers with the remaining time budget and account."""
         sent_headers = [item for item in headers if item[0] != _TIMEOUT_HEADER]
         sent_headers.append((_TIMEOUT_HEADER, b"%d" % terms.budget_ms))
+        if terms.account is not None:
+            sent_headers.append((_ACCOUNT_HEADER, terms.account.encode()))
         return sent_headers
 
     def judge_answer(
--- a/packages/papayapost-node/src/papayapost_node/exchange/entry_side.py
+++ b/packages/papayapost-node/src/papayapost_node/exchange/entry_side.py
@@ -33,7 +33,6 @@
     HttpRequest,
     RequestHandler,
     ServerExchange,
-    forwardable,
 )
 from papayapost_node.wire import (
     AnswerCredit,
@@ -146,7 +145,7 @@
         """Record the end of the request's body and send it on."""
         call: CallerRow = exchange.context
         call.is_body_ended = True
-        call.trailers = forwardable(trailers)
+        call.trailers = self._dialect.forwarded_trailers(trailers)
         if not call.is_dispatched:
             self._dispatch(call)
         elif call.upload is not None:
--- a/packages/papayapost-node/src/papayapost_node/store/client.py
+++ b/packages/papayapost-node/src/papayapost_node/store/client.py
@@ -19,6 +19,7 @@
 
 from papayapost.define import define
 from papayapost.errors import StoreConflict, StoreUnavailable
+from papayapost.findings import Finding
 from papayapost.ids import Address
 from papayapost_node.foreign_json import decode_json
 from papayapost_node.http import Headers, HttpAnswer
@@ -36,10 +37,16 @@
     """An object's value and version.
 
     Version 0 means that the object does not exist; its value is then empty.
+
+    Parameters
+    ----------
+    findings
+        Faulty entries of the stored object, which the value leaves out.
     """
 
     version: int
     value: bytes
+    findings: tuple[Finding, ...] = ()
 
 
 class StoreClient(ABC):
--- a/packages/papayapost-node/src/papayapost_node/store/effects.py
+++ b/packages/papayapost-node/src/papayapost_node/store/effects.py
@@ -211,7 +211,11 @@
             reason = f"{key.kind.value}/{key.name} does not decode: {error}"
             self._post(StoreReadFailed(key, reason, request_id))
             return
-        self._post(ObjectRead(key, stored.version, value, request_id, asked_us))
+        self._post(
+            ObjectRead(
+                key, stored.version, value, request_id, asked_us, stored.findings
+            )
+        )
 
 
 def _no_time() -> None:
--- a/packages/papayapost-operator/src/papayapost_operator/check.py
+++ b/packages/papayapost-operator/src/papayapost_operator/check.py
@@ -16,7 +16,7 @@
 
     Parameters
     ----------
-    routes, shares, services
+    routes, shares, services, accounts, keys
         Number of each in the file; 0 if the file is refused.
     """
 
@@ -26,6 +26,8 @@
     shares: int
     services: int
     findings: tuple[Finding, ...]
+    accounts: int = 0
+    keys: int = 0
 
 
 class CheckCommand(Command):
@@ -47,8 +49,11 @@
             lines = finding_lines(self._file, refused.findings)
             return Result(report, lines, refused)
         counts = len(rules.routes), len(rules.shares), len(rules.services)
-        report = CheckReport(self._file, digest, *counts, ())
+        accounts, keys = len(rules.accounts), len(rules.keys)
+        report = CheckReport(self._file, digest, *counts, (), accounts, keys)
         line = "{}: {} routes, {} shares, {} services".format(self._file, *counts)
+        if accounts or keys:
+            line += f", {accounts} accounts, {keys} keys"
         return Result(report, (line,))
 
 
--- a/packages/papayapost-operator/src/papayapost_operator/explain.py
+++ b/packages/papayapost-operator/src/papayapost_operator/explain.py
@@ -106,6 +106,8 @@
         f"  {_retry_text(route)}",
         f"  {_link_text(route)}",
     ]
+    if explanation.needs_key:
+        lines.append("  needs a key of a client account, whose rank goes first")
     share = explanation.share
     if share is not None:
         lines.append(
--- a/packages/papayapost/src/papayapost/distribution/direct.py
+++ b/packages/papayapost/src/papayapost/distribution/direct.py
@@ -53,6 +53,8 @@
 _UNCHANGED_PAUSE_US = 100_000
 """Pause before the next watch if the store answered with a known version."""
 
+_MAX_NOTED_FINDINGS = 10
+
 _WATCH_DRIFT_US = 2_000
 """By how much a slower watch raises the time of the shortest one."""
 
@@ -204,6 +206,8 @@
         contact = self._contact
         self._record_contact(tick)
         is_new_version = seen.version != contact.version
+        if is_new_version:
+            _note_findings(tick, seen)
         contact.version = RuleVersion(seen.version)
         if isinstance(seen.value, str) and seen.version > self._rules.held_version:
             tick.post(TextOffered(RuleVersion(seen.version), seen.value))
@@ -237,6 +241,17 @@
         tick.set_timer(WatchDue, Micros(tick.now_us + pause_us), WatchDue())
 
 
+def _note_findings(tick: Tick, seen: ObjectRead) -> None:
+    """Log the entries that the translation of a configuration left out."""
+    if not seen.findings:
+        return
+    shown = "; ".join(str(finding) for finding in seen.findings[:_MAX_NOTED_FINDINGS])
+    hidden_count = len(seen.findings) - _MAX_NOTED_FINDINGS
+    detail = f"{shown}; and {hidden_count} more" if hidden_count > 0 else shown
+    version = RuleVersion(seen.version)
+    tick.emit(Noted(Event.ENTRIES_LEFT_OUT, version=version, detail=detail))
+
+
 class ActivateCompiledRules(System):
     """Puts a compiled version into force without waiting for its services.
 
--- a/packages/papayapost/src/papayapost/rules/diff.py
+++ b/packages/papayapost/src/papayapost/rules/diff.py
@@ -12,10 +12,10 @@
 __all__ = ["ChangeKind", "RuleChange", "RuleKey", "diff_rules"]
 
 RuleKey = NewType("RuleKey", str)
-"""Identifies a rule: ``route METHODS TARGET`` or ``share RANK``."""
+"""Identifies a rule: such as ``route METHODS TARGET`` or ``account NAME``."""
 
 # Number of leading words that identify a rule, by its keyword.
-_KEY_WORD_COUNTS = {"route": 3, "share": 2}
+_KEY_WORD_COUNTS = {"route": 3, "share": 2, "account": 2, "key": 2, "access": 1}
 
 
 class ChangeKind(Enum):
--- a/packages/papayapost/src/papayapost/rules/explain.py
+++ b/packages/papayapost/src/papayapost/rules/explain.py
@@ -47,6 +47,8 @@
         The ``share`` line of the route's rank, or None if the text has none.
     near_misses
         Routes before `route` that almost match, in file order.
+    needs_key
+        Whether the call needs a key of a client account.
     """
 
     method: str
@@ -55,6 +57,7 @@
     route: Route | None
     share: Share | None
     near_misses: tuple[NearMiss, ...]
+    needs_key: bool = False
 
 
 def explain(rules: RuleSet, method: str, host: str, path: str) -> Explanation:
@@ -86,7 +89,11 @@
         if miss is not None:
             near_misses.append(miss)
     share = _share_of(rules, matched) if matched else None
-    return Explanation(method, host, path, matched, share, tuple(near_misses))
+    needs_key = (
+        matched is not None and rules.access.requires_keys and not matched.anonymous
+    )
+    misses = tuple(near_misses)
+    return Explanation(method, host, path, matched, share, misses, needs_key)
 
 
 def _share_of(rules: RuleSet, route: Route) -> Share | None:
--- a/packages/papayapost/src/papayapost/storage/messages.py
+++ b/packages/papayapost/src/papayapost/storage/messages.py
@@ -8,6 +8,7 @@
 from typing import NewType
 
 from papayapost.define import define
+from papayapost.findings import Finding
 from papayapost.ids import Micros
 
 __all__ = [
@@ -141,6 +142,8 @@
     asked_us
         Tick time in µs at which the request was sent, since when the version
         was the newest; None if the answer may be stale.
+    findings
+        Faulty entries of the stored object, which the value leaves out.
     """
 
     key: ObjectKey
@@ -148,6 +151,7 @@
     value: object
     request_id: StoreRequestId | None = None
     asked_us: Micros | None = None
+    findings: tuple[Finding, ...] = ()
 
 
 @define
