--- a/packages/papayapost/src/papayapost/kernel/system.py
+++ b/packages/papayapost/src/papayapost/kernel/system.py
@@ -1,12 +1,9 @@
 """The base class of all systems."""
 
-from __future__ import annotations
-
 from abc import ABC, abstractmethod
-from typing import TYPE_CHECKING, ClassVar
+from typing import ClassVar
 
-if TYPE_CHECKING:
-    from papayapost.kernel.world import Tick
+from papayapost.kernel.tick import Tick
 
 __all__ = ["System"]
 
--- a/packages/papayapost/src/papayapost/kernel/world.py
+++ b/packages/papayapost/src/papayapost/kernel/world.py
@@ -1,69 +1,19 @@
 """The world: an ordered list of systems that run in ticks."""
 
 from collections import defaultdict
-from collections.abc import Hashable, Iterable, Sequence
+from collections.abc import Iterable, Sequence
 from random import Random
-from typing import TypeVar
 
 from papayapost.ids import Micros
 from papayapost.kernel.system import System
+from papayapost.kernel.tick import Tick
 from papayapost.kernel.timers import Timers
 
-__all__ = ["Tick", "World"]
-
-M = TypeVar("M")
+__all__ = ["World"]
 
 _MAX_PASSES_PER_TICK = 100
 
 
-class Tick:
-    """The interface through which a system reads inputs and gives outputs.
-
-    A system uses nothing but this interface and its tables.
-
-    Attributes
-    ----------
-    now_us
-        Monotonic time of this tick in µs.
-    random
-        Seeded random source of the world.
-    """
-
-    __slots__ = ("_effects", "_inbox", "_world", "now_us", "random")
-
-    def __init__(self, world: "World", random: Random):
-        self.now_us = Micros(0)
-        self.random = random
-        self._world = world
-        self._inbox: dict[type, list] = defaultdict(list)
-        self._effects: list[object] = []
-
-    def take(self, kind: type[M]) -> list[M]:
-        """Return the messages of one type in this pass, oldest first."""
-        return self._inbox.get(kind, [])
-
-    def post(self, message: object) -> None:
-        """Queue a message for the systems of this world.
-
-        The message is processed in the current pass if all its consumers
-        come later in the order than the running system, and otherwise in
-        the next pass of the same tick.
-        """
-        self._world._enqueue(message)
-
-    def emit(self, effect: object) -> None:
-        """Add an effect that the caller carries out after the tick."""
-        self._effects.append(effect)
-
-    def set_timer(self, key: Hashable, due_us: Micros, message: object) -> None:
-        """Deliver `message` in the first tick at or after `due_us`."""
-        self._world.timers.set(key, due_us, message)
-
-    def cancel_timer(self, key: Hashable) -> None:
-        """Cancel the timer for `key`, if there is one."""
-        self._world.timers.cancel(key)
-
-
 class World:
     """An ordered list of systems, with their timers and queued messages.
 
@@ -91,7 +41,7 @@
     def __init__(self, systems: Sequence[System], random: Random):
         self.systems = tuple(systems)
         self.timers = Timers()
-        self._tick = Tick(self, random)
+        self._tick = Tick(self._enqueue, self.timers, random)
         self._consumer_masks: dict[type, int] = defaultdict(int)
         for position, system in enumerate(self.systems):
             for kind in system.consumes:
