Let the soak use client accounts and check removed keys

Callers send keys that recent versions hold or held; versions add and remove keys of one account, at times its last. Two checks compare the accounts and keys of runs with the versions.

--- a/packages/papayapost-testing/src/papayapost_testing/soak/bounds.py
+++ b/packages/papayapost-testing/src/papayapost_testing/soak/bounds.py
@@ -14,6 +14,7 @@
     "LOSS_SLACK_US",
     "MEMORY_BYTES",
     "RECOVERY_US",
+    "REVOCATION_US",
     "ROLLBACK_SLACK_SLOWED_US",
     "ROLLBACK_SLACK_US",
     "STABLE_WINDOW_US",
@@ -51,5 +52,9 @@
 """Time in µs from the end of all faults until calls are served
 (``recovery_s``)."""
 
+REVOCATION_US = Micros(5_000_000)
+"""Time in µs from the acknowledgement of a version until a key that it has
+removed works nowhere (``revoke_ms``)."""
+
 MEMORY_BYTES = 300 << 20
 """Largest resident memory of a node in bytes (``memory_mb``, SYSTEM.md)."""
--- a/packages/papayapost-testing/src/papayapost_testing/soak/callers.py
+++ b/packages/papayapost-testing/src/papayapost_testing/soak/callers.py
@@ -13,14 +13,16 @@
 from papayapost_testing.soak.http import hash_of
 from papayapost_testing.soak.messages import CallEnded
 from papayapost_testing.soak.rows import (
+    NO_KEY,
     CallEnd,
     CallRow,
     NodeRow,
     RouteKind,
     RouteRow,
+    SecretKey,
     Start,
 )
-from papayapost_testing.soak.rules import BASE_PREFIXES
+from papayapost_testing.soak.rules import BASE_PREFIXES, LASTING_KEY
 from papayapost_testing.soak.tables import SoakTables
 from papayapost_testing.soak.wire import Wire
 
@@ -30,6 +32,8 @@
 _MAX_BODY_BYTES = 3_000
 _ADDED_ROUTE_SHARE = 0.3
 _CHUNKED_SHARE = 0.3
+_CHANGING_KEY_SHARE = 0.25
+_RECENT_VERSIONS = 8
 _OPEN_TIMEOUT_S = 1.0
 
 _numbers = itertools.count(1)
@@ -111,7 +115,7 @@
         versions = list(self._tables.versions)
         dropped = [
             route
-            for version in versions[-8:]
+            for version in versions[-_RECENT_VERSIONS:]
             for route in version.routes.values()
             if route.prefix not in versions[-1].routes
         ]
@@ -132,10 +136,18 @@
             route.kind,
             route.timeout_ms,
             self._clock.now_us(),
+            key=NO_KEY if route.is_anonymous else self._draw_key(),
         )
         is_chunked = bool(body) and self.random.random() < _CHUNKED_SHARE
         return Request(call, body, is_chunked)
 
+    def _draw_key(self) -> SecretKey:
+        """Return the lasting key, or one that a recent version holds."""
+        if self.random.random() >= _CHANGING_KEY_SHARE:
+            return LASTING_KEY
+        recent = list(self._tables.versions)[-_RECENT_VERSIONS:]
+        return self.random.choice([key for version in recent for key in version.keys])
+
     def _body_bytes(self) -> int:
         return self.random.randint(0, _MAX_BODY_BYTES)
 
--- a/packages/papayapost-testing/src/papayapost_testing/soak/checks/__init__.py
+++ b/packages/papayapost-testing/src/papayapost_testing/soak/checks/__init__.py
@@ -1,5 +1,6 @@
 """The promises that the soak checks while it runs."""
 
+from papayapost_testing.soak.checks.accounts import AccountsAreTrue, RemovedKeysStop
 from papayapost_testing.soak.checks.base import Check
 from papayapost_testing.soak.checks.calls import (
     AnswersAreWhole,
@@ -22,6 +23,7 @@
 
 __all__ = [
     "CHECKS",
+    "AccountsAreTrue",
     "AnswersAreWhole",
     "Check",
     "DrainedServersRest",
@@ -32,6 +34,7 @@
     "ProcessesEndInTime",
     "ProperCallsAreTaken",
     "RefusedNeverRuns",
+    "RemovedKeysStop",
     "RulesAreFollowed",
     "RulesNeverGoBack",
     "RunsAreAsSent",
@@ -49,6 +52,8 @@
     ProcessesEndInTime,
     RulesAreFollowed,
     RulesNeverGoBack,
+    AccountsAreTrue,
+    RemovedKeysStop,
     NodesRecover,
     OutputHasNoTraceback,
     MemoryIsBounded,
--- a/packages/papayapost-testing/src/papayapost_testing/soak/checks/calls.py
+++ b/packages/papayapost-testing/src/papayapost_testing/soak/checks/calls.py
@@ -8,7 +8,7 @@
     CallRow,
     RouteKind,
 )
-from papayapost_testing.soak.rules import BASE_PREFIXES
+from papayapost_testing.soak.rules import BASE_PREFIXES, LASTING_KEY
 
 __all__ = [
     "AnswersAreWhole",
@@ -18,6 +18,7 @@
     "UnsafeRunsOnce",
 ]
 
+_UNAUTHORIZED = 401
 _PROMISES = frozenset([408, 421, 429, 503])
 _DENIALS = frozenset([400, 401, 403, 404, 405, 411, 413, 414, 431])
 
@@ -139,6 +140,8 @@
             status = call.unsigned_status
             prefix = call.target[: call.target.index("/", 1) + 1]
             is_allowed = status != 404 or prefix in BASE_PREFIXES
+            if status == _UNAUTHORIZED:
+                is_allowed = call.key == LASTING_KEY
             if status in _DENIALS and is_allowed:
                 self.find(
                     call.request_id, f"denied: {self.describe(call)}", ended.at_us
--- a/packages/papayapost-testing/src/papayapost_testing/soak/connection.py
+++ b/packages/papayapost-testing/src/papayapost_testing/soak/connection.py
@@ -90,7 +90,7 @@
     async def send(self, request: Request, pause_s: float = 0) -> None:
         """Send a request, with a pause in the middle of its bytes."""
         call = request.call
-        headers = self._wire.request_headers(call.request_id, call.timeout_ms)
+        headers = self._wire.request_headers(call.request_id, call.timeout_ms, call.key)
         head, data = encode_request(
             call.method, call.target, headers, request.body, request.is_chunked
         )
--- a/packages/papayapost-testing/src/papayapost_testing/soak/rows.py
+++ b/packages/papayapost-testing/src/papayapost_testing/soak/rows.py
@@ -4,11 +4,19 @@
 from enum import Enum
 from typing import NewType
 
-from papayapost.ids import InstanceId, Micros, NodeId, RequestName, ServiceName
+from papayapost.ids import (
+    AccountName,
+    InstanceId,
+    Micros,
+    NodeId,
+    RequestName,
+    ServiceName,
+)
 from papayapost_testing.demo.tables import ProcessState
 
 __all__ = [
     "NEVER",
+    "NO_KEY",
     "AnswerRow",
     "CallEnd",
     "CallRow",
@@ -20,6 +28,7 @@
     "RouteKind",
     "RouteRow",
     "RunRow",
+    "SecretKey",
     "ServerMode",
     "ServerRow",
     "Start",
@@ -38,6 +47,11 @@
 VersionNumber = NewType("VersionNumber", int)
 """Number of a rules version, as the operator counts them."""
 
+SecretKey = NewType("SecretKey", str)
+"""Key of a client account; empty for a caller without one."""
+
+NO_KEY = SecretKey("")
+
 NEVER = Micros(-1)
 """Stands for a time that has not come."""
 
@@ -141,20 +155,34 @@
 
 @dataclass(slots=True)
 class RouteRow:
-    """One route of a rules version."""
+    """One route of a rules version.
+
+    Parameters
+    ----------
+    is_anonymous
+        Whether its requests need no key.
+    """
 
     prefix: str
     service: ServiceName
     kind: RouteKind
     timeout_ms: int
+    is_anonymous: bool = False
 
 
 @dataclass(slots=True)
 class VersionRow:
-    """A rules version, by prefix of its routes, and its acknowledgement."""
+    """A rules version, by prefix of its routes, and its acknowledgement.
+
+    Parameters
+    ----------
+    keys
+        Client account of each secret key.
+    """
 
     version: VersionNumber
     routes: dict[str, RouteRow]
+    keys: dict[SecretKey, AccountName]
     acked_us: Micros = NEVER
 
     def service_of(self, target: str) -> ServiceName | None:
@@ -196,6 +224,8 @@
         Whether it was sent behind a request without an answer yet.
     manner
         How it was sent, for findings.
+    key
+        Secret key that it was sent with.
     """
 
     request_id: RequestName
@@ -210,6 +240,7 @@
     whole_us: Micros = NEVER
     is_behind: bool = False
     manner: str = ""
+    key: SecretKey = NO_KEY
     end: CallEnd = CallEnd.OPEN
     ended_us: Micros = NEVER
     answer: AnswerRow | None = None
@@ -240,6 +271,10 @@
         The node on the VM of the backend server.
     is_broken_off
         Whether the backend server broke off its own answer or spoiled it.
+    account
+        Client account that the node named; empty if it named none.
+    shows_key
+        Whether a secret key reached the backend server.
     """
 
     request_id: RequestName
@@ -255,6 +290,8 @@
     status: int = 0
     signature: str = ""
     is_broken_off: bool = False
+    account: str = ""
+    shows_key: bool = False
 
 
 @dataclass(slots=True)
--- a/packages/papayapost-testing/src/papayapost_testing/soak/servers.py
+++ b/packages/papayapost-testing/src/papayapost_testing/soak/servers.py
@@ -264,6 +264,8 @@
             hash_of(body),
             seen.caller_service,
             self._clock.now_us(),
+            account=seen.account,
+            shows_key=seen.shows_key,
         )
         self._post(RunStarted(run))
         answer = self._answer_to(run)
--- a/packages/papayapost-testing/src/papayapost_testing/soak/wire.py
+++ b/packages/papayapost-testing/src/papayapost_testing/soak/wire.py
@@ -13,7 +13,7 @@
 
 from papayapost.ids import Address, InstanceId, NodeId, RequestName, ServiceName
 from papayapost_node.http import Headers, HttpRequest
-from papayapost_testing.soak.rows import VersionRow
+from papayapost_testing.soak.rows import SecretKey, VersionRow
 
 __all__ = ["NodePlace", "SeenRequest", "StoreStandIn", "Wire", "load_wire"]
 
@@ -50,11 +50,17 @@
     ----------
     instance
         The only backend server that may run the request; empty for any.
+    account
+        Client account that the node names; empty if it names none.
+    shows_key
+        Whether the headers hold a secret key.
     """
 
     request_id: RequestName
     caller_service: str
     instance: str
+    account: str
+    shows_key: bool
 
 
 class StoreStandIn(ABC):
@@ -100,7 +106,9 @@
         """Return a stand-in of the store."""
 
     @abstractmethod
-    def request_headers(self, request_id: RequestName, timeout_ms: int) -> Headers:
+    def request_headers(
+        self, request_id: RequestName, timeout_ms: int, key: SecretKey
+    ) -> Headers:
         """Return the headers of a caller's request."""
 
     @abstractmethod
--- a/packages/papayapost-testing/tests/test_soak_checks.py
+++ b/packages/papayapost-testing/tests/test_soak_checks.py
@@ -346,3 +346,50 @@
     assert scene.found_by() == only(checks.OutputHasNoTraceback)
     scene.post(T, messages.MemoryMeasured("n0", MEMORY_BYTES + 1))
     assert checks.MemoryIsBounded.__name__ in scene.found_by()
+
+
+RIDERS_KEY = "key-of-riders-1"
+
+
+@pytest.mark.parametrize(
+    ("key", "account", "shows_key", "expected"),
+    [
+        (RIDERS_KEY, "riders", False, set()),
+        (RIDERS_KEY, "shapers", False, {"AccountsAreTrue"}),
+        (RIDERS_KEY, "", False, {"AccountsAreTrue"}),
+        (RIDERS_KEY, "riders", True, {"AccountsAreTrue"}),
+        ("unknown", "", False, {"AccountsAreTrue", "RemovedKeysStop"}),
+        ("", "", False, set()),
+        ("", "riders", False, {"AccountsAreTrue"}),
+    ],
+)
+def test_a_run_with_a_false_account_is_found(scene, key, account, shows_key, expected):
+    call = scene.send(key=key)
+    scene.run(call, account=account, shows_key=shows_key)
+    assert scene.found_by() == expected
+
+
+@pytest.mark.parametrize(
+    ("sent_after_us", "expected"),
+    [(4_900 * MS, set()), (5_100 * MS, {"RemovedKeysStop"})],
+)
+def test_a_run_with_a_removed_key_is_found_after_the_bound(
+    scene, sent_after_us, expected
+):
+    removed_us = 100 * MS
+    newer = scene.change_rules(removed_us)
+    newer.keys.pop(RIDERS_KEY, None)
+    call = scene.send(removed_us + sent_after_us, key=RIDERS_KEY)
+    scene.disturb(0, 10_000 * MS)
+    scene.run(call, account="riders")
+    assert scene.found_by() == expected
+
+
+@pytest.mark.parametrize(
+    ("key", "expected"),
+    [("key-of-shapers", {"ProperCallsAreTaken"}), (RIDERS_KEY, set())],
+)
+def test_a_denial_of_a_key_that_all_versions_hold_is_found(scene, key, expected):
+    call = scene.send(key=key)
+    scene.refuse(call, 401)
+    assert scene.found_by() == expected
