--- a/packages/papayapost/src/papayapost/quota/lenders.py
+++ b/packages/papayapost/src/papayapost/quota/lenders.py
@@ -26,8 +26,8 @@
 costs a call few milliseconds then."""
 
 _SHUN_US = 2_000_000
-"""Time for which a node that did not answer is asked after all others. It may
-only have restarted, and hold its lease again."""
+"""Time for which a node that did not answer is asked after all others, unless
+one of them names it as the holder: it may only have restarted."""
 
 _MAX_ASKED_IN_REGION = 3
 
@@ -141,8 +141,7 @@
         row = self._row_of(node_id, partition)
         if row is None:
             return
-        is_other = holder not in (node_id, self._silent(row, now_us))
-        if holder is not None and is_other and holder in self._directory:
+        if holder is not None and holder != node_id and holder in self._directory:
             row.holder = holder
         elif row.holder == node_id:
             row.holder = None
