Answer 504 when a backend server was silent until the end of the time

The owner node reports a silent attempt after the budget of its offer. In another region that is 60 ms before the call expires at the entry node, which then answered 502 as for a lost connection. It now answers 504, with an unknown outcome as before.

--- a/packages/papayapost/src/papayapost/traffic/entry/failed_attempts.py
+++ b/packages/papayapost/src/papayapost/traffic/entry/failed_attempts.py
@@ -154,7 +154,11 @@
             close_call(tick, self._tables, call)
             tick.emit(CutAnswer(call.call_id, attempt_id))
             return
-        self._continue_call(tick, call, RefusalCode.LOST)
+        code = RefusalCode.LOST
+        if is_reported_by_owner and self._offers.is_due(tick, call, attempt.upstream):
+            # The backend server was silent until the end of the offer's time.
+            code = RefusalCode.DEADLINE
+        self._continue_call(tick, call, code)
 
     def _replace_doubted(self, tick: Tick, attempt_id: AttemptId) -> None:
         """Try another upstream if the call may run again, or wait on.
@@ -301,7 +305,9 @@
             refuse_call(tick, self._tables, call, call.last_code)
 
     def _end_unknown(self, tick: Tick, call: CallRow) -> None:
-        refuse_call(tick, self._tables, call, RefusalCode.LOST)
+        is_due = call.last_code is RefusalCode.DEADLINE
+        code = RefusalCode.DEADLINE if is_due else RefusalCode.LOST
+        refuse_call(tick, self._tables, call, code)
         tick.emit(Noted(Event.OUTCOME_UNKNOWN, call_id=call.call_id))
 
     def _mark_draining(self, upstream: UpstreamRow, call: CallRow | None) -> None:
--- a/packages/papayapost/src/papayapost/traffic/entry/offers.py
+++ b/packages/papayapost/src/papayapost/traffic/entry/offers.py
@@ -117,6 +117,11 @@
         )
         return remaining_us >= min_remaining_us
 
+    def is_due(self, tick: Tick, call: CallRow, upstream: UpstreamRow) -> bool:
+        """Return whether the time budget of a call's offer has ended."""
+        margin_us = _RETURN_MARGIN_US[upstream.distance]
+        return call.deadline_us - tick.now_us <= margin_us
+
     def offer(self, tick: Tick, call: CallRow) -> bool:
         """Offer an attempt to an upstream that the call has not tried yet.
 
--- a/packages/papayapost/tests/traffic/test_retries.py
+++ b/packages/papayapost/tests/traffic/test_retries.py
@@ -19,7 +19,7 @@
     RefusalCode,
 )
 from papayapost_testing.bench.retries import retry_rows
-from papayapost_testing.traffic_worlds import backend_row
+from papayapost_testing.traffic_worlds import SOUTH_1, backend_row
 
 from .test_balancing import Entry, offers_sent, only, refusal_in
 
@@ -121,6 +121,19 @@
     assert entry.is_idle()
 
 
+def test_a_call_that_a_backend_server_did_not_answer_in_time_gets_504():
+    # The owner node tells so after the deadline of its offer, which between
+    # regions comes before the call expires here.
+    rules = "route POST /bookings -> gusts timeout_ms=4000 link=yes # Mei: festival"
+    entry = Entry([backend_row("far", "gusts", SOUTH_1)], rules)
+    offer = only(entry.call("/bookings", method="POST"))
+    budget_us = offer.offer.budget_us
+    failed = AttemptFailed(offer.offer.sender, offer.offer.attempt_id, 0)
+    effects = entry.tick(failed, after_us=budget_us + 60_000)
+    ended = refusal_in(effects)
+    assert (ended.status, ended.outcome) == (504, Outcome.UNKNOWN)
+
+
 # Nothing limited a call whose answer had begun, so that its caller waited for
 # an owner node that stood still until it gave up itself.
 def test_an_answer_that_is_not_whole_at_the_deadline_may_stall_no_longer():
