Tell the version of each backend server in the directory

A roll-out moves calls between versions of a service, so every node must know which version a backend server runs. The report of the server states it; the directory row carries it where the mesh has roll-outs. Trailing fields with an empty default are left out of frames, so that other meshes send no further byte. The time until a started server is warm is decoded too, as answers of a cold server say little about its version.

--- a/packages/papayapost-node/src/papayapost_node/wire/layouts.py
+++ b/packages/papayapost-node/src/papayapost_node/wire/layouts.py
@@ -55,14 +55,20 @@
         self._nested = tuple(nested)
         self._values_of = _values_getter(names)
         self._required_count = _required_count(message_type)
+        self._defaults = [field.default for field in dataclasses.fields(message_type)]
         self.struct_type = struct_type
 
     def to_encodable(self, value: Any) -> Sequence:
         """Return the encodable values of a message's fields."""
         values = self._values_of(value)
         # The decoder replaces missing values by their defaults.
-        while values and values[-1] is None and len(values) > self._required_count:
-            values = values[:-1]
+        count = len(values)
+        while (
+            count > self._required_count
+            and values[count - 1] == (self._defaults[count - 1])
+        ):
+            count -= 1
+        values = values[:count]
         if not self._nested:
             return values
         converted = list(values)
@@ -183,10 +189,13 @@
 
 
 def _required_count(message_type: Any) -> int:
-    """Return the number of fields up to the last without the default None."""
+    """Return the number of fields up to the last without an empty default.
+
+    Only the defaults None and the empty text are left out of frames.
+    """
     fields = dataclasses.fields(message_type)
     return max(
-        (at for at, field in enumerate(fields, 1) if field.default is not None),
+        (at for at, field in enumerate(fields, 1) if field.default not in (None, "")),
         default=0,
     )
 
--- a/packages/papayapost/src/papayapost/membership/tables.py
+++ b/packages/papayapost/src/papayapost/membership/tables.py
@@ -12,6 +12,7 @@
     RegionId,
     RuleVersion,
     ServiceName,
+    SoftwareVersion,
 )
 from papayapost.kernel import Table
 from papayapost.membership.digests import bucket_key
@@ -60,6 +61,9 @@
         Number of calls that the backend server runs concurrently.
     link_mbps
         Rate of the VM's link in Mbit/s; 0 if it is not known.
+    software_version
+        Version of the software that the backend server runs; empty if it is
+        not known or the mesh has no roll-outs.
     """
 
     node_id: NodeId
@@ -72,6 +76,7 @@
     slots: int
     state: BackendServerState
     link_mbps: float = 0.0
+    software_version: SoftwareVersion = SoftwareVersion("")
 
     @property
     def stamp(self) -> tuple[int, int]:
--- a/packages/papayapost/src/papayapost/traffic/owner/backend_server.py
+++ b/packages/papayapost/src/papayapost/traffic/owner/backend_server.py
@@ -3,7 +3,13 @@
 from dataclasses import replace
 
 from papayapost.define import define
-from papayapost.ids import InstanceId, Micros, ReportId, ServiceName
+from papayapost.ids import (
+    InstanceId,
+    Micros,
+    ReportId,
+    ServiceName,
+    SoftwareVersion,
+)
 from papayapost.kernel import System, Tick
 from papayapost.membership import Directory, OwnRowChanged
 from papayapost.observe import Event, Noted
@@ -59,6 +65,8 @@
     ----------
     interval_us
         Expected time between two reports, in µs.
+    announces_version
+        Whether the directory row tells the version of the backend server.
     """
 
     consumes = (
@@ -78,6 +86,7 @@
         concurrency: ConcurrencyLimit,
         drain: DrainRow,
         interval_us: int,
+        announces_version: bool = False,
     ):
         self._me = me
         self._directory = directory
@@ -86,6 +95,7 @@
         self._queue = queue
         self._concurrency = concurrency
         self._drain = drain
+        self._announces_version = announces_version
         self._silence_us = max(_MIN_SILENCE_US, _MAX_MISSED_REPORTS * interval_us)
 
     def run(self, tick: Tick) -> None:
@@ -174,6 +184,8 @@
             reported.service,
             reported.slots,
             reported.state,
+            reported.version,
+            Micros(tick.now_us + int(reported.warm_after_ms * 1000)),
         )
         owner.backend = row
         if known is None or known.process != row.process:
@@ -221,15 +233,16 @@
         if self._drain.is_announced:
             # The node itself drains; its row stays DRAINING until it exits.
             return
-        if (own_row.service, own_row.slots, own_row.state) == (service, slots, state):
-            return
         changed = replace(
             own_row,
             service=service,
             slots=slots,
             state=state,
-            revision=own_row.revision + 1,
+            software_version=self._announced_version(),
         )
+        if changed == own_row:
+            return
+        changed.revision += 1
         self._directory.put(own_row.node_id, changed)
         self._upstreams.remove_node(service, own_row.node_id)
         if own_row.service is not None:
@@ -238,6 +251,12 @@
         detail = f"{state.value}, {slots} slots of {service}"
         tick.emit(Noted(Event.BACKEND_SERVER_CHANGED, detail=detail))
 
+    def _announced_version(self) -> SoftwareVersion:
+        backend = self._owner.backend
+        if backend is None or not self._announces_version:
+            return SoftwareVersion("")
+        return backend.version
+
 
 def _order(reported: BackendServerReported) -> tuple[int, int]:
     return (reported.born_ms, reported.sequence)
--- a/packages/papayapost/src/papayapost/traffic/owner/tables.py
+++ b/packages/papayapost/src/papayapost/traffic/owner/tables.py
@@ -5,7 +5,13 @@
 from typing import NewType
 
 from papayapost.define import define
-from papayapost.ids import AttemptId, InstanceId, Micros, ServiceName
+from papayapost.ids import (
+    AttemptId,
+    InstanceId,
+    Micros,
+    ServiceName,
+    SoftwareVersion,
+)
 from papayapost.kernel import Table
 from papayapost.states import BackendServerState, Rank
 from papayapost.traffic.messages import AttemptOffer
@@ -103,6 +109,10 @@
         Calls that the backend server runs at once.
     state
         Reported state.
+    version
+        Version of the software that it runs; empty if it is not known.
+    warm_us
+        Tick time in µs from which the backend server is as fast as usual.
     """
 
     instance: InstanceId
@@ -111,6 +121,8 @@
     service: ServiceName
     slots: int
     state: BackendServerState
+    version: SoftwareVersion = SoftwareVersion("")
+    warm_us: Micros = Micros(0)
 
     @property
     def process(self) -> tuple[InstanceId, int]:
--- a/packages/papayapost/src/papayapost/traffic/owner_messages.py
+++ b/packages/papayapost/src/papayapost/traffic/owner_messages.py
@@ -1,7 +1,14 @@
 """Messages between an owner node, its process and its backend server."""
 
 from papayapost.define import define
-from papayapost.ids import AttemptId, InstanceId, Micros, ReportId, ServiceName
+from papayapost.ids import (
+    AttemptId,
+    InstanceId,
+    Micros,
+    ReportId,
+    ServiceName,
+    SoftwareVersion,
+)
 from papayapost.states import BackendServerState
 
 __all__ = [
@@ -128,6 +135,12 @@
         Number of calls that the backend server runs at the same time.
     state
         ``READY`` or ``DRAINING``.
+    version
+        Version of the software that the backend server runs; empty if the
+        report does not state it.
+    warm_after_ms
+        Time in ms for which the backend server expects to be slower than
+        usual after its start; 0 if it is not.
     """
 
     report_id: ReportId
@@ -137,6 +150,8 @@
     service: ServiceName
     slots: int
     state: BackendServerState
+    version: SoftwareVersion = SoftwareVersion("")
+    warm_after_ms: float = 0.0
 
     @property
     def process(self) -> tuple[InstanceId, int]:
--- a/packages/papayapost/src/papayapost/traffic/part.py
+++ b/packages/papayapost/src/papayapost/traffic/part.py
@@ -91,6 +91,8 @@
     has_exact_slots
         Whether the backend server reports its number of slots. If so, the
         concurrency limit ignores its refusals and its latency.
+    announces_version
+        Whether the directory row tells the version of the backend server.
     """
 
     shared_budget: SharedBudget | None = None
@@ -100,6 +102,7 @@
     drain_announce_us: int = 0
     has_targets: bool = False
     has_exact_slots: bool = False
+    announces_version: bool = False
 
 
 def build_traffic(
@@ -171,6 +174,7 @@
             concurrency,
             drain,
             options.report_interval_us,
+            options.announces_version,
         ),
         RecordDepartures(me, owner.departures),
         TrackUpstreams(directory, upstreams, calls, link),
--- a/packages/papayapost/tests/traffic/reported_owner.py
+++ b/packages/papayapost/tests/traffic/reported_owner.py
@@ -76,10 +76,13 @@
     A process that is given the store of an earlier one is its successor.
     """
 
-    def __init__(self, store=None):
+    def __init__(self, store=None, announces_version=False):
         own = backend_row("owner", "gusts", slots=0, state=BackendServerState.COLD)
         options = TrafficOptions(
-            report_interval_us=INTERVAL_US, has_exact_slots=True, has_targets=True
+            report_interval_us=INTERVAL_US,
+            has_exact_slots=True,
+            has_targets=True,
+            announces_version=announces_version,
         )
         super().__init__(node=traffic_world(own, [], RULES, options=options))
         self.store = store or DepartureStore()
@@ -100,7 +103,9 @@
             effects += self.tick(after_us=step_us)
         return effects
 
-    def report(self, state=READY, name="i-1", born_ms=100, sequence=None, slots=2):
+    def report(
+        self, state=READY, name="i-1", born_ms=100, sequence=None, slots=2, version=""
+    ):
         self.reports += 1
         number = self.reports if sequence is None else sequence
         return self.tick(
@@ -112,6 +117,7 @@
                 ServiceName("gusts"),
                 slots,
                 state,
+                version,
             )
         )
 
--- a/packages/papayapost/tests/traffic/test_backend_server.py
+++ b/packages/papayapost/tests/traffic/test_backend_server.py
@@ -102,3 +102,19 @@
     assert owner.state is DRAINING
     owner.report()
     assert owner.state is DRAINING
+
+
+def test_the_directory_tells_the_version_of_a_successor_of_the_same_size():
+    """A row without it would let calls run on a version of no order."""
+    owner = ReportedOwner(announces_version=True)
+    owner.report(version="v1")
+    assert owner.node.directory.require("owner").software_version == "v1"
+    owner.report(name="i-2", born_ms=200, version="v2")
+    assert owner.node.directory.require("owner").software_version == "v2"
+
+
+def test_the_directory_tells_no_version_in_a_mesh_without_roll_outs():
+    """Its rows must not grow."""
+    owner = ReportedOwner()
+    owner.report(version="v1")
+    assert owner.node.directory.require("owner").software_version == ""
