Read, watch and answer the roll-out orders of the store

The operator writes an order for each service; the mesh writes its status only, for the revision that it knows, so that two writers cannot overwrite each other. An order that does not decode is told with its fault and hides no other one. The block rollout of the settings gives the bounds of a bad version; without it a node has no handlers for these effects and makes no call.

Tests: lists, watches, removals, lost history, conflicts and refusals against the stand-in of the store; the settings are filled only where the platform sets the bounds.

--- a/packages/papayapost-node/src/papayapost_node/composition.py
+++ b/packages/papayapost-node/src/papayapost_node/composition.py
@@ -54,7 +54,7 @@
     load_keys,
     load_settings,
 )
-from papayapost_node.store import StoreEffects
+from papayapost_node.store import OrderClient, OrderEffects, StoreEffects
 from papayapost_node.surroundings import load_surroundings
 from papayapost_node.transport import PeerTable, ZmqTransport
 from papayapost_node.wire import (
@@ -130,6 +130,9 @@
         store = self._surroundings.store_client(settings)
         wait_s = settings.store_wait_ms / 1000
         self._store = StoreEffects(store, post, wait_s, clock.now_us)
+        self._orders: OrderEffects | None = None
+        if settings.rollout is not None and isinstance(store, OrderClient):
+            self._orders = OrderEffects(store, post, wait_s, clock.now_us)
         self._server = StreamingServer(
             Address(settings.caller_address),
             self._entry_side,
@@ -153,6 +156,8 @@
                 Noted: self._recorder.note,
             }
         )
+        if self._orders is not None:
+            self.runner.add_handlers(self._orders.handlers())
         self._admin = self._build_admin_server()
         self._reports = self._build_report_server()
         if self._reports is not None:
@@ -239,6 +244,8 @@
             if server is not None:
                 await server.close()
         self._store.close()
+        if self._orders is not None:
+            self._orders.close()
         self._owner_side.close()
         self._transport.close()
         self._recorder.note_event(Event.NODE_STOPPED)
--- a/packages/papayapost-node/src/papayapost_node/settings/model.py
+++ b/packages/papayapost-node/src/papayapost_node/settings/model.py
@@ -14,6 +14,7 @@
     "HttpSettings",
     "QueueOrder",
     "RetryBudgetSettings",
+    "RolloutSettings",
     "SecurityMode",
     "SecuritySettings",
     "Settings",
@@ -113,6 +114,25 @@
     window_ms: Annotated[int, Meta(ge=100, le=600_000)]
 
 
+class RolloutSettings(SettingsModel, frozen=True):
+    """Bounds on the harm that a roll-out of a bad version may do.
+
+    Attributes
+    ----------
+    exposure_share, exposure_slack
+        Largest number of requests that a bad version may get between its
+        order and the end of the roll-out: a share of all requests of the
+        service, and a number in addition.
+    rollback_ms
+        Time after the 50th bad answer of a version from which it gets no
+        more requests.
+    """
+
+    exposure_share: Annotated[float, Meta(gt=0, le=1)]
+    exposure_slack: Annotated[float, Meta(ge=0, le=1_000_000)]
+    rollback_ms: Annotated[int, Meta(ge=500, le=600_000)]
+
+
 class Discovery(StrEnum):
     """Method by which nodes discover each other.
 
@@ -236,6 +256,9 @@
         every node, also by one without contact to the store or other nodes.
         With null, such a node goes on serving the keys that it knows. It needs
         the discovery method ``roster``.
+    rollout
+        Bounds on roll-outs of service versions; null if the mesh has none. It
+        needs the discovery method ``roster``.
     """
 
     node_id: NameText
@@ -265,6 +288,7 @@
     hold_ms: Annotated[int, Meta(ge=0, le=60_000)] = 2_000
     retry_budget: RetryBudgetSettings | None = None
     revocation_ms: Annotated[int, Meta(ge=1_000, le=3_600_000)] | None = None
+    rollout: RolloutSettings | None = None
 
     def differing_keys(self, other: "Settings") -> list[str]:
         """Return the names of the keys that have another value in `other`."""
--- a/packages/papayapost-node/src/papayapost_node/store/__init__.py
+++ b/packages/papayapost-node/src/papayapost_node/store/__init__.py
@@ -3,9 +3,19 @@
 from papayapost_node.store.client import HttpStoreClient, StoreClient, StoredObject
 from papayapost_node.store.connections import StoreConnections
 from papayapost_node.store.effects import StoreEffects
+from papayapost_node.store.orders import (
+    ListedOrders,
+    OrderChanges,
+    OrderClient,
+    OrderEffects,
+)
 
 __all__ = [
     "HttpStoreClient",
+    "ListedOrders",
+    "OrderChanges",
+    "OrderClient",
+    "OrderEffects",
     "StoreClient",
     "StoreConnections",
     "StoreEffects",
