Roll out versions of a service by orders of the operator

A version gets calls only as its order allows: few on trial, all shortly before the deadline, none after a roll-back. Owner nodes admit attempts by the stage that the controller announces, with a lease and a total for each server, so that neither a second controller nor a lost message raises the exposure. Entry nodes split the upstreams of a service by version. The controller compares answers with those of the old version on the same route and calls the version off at once if they are worse; it moves all calls only if they are known to be good, if old and new servers suffice, and if the bound leaves room for it.

--- a/packages/papayapost-node/src/papayapost_node/wire/message_numbers.py
+++ b/packages/papayapost-node/src/papayapost_node/wire/message_numbers.py
@@ -37,6 +37,13 @@
     ProbeResult,
     Vouch,
 )
+from papayapost.rollout import (
+    AnswerCounts,
+    OrdersKnown,
+    OrdersWanted,
+    RolloutStage,
+    WatcherBeat,
+)
 from papayapost.roster import (
     Beat,
     Hello,
@@ -117,13 +124,24 @@
     AnswerCredit: 65,
     InterimAnswer: 66,
 }
+_ROLLOUT_NUMBERS: dict[type, int] = {
+    RolloutStage: 80,
+    AnswerCounts: 81,
+    OrdersWanted: 82,
+    OrdersKnown: 83,
+    WatcherBeat: 84,
+}
 
 MESSAGE_NUMBERS: dict[type, int] = (
-    _MEMBERSHIP_NUMBERS | _DISTRIBUTION_NUMBERS | _TRAFFIC_NUMBERS | _CARRIER_NUMBERS
+    _MEMBERSHIP_NUMBERS
+    | _DISTRIBUTION_NUMBERS
+    | _TRAFFIC_NUMBERS
+    | _CARRIER_NUMBERS
+    | _ROLLOUT_NUMBERS
 )
 """Type number of each message type."""
 
 CONTROL_TYPES: frozenset[type] = frozenset(
-    [*_MEMBERSHIP_NUMBERS, *_DISTRIBUTION_NUMBERS]
+    [*_MEMBERSHIP_NUMBERS, *_DISTRIBUTION_NUMBERS, *_ROLLOUT_NUMBERS]
 )
 """Message types of membership and rules distribution, as opposed to calls."""
--- a/packages/papayapost-node/src/papayapost_node/world.py
+++ b/packages/papayapost-node/src/papayapost_node/world.py
@@ -15,6 +15,7 @@
 from papayapost.membership import BackendServerRow
 from papayapost.node import NodeWorld, build_node_world, build_roster_world
 from papayapost.place import Place, SelfRow
+from papayapost.rollout import RolloutLimits
 from papayapost.states import BackendServerState
 from papayapost.traffic import SharedBudget, TrafficOptions
 from papayapost.traffic.owner.queues import QueueDiscipline
@@ -65,6 +66,7 @@
             options,
             settings.max_rules_bytes,
             EvidenceRow(_evidence_limit_us(settings)),
+            _rollout_limits(settings),
         )
     seeds = [Address(seed) for seed in settings.seeds]
     return build_node_world(me, seeds, own_row, random, queue, options)
@@ -76,6 +78,17 @@
     return Micros(int(settings.revocation_ms * 1000 * _EVIDENCE_SHARE))
 
 
+def _rollout_limits(settings: Settings) -> RolloutLimits | None:
+    rollout = settings.rollout
+    if rollout is None:
+        return None
+    return RolloutLimits(
+        rollout.exposure_share,
+        rollout.exposure_slack,
+        Micros(rollout.rollback_ms * 1000),
+    )
+
+
 def _traffic_options(settings: Settings) -> TrafficOptions:
     budget, shared = settings.retry_budget, None
     if budget is not None:
@@ -90,6 +103,7 @@
         settings.drain_announce_ms * 1000,
         settings.queue is QueueOrder.TARGETS,
         settings.report_address is not None,
+        settings.rollout is not None,
     )
 
 
--- a/packages/papayapost/src/papayapost/ids.py
+++ b/packages/papayapost/src/papayapost/ids.py
@@ -20,6 +20,7 @@
     "RegionId",
     "ReportId",
     "RequestName",
+    "RouteId",
     "RuleVersion",
     "ServiceName",
     "SoftwareVersion",
@@ -70,6 +71,9 @@
 ReportId = NewType("ReportId", int)
 """One report of this node's backend server; unique within the process."""
 
+RouteId = NewType("RouteId", int)
+"""32-bit hash of a route's methods, host and path, the same at all nodes."""
+
 IdempotencyKey = NewType("IdempotencyKey", str)
 Owner = NewType("Owner", str)
 """The person responsible for a rule, named in its trailing comment."""
--- a/packages/papayapost/src/papayapost/node.py
+++ b/packages/papayapost/src/papayapost/node.py
@@ -20,6 +20,13 @@
 )
 from papayapost.place import SelfRow
 from papayapost.record import build_record
+from papayapost.rollout import (
+    OrderedVersions,
+    RolloutLimits,
+    RolloutPart,
+    RolloutTables,
+    build_rollout,
+)
 from papayapost.roster import build_roster
 from papayapost.rules import MAX_TEXT_BYTES
 from papayapost.traffic import TrafficOptions, TrafficPart, build_traffic
@@ -39,6 +46,8 @@
         no tree.
     first
         Messages for the first tick.
+    rollout
+        Roll-outs of service versions, or None if the mesh has none.
     """
 
     world: World
@@ -47,6 +56,7 @@
     traffic: TrafficPart
     tree: TreeTables | None
     first: list[object]
+    rollout: RolloutPart | None = None
 
     def first_messages(self) -> list[object]:
         """Return the messages to pass to the first tick."""
@@ -109,6 +119,7 @@
     options: TrafficOptions | None = None,
     max_rules_bytes: int = MAX_TEXT_BYTES,
     evidence: EvidenceRow | None = None,
+    limits: RolloutLimits | None = None,
 ) -> NodeWorld:
     """Return the world of a node that reads the other nodes from the store.
 
@@ -122,10 +133,14 @@
     evidence
         Evidence that no newer rules exist, with the largest age at which it
         counts; None if the deployment sets no bound on the removal of a key.
+    limits
+        Bounds on roll-outs; None if the mesh has none.
     """
     rules = RulesTable(max_rules_bytes)
     roster = build_roster(me, own, rules)
     distribution = build_direct_distribution(me, roster.directory, rules, evidence)
+    rollout_tables = RolloutTables(roster.directory, me.node_id)
+    versions = OrderedVersions(rollout_tables) if limits is not None else None
     traffic = build_traffic(
         me,
         roster.directory,
@@ -134,12 +149,24 @@
         queue=queue,
         options=options,
         evidence=evidence,
+        versions=versions,
     )
-    systems = [*roster.systems, *distribution.systems, *traffic.systems]
+    rollout = None
+    if limits is not None and versions is not None:
+        rollout = build_rollout(
+            me, roster.directory, limits, rollout_tables, versions, traffic
+        )
+    systems = [
+        *roster.systems,
+        *distribution.systems,
+        *(rollout.systems if rollout else ()),
+        *traffic.systems,
+    ]
     first = [
         *roster.first_messages,
+        *(rollout.first_messages if rollout else ()),
         *distribution.first_messages,
         *traffic.first_messages,
     ]
     world = World(systems, random)
-    return NodeWorld(world, roster.directory, rules, traffic, None, first)
+    return NodeWorld(world, roster.directory, rules, traffic, None, first, rollout)
--- a/packages/papayapost/src/papayapost/traffic/entry/offers.py
+++ b/packages/papayapost/src/papayapost/traffic/entry/offers.py
@@ -28,6 +28,7 @@
     OfferSend,
     RefusalCode,
 )
+from papayapost.traffic.versions import AnyVersion, VersionPolicy
 
 __all__ = ["Offers", "close_call", "refuse_call", "remove_attempt", "set_step"]
 
@@ -81,6 +82,8 @@
     retries
         Decides when a call that waits for its answer hedges or gives up its
         attempt.
+    versions
+        Chooses the attempts that a version on trial gets.
     """
 
     def __init__(
@@ -91,6 +94,7 @@
         policy: BalancingPolicy,
         link: LinkBudget,
         retries: RetryPolicy,
+        versions: VersionPolicy | None = None,
     ):
         self._me = me
         self._tables = tables
@@ -98,6 +102,7 @@
         self._policy = policy
         self._link = link
         self._retries = retries
+        self._versions = versions or AnyVersion()
         self._sequence = 0
         self._prefix = f"{me.node_id}/{me.incarnation:x}/"
 
@@ -188,12 +193,30 @@
         reach = LinkClass.REGION
         if route.cross_link and self._link.allows(call.rank, tick.now_us):
             reach = LinkClass.ACROSS
+        on_trial = self._choose_on_trial(tick, call, reach)
+        if on_trial is not None:
+            return on_trial
         service = self._upstreams.service(call.service, tick.now_us)
         is_last_resort = route.link_last or call.is_refused_across
         if is_last_resort and any(service.tiers[: LinkClass.ACROSS]):
             reach = LinkClass.REGION
         return self._policy.choose(service, call.tried, reach, tick.now_us, tick.random)
 
+    def _choose_on_trial(
+        self, tick: Tick, call: CallRow, reach: LinkClass
+    ) -> UpstreamRow | None:
+        """Return an upstream of a version on trial, or None for most calls."""
+        node_ids = self._versions.trial_nodes(call.service, tick.now_us, tick.random)
+        if not node_ids:
+            return None
+        service = self._upstreams.trial(call.service, node_ids, tick.now_us)
+        found = self._policy.choose(
+            service, call.tried, reach, tick.now_us, tick.random
+        )
+        if found is None or self._policy.is_full(found, tick.now_us):
+            return None
+        return found
+
     def _preferred(
         self, service: ServiceRow, key: IdempotencyKey, call: CallRow
     ) -> UpstreamRow | None:
@@ -241,6 +264,7 @@
             call.despite_failures,
             None if route.target_ms is None else Micros(route.target_ms * 1000),
             call.account,
+            self._versions.route_id(call.service, route),
         )
 
     def _target_remaining_us(
--- a/packages/papayapost/src/papayapost/traffic/entry/upstreams.py
+++ b/packages/papayapost/src/papayapost/traffic/entry/upstreams.py
@@ -19,6 +19,7 @@
 from papayapost.membership import BackendServerRow, Directory
 from papayapost.place import SelfRow
 from papayapost.states import BackendServerState, LinkClass
+from papayapost.traffic.versions import AnyVersion, VersionPolicy
 
 __all__ = ["SUBSET_SIZE", "ServiceRow", "UpstreamRow", "Upstreams"]
 
@@ -208,9 +209,16 @@
         All upstreams that were used and that the directory still lists.
     """
 
-    def __init__(self, me: SelfRow, directory: Directory):
+    def __init__(
+        self,
+        me: SelfRow,
+        directory: Directory,
+        versions: VersionPolicy | None = None,
+    ):
         self._me = me
         self._directory = directory
+        self._versions = versions or AnyVersion()
+        self._trials: dict[ServiceName, tuple[frozenset[NodeId], ServiceRow]] = {}
         self._next_epoch = 1
         self.rows: Table[NodeId, UpstreamRow] = Table(
             "upstreams", {"address": lambda row: row.address}
@@ -231,6 +239,33 @@
             self._rebuild(service, now_us)
         return service
 
+    def trial(
+        self, name: ServiceName, node_ids: frozenset[NodeId], now_us: Micros
+    ) -> ServiceRow:
+        """Return a row of only some nodes of a service, for a trial."""
+        known = self._trials.get(name)
+        if (
+            known is None
+            or known[0] != node_ids
+            or now_us - known[1].built_us >= _REBUILD_EVERY_US
+        ):
+            found = (self._directory.get(node_id) for node_id in sorted(node_ids))
+            service = ServiceRow(name, is_stale=False, built_us=now_us)
+            service.upstreams = [
+                self._upstream_for(row, True, now_us)
+                for row in found
+                if row is not None and row.state is BackendServerState.READY
+            ]
+            service.refresh_tiers()
+            known = self._trials[name] = (node_ids, service)
+        return known[1]
+
+    def rebuild(self, name: ServiceName, now_us: Micros) -> None:
+        """Build the row of a service at once, for other versions."""
+        service = self.services.get(name)
+        if service is not None:
+            self._rebuild(service, now_us)
+
     def is_leaving(self, node_id: NodeId) -> bool:
         """Return whether the directory excludes a node from new attempts.
 
@@ -262,7 +297,9 @@
         return ConnectionEpoch(self._next_epoch)
 
     def _rebuild(self, service: ServiceRow, now_us: Micros) -> None:
-        rows = list(self._directory.find("service", service.name))
+        rows = self._versions.usable(
+            service.name, self._directory.find("service", service.name)
+        )
         ready = [row for row in rows if row.state is BackendServerState.READY]
         if not ready:
             ready = [
--- a/packages/papayapost/src/papayapost/traffic/messages.py
+++ b/packages/papayapost/src/papayapost/traffic/messages.py
@@ -21,6 +21,7 @@
     Micros,
     NodeId,
     RequestName,
+    RouteId,
     RuleVersion,
     ServiceName,
 )
@@ -79,6 +80,7 @@
     UNKNOWN_KEY = "unknown-key"
     KEYS_UNCERTAIN = "keys-uncertain"
     QUOTA = "quota"
+    VERSION_CLOSED = "version-closed"
 
 
 class LossCause(Enum):
@@ -252,6 +254,8 @@
         servers of other owner nodes fail too.
     account
         Client account that the call belongs to, or None.
+    route_id
+        Route of the call while its service is rolled out, or else None.
     """
 
     sender: NodeId
@@ -273,6 +277,7 @@
     despite_failures: bool = False
     rule_target_us: Micros | None = None
     account: AccountName | None = None
+    route_id: RouteId | None = None
 
 
 @define
--- a/packages/papayapost/src/papayapost/traffic/owner/admission.py
+++ b/packages/papayapost/src/papayapost/traffic/owner/admission.py
@@ -35,6 +35,7 @@
     DropOffer,
     RefuseQueuedAttempts,
 )
+from papayapost.traffic.versions import AnyVersion, VersionPolicy
 
 __all__ = ["AdmitAttempts"]
 
@@ -80,6 +81,7 @@
         shares: ActiveShares,
         replies: Replies,
         drain: DrainRow,
+        versions: VersionPolicy | None = None,
     ):
         self._me = me
         self._directory = directory
@@ -90,6 +92,7 @@
         self._shares = shares
         self._replies = replies
         self._drain = drain
+        self._versions = versions or AnyVersion()
         self._waiting_attempts = WaitingAttempts(tables, queue, replies)
         self._slot_times = SlotTimes(me.node_id, tables, queue, concurrency)
         self._breaker = ServerBreaker(tables)
@@ -203,6 +206,7 @@
         deadline_us = Micros(tick.now_us + budget_us)
         row = OwnedRow(offer, tick.now_us, deadline_us, OwnedState.QUEUED)
         tables.attempts.put(offer.attempt_id, row)
+        self._versions.record_admitted()
         if needs_claim:
             self._waiting_attempts.request_claim(tick, row)
         else:
@@ -222,6 +226,8 @@
         if tables.refuses_offers:
             tables.counters.offers_after_grace += 1
             return RefusalCode.DRAINING
+        if not self._versions.admits(tick.now_us):
+            return RefusalCode.VERSION_CLOSED
         if tables.waiting_for_claim >= self._queue.capacity:
             return RefusalCode.QUEUE_FULL
         if self._may_outlast_process(tick, offer):
--- a/packages/papayapost/src/papayapost/traffic/part.py
+++ b/packages/papayapost/src/papayapost/traffic/part.py
@@ -38,6 +38,7 @@
 from papayapost.traffic.owner.shares import ActiveShares
 from papayapost.traffic.owner.tables import OwnerTables
 from papayapost.traffic.owner.targeted import TargetedQueues
+from papayapost.traffic.versions import VersionPolicy
 
 __all__ = ["TrafficOptions", "TrafficPart", "build_traffic"]
 
@@ -116,6 +117,7 @@
     balancing: BalancingPolicy | None = None,
     options: TrafficOptions | None = None,
     evidence: EvidenceRow | None = None,
+    versions: VersionPolicy | None = None,
 ) -> TrafficPart:
     """Return the traffic tables and systems of a node that has no calls yet.
 
@@ -133,13 +135,15 @@
         Settings of the deployment; the defaults of `TrafficOptions` if None.
     evidence
         How recently the rules in force were known to be the newest.
+    versions
+        Chooses among the versions of a service; any version if None.
     """
     options = options or TrafficOptions()
     calls = EntryTables()
     owner = OwnerTables(slots)
     claims = ClaimTables(me)
     requests = ClaimStoreRequests(claims)
-    upstreams = Upstreams(me, directory)
+    upstreams = Upstreams(me, directory, versions)
     link = LinkBudget(me)
     replies = Replies(me, owner)
     drain = DrainRow()
@@ -149,7 +153,7 @@
         retries = WindowedRetries(options.shared_budget, directory)
     retries = retries or BudgetedRetries()
     policy = balancing or NearestOfTwo(owner, options.shared_budget is not None)
-    offers = Offers(me, calls, upstreams, policy, link, retries)
+    offers = Offers(me, calls, upstreams, policy, link, retries, versions)
     if queue is None:
         queue = TargetedQueues(slots) if options.has_targets else RankedQueues(slots)
     if concurrency is None:
@@ -200,6 +204,7 @@
             ActiveShares(rules),
             replies,
             drain,
+            versions,
         ),
         HandleFailedAttempts(calls, upstreams, offers, retries, ejector),
         EndCalls(calls, upstreams, offers, retries, ejector, link, answer_times),
