--- a/packages/papayapost/src/papayapost/traffic/part.py
+++ b/packages/papayapost/src/papayapost/traffic/part.py
@@ -38,6 +38,7 @@
 from papayapost.traffic.owner.seen import SeenAttempts
 from papayapost.traffic.owner.shares import ActiveShares
 from papayapost.traffic.owner.tables import OwnerTables
+from papayapost.traffic.versions import VersionPolicy
 
 __all__ = ["TrafficOptions", "TrafficPart", "build_traffic"]
 
@@ -91,6 +92,8 @@
     has_exact_slots
         Whether the backend server reports its number of slots. If so, the
         concurrency limit ignores its refusals and its latency.
+    announces_version
+        Whether the directory row tells the version of the backend server.
     """
 
     shared_budget: SharedBudget | None = None
@@ -100,6 +103,7 @@
     drain_announce_us: int = 0
     has_targets: bool = False
     has_exact_slots: bool = False
+    announces_version: bool = False
 
 
 def build_traffic(
@@ -114,6 +118,7 @@
     options: TrafficOptions | None = None,
     evidence: EvidenceRow | None = None,
     has_lenders: bool = False,
+    versions: VersionPolicy | None = None,
 ) -> TrafficPart:
     """Return the traffic tables and systems of a node that has no calls yet.
 
@@ -133,13 +138,15 @@
         How recently the rules in force were known to be the newest.
     has_lenders
         Whether lenders grant the tokens of accounts with a quota.
+    versions
+        Chooses among the versions of a service; any version if None.
     """
     options = options or TrafficOptions()
     calls = EntryTables()
     owner = OwnerTables(slots)
     claims = ClaimTables(me)
     requests = ClaimStoreRequests(claims)
-    upstreams = Upstreams(me, directory)
+    upstreams = Upstreams(me, directory, versions)
     link = LinkBudget(me)
     replies = Replies(me, owner)
     drain = DrainRow()
@@ -149,7 +156,7 @@
         retries = WindowedRetries(options.shared_budget, directory)
     retries = retries or BudgetedRetries()
     policy = balancing or NearestOfTwo(owner, options.shared_budget is not None)
-    offers = Offers(me, calls, upstreams, policy, link, retries)
+    offers = Offers(me, calls, upstreams, policy, link, retries, versions)
     if queue is None:
         queue = FairQueues(slots) if options.has_targets else RankedQueues(slots)
     if concurrency is None:
@@ -174,6 +181,7 @@
             concurrency,
             drain,
             options.report_interval_us,
+            options.announces_version,
         ),
         RecordDepartures(me, owner.departures),
         TrackUpstreams(directory, upstreams, calls, link),
@@ -200,6 +208,7 @@
             ActiveShares(rules),
             replies,
             drain,
+            versions,
         ),
         HandleFailedAttempts(calls, upstreams, offers, retries, ejector),
         EndCalls(calls, upstreams, offers, retries, ejector, link, answer_times),
