--- a/packages/papayapost/src/papayapost/node.py
+++ b/packages/papayapost/src/papayapost/node.py
@@ -21,6 +21,13 @@
 from papayapost.place import SelfRow
 from papayapost.quota import QuotaTables, build_quota
 from papayapost.record import build_record
+from papayapost.rollout import (
+    OrderedVersions,
+    RolloutLimits,
+    RolloutPart,
+    RolloutTables,
+    build_rollout,
+)
 from papayapost.roster import build_roster
 from papayapost.rules import MAX_TEXT_BYTES
 from papayapost.traffic import TrafficOptions, TrafficPart, build_traffic
@@ -43,6 +50,8 @@
     quotas
         Leases, buckets and requests for tokens, or None if the mesh keeps no
         quotas.
+    rollout
+        Roll-outs of service versions, or None if the mesh has none.
     """
 
     world: World
@@ -52,6 +61,7 @@
     tree: TreeTables | None
     first: list[object]
     quotas: QuotaTables | None = None
+    rollout: RolloutPart | None = None
 
     def first_messages(self) -> list[object]:
         """Return the messages to pass to the first tick."""
@@ -115,6 +125,7 @@
     max_rules_bytes: int = MAX_TEXT_BYTES,
     evidence: EvidenceRow | None = None,
     data_centres: Mapping[DataCentreId, RegionId] | None = None,
+    limits: RolloutLimits | None = None,
 ) -> NodeWorld:
     """Return the world of a node that reads the other nodes from the store.
 
@@ -131,10 +142,14 @@
     data_centres
         Region of each data centre of the mesh, between which the quotas of
         accounts are divided; if there are none, no quota is enforced.
+    limits
+        Bounds on roll-outs; None if the mesh has none.
     """
     rules = RulesTable(max_rules_bytes)
     roster = build_roster(me, own, rules)
     distribution = build_direct_distribution(me, roster.directory, rules, evidence)
+    rollout_tables = RolloutTables(roster.directory, me.node_id)
+    versions = OrderedVersions(rollout_tables) if limits is not None else None
     traffic = build_traffic(
         me,
         roster.directory,
@@ -144,22 +159,32 @@
         options=options,
         evidence=evidence,
         has_lenders=bool(data_centres),
+        versions=versions,
     )
     quota = None
     if data_centres:
         contact, ranks = distribution.contact, distribution.ranks
         quota = build_quota(me, roster.directory, ranks, rules, contact, data_centres)
+    rollout = None
+    if limits is not None and versions is not None:
+        rollout = build_rollout(
+            me, roster.directory, limits, rollout_tables, versions, traffic
+        )
     systems = [
         *roster.systems,
         *distribution.systems,
-        *(quota.systems if quota is not None else []),
+        *(quota.systems if quota is not None else ()),
+        *(rollout.systems if rollout is not None else ()),
         *traffic.systems,
     ]
     first = [
         *roster.first_messages,
+        *(rollout.first_messages if rollout is not None else ()),
         *distribution.first_messages,
         *traffic.first_messages,
     ]
     world = World(systems, random)
     tables = quota.tables if quota is not None else None
-    return NodeWorld(world, roster.directory, rules, traffic, None, first, tables)
+    return NodeWorld(
+        world, roster.directory, rules, traffic, None, first, tables, rollout
+    )
--- a/packages/papayapost/src/papayapost/traffic/messages.py
+++ b/packages/papayapost/src/papayapost/traffic/messages.py
@@ -21,6 +21,7 @@
     Micros,
     NodeId,
     RequestName,
+    RouteId,
     RuleVersion,
     ServiceName,
 )
@@ -80,6 +81,7 @@
     KEYS_UNCERTAIN = "keys-uncertain"
     QUOTA = "quota"
     QUOTA_UNKNOWN = "quota-unknown"
+    VERSION_CLOSED = "version-closed"
 
 
 class LossCause(Enum):
@@ -253,6 +255,8 @@
         servers of other owner nodes fail too.
     account
         Client account that the call belongs to, or None.
+    route_id
+        Route of the call while its service is rolled out, or else None.
     """
 
     sender: NodeId
@@ -274,6 +278,7 @@
     despite_failures: bool = False
     rule_target_us: Micros | None = None
     account: AccountName | None = None
+    route_id: RouteId | None = None
 
 
 @define
--- a/packages/papayapost/src/papayapost/traffic/owner/admission.py
+++ b/packages/papayapost/src/papayapost/traffic/owner/admission.py
@@ -35,6 +35,7 @@
     DropOffer,
     RefuseQueuedAttempts,
 )
+from papayapost.traffic.versions import AnyVersion, VersionPolicy
 
 __all__ = ["AdmitAttempts"]
 
@@ -80,6 +81,7 @@
         shares: ActiveShares,
         replies: Replies,
         drain: DrainRow,
+        versions: VersionPolicy | None = None,
     ):
         self._me = me
         self._directory = directory
@@ -90,6 +92,7 @@
         self._shares = shares
         self._replies = replies
         self._drain = drain
+        self._versions = versions or AnyVersion()
         self._waiting_attempts = WaitingAttempts(tables, queue, replies)
         self._slot_times = SlotTimes(me.node_id, tables, queue, concurrency)
         self._breaker = ServerBreaker(tables)
@@ -186,13 +189,16 @@
             trial_us = self._breaker.wait_us(tick.now_us)
             self._replies.refuse(tick, offer, RefusalCode.SERVER_FAILING, trial_us)
             return None
+        if offer.may_queue:
+            self._queue.record_ask(offer, tick.now_us)
         wait_us = self._slot_times.expected_wait_us(offer, tick.now_us)
         if not (offer.may_queue or self._slot_times.has_free_slot(offer)):
             self._replies.refuse(tick, offer, RefusalCode.NO_FREE_SLOT, wait_us)
             return None
         min_service_us = self._slot_times.shortest_us(offer, tick.now_us)
+        standing = self._queue.standing(offer)
         if not self._queue_waits.is_worthwhile(
-            offer, wait_us, min_service_us, tick.now_us
+            offer, wait_us, min_service_us, tick.now_us, standing
         ):
             self._replies.refuse(tick, offer, RefusalCode.DEADLINE, wait_us)
             return None
@@ -203,6 +209,7 @@
         deadline_us = Micros(tick.now_us + budget_us)
         row = OwnedRow(offer, tick.now_us, deadline_us, OwnedState.QUEUED)
         tables.attempts.put(offer.attempt_id, row)
+        self._versions.record_admitted()
         if needs_claim:
             self._waiting_attempts.request_claim(tick, row)
         else:
@@ -222,6 +229,8 @@
         if tables.refuses_offers:
             tables.counters.offers_after_grace += 1
             return RefusalCode.DRAINING
+        if not self._versions.admits(tick.now_us):
+            return RefusalCode.VERSION_CLOSED
         if tables.waiting_for_claim >= self._queue.capacity:
             return RefusalCode.QUEUE_FULL
         if self._may_outlast_process(tick, offer):
@@ -304,7 +313,7 @@
             # to run it, while its caller still has time to retry.
             min_service_us = int(self._slot_times.shortest_us(row.offer, tick.now_us))
             due_us = Micros(max(tick.now_us, row.deadline_us - min_service_us))
-            hold_us = longest_hold_us(row.offer)
+            hold_us = longest_hold_us(row.offer, self._queue.standing(row.offer))
             if hold_us is not None:
                 due_us = min(due_us, Micros(row.arrived_us + hold_us))
             tick.set_timer(("owned", attempt_id), due_us, expired)
--- a/packages/papayapost/src/papayapost/traffic/owner/tables.py
+++ b/packages/papayapost/src/papayapost/traffic/owner/tables.py
@@ -5,7 +5,13 @@
 from typing import NewType
 
 from papayapost.define import define
-from papayapost.ids import AttemptId, InstanceId, Micros, ServiceName
+from papayapost.ids import (
+    AttemptId,
+    InstanceId,
+    Micros,
+    ServiceName,
+    SoftwareVersion,
+)
 from papayapost.kernel import Table
 from papayapost.states import BackendServerState, Rank
 from papayapost.traffic.messages import AttemptOffer
@@ -18,6 +24,7 @@
     "OwnedState",
     "OwnerCounters",
     "OwnerTables",
+    "Standing",
     "WorkClass",
     "work_class",
 ]
@@ -32,6 +39,20 @@
     return WorkClass((offer.rank, offer.idempotent, offer.rule_target_us))
 
 
+class Standing(Enum):
+    """How an attempt competes with others for the slots.
+
+    One below its floor belongs to an account or a kind of request that got too
+    few slots. One over its share belongs to an account that got more than its
+    share. An inner call is made by a backend server for a running request.
+    """
+
+    ORDINARY = "ordinary"
+    INNER_CALL = "inner-call"
+    BELOW_FLOOR = "below-floor"
+    OVER_SHARE = "over-share"
+
+
 class OwnedState(Enum):
     """State of an attempt at its owner node."""
 
@@ -103,6 +124,10 @@
         Calls that the backend server runs at once.
     state
         Reported state.
+    version
+        Version of the software that it runs; empty if it is not known.
+    warm_us
+        Tick time in µs from which the backend server is as fast as usual.
     """
 
     instance: InstanceId
@@ -111,6 +136,8 @@
     service: ServiceName
     slots: int
     state: BackendServerState
+    version: SoftwareVersion = SoftwareVersion("")
+    warm_us: Micros = Micros(0)
 
     @property
     def process(self) -> tuple[InstanceId, int]:
