--- a/packages/papayapost-node/src/papayapost_node/observe/exposition.py
+++ b/packages/papayapost-node/src/papayapost_node/observe/exposition.py
@@ -15,6 +15,7 @@
 from prometheus_client.registry import Collector
 
 from papayapost.node import NodeWorld
+from papayapost.rollout import RolloutCounters
 from papayapost.states import Rank
 from papayapost_node.observe.meter import CallCounter, CallMeter
 from papayapost_node.transport import PeerTable
@@ -58,6 +59,9 @@
         yield from _totals(
             "claims", {"writes": claims.writes, "conflicts": claims.conflicts}
         )
+        rollout = self._world.rollout
+        counters = rollout.tables.counters if rollout else RolloutCounters()
+        yield from _totals("rollout", _fields_of(counters))
 
     def _peer_bytes(self) -> Iterator[Metric]:
         peers = self._peers
--- a/packages/papayapost/src/papayapost/rollout/__init__.py
+++ b/packages/papayapost/src/papayapost/rollout/__init__.py
@@ -18,7 +18,12 @@
 )
 from papayapost.rollout.part import RolloutPart, build_rollout
 from papayapost.rollout.states import Phase
-from papayapost.rollout.tables import OrderRow, RolloutLimits, RolloutTables
+from papayapost.rollout.tables import (
+    OrderRow,
+    RolloutCounters,
+    RolloutLimits,
+    RolloutTables,
+)
 from papayapost.rollout.versions import OrderedVersions
 
 __all__ = [
@@ -29,6 +34,7 @@
     "OrdersKnown",
     "OrdersWanted",
     "Phase",
+    "RolloutCounters",
     "RolloutLimits",
     "RolloutPart",
     "RolloutStage",
--- a/packages/papayapost/src/papayapost/rollout/controlling.py
+++ b/packages/papayapost/src/papayapost/rollout/controlling.py
@@ -263,6 +263,7 @@
 
     def _announce(self, tick: Tick, row: ControlRow) -> None:
         row.announced_us, row.has_news = tick.now_us, False
+        self._tables.counters.stages += 1
         times = row.times
         elapsed_us = 0 if times is None else tick.now_us - times.early_us
         late_us = 0 if times is None else tick.now_us - times.late_us
--- a/packages/papayapost/src/papayapost/rollout/reading.py
+++ b/packages/papayapost/src/papayapost/rollout/reading.py
@@ -138,7 +138,7 @@
         if self._refused.get(found.name) == found.revision:
             return
         self._refused[found.name] = found.revision
-        self._tables.refused_orders += 1
+        self._tables.counters.refused_orders += 1
         detail = f"{found.name[:80]}: {fault[:160]}"
         tick.emit(Noted(Event.ORDER_REFUSED, detail=detail))
 
--- a/packages/papayapost/src/papayapost/rollout/tables.py
+++ b/packages/papayapost/src/papayapost/rollout/tables.py
@@ -16,7 +16,7 @@
 from papayapost.rollout.states import FINAL_PHASES, Phase
 from papayapost.states import BackendServerState
 
-__all__ = ["LEASE_US", "OrderRow", "RolloutLimits", "RolloutTables"]
+__all__ = ["LEASE_US", "OrderRow", "RolloutCounters", "RolloutLimits", "RolloutTables"]
 
 LEASE_US = 1_500_000
 """Time after a stage for which the target version may get calls. A node that
@@ -93,6 +93,25 @@
         return Phase.HELD
 
 
+@define
+class RolloutCounters:
+    """Totals of the roll-outs since the process started.
+
+    Parameters
+    ----------
+    refused_attempts
+        Attempts that this owner node refused because of its version.
+    refused_orders
+        Orders that this watcher refused as bad input.
+    stages
+        Stages that this node announced as a controller.
+    """
+
+    refused_attempts: int = 0
+    refused_orders: int = 0
+    stages: int = 0
+
+
 class RolloutTables:
     """Orders and versions of the services, as this node knows them.
 
@@ -111,10 +130,8 @@
         Attempts that this node has admitted since its order or start.
     counted_orders
         Number of times that the count of admitted attempts has begun anew.
-    refused
-        Attempts that this node has refused because of its version.
-    refused_orders
-        Orders that were refused as bad input.
+    counters
+        Totals since the process started.
     """
 
     def __init__(self, directory: Directory, own_node: NodeId):
@@ -126,8 +143,7 @@
         self.may_guess = False
         self.admitted = 0
         self.counted_orders = 0
-        self.refused = 0
-        self.refused_orders = 0
+        self.counters = RolloutCounters()
 
     @property
     def own_row(self) -> BackendServerRow | None:
--- a/packages/papayapost/src/papayapost/rollout/versions.py
+++ b/packages/papayapost/src/papayapost/rollout/versions.py
@@ -76,7 +76,7 @@
         grant = self._grant(now_us)
         if grant is None or tables.admitted < grant:
             return True
-        tables.refused += 1
+        tables.counters.refused_attempts += 1
         return False
 
     def is_open(self, now_us: Micros) -> bool:
