Count slow answers that span a report, and attempts that were cancelled

Each report of a warm server set the time from which it counts as warm to now, so that answers which had begun before a report had no time. Also, entry nodes give up slow attempts, which left the good answers only; attempts that were cancelled after 1.4 times the old median now count as slow, for both versions alike. Watchers roll an order back if its controller has stopped shortly before the deadline. Old servers report half as often before the move.

--- a/packages/papayapost/src/papayapost/rollout/control_tables.py
+++ b/packages/papayapost/src/papayapost/rollout/control_tables.py
@@ -69,7 +69,8 @@
         Time in µs at which the move began, and answers of the target version
         until then; None and 0 before.
     may_be_completed
-        Whether this node has sent a status `COMPLETED` that may take effect.
+        Whether a status `COMPLETED` may have been sent, here or by a former
+        controller.
     is_removed
         Whether the operator has removed the order.
     has_news
--- a/packages/papayapost/src/papayapost/rollout/controlling.py
+++ b/packages/papayapost/src/papayapost/rollout/controlling.py
@@ -42,6 +42,11 @@
 
 _REWRITE_US = 150_000
 
+_OVERDUE_STEP_US = 100_000
+"""Time after the last moment for the final status from which the next watcher
+in rank writes that the order is rolled back. The controller has stopped then,
+or the store takes one of the two statuses only."""
+
 
 class ControlRollouts(System):
     """Leads the orders of which this node is the controller.
@@ -129,7 +134,7 @@
             self._pause(row)
             return _REVIEW_INTERVAL_US
         if not row.is_leading and not self._may_lead(tick, row):
-            return _REVIEW_INTERVAL_US
+            return self._until_overdue(tick, row)
         if row.is_leading:
             self._lead(tick, row)
         is_shift = row.phase is Phase.SHIFT
@@ -139,6 +144,20 @@
         """Send no more stages, so that the lease of the last one ends."""
         row.is_leading = False
 
+    def _overdue_us(self, row: ControlRow) -> Micros | None:
+        position = self._watch.position()
+        if row.times is None or position is None:
+            return None
+        step_us = (position + 1) * _OVERDUE_STEP_US
+        return Micros(row.times.finish_by_us + step_us)
+
+    def _until_overdue(self, tick: Tick, row: ControlRow) -> int:
+        """Return the time in µs until the next review of another's order."""
+        overdue_us = self._overdue_us(row)
+        if overdue_us is None or overdue_us <= tick.now_us:
+            return _REVIEW_INTERVAL_US
+        return min(_REVIEW_INTERVAL_US, overdue_us - tick.now_us)
+
     def _may_lead(self, tick: Tick, row: ControlRow) -> bool:
         """Try to become the controller of an order; return whether it is."""
         position = self._watch.position()
@@ -151,6 +170,11 @@
             and not known.is_final
         )
         heard_us = known.received_us if known is not None and is_told else row.seen_us
+        overdue_us = self._overdue_us(row)
+        if overdue_us is not None and tick.now_us >= overdue_us:
+            self._want(row, OrderState.ROLLED_BACK, "the time is over")
+            self._take_over(tick, row, known if is_told else None)
+            return True
         silence_us = _SILENCE_US + position * _SILENCE_STEP_US
         if row.found.current_state is None and not is_told:
             silence_us = position * _WRITE_STEP_US
@@ -161,10 +185,12 @@
 
     def _take_over(self, tick: Tick, row: ControlRow, known: OrderRow | None) -> None:
         row.is_leading, row.led_since_us = True, tick.now_us
-        row.is_based, row.base_exposed = False, 0
+        row.is_based, row.base_exposed, row.shift_us = False, 0, None
         spec = row.found.spec
         assert spec is not None
         if known is not None:
+            # The former controller may have written that the move is complete.
+            row.may_be_completed |= known.order.phase is Phase.SHIFT
             row.order = replace(known.order, phase=Phase.HELD)
             if row.times is None:
                 since_us = tick.now_us - known.received_us
--- a/packages/papayapost/src/papayapost/rollout/counting.py
+++ b/packages/papayapost/src/papayapost/rollout/counting.py
@@ -19,6 +19,7 @@
 from papayapost.rollout.counts import RouteCounts, TimeCounts, time_class
 from papayapost.rollout.internal import CountsDue
 from papayapost.rollout.messages import AnswerCounts, RolloutStage
+from papayapost.rollout.states import Phase
 from papayapost.rollout.tables import OrderRow, RolloutTables
 from papayapost.rollout.versions import OrderedVersions
 from papayapost.traffic.messages import AttemptOffer
@@ -28,6 +29,10 @@
 __all__ = ["CountAnswers"]
 
 _INTERVAL_US = 250_000
+_OLD_INTERVAL_US = 500_000
+"""Time between two reports, and that of an old server before the move. There
+are many of those, and the controller's VM may have half a core."""
+
 _SILENCE_US = 3_000_000
 """Time without a stage after which a node reports no more counts."""
 
@@ -85,6 +90,7 @@
         self._failed: set[AttemptId] = set()
         self._started_before = 0
         self._is_reporting = False
+        self._phase: Phase | None = None
 
     def run(self, tick: Tick) -> None:
         """Count what has ended, and report what is due."""
@@ -101,8 +107,10 @@
                 self._failed.add(begun.attempt_id)
         for ended in tick.take(BackendCallEnded):
             self._count(tick, ended)
-        is_due = bool(tick.take(CountsDue))
-        if is_due or (tick.take(RolloutStage) and not self._is_reporting):
+        is_due, is_told = bool(tick.take(CountsDue)), bool(tick.take(RolloutStage))
+        has_moved = row.order.phase is not self._phase
+        self._phase = row.order.phase
+        if is_due or (is_told and (has_moved or not self._is_reporting)):
             self._report(tick, row, own)
 
     def _follow(self, own: BackendServerRow, row: OrderRow) -> None:
@@ -152,7 +160,10 @@
         self._is_reporting = tick.now_us - row.received_us < _SILENCE_US
         if not self._is_reporting:
             return
-        due_us = Micros(tick.now_us + _INTERVAL_US)
+        is_new = own.software_version == row.order.target_version
+        is_hurried = is_new or row.order.phase is Phase.SHIFT
+        interval_us = _INTERVAL_US if is_hurried else _OLD_INTERVAL_US
+        due_us = Micros(tick.now_us + interval_us)
         tick.set_timer(CountsDue, due_us, CountsDue())
         counts = self._counts(tick, row, own)
         if row.controller == self._me.node_id:
--- a/packages/papayapost/src/papayapost/rollout/verdict.py
+++ b/packages/papayapost/src/papayapost/rollout/verdict.py
@@ -34,6 +34,11 @@
 """Distance from the median of the old version to the limit of slow answers:
 a factor of 4. Servers of one version differ by up to 2.7."""
 
+_CANCELLED_CLASSES = 2
+"""Distance from the median from which on cancelled attempts count as slow, a
+factor of 1.4. Entry nodes give slow attempts up before they are answered, so
+that of a slow version the good answers would be left only."""
+
 _LONG_CLASSES = 4
 _MAX_LONG_EXCESS = 0.2
 """Distance from the median of the old version to the limit of long answers, a
@@ -86,14 +91,14 @@
 
     Parameters
     ----------
-    old_answers, old_failures, old_times
-        Answers of the old version.
+    old_answers, old_failures, old_times, old_cancelled
+        Answers of the old version, and times after which its attempts were
+        cancelled.
     answers, failures
         Answers of the new version.
     unjudged_times, unjudged_cancelled
         Times of the new version for which too few of the old one are known,
-        and those after which attempts were cancelled. The latter tell nothing
-        unless they are slow.
+        and those after which attempts were cancelled.
     judged
         Number of times of the new version that were judged.
     running
@@ -103,11 +108,14 @@
     times, recent_times
         Times of the new version since the order, and since the start of the
         move.
+    cancelled, recent_cancelled
+        Times after which its attempts were cancelled, as above.
     """
 
     old_answers: int = 0
     old_failures: int = 0
     old_times: Counter[int] = field(default_factory=Counter)
+    old_cancelled: Counter[int] = field(default_factory=Counter)
     answers: int = 0
     failures: int = 0
     unjudged_times: Counter[int] = field(default_factory=Counter)
@@ -118,6 +126,8 @@
     slow_score: float = 0.0
     times: Counter[int] = field(default_factory=Counter)
     recent_times: Counter[int] = field(default_factory=Counter)
+    cancelled: Counter[int] = field(default_factory=Counter)
+    recent_cancelled: Counter[int] = field(default_factory=Counter)
 
     def slow_limit(self) -> int | None:
         """Return the class from which on answers are slow, or None."""
@@ -132,16 +142,27 @@
 
     def has_wide_times(self) -> bool:
         """Return whether the new times spread more than the old ones."""
-        total = self.times.total()
-        if self.old_times.total() < _MIN_OLD_ANSWERS or not total:
+        median = self.median()
+        if median is None or not self.times:
             return False
+        cancelled = _count_from(self.cancelled, median + _CANCELLED_CLASSES)
+        total = self.times.total() + cancelled
         spread = _quantile(self.old_times, 0.9) - _quantile(self.old_times, 0.25)
         limit = _quantile(self.times, 0.25) + spread + _WIDE_CLASSES
-        return _count_from(self.times, limit) > _MAX_WIDE_SHARE * total
+        wide = _count_from(self.times, limit) + cancelled
+        return wide > _MAX_WIDE_SHARE * total + self._old_cancelled_share() * total
 
     def old_slow_share(self, limit: int) -> float:
         """Return the share of slow answers of the old version."""
-        return _count_from(self.old_times, limit) / max(1, self.old_times.total())
+        total = max(1, self.old_times.total())
+        return _count_from(self.old_times, limit) / total + self._old_cancelled_share()
+
+    def _old_cancelled_share(self) -> float:
+        median = self.median()
+        if median is None:
+            return 0.0
+        cancelled = _count_from(self.old_cancelled, median + _CANCELLED_CLASSES)
+        return cancelled / (self.old_times.total() + cancelled)
 
 
 class Evidence:
@@ -162,6 +183,7 @@
         route.old_answers += counts.answers
         route.old_failures += counts.failures
         route.old_times.update(dict(counts.times))
+        route.old_cancelled.update(dict(counts.cancelled))
 
     def add_new(self, counts: RouteCounts) -> None:
         """Add further answers of the new version on one route."""
@@ -176,6 +198,8 @@
         route.times.update(dict(counts.times))
         route.recent_times.update(dict(counts.times))
         route.unjudged_cancelled.update(dict(counts.cancelled))
+        route.cancelled.update(dict(counts.cancelled))
+        route.recent_cancelled.update(dict(counts.cancelled))
         self._judge_times(route)
 
     def set_running(self, running: Iterable[tuple[RouteId, TimeCounts]]) -> None:
@@ -206,6 +230,7 @@
         """Tell apart the answers from now on."""
         for route in self.routes:
             route.recent_times.clear()
+            route.recent_cancelled.clear()
 
     def long_us(self) -> float:
         """Return the time in µs after which all long answers show."""
@@ -216,7 +241,8 @@
     def has_many_long(self) -> bool:
         """Return whether more answers are long since the start of the move.
 
-        Attempts that have run for long without an answer count too.
+        Attempts that have run for long without an answer, or were cancelled,
+        count too.
         """
         total, found, expected = 0, 0, 0.0
         for route in self.routes:
@@ -225,6 +251,7 @@
                 continue
             limit = median + _LONG_CLASSES
             running = _count_from(route.running, limit)
+            running += _count_from(route.recent_cancelled, median + _CANCELLED_CLASSES)
             count = route.recent_times.total() + running
             total += count
             found += _count_from(route.recent_times, limit) + running
@@ -266,10 +293,10 @@
         return route
 
     def _judge_times(self, route: RouteEvidence) -> None:
-        limit = route.slow_limit()
-        if limit is None:
+        median, limit = route.median(), route.slow_limit()
+        if median is None or limit is None:
             return
-        slow = _count_from(route.unjudged_cancelled, limit)
+        slow = _count_from(route.unjudged_cancelled, median + _CANCELLED_CLASSES)
         count = route.unjudged_times.total() + slow
         slow += _count_from(route.unjudged_times, limit)
         route.unjudged_times.clear()
--- a/packages/papayapost/src/papayapost/traffic/owner/backend_server.py
+++ b/packages/papayapost/src/papayapost/traffic/owner/backend_server.py
@@ -185,7 +185,7 @@
             reported.slots,
             reported.state,
             reported.version,
-            Micros(tick.now_us + int(reported.warm_after_ms * 1000)),
+            _warm_us(known, reported, tick.now_us),
         )
         owner.backend = row
         if known is None or known.process != row.process:
@@ -262,6 +262,20 @@
     return (reported.born_ms, reported.sequence)
 
 
+def _warm_us(
+    known: OwnBackendRow | None, reported: BackendServerReported, now_us: Micros
+) -> Micros:
+    """Return the time in µs from which a backend server is warm.
+
+    Once it is, the time stays, so that it tells cold attempts of the past.
+    """
+    if reported.warm_after_ms > 0:
+        return Micros(now_us + int(reported.warm_after_ms * 1000))
+    if known is not None and known.process == reported.process:
+        return known.warm_us
+    return Micros(0)
+
+
 def _is_outdated_by(known: OwnBackendRow, reported: BackendServerReported) -> bool:
     """Return whether a report is newer than the last one that was applied."""
     if reported.process != known.process:
--- a/packages/papayapost/tests/traffic/reported_owner.py
+++ b/packages/papayapost/tests/traffic/reported_owner.py
@@ -104,7 +104,14 @@
         return effects
 
     def report(
-        self, state=READY, name="i-1", born_ms=100, sequence=None, slots=2, version=""
+        self,
+        state=READY,
+        name="i-1",
+        born_ms=100,
+        sequence=None,
+        slots=2,
+        version="",
+        warm_after_ms=0,
     ):
         self.reports += 1
         number = self.reports if sequence is None else sequence
@@ -118,6 +125,7 @@
                 slots,
                 state,
                 version,
+                warm_after_ms,
             )
         )
 
--- a/packages/papayapost/tests/traffic/test_backend_server.py
+++ b/packages/papayapost/tests/traffic/test_backend_server.py
@@ -118,3 +118,15 @@
     owner = ReportedOwner()
     owner.report(version="v1")
     assert owner.node.directory.require("owner").software_version == ""
+
+
+def test_a_later_report_does_not_make_a_warm_server_cold_for_the_past():
+    """Slow answers that span a report would not be counted with their time."""
+    owner = ReportedOwner()
+    owner.report(warm_after_ms=500)
+    warm_us = owner.node.traffic.owner.backend.warm_us
+    owner.run_for(1)
+    owner.report()
+    assert owner.node.traffic.owner.backend.warm_us == warm_us
+    owner.report(name="i-2", born_ms=200)
+    assert owner.node.traffic.owner.backend.warm_us == 0
