Leave an order to its controller on a node that is cut off from all others

A node that lost its peers, but not the store, heard no controller and rolled the order back, since it did not know when it was written. It now controls nothing unless another node has answered of late. A node that missed the end of an order asks its peers, as it would else go on with the version that stopped.

--- a/packages/papayapost/src/papayapost/rollout/controlling.py
+++ b/packages/papayapost/src/papayapost/rollout/controlling.py
@@ -10,7 +10,12 @@
 from papayapost.place import SelfRow
 from papayapost.rollout.control_tables import ControlRow
 from papayapost.rollout.internal import ControlDue
-from papayapost.rollout.messages import AnswerCounts, RolloutStage
+from papayapost.rollout.messages import (
+    AnswerCounts,
+    OrdersKnown,
+    OrdersWanted,
+    RolloutStage,
+)
 from papayapost.rollout.plan import RolloutTimes
 from papayapost.rollout.reading import ControlTable, final_phase_of
 from papayapost.rollout.states import Phase
@@ -37,6 +42,12 @@
 _SILENCE_STEP_US = 400_000
 """Time without a stage after which the next watcher in rank takes over."""
 
+_COMPANY_US = 2_000_000
+_ASK_INTERVAL_US = 400_000
+_ASKED_PEERS = 4
+"""Time without a message of another node after which a node controls nothing,
+and how often and how many nodes it asks then."""
+
 _WRITE_STEP_US = 250_000
 """Time for which a watcher leaves the first status to those above it."""
 
@@ -60,7 +71,7 @@
     refused by the store at any step of a roll-out.
     """
 
-    consumes = (AnswerCounts, ControlDue, RolloutStage)
+    consumes = (AnswerCounts, ControlDue, OrdersKnown, RolloutStage)
 
     def __init__(
         self,
@@ -77,9 +88,19 @@
         self._watch = watch
         self._control = control
         self._steps = steps
+        self._heard_us: Micros | None = None
+        self._asked_us: Micros | None = None
+        self._had_others = False
 
     def run(self, tick: Tick) -> None:
         """Add the counts, then review all orders that are not ended."""
+        messages: list[AnswerCounts | OrdersKnown | RolloutStage] = [
+            *tick.take(AnswerCounts),
+            *tick.take(OrdersKnown),
+            *tick.take(RolloutStage),
+        ]
+        if any(message.sender != self._me.node_id for message in messages):
+            self._heard_us = tick.now_us
         for counts in tick.take(AnswerCounts):
             row = self._control.get(counts.service)
             if row is not None and counts.target_version == row.order.target_version:
@@ -130,7 +151,8 @@
             return self._announce_final(tick, row, phase)
         if not self._watch.is_watching and not row.is_leading:
             return _REVIEW_INTERVAL_US
-        if not self._watch.is_in_contact(tick.now_us, _CONTACT_US):
+        is_in_contact = self._watch.is_in_contact(tick.now_us, _CONTACT_US)
+        if not (is_in_contact and self._has_company(tick)):
             self._pause(row)
             return _REVIEW_INTERVAL_US
         if not row.is_leading and not self._may_lead(tick, row):
@@ -140,6 +162,24 @@
         is_shift = row.phase is Phase.SHIFT
         return _SHIFT_REVIEW_INTERVAL_US if is_shift else _REVIEW_INTERVAL_US
 
+    def _has_company(self, tick: Tick) -> bool:
+        """Return whether other nodes answer; if none has of late, ask some.
+
+        A node that is cut off from all others hears no controller, and would
+        roll back an order that goes well without it.
+        """
+        others = [row for row in self._directory if row.node_id != self._me.node_id]
+        self._had_others = self._had_others or bool(others)
+        heard_us, asked_us = self._heard_us, self._asked_us
+        if heard_us is not None and tick.now_us - heard_us <= _COMPANY_US:
+            return True
+        if asked_us is None or tick.now_us - asked_us >= _ASK_INTERVAL_US:
+            self._asked_us = tick.now_us
+            wanted = OrdersWanted(self._me.node_id, self._me.peer_address)
+            for row in tick.random.sample(others, min(_ASKED_PEERS, len(others))):
+                tick.emit(PeerSend(row.peer_address, wanted))
+        return not self._had_others
+
     def _pause(self, row: ControlRow) -> None:
         """Send no more stages, so that the lease of the last one ends."""
         row.is_leading = False
--- a/packages/papayapost/src/papayapost/rollout/following.py
+++ b/packages/papayapost/src/papayapost/rollout/following.py
@@ -1,6 +1,6 @@
 """The system by which every node learns of orders and their stages."""
 
-from papayapost.ids import Micros
+from papayapost.ids import Micros, ServiceName
 from papayapost.kernel import System, Tick
 from papayapost.membership import Directory, DirectoryChanged
 from papayapost.observe import Event, Noted
@@ -16,6 +16,7 @@
 from papayapost.rollout.states import FINAL_PHASES, Phase
 from papayapost.rollout.tables import OrderRow, RolloutTables
 from papayapost.rollout.versions import OrderedVersions
+from papayapost.states import BackendServerState
 from papayapost.storage import OrdersRead
 from papayapost.traffic.entry.upstreams import Upstreams
 from papayapost.traffic.owner_messages import RefuseQueuedAttempts
@@ -23,6 +24,10 @@
 __all__ = ["FollowOrders", "supersedes"]
 
 _ASK_INTERVAL_US = 250_000
+_DOUBT_INTERVAL_US = 1_000_000
+"""Time between two requests of a node that starts, and between two checks of
+any other node whether it may have missed the end of an order."""
+
 _ASKED_PEERS = 3
 _GUESS_AFTER_US = 3_000_000
 """Time after the start from which a node that nobody has told the orders goes
@@ -98,8 +103,39 @@
         is_start, is_due = tick.take(RolloutStarted), tick.take(OrdersAskDue)
         if is_start:
             self._started_us = tick.now_us
-        if (is_start or is_due) and not self._tables.is_established:
+        if not (is_start or is_due):
+            return
+        is_established = self._tables.is_established
+        if not is_established or self._is_in_doubt(tick.now_us):
             self._ask(tick)
+        interval_us = _DOUBT_INTERVAL_US if is_established else _ASK_INTERVAL_US
+        due_us = Micros(tick.now_us + interval_us)
+        tick.set_timer(OrdersAskDue, due_us, OrdersAskDue())
+
+    def _is_in_doubt(self, now_us: Micros) -> bool:
+        """Return whether this node may have missed the end of an order.
+
+        A node that was cut off would otherwise go on with the old version,
+        whose servers have stopped.
+        """
+        orders = self._tables.orders
+        if any(not row.is_final and now_us >= row.lease_end_us() for row in orders):
+            return True
+        return any(
+            self._lacks_servers(service, now_us)
+            for service in self._tables.stable_versions
+            if service not in orders or orders.require(service).is_final
+        )
+
+    def _lacks_servers(self, service: ServiceName, now_us: Micros) -> bool:
+        """Return whether all servers of a service have other versions."""
+        current = self._tables.current_version(service, now_us)
+        ready = [
+            row.software_version
+            for row in self._directory.find("service", service)
+            if row.state is BackendServerState.READY
+        ]
+        return bool(ready) and current not in ready
 
     def _ask(self, tick: Tick) -> None:
         me, tables = self._me, self._tables
@@ -110,8 +146,6 @@
             tick.emit(PeerSend(row.peer_address, wanted))
         if tick.now_us - self._started_us >= _GUESS_AFTER_US:
             tables.may_guess = True
-        due_us = Micros(tick.now_us + _ASK_INTERVAL_US)
-        tick.set_timer(OrdersAskDue, due_us, OrdersAskDue())
 
     def _known(self) -> OrdersKnown:
         tables = self._tables
@@ -135,12 +169,17 @@
             tick.post(DirectoryChanged((tables.own_row,)))
 
     def _apply_known(self, tick: Tick, known: OrdersKnown) -> None:
-        if not known.is_established or self._tables.is_established:
+        if not known.is_established:
             return
+        is_established = self._tables.is_established
         for order in known.orders:
-            # A stage without its times gives no lease; the next one does.
-            phase = order.phase if order.phase in FINAL_PHASES else Phase.HELD
-            self._put(tick, OrderRow(_with_phase(order, phase)))
+            if order.phase in FINAL_PHASES:
+                self._put(tick, OrderRow(order))
+            elif not is_established:
+                # A stage without its times gives no lease; the next one does.
+                self._put(tick, OrderRow(_with_phase(order, Phase.HELD)))
+        if is_established:
+            return
         self._tables.stable_versions.update(known.stable_versions)
         self._establish(tick)
 
--- a/packages/papayapost/tests/rollout/test_rollout_faults.py
+++ b/packages/papayapost/tests/rollout/test_rollout_faults.py
@@ -124,6 +124,24 @@
         node.speed = old.speed
 
 
+@pytest.mark.parametrize("at_s", [0, 10])
+def test_a_node_that_was_cut_off_at_the_end_learns_of_it(at_s):
+    """The old servers have stopped, so that its calls would find no other."""
+    play = Play().run(at_s).order()
+    cut = next(node for node in play.new if node is not play.new[5])
+    cut.link = LinkState.CUT
+    play.run(DURATION_S + 4)
+    cut.link = LinkState.UP
+    play.run(4)
+    assert play.states == ["completed"]
+    before = len(play.mesh.runs)
+    for _ in range(20):
+        play.mesh.call(cut, "/gusts")
+    play.run(2)
+    later = play.mesh.runs[before:]
+    assert len(later) >= 20 and {run.version for run in later} == {"v2"}
+
+
 def test_after_a_restart_of_all_nodes_only_the_completed_version_runs():
     play = Play().order().run_to_end()
     play.check_final("completed")
