--- a/packages/papayapost-node/src/papayapost_node/observe/exposition.py
+++ b/packages/papayapost-node/src/papayapost_node/observe/exposition.py
@@ -16,6 +16,7 @@
 
 from papayapost.node import NodeWorld
 from papayapost.quota import QuotaCounters
+from papayapost.rollout import RolloutCounters
 from papayapost.states import Rank
 from papayapost_node.observe.meter import CallCounter, CallMeter
 from papayapost_node.transport import PeerTable
@@ -60,8 +61,11 @@
             "claims", {"writes": claims.writes, "conflicts": claims.conflicts}
         )
         quotas = self._world.quotas
-        counters = quotas.counters if quotas is not None else QuotaCounters()
-        yield from _totals("quota", _fields_of(counters))
+        lent = quotas.counters if quotas is not None else QuotaCounters()
+        yield from _totals("quota", _fields_of(lent))
+        rollout = self._world.rollout
+        ordered = rollout.tables.counters if rollout else RolloutCounters()
+        yield from _totals("rollout", _fields_of(ordered))
 
     def _peer_bytes(self) -> Iterator[Metric]:
         peers = self._peers
