Bound what connections make a node hold, and give them turns

Cause: a connection went on to the next pipelined request although its caller read no answers, unhandled bytes of answered requests were kept without bound, the readiness, report and admin addresses had no limits of their own, and what one read brought was parsed at once, however long that took.

A connection is not read while 16 KB are unhandled, and begins no request while its caller does not read. Connections take turns by units of work. What all of them hold is bounded by http.held_bytes; the largest are closed first. Bodies are bounded at each address. Accepted connections of peers are bounded in all and by address. A request that was passed on gets no 408.

The circle of the modules http.server, server_connection, pipeline and exchange is gone: connections know a ConnectionHost, exchanges an AnswerChannel.

test_an_answer_behind_one_that_is_not_read_is_not_buffered expected the second request to begin; it does not any more. The test in its place checks that it begins only once the answer has been read, which is stricter.

--- a/packages/papayapost-node/src/papayapost_node/admin/pages.py
+++ b/packages/papayapost-node/src/papayapost_node/admin/pages.py
@@ -9,7 +9,7 @@
 from papayapost.node import NodeWorld
 from papayapost.place import SelfRow
 from papayapost.timeline import EventRow
-from papayapost_node.http import HttpAnswer
+from papayapost_node.http import HttpAnswer, SharedLimits
 from papayapost_node.observe import CallMeter, EventRecorder
 from papayapost_node.transport import PeerTable
 
@@ -115,7 +115,14 @@
 
     path = "/metrics"
 
-    def __init__(self, meter: CallMeter, world: NodeWorld, peers: PeerTable):
+    def __init__(
+        self,
+        meter: CallMeter,
+        world: NodeWorld,
+        peers: PeerTable,
+        limits: SharedLimits | None = None,
+    ):
+        self._limits = limits or SharedLimits()
         self._meter = meter
         self._world = world
         self._peers = peers
@@ -125,7 +132,8 @@
         # Imported here, because its libraries would slow down each start.
         from papayapost_node.observe.exposition import expose
 
-        return HttpAnswer(200, _TEXT, expose(self._meter, self._world, self._peers))
+        text = expose(self._meter, self._world, self._peers, self._limits)
+        return HttpAnswer(200, _TEXT, text)
 
 
 class StatusPage(AdminPage):
--- a/packages/papayapost-node/src/papayapost_node/admin/server.py
+++ b/packages/papayapost-node/src/papayapost_node/admin/server.py
@@ -4,10 +4,19 @@
 
 from papayapost.ids import Address
 from papayapost_node.admin.pages import AdminPage
-from papayapost_node.http import HttpAnswer, ServerCall, WholeRequestServer
+from papayapost_node.http import (
+    HttpAnswer,
+    HttpLimits,
+    ServerCall,
+    SharedLimits,
+    WholeRequestServer,
+)
 
 __all__ = ["AdminServer"]
 
+_PAGE_UNITS = 256
+"""Work of one page in units of `Turns`; a page of metrics takes some ms."""
+
 
 class AdminServer:
     """Serves the admin pages of a node by HTTP GET.
@@ -16,11 +25,26 @@
     ----------
     address
         Address to listen on, which callers must not be able to reach.
+    limits, shared
+        Limits of the connections, and the bounds of the whole process.
     """
 
-    def __init__(self, address: Address, pages: Sequence[AdminPage]):
+    def __init__(
+        self,
+        address: Address,
+        pages: Sequence[AdminPage],
+        limits: HttpLimits | None = None,
+        shared: SharedLimits | None = None,
+    ):
         self._pages = {page.path: page for page in pages}
-        self._server = WholeRequestServer(address, self._on_request)
+        self._server = WholeRequestServer(
+            address,
+            self._on_request,
+            limits=limits,
+            setting="admin_address",
+            shared=shared,
+            request_units=_PAGE_UNITS,
+        )
 
     async def start(self) -> None:
         """Start to listen.
--- a/packages/papayapost-node/src/papayapost_node/composition.py
+++ b/packages/papayapost-node/src/papayapost_node/composition.py
@@ -1,9 +1,8 @@
 """Creates the parts of a node from its settings and connects them."""
 
+from dataclasses import replace
 from pathlib import Path
 
-from msgspec.structs import asdict
-
 from papayapost.errors import SettingsRefused
 from papayapost.ids import (
     Address,
@@ -40,7 +39,17 @@
     WindowBudget,
 )
 from papayapost_node.frames import max_frame_bytes
-from papayapost_node.http import BackendPool, HealthPoller, HttpLimits, StreamingServer
+from papayapost_node.http import (
+    BackendPool,
+    HealthPoller,
+    HeldBytes,
+    HttpLimit,
+    HttpLimits,
+    LimitCounts,
+    SharedLimits,
+    StreamingServer,
+)
+from papayapost_node.limit_events import LimitEvents
 from papayapost_node.observe import CallMeter, EventRecorder
 from papayapost_node.peer_messages import PeerMessages
 from papayapost_node.readiness import ReadinessServer
@@ -56,7 +65,7 @@
 )
 from papayapost_node.store import StoreEffects
 from papayapost_node.surroundings import load_surroundings
-from papayapost_node.transport import PeerTable, ZmqTransport
+from papayapost_node.transport import PeerLimits, PeerTable, ZmqTransport
 from papayapost_node.wire import (
     CONTROL_TYPES,
     MESSAGE_NUMBERS,
@@ -99,9 +108,20 @@
         self._key_ring = self._build_key_ring()
         self._peers = PeerTable(self._link_class_of)
         self._event_limit = EventRateLimit(self._recorder.note_event, clock)
+        self._shared_limits = SharedLimits(
+            HeldBytes(settings.http.held_bytes),
+            counts=LimitCounts(LimitEvents(self._event_limit).limit_met),
+        )
         frame_bytes = max_frame_bytes(settings.max_rules_bytes)
         self._transport = ZmqTransport(
-            self._self_row.peer_address, self._peers, self._key_ring, frame_bytes
+            self._self_row.peer_address,
+            self._peers,
+            self._key_ring,
+            frame_bytes,
+            PeerLimits(
+                settings.peer_connections, settings.peer_connections_per_address
+            ),
+            lambda: self._shared_limits.counts.note("peer", HttpLimit.CONNECTIONS),
         )
         message_codec = CompressingCodec(
             MessagePackCodec(MESSAGE_NUMBERS), CONTROL_TYPES, frame_bytes
@@ -136,6 +156,7 @@
             _http_limits(settings.http),
             self.runner,
             "caller_address",
+            self._shared_limits,
         )
         self._health_poller = self._build_health_poller()
         self._drain = Drain(self._server, post)
@@ -248,22 +269,35 @@
             return None
         pages = [
             TimelinePage(self._self_row, self._recorder),
-            MetricsPage(self._meter, self.world, self._peers),
+            MetricsPage(self._meter, self.world, self._peers, self._shared_limits),
             StatusPage(self._self_row, self.world),
         ]
-        return AdminServer(Address(self._settings.admin_address), pages)
+        address = Address(self._settings.admin_address)
+        limits = _control_limits(self._settings.http)
+        return AdminServer(address, pages, limits, self._shared_limits)
 
     def _build_report_server(self) -> ReportServer | None:
         address = self._settings.report_address
         codec = self._surroundings.report_codec(self._settings)
         if address is None or codec is None:
             return None
-        post, limit = self.runner.post, self._event_limit
-        return ReportServer(Address(address), codec, post, limit)
+        return ReportServer(
+            Address(address),
+            codec,
+            self.runner.post,
+            self._event_limit,
+            _control_limits(self._settings.http, self._settings.http.report_bytes),
+            self._shared_limits,
+        )
 
     def _build_readiness_server(self) -> ReadinessServer | None:
         address = self._settings.readiness_address
-        return ReadinessServer(Address(address), self.world) if address else None
+        if address is None:
+            return None
+        limits = _control_limits(self._settings.http)
+        return ReadinessServer(
+            Address(address), self.world, limits, self._shared_limits
+        )
 
     def _instance(self) -> InstanceId | None:
         backend = self.world.traffic.owner.backend
@@ -327,9 +361,26 @@
 
 
 def _http_limits(settings: HttpSettings) -> HttpLimits:
-    limits = asdict(settings)
-    del limits["hold_answer_bytes"]
-    return HttpLimits(**limits)
+    return HttpLimits(
+        connections=settings.connections,
+        head_bytes=settings.head_bytes,
+        body_bytes=settings.body_bytes,
+        head_timeout_ms=settings.head_timeout_ms,
+        idle_timeout_ms=settings.idle_timeout_ms,
+        pace_timeout_ms=settings.pace_timeout_ms,
+        pace_bytes=settings.pace_bytes,
+        pipelined=settings.pipelined,
+    )
+
+
+def _control_limits(settings: HttpSettings, body_bytes: int = 0) -> HttpLimits:
+    """Return the limits of an address that callers do not use."""
+    return replace(
+        _http_limits(settings),
+        connections=settings.control_connections,
+        body_bytes=body_bytes,
+        pipelined=1,
+    )
 
 
 async def build_node(
--- a/packages/papayapost-node/src/papayapost_node/exchange/entry_side.py
+++ b/packages/papayapost-node/src/papayapost_node/exchange/entry_side.py
@@ -166,7 +166,7 @@
             self._post(CallerGone(call.call_id))
 
     def _dispatch(self, call: CallerRow) -> None:
-        call.is_dispatched = True
+        call.is_dispatched = call.exchange.may_have_run = True
         request = call.request
         self._post(arrival_of(call.call_id, request, call.is_body_ended, self._dialect))
         request.headers = self._dialect.forwarded_headers(request.headers)
--- a/packages/papayapost-node/src/papayapost_node/http/exchange.py
+++ b/packages/papayapost-node/src/papayapost_node/http/exchange.py
@@ -3,23 +3,75 @@
 from __future__ import annotations
 
 from abc import ABC, abstractmethod
-from typing import TYPE_CHECKING, Any
+from typing import Any
 
 import h11
 
 from papayapost_node.http.heads import body_bytes
 from papayapost_node.http.messages import Headers
 
-if TYPE_CHECKING:
-    from papayapost_node.http.server_connection import ServerConnection
-
-__all__ = ["NO_HEADERS", "RequestHandler", "ServerExchange"]
+__all__ = ["NO_HEADERS", "AnswerChannel", "RequestHandler", "ServerExchange"]
 
 NO_HEADERS: Headers = []
 
 
+class AnswerChannel(ABC):
+    """Sends the answers of exchanges on the connection of their requests."""
+
+    @abstractmethod
+    def begin(
+        self,
+        exchange: ServerExchange,
+        status: int,
+        headers: Headers,
+        data: bytes,
+        is_ended: bool,
+        trailers: Headers,
+    ) -> None:
+        """Send an answer's head, with the first or only piece of its body."""
+
+    @abstractmethod
+    def send(
+        self, exchange: ServerExchange, data: bytes, is_ended: bool, trailers: Headers
+    ) -> None:
+        """Send a further piece of an answer's body."""
+
+    @abstractmethod
+    def send_informational(
+        self, exchange: ServerExchange, status: int, headers: Headers
+    ) -> None:
+        """Send an informational (1xx) answer."""
+
+    @abstractmethod
+    def cut_short(self, exchange: ServerExchange) -> None:
+        """End an answer so that the caller sees that it is incomplete."""
+
+    @abstractmethod
+    def pause_body(self, exchange: ServerExchange) -> None:
+        """Stop reading a request's body until `resume_body`."""
+
+    @abstractmethod
+    def resume_body(self, exchange: ServerExchange) -> None:
+        """Continue to read a request's body."""
+
+    @abstractmethod
+    def close(self) -> None:
+        """Close the connection once all written bytes are sent."""
+
+
 class RequestHandler(ABC):
-    """Handles the requests of an HTTP server, piece by piece."""
+    """Handles the requests of an HTTP server, piece by piece.
+
+    Attributes
+    ----------
+    held_body_bytes
+        Most bytes of a request's body that the handler keeps.
+    request_units
+        Processor time of a request's handling, in the units of `Turns`.
+    """
+
+    held_body_bytes: int = 16 << 10
+    request_units: int = 16
 
     @abstractmethod
     def request_begun(self, exchange: ServerExchange) -> None:
@@ -56,6 +108,9 @@
     is_writable
         False while the write buffer is full because the caller reads the
         answer slowly, or while the answers before this one are incomplete.
+    may_have_run
+        Whether the handler has passed the request on, so that no answer may
+        promise any more that it did not run.
     context
         Data that the handler stores with the exchange.
     """
@@ -66,13 +121,14 @@
         "context",
         "headers",
         "is_writable",
+        "may_have_run",
         "method",
         "target",
         "waits_for_continue",
     )
 
     def __init__(
-        self, connection: ServerConnection, head: h11.Request, waits_for_continue: bool
+        self, connection: AnswerChannel, head: h11.Request, waits_for_continue: bool
     ):
         self.connection = connection
         self.method = head.method.decode("ascii")
@@ -81,6 +137,7 @@
         self.body_bytes = body_bytes(self.headers)
         self.waits_for_continue = waits_for_continue
         self.is_writable = True
+        self.may_have_run = False
         self.context: Any = None
 
     def begin(
--- a/packages/papayapost-node/src/papayapost_node/http/heads.py
+++ b/packages/papayapost-node/src/papayapost_node/http/heads.py
@@ -5,7 +5,7 @@
 from papayapost_node.http.headers import content_length
 from papayapost_node.http.messages import Headers
 
-__all__ = ["body_bytes", "refusal_status"]
+__all__ = ["body_bytes", "head_bytes", "refusal_status"]
 
 _BAD_REQUEST = 400
 _HEAD_TOO_LARGE = 431
@@ -20,7 +20,14 @@
     return content_length(headers) or 0
 
 
-def refusal_status(head: h11.Request, limit_bytes: int) -> int | None:
+def head_bytes(head: h11.Request) -> int:
+    """Return the size of the request target and all headers together."""
+    return len(head.target) + sum(
+        len(name) + len(value) + 4 for name, value in head.headers
+    )
+
+
+def refusal_status(head: h11.Request, size_bytes: int, limit_bytes: int) -> int | None:
     """Return the status that refuses a parsed head, or None to accept it.
 
     This covers what the parser accepts: a head above the limit that arrived
@@ -29,8 +36,8 @@
 
     Parameters
     ----------
-    limit_bytes
-        Largest size of the request target and all headers together.
+    size_bytes, limit_bytes
+        Size and largest size of the request target and all headers together.
     """
     if head.method == b"CONNECT":
         return _NOT_IMPLEMENTED
@@ -39,7 +46,4 @@
     names = [name for name, _ in head.headers]
     if b"content-length" in names and b"transfer-encoding" in names:
         return _BAD_REQUEST
-    size = len(head.target) + sum(
-        len(name) + len(value) + 4 for name, value in head.headers
-    )
-    return _HEAD_TOO_LARGE if size > limit_bytes else None
+    return _HEAD_TOO_LARGE if size_bytes > limit_bytes else None
--- a/packages/papayapost-node/src/papayapost_node/http/limits.py
+++ b/packages/papayapost-node/src/papayapost_node/http/limits.py
@@ -16,6 +16,9 @@
         they are accepted.
     head_bytes
         Largest size of the request line and headers together.
+    body_bytes
+        Largest body of a request; with 0, a request that announces a body is
+        refused before any of it is read.
     head_timeout_ms
         Longest time from a head's first byte to its last.
     idle_timeout_ms
@@ -29,6 +32,7 @@
 
     connections: int = 2_000
     head_bytes: int = 16 << 10
+    body_bytes: int = 64 << 20
     head_timeout_ms: int = 10_000
     idle_timeout_ms: int = 60_000
     pace_timeout_ms: int = 10_000
--- a/packages/papayapost-node/src/papayapost_node/http/pipeline.py
+++ b/packages/papayapost-node/src/papayapost_node/http/pipeline.py
@@ -11,6 +11,11 @@
 
 SAFE_METHODS = frozenset([b"GET", b"HEAD"])
 
+_HEAD_COPIES = 2
+_FIELD_BYTES = 256
+"""Memory of one header field beyond its bytes: two objects for name and value,
+one for the pair, and places in the lists of parser and handler."""
+
 
 class PipelineSlot:
     """A place in the pipeline, for one request and its answer.
@@ -34,11 +39,17 @@
         has been encoded.
     unsent_output
         Encoded answer that waits until the answers before it have been sent.
+    head_held_bytes
+        Estimated memory that the request's head takes.
+    body_received_bytes
+        Length of the part of the request's body that has been parsed.
     """
 
     __slots__ = (
+        "body_received_bytes",
         "exchange",
         "framing",
+        "head_held_bytes",
         "http",
         "is_answered",
         "is_body_ended",
@@ -54,21 +65,53 @@
         self.is_body_ended = True
         self.is_answered = False
         self.unsent_output = bytearray()
+        self.head_held_bytes = 0
+        self.body_received_bytes = 0
 
     @property
     def waiting_bytes(self) -> int:
         """Number of bytes that arrived behind the request."""
         return len(self.http.trailing_data[0])
 
+    @property
+    def is_waiting(self) -> bool:
+        """Whether the whole request has arrived, but not its whole answer."""
+        return self.is_body_ended and self.exchange is not None
+
     @property
     def may_be_followed(self) -> bool:
         """Whether the next request may start before this one's answer."""
         is_kept_alive = self.http.their_state is h11.DONE
         return self.is_safe and self.is_body_ended and is_kept_alive
 
-    def begin(self, exchange: ServerExchange, method: bytes) -> None:
-        """Store the exchange of a request whose head has arrived."""
+    def held_bytes(self, max_body_bytes: int) -> int:
+        """Return the estimated memory that the request and its answer take.
+
+        Parameters
+        ----------
+        max_body_bytes
+            Most bytes of a body that its handler keeps.
+        """
+        size = len(self.unsent_output)
+        if self.exchange is not None:
+            size += self.head_held_bytes
+            size += min(self.body_received_bytes, max_body_bytes)
+        return size
+
+    def begin(
+        self, exchange: ServerExchange, method: bytes, head_bytes: int = 0
+    ) -> None:
+        """Store the exchange of a request whose head has arrived.
+
+        Parameters
+        ----------
+        head_bytes
+            Size of the head.
+        """
         self.exchange = exchange
+        fields = len(exchange.headers)
+        self.head_held_bytes = _HEAD_COPIES * head_bytes + _FIELD_BYTES * fields
+        self.body_received_bytes = 0
         self.is_body_ended = self.is_answered = False
         self.is_safe = method in SAFE_METHODS and exchange.body_bytes == 0
 
@@ -77,6 +120,7 @@
         self.http.start_next_cycle()
         self.is_answered = False
         self.exchange = None
+        self.body_received_bytes = 0
 
 
 class Pipeline:
@@ -135,10 +179,17 @@
         if len(self._slots) >= self._max_slots or not last.may_be_followed:
             return False
         slot = PipelineSlot(self._head_bytes)
-        slot.http.receive_data(last.http.trailing_data[0])
+        trailing = last.http.trailing_data[0]
+        if trailing:
+            # Without data, the call would mean the end of the connection.
+            slot.http.receive_data(trailing)
         self._slots.append(slot)
         return True
 
+    def held_bytes(self, max_body_bytes: int) -> int:
+        """Return the estimated memory that all requests and answers take."""
+        return sum(slot.held_bytes(max_body_bytes) for slot in self._slots)
+
     def advance(self) -> PipelineSlot:
         """Remove the first slot and return the new first one."""
         self._slots.popleft()
--- a/packages/papayapost-node/src/papayapost_node/http/server.py
+++ b/packages/papayapost-node/src/papayapost_node/http/server.py
@@ -7,7 +7,13 @@
 from papayapost.ids import Address
 from papayapost_node.addresses import split_address
 from papayapost_node.batch import InputBatching, NoBatching
+from papayapost_node.http.connection_host import (
+    ConnectionHost,
+    HostedConnection,
+    SharedLimits,
+)
 from papayapost_node.http.exchange import RequestHandler
+from papayapost_node.http.limit_counts import HttpLimit
 from papayapost_node.http.limits import HttpLimits
 from papayapost_node.http.server_connection import ServerConnection
 
@@ -23,7 +29,7 @@
 _READ_BUFFER_BYTES = 64 << 10
 
 
-class StreamingServer:
+class StreamingServer(ConnectionHost):
     """Accepts connections and passes requests to a handler piece by piece.
 
     Parameters
@@ -33,16 +39,8 @@
         handles them.
     setting
         Name of the setting that holds the address, for error messages.
-
-    Attributes
-    ----------
-    is_draining
-        Whether the server is draining: each connection is closed after its
-        current answer.
-    read_buffer
-        Buffer that the event loop reads into, shared by all connections.
-    refused_connections
-        Number of connections that were closed at once because of the limit.
+    shared
+        Bounds that all servers of the process share.
     """
 
     def __init__(
@@ -52,18 +50,19 @@
         limits: HttpLimits | None = None,
         batch: InputBatching | None = None,
         setting: str = "address",
+        shared: SharedLimits | None = None,
     ):
         self._address = address
         self._setting = setting
         self.handler = handler
         self.limits = limits or HttpLimits()
         self.batch = batch or NoBatching()
+        self.shared = shared or SharedLimits()
         # One buffer is enough for all connections: the event loop reads them
         # one after the other, and each copies the data before the next read.
         self.read_buffer = memoryview(bytearray(_READ_BUFFER_BYTES))
         self.is_draining = False
-        self.refused_connections = 0
-        self._connections: set[ServerConnection] = set()
+        self._connections: set[HostedConnection] = set()
         self._all_closed = asyncio.Event()
         self._listening: socket.socket | None = None
         self._accepting: set[asyncio.Task] = set()
@@ -90,17 +89,21 @@
         self._listening = listening
         self._watch_listening()
 
-    def admit(self, connection: ServerConnection) -> bool:
+    def admit(self, connection: HostedConnection) -> bool:
         """Add a new connection; return False if the limit is reached."""
         if len(self._connections) >= self.limits.connections:
-            self.refused_connections += 1
+            self.limit_met(HttpLimit.CONNECTIONS)
             return False
         if self._is_closing_idle:
             return False
         self._connections.add(connection)
         return True
 
-    def remove(self, connection: ServerConnection) -> None:
+    def limit_met(self, limit: HttpLimit) -> None:
+        """Record that a caller met a limit."""
+        self.shared.counts.note(self._setting.removesuffix("_address"), limit)
+
+    def remove(self, connection: HostedConnection) -> None:
         """Remove a closed connection."""
         self._connections.discard(connection)
         if not (self._connections or self._accepting):
--- a/packages/papayapost-node/src/papayapost_node/http/whole_request_server.py
+++ b/packages/papayapost-node/src/papayapost_node/http/whole_request_server.py
@@ -1,15 +1,20 @@
 """HTTP server that reads whole requests before they are handled."""
 
 from collections.abc import Callable
+from dataclasses import replace
 
 from papayapost.define import define
 from papayapost.ids import Address
-from papayapost_node.http.exchange import RequestHandler, ServerExchange
+from papayapost_node.http.connection_host import SharedLimits
+from papayapost_node.http.exchange import (
+    AnswerChannel,
+    RequestHandler,
+    ServerExchange,
+)
 from papayapost_node.http.headers import forwardable
 from papayapost_node.http.limits import HttpLimits
 from papayapost_node.http.messages import Headers, HttpAnswer, HttpRequest
 from papayapost_node.http.server import StreamingServer
-from papayapost_node.http.server_connection import ServerConnection
 
 __all__ = ["ServerCall", "WholeRequestServer"]
 
@@ -25,7 +30,7 @@
     exchange: ServerExchange
 
     @property
-    def connection(self) -> ServerConnection:
+    def connection(self) -> AnswerChannel:
         """The connection on which the request arrived."""
         return self.exchange.connection
 
@@ -53,8 +58,14 @@
         Called with each whole request; it may answer at once or later.
     on_gone
         Called when a caller closes the connection before it has the answer.
+    limits
+        Limits of the connections; bodies above 2 MB are refused anyhow.
     setting
         Name of the setting that holds the address, for error messages.
+    shared
+        Bounds that all servers of the process share.
+    request_units
+        Processor time of a request's handling, in the units of `Turns`.
     """
 
     def __init__(
@@ -64,10 +75,21 @@
         on_gone: Callable[[ServerCall], None] | None = None,
         limits: HttpLimits | None = None,
         setting: str = "address",
+        shared: SharedLimits | None = None,
+        request_units: int = RequestHandler.request_units,
     ):
         self._on_request = on_request
         self._on_gone = on_gone
-        self._server = StreamingServer(address, self, limits, setting=setting)
+        limits = limits or HttpLimits()
+        self.held_body_bytes = min(limits.body_bytes, _MAX_BODY_BYTES)
+        self.request_units = request_units
+        self._server = StreamingServer(
+            address,
+            self,
+            replace(limits, body_bytes=self.held_body_bytes),
+            setting=setting,
+            shared=shared,
+        )
 
     async def start(self) -> None:
         """Listen at the address.
@@ -89,10 +111,7 @@
         await self._server.close()
 
     def request_begun(self, exchange: ServerExchange) -> None:
-        """Prepare to collect a request's body, or refuse a large one."""
-        if (exchange.body_bytes or 0) > _MAX_BODY_BYTES:
-            self._refuse_large(exchange)
-            return
+        """Prepare to collect a request's body."""
         exchange.context = bytearray()
         if exchange.waits_for_continue:
             exchange.resume_body()
@@ -100,8 +119,6 @@
     def body_received(self, exchange: ServerExchange, data: bytes) -> None:
         """Append a piece of the request's body."""
         exchange.context += data
-        if len(exchange.context) > _MAX_BODY_BYTES:
-            self._refuse_large(exchange)
 
     def body_ended(self, exchange: ServerExchange, trailers: Headers) -> None:
         """Pass the whole request to `on_request`."""
@@ -119,6 +136,3 @@
         """Report a caller that closed the connection before its answer."""
         if self._on_gone is not None and isinstance(exchange.context, ServerCall):
             self._on_gone(exchange.context)
-
-    def _refuse_large(self, exchange: ServerExchange) -> None:
-        exchange.begin(413, [(b"content-length", b"0")], is_ended=True)
--- a/packages/papayapost-node/src/papayapost_node/observe/exposition.py
+++ b/packages/papayapost-node/src/papayapost_node/observe/exposition.py
@@ -16,16 +16,25 @@
 
 from papayapost.node import NodeWorld
 from papayapost.states import Rank
+from papayapost_node.http import HttpLimit, SharedLimits
 from papayapost_node.observe.meter import CallCounter, CallMeter
 from papayapost_node.transport import PeerTable
 
 __all__ = ["expose"]
 
+_LISTENERS = ("caller", "readiness", "report", "admin", "peer")
 _PERCENTILES = (50, 90, 99, 99.9)
 
 
 class _NodeCollector(Collector):
-    def __init__(self, meter: CallMeter, world: NodeWorld, peers: PeerTable):
+    def __init__(
+        self,
+        meter: CallMeter,
+        world: NodeWorld,
+        peers: PeerTable,
+        limits: SharedLimits,
+    ):
+        self._limits = limits
         self._meter = meter
         self._world = world
         self._peers = peers
@@ -36,6 +45,7 @@
         yield from self._call_counters()
         yield from self._traffic_counters()
         yield from self._peer_bytes()
+        yield from self._limit_counters()
         yield from self._latencies()
         yield from self._gauges()
 
@@ -76,6 +86,23 @@
             value=peers.control_received_bytes,
         )
 
+    def _limit_counters(self) -> Iterator[Metric]:
+        family = CounterMetricFamily(
+            "papayapost_caller_limits",
+            "Callers that met a limit",
+            labels=["listener", "limit"],
+        )
+        counts = self._limits.counts.counts
+        for listener in _LISTENERS:
+            for limit in HttpLimit:
+                family.add_metric([listener, limit.value], counts[listener, limit])
+        yield family
+        yield CounterMetricFamily(
+            "papayapost_deferred_turns",
+            "Turns that had to wait",
+            value=self._limits.turns.deferred,
+        )
+
     def _latencies(self) -> Iterator[Metric]:
         by_hop = GaugeMetricFamily(
             "papayapost_latency_seconds",
@@ -110,6 +137,7 @@
             "slot_limit": world.traffic.owner.limit,
             "waiting_attempts": world.traffic.owner.waiting,
             "link_budget_bytes": world.traffic.link.tokens_bytes,
+            "held_bytes": self._limits.held.total_bytes,
             "memory_bytes": self._process.memory_info().rss,
             "cpu_seconds": times.user + times.system,
         }
@@ -138,8 +166,14 @@
         yield family
 
 
-def expose(meter: CallMeter, world: NodeWorld, peers: PeerTable) -> bytes:
+def expose(
+    meter: CallMeter,
+    world: NodeWorld,
+    peers: PeerTable,
+    limits: SharedLimits | None = None,
+) -> bytes:
     """Return a node's metrics in the Prometheus text format."""
     registry = CollectorRegistry()
-    registry.register(_NodeCollector(meter, world, peers))
+    collector = _NodeCollector(meter, world, peers, limits or SharedLimits())
+    registry.register(collector)
     return generate_latest(registry)
--- a/packages/papayapost-node/src/papayapost_node/readiness.py
+++ b/packages/papayapost-node/src/papayapost_node/readiness.py
@@ -3,7 +3,13 @@
 from papayapost.ids import Address
 from papayapost.node import NodeWorld
 from papayapost.states import NodeState
-from papayapost_node.http import HttpAnswer, ServerCall, WholeRequestServer
+from papayapost_node.http import (
+    HttpAnswer,
+    HttpLimits,
+    ServerCall,
+    SharedLimits,
+    WholeRequestServer,
+)
 
 __all__ = ["ReadinessServer"]
 
@@ -16,12 +22,27 @@
 
     A node without a backend server is ready too, because it forwards calls to
     the backend servers of other nodes.
+
+    Parameters
+    ----------
+    limits, shared
+        Limits of the connections, and the bounds of the whole process.
     """
 
-    def __init__(self, address: Address, world: NodeWorld):
+    def __init__(
+        self,
+        address: Address,
+        world: NodeWorld,
+        limits: HttpLimits | None = None,
+        shared: SharedLimits | None = None,
+    ):
         self._world = world
         self._server = WholeRequestServer(
-            address, self._answer, setting="readiness_address"
+            address,
+            self._answer,
+            limits=limits,
+            setting="readiness_address",
+            shared=shared,
         )
 
     @property
--- a/packages/papayapost-node/src/papayapost_node/reports.py
+++ b/packages/papayapost-node/src/papayapost_node/reports.py
@@ -15,7 +15,14 @@
     ReportTaken,
 )
 from papayapost_node.event_limit import EventRateLimit
-from papayapost_node.http import HttpAnswer, HttpRequest, ServerCall, WholeRequestServer
+from papayapost_node.http import (
+    HttpAnswer,
+    HttpLimits,
+    HttpRequest,
+    ServerCall,
+    SharedLimits,
+    WholeRequestServer,
+)
 
 __all__ = ["Report", "ReportCodec", "ReportServer"]
 
@@ -53,6 +60,8 @@
         Passes a message to the next tick of the world.
     events
         Records refused reports at a limited rate.
+    limits, shared
+        Limits of the connections, and the bounds of the whole process.
     """
 
     def __init__(
@@ -61,6 +70,8 @@
         codec: ReportCodec,
         post: Callable[[object], None],
         events: EventRateLimit,
+        limits: HttpLimits | None = None,
+        shared: SharedLimits | None = None,
     ):
         self._codec = codec
         self._post = post
@@ -68,7 +79,11 @@
         self._ids = itertools.count(1)
         self._unacknowledged: Table[ReportId, ServerCall] = Table("reports")
         self._server = WholeRequestServer(
-            address, self._on_request, setting="report_address"
+            address,
+            self._on_request,
+            limits=limits,
+            setting="report_address",
+            shared=shared,
         )
 
     def handlers(self) -> dict[type, Callable]:
--- a/packages/papayapost-node/src/papayapost_node/settings/model.py
+++ b/packages/papayapost-node/src/papayapost_node/settings/model.py
@@ -67,6 +67,17 @@
         soon as it has accepted them.
     head_bytes
         Maximum size of a request line together with the headers.
+    body_bytes
+        Maximum size of a request's body.
+    held_bytes
+        Maximum of what all connections of callers hold together: bytes that
+        were not handled yet, open requests and answers that were not read.
+        Above it, the connections that hold most are closed.
+    control_connections
+        Maximum number of open connections at each of the readiness, report
+        and admin addresses.
+    report_bytes
+        Maximum size of a report of the backend server.
     head_timeout_ms
         Time within which the head of a request must arrive.
     idle_timeout_ms
@@ -84,6 +95,10 @@
 
     connections: Annotated[int, Meta(ge=1, le=100_000)] = 2_000
     head_bytes: Annotated[int, Meta(ge=1_024, le=262_144)] = 16_384
+    body_bytes: Annotated[int, Meta(ge=1_024, le=1 << 40)] = 67_108_864
+    held_bytes: Annotated[int, Meta(ge=1 << 20, le=1 << 40)] = 33_554_432
+    control_connections: Annotated[int, Meta(ge=1, le=100_000)] = 64
+    report_bytes: Annotated[int, Meta(ge=256, le=2 << 20)] = 65_536
     head_timeout_ms: Annotated[int, Meta(ge=10, le=600_000)] = 10_000
     idle_timeout_ms: Annotated[int, Meta(ge=10, le=3_600_000)] = 60_000
     pace_timeout_ms: Annotated[int, Meta(ge=10, le=600_000)] = 10_000
@@ -189,6 +204,11 @@
         disables these pages.
     http
         Limits on the HTTP connections and requests of callers.
+    peer_connections
+        Maximum number of connections that other nodes have open to this one;
+        further ones are closed as soon as they are accepted.
+    peer_connections_per_address
+        Maximum number of them from one IP address.
     stop_limit_s
         Time in s from the request to stop until the platform kills the
         process. The node uses nearly all of it for answers that are still on
@@ -250,6 +270,8 @@
     admin_address: AddressText | None = None
     link_mbps: Annotated[float, Meta(ge=0)] = 0.0
     http: HttpSettings = HttpSettings()
+    peer_connections: Annotated[int, Meta(ge=1, le=100_000)] = 16_384
+    peer_connections_per_address: Annotated[int, Meta(ge=1, le=100_000)] = 256
     stop_limit_s: Annotated[float, Meta(ge=0.1, le=3_600)] = 30.0
     drain_accept_ms: Annotated[int, Meta(ge=0, le=600_000)] = 0
     drain_grace_ms: Annotated[int, Meta(ge=0, le=600_000)] = 3_000
--- a/packages/papayapost-node/src/papayapost_node/transport/zmq_transport.py
+++ b/packages/papayapost-node/src/papayapost_node/transport/zmq_transport.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections import OrderedDict
+from collections.abc import Callable
 from contextlib import suppress
 
 import zmq
@@ -14,6 +15,7 @@
 from papayapost_node.security.key_ring import KeyRing
 from papayapost_node.security.keys import PublicKey
 from papayapost_node.security.zap_handler import ZapHandler
+from papayapost_node.transport.admission import PeerAdmission, PeerLimits
 from papayapost_node.transport.base import DroppedCallback, FrameListener, PeerTransport
 from papayapost_node.transport.dealer import Dealer, DealerListener, open_socket
 from papayapost_node.transport.peers import PeerRow, PeerTable
@@ -26,6 +28,8 @@
 _MAX_SOCKETS = 16 * MAX_DEALERS
 _IDLE_TIMEOUT_S = 60.0
 _MAX_FRAMES_PER_READ = 256
+_MAX_BYTES_PER_READ = 1 << 20
+"""Bytes of frames after which other connections have their turn."""
 _LAST_CONNECTIONS_WAIT_S = 0.5
 _REBIND_DELAY_S = 0.02
 _REBIND_ATTEMPTS = 100
@@ -45,6 +49,10 @@
         authentication.
     max_frame_bytes
         Size limit of a received frame.
+    limits
+        Limits on the connections of peers.
+    on_refused
+        Called for each connection that was closed because of them.
     """
 
     def __init__(
@@ -53,7 +61,12 @@
         peers: PeerTable,
         key_ring: KeyRing | None,
         max_frame_bytes: int = MAX_FRAME_BYTES,
+        limits: PeerLimits | None = None,
+        on_refused: Callable[[], None] = lambda: None,
     ):
+        self._limits = limits or PeerLimits()
+        self._on_refused = on_refused
+        self._admission: PeerAdmission | None = None
         self._address = address
         self._max_frame_bytes = max_frame_bytes
         self._peers = peers
@@ -86,6 +99,9 @@
             self._zap_handler.start()
         self._router = open_socket(self._context, zmq.ROUTER, self._max_frame_bytes)
         self._set_server_keys()
+        self._admission = PeerAdmission(
+            self._router, self._address, self._limits, self._on_refused
+        )
         try:
             self._router.bind(f"tcp://{self._address}")
         except zmq.ZMQError as error:
@@ -180,6 +196,8 @@
         self._dealers.clear()
         if self._router is not None:
             self._loop.remove_reader(self._router.fileno())
+            if self._admission is not None:
+                self._admission.close()
             self._router.close(0)
             self._router = None
             self._idle_check.close()
@@ -274,7 +292,10 @@
 
     def _receive_available(self, router: zmq.Socket) -> bool:
         """Handle the available frames; return whether there may be more."""
+        end_bytes = self._peers.received_bytes + _MAX_BYTES_PER_READ
         for _ in range(_MAX_FRAMES_PER_READ):
+            if self._peers.received_bytes >= end_bytes:
+                break
             try:
                 parts = router.recv_multipart(zmq.NOBLOCK, copy=self._key_ring is None)
             except zmq.Again:
--- a/packages/papayapost-testing/src/papayapost_testing/bench/hop.py
+++ b/packages/papayapost-testing/src/papayapost_testing/bench/hop.py
@@ -6,6 +6,7 @@
 
 import asyncio
 import gc
+import sys
 import time
 from collections.abc import Callable
 
@@ -45,7 +46,9 @@
     Headers,
     HttpAnswer,
     HttpRequest,
+    SharedLimits,
     StreamingServer,
+    Turns,
     WholeRequestServer,
 )
 from papayapost_node.http.server_connection import ServerConnection
@@ -187,11 +190,17 @@
 def _server_step() -> Callable[[], None]:
     answer = HttpAnswer(200, _ANSWER_HEADERS, _BODY)
     server_part = WholeRequestServer(_ADDRESS, lambda call: call.answer(answer))
-    connection = ServerConnection(StreamingServer(_ADDRESS, server_part))
+    server = StreamingServer(_ADDRESS, server_part, shared=_shared_limits())
+    connection = ServerConnection(server)
     connection.connection_made(_MemoryTransport())
     return lambda: connection.data_received(_REQUEST)
 
 
+def _shared_limits() -> SharedLimits:
+    # The event loop makes no pass between two repetitions.
+    return SharedLimits(turns=Turns(units_per_pass=sys.maxsize))
+
+
 def _client_step() -> Callable[[], None]:
     connection = BackendConnection(lambda connection: None, NoBatching(), _BUFFER)
     connection.connection_made(_MemoryTransport())
@@ -243,7 +252,7 @@
     for side in (entry, owner):
         carrier_delivery.add_handlers(side.carriers())
         runner.add_handlers(side.handlers())
-    server = StreamingServer(_ADDRESS, entry, batch=runner)
+    server = StreamingServer(_ADDRESS, entry, batch=runner, shared=_shared_limits())
     connection = ServerConnection(server)
     transport = _MemoryTransport()
     connection.connection_made(transport)
--- a/packages/papayapost-testing/src/papayapost_testing/crowds/scene.py
+++ b/packages/papayapost-testing/src/papayapost_testing/crowds/scene.py
@@ -170,6 +170,8 @@
                 "report_interval_ms": 600_000,
             },
             "http": _LOWERED_LIMITS,
+            "peer_connections": 100,
+            "peer_connections_per_address": 16,
             **self._addresses,
             **self._settings,
         }
