Take limits on requests from the configuration, and bound what offers hold

The platform's document may hold limits on heads, bodies and times.

An offer of another node with a body above 256 KB is not held, and ends as not sent.

--- a/packages/papayapost-node/src/papayapost_node/composition.py
+++ b/packages/papayapost-node/src/papayapost_node/composition.py
@@ -54,6 +54,7 @@
 from papayapost_node.peer_messages import PeerMessages
 from papayapost_node.readiness import ReadinessServer
 from papayapost_node.reports import ReportServer
+from papayapost_node.rule_limits import RuleLimits
 from papayapost_node.runner import WorldRunner
 from papayapost_node.security import KeyRing, SenderCheck
 from papayapost_node.settings import (
@@ -153,7 +154,7 @@
         self._server = StreamingServer(
             Address(settings.caller_address),
             self._entry_side,
-            _http_limits(settings.http),
+            RuleLimits(_http_limits(settings.http), self.world.rules),
             self.runner,
             "caller_address",
             self._shared_limits,
--- a/packages/papayapost-node/src/papayapost_node/exchange/owner_side.py
+++ b/packages/papayapost-node/src/papayapost_node/exchange/owner_side.py
@@ -25,6 +25,10 @@
 
 __all__ = ["OwnerSide"]
 
+_MAX_OFFERED_BODY_BYTES = 256 << 10
+"""Most bytes of a body that come with an offer. An entry node sends at most
+what it keeps and one read, 80 KB; the rest comes on credit."""
+
 
 class OwnerSide:
     """Holds offered requests and carries out the owner node's effects.
@@ -118,7 +122,9 @@
 
     def _offer_arrived(self, carrier: OfferCarrier) -> None:
         offer, head = carrier.offer, carrier.head
-        if offer.attempt_id not in self._offered:
+        is_known = offer.attempt_id in self._offered
+        # An offer that is not held ends as not sent once it gets a slot.
+        if not is_known and len(carrier.body) <= _MAX_OFFERED_BODY_BYTES:
             request = HttpRequest(head.method, head.target, head.headers, carrier.body)
             self._offered.put(
                 offer.attempt_id,
--- a/packages/papayapost-node/src/papayapost_node/http/connection_host.py
+++ b/packages/papayapost-node/src/papayapost_node/http/connection_host.py
@@ -71,12 +71,16 @@
     """
 
     handler: RequestHandler
-    limits: HttpLimits
     batch: InputBatching
     shared: SharedLimits
     is_draining: bool
     read_buffer: memoryview
 
+    @property
+    @abstractmethod
+    def limits(self) -> HttpLimits:
+        """Limits of the connections that are opened now."""
+
     @abstractmethod
     def admit(self, connection: HostedConnection) -> bool:
         """Add a new connection; return False if it must be closed."""
--- a/packages/papayapost-node/src/papayapost_node/http/limits.py
+++ b/packages/papayapost-node/src/papayapost_node/http/limits.py
@@ -1,8 +1,10 @@
 """Limits that protect an HTTP server from its callers."""
 
+from abc import ABC, abstractmethod
+
 from papayapost.define import define
 
-__all__ = ["HttpLimits"]
+__all__ = ["FixedLimits", "HttpLimits", "LimitsSource"]
 
 
 @define(frozen=True)
@@ -38,3 +40,22 @@
     pace_timeout_ms: int = 10_000
     pace_bytes: int = 4 << 10
     pipelined: int = 1
+
+
+class LimitsSource(ABC):
+    """Provides the limits of an HTTP server, which may change."""
+
+    @abstractmethod
+    def current(self) -> HttpLimits:
+        """Return the limits of connections that are opened now."""
+
+
+class FixedLimits(LimitsSource):
+    """Provides limits that do not change."""
+
+    def __init__(self, limits: HttpLimits):
+        self._limits = limits
+
+    def current(self) -> HttpLimits:
+        """Return the limits."""
+        return self._limits
--- a/packages/papayapost-node/src/papayapost_node/http/progress_timer.py
+++ b/packages/papayapost-node/src/papayapost_node/http/progress_timer.py
@@ -35,9 +35,12 @@
         self.received_bytes = 0
 
     def start(self, transport: asyncio.Transport) -> None:
-        """Store the transport and limit the time until the first head."""
+        """Store the transport and limit the time until the first request.
+
+        Callers open connections ahead of their requests.
+        """
         self._transport = transport
-        self.expect_head()
+        self.expect_request()
 
     def expect_head(self) -> None:
         """Limit the time until a request's head is complete."""
--- a/packages/papayapost-node/src/papayapost_node/http/server.py
+++ b/packages/papayapost-node/src/papayapost_node/http/server.py
@@ -14,7 +14,7 @@
 )
 from papayapost_node.http.exchange import RequestHandler
 from papayapost_node.http.limit_counts import HttpLimit
-from papayapost_node.http.limits import HttpLimits
+from papayapost_node.http.limits import FixedLimits, HttpLimits, LimitsSource
 from papayapost_node.http.server_connection import ServerConnection
 
 __all__ = ["StreamingServer"]
@@ -47,7 +47,7 @@
         self,
         address: Address,
         handler: RequestHandler,
-        limits: HttpLimits | None = None,
+        limits: HttpLimits | LimitsSource | None = None,
         batch: InputBatching | None = None,
         setting: str = "address",
         shared: SharedLimits | None = None,
@@ -55,7 +55,11 @@
         self._address = address
         self._setting = setting
         self.handler = handler
-        self.limits = limits or HttpLimits()
+        self._limits_source: LimitsSource = (
+            limits
+            if isinstance(limits, LimitsSource)
+            else FixedLimits(limits or HttpLimits())
+        )
         self.batch = batch or NoBatching()
         self.shared = shared or SharedLimits()
         # One buffer is enough for all connections: the event loop reads them
@@ -68,6 +72,15 @@
         self._accepting: set[asyncio.Task] = set()
         self._is_closing_idle = False
 
+    @property
+    def limits(self) -> HttpLimits:
+        """Limits of the connections that are opened now."""
+        return self._limits_source.current()
+
+    @limits.setter
+    def limits(self, limits: HttpLimits) -> None:
+        self._limits_source = FixedLimits(limits)
+
     async def start(self) -> None:
         """Listen at the address.
 
--- a/packages/papayapost/src/papayapost/rules/compile.py
+++ b/packages/papayapost/src/papayapost/rules/compile.py
@@ -11,6 +11,7 @@
     AccountCompiler,
     AccountKeyCompiler,
 )
+from papayapost.rules.caller_limits import CallerLimitsCompiler
 from papayapost.rules.characters import MAX_TEXT_BYTES, check_characters, check_size
 from papayapost.rules.checks import FILE_CHECKS
 from papayapost.rules.faults import RuleFault
@@ -33,6 +34,7 @@
         AccountCompiler(),
         AccountKeyCompiler(),
         AccessCompiler(),
+        CallerLimitsCompiler(),
     )
 }
 
@@ -97,6 +99,7 @@
         tuple(draft.keys),
         tuple(draft.access_rules),
         AccessIndex(draft.accounts, draft.keys, draft.access_rules),
+        draft.limits[0] if draft.limits else None,
     )
 
 
--- a/packages/papayapost/src/papayapost/rules/faults.py
+++ b/packages/papayapost/src/papayapost/rules/faults.py
@@ -41,3 +41,4 @@
     DUPLICATE_KEY = "R031"
     UNKNOWN_ACCOUNT = "R032"
     BAD_ACCESS = "R033"
+    DUPLICATE_LIMITS = "R034"
--- a/packages/papayapost/src/papayapost/rules/line_compiler.py
+++ b/packages/papayapost/src/papayapost/rules/line_compiler.py
@@ -10,6 +10,7 @@
     AccessRule,
     Account,
     AccountKey,
+    CallerLimits,
     Route,
     RuleRow,
     Share,
@@ -29,7 +30,7 @@
         All lines of the rules text, including empty and comment lines.
     findings
         Collects the faults of the text.
-    routes, shares, accounts, keys, access_rules
+    routes, shares, accounts, keys, access_rules, limits
         Rows of the lines read so far, in file order.
     new_route_lines
         Line numbers of the routes that the previous text did not have, or
@@ -43,6 +44,7 @@
     accounts: list[Account] = field(default_factory=list)
     keys: list[AccountKey] = field(default_factory=list)
     access_rules: list[AccessRule] = field(default_factory=list)
+    limits: list[CallerLimits] = field(default_factory=list)
     new_route_lines: set[int] = field(default_factory=set)
 
     def add(self, row: RuleRow, is_new: bool = True) -> None:
@@ -60,6 +62,8 @@
                 self.keys.append(row)
             case AccessRule():
                 self.access_rules.append(row)
+            case CallerLimits():
+                self.limits.append(row)
 
     def line(self, number: int) -> RuleLine:
         """Return a line by its number from 1, to report findings at it."""
--- a/packages/papayapost/src/papayapost/rules/model.py
+++ b/packages/papayapost/src/papayapost/rules/model.py
@@ -11,6 +11,7 @@
     "AccessRule",
     "Account",
     "AccountKey",
+    "CallerLimits",
     "Route",
     "RoutePattern",
     "RuleRow",
@@ -233,5 +234,37 @@
         return replace(self, line=line)
 
 
-RuleRow = Route | Share | Account | AccountKey | AccessRule
+@define(frozen=True)
+class CallerLimits:
+    """A ``limits`` line: bounds on the requests of callers.
+
+    Parameters
+    ----------
+    line
+        Line number in the rules file, from 1.
+    head_bytes, body_bytes
+        Largest head and largest body of a request; None for the node's own
+        setting, like the times below.
+    head_timeout_ms
+        Time within which a head must arrive.
+    idle_timeout_ms
+        Time after which a connection without a request is closed.
+    owner, reason
+        Who asked for the rule, and why.
+    """
+
+    line: int
+    head_bytes: int | None
+    body_bytes: int | None
+    head_timeout_ms: int | None
+    idle_timeout_ms: int | None
+    owner: Owner
+    reason: str
+
+    def at_line(self, line: int) -> "CallerLimits":
+        """Return a copy of the limits with another line number."""
+        return replace(self, line=line)
+
+
+RuleRow = Route | Share | Account | AccountKey | AccessRule | CallerLimits
 """Row of any line of a rules text."""
--- a/packages/papayapost/src/papayapost/rules/ruleset.py
+++ b/packages/papayapost/src/papayapost/rules/ruleset.py
@@ -10,6 +10,7 @@
     AccessRule,
     Account,
     AccountKey,
+    CallerLimits,
     Route,
     RuleRow,
     Share,
@@ -40,6 +41,8 @@
         Rows of the ``account``, ``key`` and ``access`` lines in file order.
     access
         Index that finds the client accounts by name and by key.
+    limits
+        Bounds on the requests of callers, or None.
     """
 
     text: str
@@ -52,6 +55,7 @@
     keys: tuple[AccountKey, ...] = ()
     access_rules: tuple[AccessRule, ...] = ()
     access: AccessIndex = field(default_factory=AccessIndex, repr=False, compare=False)
+    limits: CallerLimits | None = None
 
     def rows_by_line_text(self) -> dict[str, RuleRow]:
         """Return the row of each rule line, by the text of the line."""
@@ -63,6 +67,7 @@
             *self.accounts,
             *self.keys,
             *self.access_rules,
+            *([self.limits] if self.limits else []),
         )
         for row in all_rows:
             rows[lines[row.line - 1].removesuffix("\r")] = row
