Split the calls to a backend server into three modules

The request's body now arrives in request_input, the answer's is sent by answer_output; the call itself keeps what it knows of both. composition gives the limits of its servers to server_limits. No behaviour is changed on purpose.

--- a/packages/papayapost-node/src/papayapost_node/composition.py
+++ b/packages/papayapost-node/src/papayapost_node/composition.py
@@ -1,6 +1,5 @@
 """Creates the parts of a node from its settings and connects them."""
 
-from dataclasses import replace
 from pathlib import Path
 
 from papayapost.errors import SettingsRefused
@@ -44,7 +43,6 @@
     HealthPoller,
     HeldBytes,
     HttpLimit,
-    HttpLimits,
     LimitCounts,
     SharedLimits,
     StreamingServer,
@@ -57,8 +55,8 @@
 from papayapost_node.rule_limits import RuleLimits
 from papayapost_node.runner import WorldRunner
 from papayapost_node.security import KeyRing, SenderCheck
+from papayapost_node.server_limits import control_limits, http_limits
 from papayapost_node.settings import (
-    HttpSettings,
     SecurityMode,
     Settings,
     load_keys,
@@ -154,7 +152,7 @@
         self._server = StreamingServer(
             Address(settings.caller_address),
             self._entry_side,
-            RuleLimits(_http_limits(settings.http), self.world.rules),
+            RuleLimits(http_limits(settings.http), self.world.rules),
             self.runner,
             "caller_address",
             self._shared_limits,
@@ -274,7 +272,7 @@
             StatusPage(self._self_row, self.world),
         ]
         address = Address(self._settings.admin_address)
-        limits = _control_limits(self._settings.http)
+        limits = control_limits(self._settings.http)
         return AdminServer(address, pages, limits, self._shared_limits)
 
     def _build_report_server(self) -> ReportServer | None:
@@ -287,7 +285,7 @@
             codec,
             self.runner.post,
             self._event_limit,
-            _control_limits(self._settings.http, self._settings.http.report_bytes),
+            control_limits(self._settings.http, self._settings.http.report_bytes),
             self._shared_limits,
         )
 
@@ -295,7 +293,7 @@
         address = self._settings.readiness_address
         if address is None:
             return None
-        limits = _control_limits(self._settings.http)
+        limits = control_limits(self._settings.http)
         return ReadinessServer(
             Address(address), self.world, limits, self._shared_limits
         )
@@ -361,29 +359,6 @@
         return self._self_row.place.distance_to(row.place) if row else None
 
 
-def _http_limits(settings: HttpSettings) -> HttpLimits:
-    return HttpLimits(
-        connections=settings.connections,
-        head_bytes=settings.head_bytes,
-        body_bytes=settings.body_bytes,
-        head_timeout_ms=settings.head_timeout_ms,
-        idle_timeout_ms=settings.idle_timeout_ms,
-        pace_timeout_ms=settings.pace_timeout_ms,
-        pace_bytes=settings.pace_bytes,
-        pipelined=settings.pipelined,
-    )
-
-
-def _control_limits(settings: HttpSettings, body_bytes: int = 0) -> HttpLimits:
-    """Return the limits of an address that callers do not use."""
-    return replace(
-        _http_limits(settings),
-        connections=settings.control_connections,
-        body_bytes=body_bytes,
-        pipelined=1,
-    )
-
-
 async def build_node(
     settings: Settings,
     clock: Clock | None = None,
--- a/packages/papayapost-node/src/papayapost_node/exchange/backend_call.py
+++ b/packages/papayapost-node/src/papayapost_node/exchange/backend_call.py
@@ -2,7 +2,6 @@
 
 import asyncio
 
-from papayapost.errors import CreditExceeded
 from papayapost.ids import Micros, RequestName
 from papayapost.traffic import (
     AnswerBlocked,
@@ -11,13 +10,12 @@
     BackendCallEnded,
 )
 from papayapost_node.deadline import DeadlineTimer
-from papayapost_node.exchange.body_receiver import BodyReceiver
-from papayapost_node.exchange.body_sender import MAX_PART_BYTES, BodySender
+from papayapost_node.exchange.answer_output import AnswerOutput
+from papayapost_node.exchange.body_sender import MAX_PART_BYTES
 from papayapost_node.exchange.dialect import AnswerVerdict, BackendTerms
 from papayapost_node.exchange.owner_services import OwnerServices
-from papayapost_node.exchange.pacing import PacedWindow
+from papayapost_node.exchange.request_input import RequestInput
 from papayapost_node.exchange.tables import OwnedRequest
-from papayapost_node.exchange.windows import SendWindow
 from papayapost_node.http import (
     AnswerReading,
     AnswerSink,
@@ -27,13 +25,7 @@
     forwardable,
     framing_headers,
 )
-from papayapost_node.wire import (
-    AnswerCarrier,
-    AnswerPart,
-    InterimAnswer,
-    RequestCredit,
-    RequestPart,
-)
+from papayapost_node.wire import InterimAnswer, RequestPart
 
 __all__ = ["BackendCall"]
 
@@ -46,9 +38,6 @@
 A backend server that answers 504 at the deadline needs a moment to send it.
 """
 
-_SMALL_ANSWER_BYTES = 16 << 10
-"""Largest body that is not paced; a link of 3.5 Mbit/s sends it in 40 ms."""
-
 _CONTINUE_STATUS = 100
 
 _MAX_REFUSED = 64
@@ -83,19 +72,15 @@
         self._loop = loop
         self._deadline_s = loop.time() + budget_us / 1e6
         self._connection: BackendConnection | None = None
-        self._answer_sender: BodySender | None = None
-        self._window: SendWindow | None = None
-        self._answer_sent_bytes = 0
-        self._request_bytes = len(owned.request.body)
-        self._body_receiver: BodyReceiver | None = None
+        self._output = AnswerOutput(
+            owned, services, self._pause, self._resume, self._link_has_room
+        )
+        self._input = RequestInput(owned, services)
         self._stall_deadline: DeadlineTimer | None = None
         self._status: int | None = None
         self._headers: Headers = []
-        self._buffered = bytearray()
-        self._trailers: Headers = []
         self._is_running = False
         self._is_finished = False
-        self._is_truncated = False
         self._is_held = False
         self._is_blocked = False
         self._verdict = AnswerVerdict.ANSWER
@@ -137,7 +122,8 @@
         self._connection = connection
         self._is_running = True
         if not owned.is_ended:
-            self._start_request_body()
+            self._set_stall_deadline(True)
+            self._input.open()
 
     def body_received(self, part: RequestPart) -> None:
         """Send a further piece of the request's body to the backend server.
@@ -145,18 +131,12 @@
         The call is cancelled if the entry node sent more than its credit, or
         if an earlier piece was lost with a connection of the entry node.
         """
-        connection, receiver = self._connection, self._body_receiver
-        if connection is None or receiver is None or not self._is_running:
-            return
-        try:
-            receiver.receive(len(part.data))
-        except CreditExceeded:
-            self.cancel()
+        connection = self._connection
+        if connection is None or not self._input.is_open or not self._is_running:
             return
-        if part.offset is not None and part.offset != self._request_bytes:
+        if not self._input.take(part):
             self.cancel()
             return
-        self._request_bytes += len(part.data)
         connection.send(part.data, part.is_ended, part.trailers)
         if part.is_ended:
             self._set_stall_deadline(False)
@@ -165,8 +145,7 @@
 
     def grant(self, size_bytes: int) -> None:
         """Add credit that the entry node granted for the answer's body."""
-        if self._answer_sender is not None:
-            self._answer_sender.grant(size_bytes)
+        if self._output.grant(size_bytes):
             self._finish_or_rearm()
 
     def cancel(self) -> None:
@@ -182,16 +161,17 @@
 
     def request_writable(self) -> None:
         """Grant the entry node credit for the body that was written so far."""
-        if self._body_receiver is not None and self._is_running:
+        if self._input.is_open and self._is_running:
             self._set_stall_deadline(True)
-            self._body_receiver.consume_all()
+            self._input.consume_all()
 
     def informational_received(self, status: int, headers: Headers) -> None:
         """Send an informational answer, except 100, to the entry node."""
         if status != _CONTINUE_STATUS:
             services, attempt_id = self._services, self._owned.attempt_id
             headers = forwardable(headers)
-            self._deliver(InterimAnswer(services.node_id, attempt_id, status, headers))
+            interim = InterimAnswer(services.node_id, attempt_id, status, headers)
+            services.carrier_delivery.deliver(self._owned.entry, interim)
 
     def answer_begun(self, status: int, headers: Headers) -> AnswerReading:
         """Handle the answer's head and say how to read the rest.
@@ -245,10 +225,11 @@
 
     def answer_received(self, data: bytes) -> None:
         """Buffer a piece of the body, to send what one read brings at once."""
-        self._buffered += data
-        if self._is_held and len(self._buffered) > self._services.hold_bytes:
+        output = self._output
+        output.buffer(data)
+        if self._is_held and output.buffered_bytes > self._services.hold_bytes:
             self._release_held_answer()
-        if len(self._buffered) >= MAX_PART_BYTES:
+        if output.buffered_bytes >= MAX_PART_BYTES:
             self.read_ended()
 
     def answer_ended(self, trailers: Headers) -> None:
@@ -274,7 +255,7 @@
             is_refused = self._verdict is AnswerVerdict.NOT_RUN
             self._end(is_sent=True, is_refused=is_refused)
             return
-        self._is_truncated = True
+        self._output.is_truncated = True
         self._end_backend_call(is_whole=False, trailers=[])
         self.read_ended()
 
@@ -282,48 +263,12 @@
         """Send the body received so far, with the head if it was not sent."""
         if self._status is None or self._is_held or self._is_finished:
             return
-        if self._answer_sender is not None:
-            self._send_buffered(self._answer_sender)
-            return
-        body = bytes(self._buffered)
-        self._buffered.clear()
-        window = self._window = self._send_window(len(body))
-        size = window.take(min(len(body), MAX_PART_BYTES))
-        if self._is_truncated:
-            body = body[:size]
-        is_complete = not self._is_running and size == len(body)
-        self._answer_sent_bytes = size
-        self._deliver(
-            AnswerCarrier(
-                self._services.node_id,
-                self._owned.attempt_id,
-                self._status,
-                self._headers,
-                body[:size],
-                is_complete,
-                not self._is_truncated,
-                self._services.free_slots(),
-                self._trailers if is_complete else [],
-            )
-        )
-        if is_complete:
+        if self._output.is_streaming:
+            self._send_buffered()
+        elif self._output.begin(self._status, self._headers, self._is_running):
             self._finish()
-            return
-        self._answer_sender = BodySender(
-            window, self._send_part, self._pause, self._resume
-        )
-        if size < len(body):
-            self._answer_sender.add(body[size:])
-        if not self._is_running:
-            self._answer_sender.end(self._trailers)
-        self._finish_or_rearm()
-
-    def _send_window(self, received_bytes: int) -> SendWindow:
-        credit_bytes, pacer = self._owned.answer_window_bytes, self._services.pacer
-        is_small = not self._is_running and received_bytes <= _SMALL_ANSWER_BYTES
-        if is_small or self._owned.is_local:
-            return SendWindow(credit_bytes)
-        return PacedWindow(credit_bytes, pacer, self._link_has_room)
+        else:
+            self._finish_or_rearm()
 
     def _link_has_room(self) -> None:
         self.grant(0)
@@ -332,54 +277,31 @@
         """Post the end of the backend call; its answer may be sent later."""
         self._is_running = False
         self._connection = None
-        self._trailers = forwardable(trailers)
-        if self._answer_sender is not None:
-            self._send_buffered(self._answer_sender)
+        output = self._output
+        output.set_trailers(forwardable(trailers))
+        is_streaming = output.is_streaming
+        if is_streaming:
+            self._send_buffered()
             if not is_whole:
                 # The caller will see that the answer is incomplete. To keep
                 # the rest for an entry node that grants no credit would not
                 # help it.
-                self._answer_sender.drop_unsent()
+                output.drop_unsent()
         ended = BackendCallEnded(self._owned.attempt_id, True, is_whole)
         self._services.post(ended)
-        if self._answer_sender is not None:
-            self._answer_sender.end(self._trailers)
+        if is_streaming:
+            output.end()
             self._finish_or_rearm()
 
-    def _send_buffered(self, sender: BodySender) -> None:
-        if self._buffered:
-            data = bytes(self._buffered)
-            self._buffered.clear()
-            sender.add(data)
+    def _send_buffered(self) -> None:
+        if self._output.send_buffered():
             self._finish_or_rearm()
 
-    def _start_request_body(self) -> None:
-        self._body_receiver = BodyReceiver(
-            self._services.budget, self._grant_request_credit
-        )
-        self._set_stall_deadline(True)
-        self._grant_request_credit(self._body_receiver.size_bytes)
-
-    def _grant_request_credit(self, size_bytes: int) -> None:
-        services, attempt_id = self._services, self._owned.attempt_id
-        self._deliver(RequestCredit(services.node_id, attempt_id, size_bytes))
-
-    def _send_part(self, data: bytes, is_last: bool, trailers: Headers) -> None:
-        services, attempt_id = self._services, self._owned.attempt_id
-        is_whole = not self._is_truncated
-        offset = self._answer_sent_bytes
-        self._answer_sent_bytes += len(data)
-        self._deliver(
-            AnswerPart(
-                services.node_id, attempt_id, data, is_last, is_whole, trailers, offset
-            )
-        )
-
     def _finish_or_rearm(self) -> None:
-        sender = self._answer_sender
-        if sender is None or self._is_finished:
+        output = self._output
+        if not output.is_streaming or self._is_finished:
             return
-        if sender.is_ended:
+        if output.is_ended:
             self._finish()
         else:
             # The call waits for credit from the entry node or for data from
@@ -406,14 +328,11 @@
             self._stall_deadline.clear()
 
     def _on_stall(self) -> None:
-        self._is_truncated = True
+        self._output.is_truncated = True
         if self._status is not None and not self._is_finished:
-            self._send_part(b"", True, [])
+            self._output.send_part(b"", True, [])
         self.cancel()
 
-    def _deliver(self, carrier: object) -> None:
-        self._services.carrier_delivery.deliver(self._owned.entry, carrier)
-
     def _request_headers(self, budget_s: float) -> Headers:
         """Return the request's headers, with those that frame its body."""
         owned, services = self._owned, self._services
@@ -452,11 +371,8 @@
         self._is_finished = True
         if self._stall_deadline is not None:
             self._stall_deadline.close()
-        if self._body_receiver is not None:
-            self._body_receiver.close()
-            self._body_receiver = None
-        if self._window is not None:
-            self._window.close()
+        self._input.close()
+        self._output.close()
         if self._is_blocked:
             self._services.post(AnswerUnblocked(self._owned.attempt_id))
         self._services.remove_call(self._owned.attempt_id)
