--- a/packages/papayapost-node/src/papayapost_node/http/answer_writer.py
+++ b/packages/papayapost-node/src/papayapost_node/http/answer_writer.py
@@ -188,8 +188,9 @@
         It does while the server drains, but not if requests behind this one
         have arrived: they may have been started and must be answered too.
         """
-        is_last = slot is self._pipeline.last and not self.reader.waiting_bytes
-        return self._host.is_draining and is_last
+        if not self._host.is_draining:
+            return False
+        return slot is self._pipeline.last and not self.reader.waiting_bytes
 
     def _write(self, slot: PipelineSlot, encoded: bytes, is_ended: bool) -> None:
         if slot is not self._pipeline.first:
@@ -232,16 +233,18 @@
     def _expect_next_request(self, slot: PipelineSlot) -> None:
         slot.reset()
         self._socket.resume(PauseReason.BODY)
-        self.expect_request()
+        waiting_bytes = self.expect_request()
         if self.reader.is_running:
             return
-        if self.reader.waiting_bytes:
+        if waiting_bytes:
             self.reader.resume()
         self._count_held()
 
-    def expect_request(self) -> None:
+    def expect_request(self) -> int:
         """Set the time limit of the next request, or of an unread answer.
 
+        Returns the number of bytes that wait, as `RequestReader` does.
+
         Bytes that have arrived already are the start of a pipelined request.
         """
         waiting_bytes = self.reader.waiting_bytes
@@ -252,6 +255,7 @@
             self._timer.expect_head()
         else:
             self._timer.expect_request()
+        return waiting_bytes
 
     def close_gracefully(self) -> None:
         """Close the writing side, and the connection after a short wait."""
--- a/packages/papayapost-node/src/papayapost_node/http/caller_socket.py
+++ b/packages/papayapost-node/src/papayapost_node/http/caller_socket.py
@@ -33,6 +33,10 @@
     BACKLOG = "backlog"
 
 
+_HOLDING_BACK = frozenset([PauseReason.BODY, PauseReason.ORDER])
+"""Reasons for which what was read already is not parsed either."""
+
+
 class CallerSocket:
     """Writes to, pauses and closes the transport of a connection.
 
@@ -49,12 +53,15 @@
         Whether the caller has read all but a few of the written bytes.
     is_closing
         Whether what arrives is discarded, as the connection is closing.
+    is_held_back
+        Whether received bytes must not be parsed for now, or not any more.
     """
 
     def __init__(self, limits: HttpLimits, on_timeout: Callable[[], None]):
         self.timer = ProgressTimer(limits, on_timeout)
         self.is_writable = True
         self.is_closing = False
+        self.is_held_back = True
         self._transport: asyncio.Transport | None = None
         self._pauses: set[PauseReason] = set()
         self._discarded_bytes = 0
@@ -71,22 +78,21 @@
         return transport.get_write_buffer_size() if transport is not None else 0
 
     @property
-    def holds_back_requests(self) -> bool:
-        """Whether received bytes must not be parsed for now."""
-        pauses = self._pauses
-        return bool(pauses) and (
-            PauseReason.BODY in pauses or PauseReason.ORDER in pauses
-        )
+    def has_backlog(self) -> bool:
+        """Whether unhandled bytes keep the connection from being read."""
+        return PauseReason.BACKLOG in self._pauses
 
     def open(self, transport: asyncio.Transport) -> None:
         """Store the transport of an accepted connection."""
         self._transport = transport
+        self.is_held_back = False
         transport.set_write_buffer_limits(high=_WRITE_BUFFER_BYTES)
         self.timer.start(transport)
 
     def lost(self) -> None:
         """Forget the transport, which is closed."""
         self._transport = None
+        self.is_held_back = True
         self.timer.close()
 
     def write(self, data: bytes) -> None:
@@ -100,12 +106,14 @@
         if not self._pauses and not self.is_closing and self._transport is not None:
             self._transport.pause_reading()
         self._pauses.add(reason)
+        self._update_held_back()
 
     def resume(self, reason: PauseReason) -> None:
         """Remove a reason against reading."""
         if reason not in self._pauses:
             return
         self._pauses.remove(reason)
+        self._update_held_back()
         if not self._pauses and not self.is_closing and self._transport is not None:
             self._transport.resume_reading()
 
@@ -141,7 +149,7 @@
                 # The caller has reset the connection; nobody reads the rest.
                 transport.abort()
                 return
-        self.is_closing = True
+        self.is_closing = self.is_held_back = True
         if transport.get_write_buffer_size():
             self.timer.expect_body()
         else:
@@ -153,8 +161,12 @@
         if transport is None:
             return
         if transport.get_write_buffer_size():
-            self.is_closing = True
+            self.is_closing = self.is_held_back = True
             self.timer.expect_body()
             transport.close()
         else:
             transport.abort()
+
+    def _update_held_back(self) -> None:
+        is_paused = not self._pauses.isdisjoint(_HOLDING_BACK)
+        self.is_held_back = is_paused or self.is_closing or self._transport is None
--- a/packages/papayapost-node/src/papayapost_node/http/pipeline.py
+++ b/packages/papayapost-node/src/papayapost_node/http/pipeline.py
@@ -188,6 +188,8 @@
 
     def held_bytes(self, max_body_bytes: int) -> int:
         """Return the estimated memory that all requests and answers take."""
+        if len(self._slots) == 1:
+            return self._slots[0].held_bytes(max_body_bytes)
         return sum(slot.held_bytes(max_body_bytes) for slot in self._slots)
 
     def advance(self) -> PipelineSlot:
--- a/packages/papayapost-node/src/papayapost_node/http/request_reader.py
+++ b/packages/papayapost-node/src/papayapost_node/http/request_reader.py
@@ -124,7 +124,7 @@
         """Pause or resume reading by the number of unhandled bytes."""
         if len(self._received) > _MAX_WAITING_BYTES:
             self._socket.pause(PauseReason.BACKLOG)
-        else:
+        elif self._socket.has_backlog:
             self._socket.resume(PauseReason.BACKLOG)
 
     def resume(self) -> None:
@@ -147,9 +147,7 @@
 
     def _may_parse(self) -> bool:
         caller_socket = self._socket
-        if caller_socket.is_closing or not caller_socket.is_open:
-            return False
-        if caller_socket.holds_back_requests:
+        if caller_socket.is_held_back:
             return False
         # No further request begins while the caller does not read answers.
         return caller_socket.is_writable or self._pipeline.last.exchange is not None
--- a/packages/papayapost-node/src/papayapost_node/http/server_connection.py
+++ b/packages/papayapost-node/src/papayapost_node/http/server_connection.py
@@ -18,6 +18,10 @@
 _SMALL_READ_BYTES = 4 << 10
 """Size of a read while the connections of the process hold much."""
 
+_UNCOUNTED_BYTES = 6 << 10
+"""What a connection may hold without being counted: the head of an ordinary
+request. It is bounded by the number of connections."""
+
 _DRAIN_IDLE_S = 2.0
 """Time until an idle connection is closed while the server drains."""
 
@@ -193,6 +197,8 @@
         )
         if not caller_socket.is_writable:
             size += caller_socket.unsent_bytes
+        if size < _UNCOUNTED_BYTES:
+            size = 0
         if size != row.size_bytes:
             self._host.shared.held.update(row, size)
 
@@ -212,7 +218,7 @@
 
     def _waits_for_body(self) -> bool:
         is_ended = self._pipeline.last.is_body_ended
-        return not is_ended and not self._socket.holds_back_requests
+        return not is_ended and not self._socket.is_held_back
 
     def _expire_unread(self) -> None:
         """Close a connection whose caller does not read its answers."""
--- a/packages/papayapost-node/src/papayapost_node/http/turns.py
+++ b/packages/papayapost-node/src/papayapost_node/http/turns.py
@@ -77,7 +77,7 @@
 
     def _give_turn(self, taker: TurnTaker) -> None:
         # A turn that takes no work still takes the time to find that out.
-        self._units_left -= max(1, taker.take_turn(self._units_per_turn))
+        self._units_left -= taker.take_turn(self._units_per_turn) or 1
         if taker.wants_turn and taker not in self._queued:
             self._enqueue(taker)
 
--- a/packages/papayapost-node/tests/test_http_limits.py
+++ b/packages/papayapost-node/tests/test_http_limits.py
@@ -251,6 +251,44 @@
     run(scenario)
 
 
+def test_a_body_of_the_largest_size_is_received_whole():
+    async def scenario():
+        handler = CountingHandler()
+        connection, transport = connect(server_of(handler))
+        size = HttpLimits().body_bytes
+        head = b"POST /a HTTP/1.1\r\nhost: a\r\ncontent-length: %d\r\n\r\n" % size
+        send(connection, transport, head)
+        data = bytes(READ_BYTES)
+        for _ in range(size // READ_BYTES):
+            assert send(connection, transport, data) == READ_BYTES
+            while not transport.is_reading:
+                await asyncio.sleep(0)
+        while not handler.ended:
+            await asyncio.sleep(0)
+        assert sum(map(len, handler.pieces)) == size
+
+    run(scenario)
+
+
+@pytest.mark.parametrize("is_used_before", [False, True])
+def test_a_connection_idle_for_longer_than_a_head_may_take_is_still_used(
+    is_used_before,
+):
+    # Callers open connections ahead of their requests, and keep them.
+    async def scenario():
+        handler = WholeRequestServer(ADDRESS, lambda call: call.answer(HttpAnswer(200)))
+        server = server_of(handler, head_timeout_ms=20, idle_timeout_ms=60_000)
+        connection, transport = connect(server)
+        if is_used_before:
+            send(connection, transport, GET)
+            assert transport.read_all().startswith(b"HTTP/1.1 200")
+        await asyncio.sleep(0.1)
+        send(connection, transport, GET)
+        assert transport.read_all().startswith(b"HTTP/1.1 200")
+
+    run(scenario)
+
+
 @pytest.mark.parametrize(
     ("request_bytes", "status", "limit"),
     [
