Keep the node's own addresses free for readiness checks and reports

With 64 connections at most, whoever held 64 open kept readiness checks out until the idle limit. There the oldest connection without a request now gives its place to a new one. A drain accepts a bounded number of waiting connections. A connection that is shed while an answer without a length is sent is reset, as a normal close would end that answer as complete.

--- a/packages/papayapost-node/src/papayapost_node/http/answer_writer.py
+++ b/packages/papayapost-node/src/papayapost_node/http/answer_writer.py
@@ -176,6 +176,9 @@
             refusal = slot.framing.refusal(status)
         if slot is self._pipeline.first:
             self._socket.write(refusal)
+            if slot.framing.is_delimited_by_close and not refusal:
+                # A normal close would end the incomplete answer as complete.
+                self._socket.abort()
             self.close_gracefully()
         else:
             slot.unsent_output += refusal
--- a/packages/papayapost-node/src/papayapost_node/http/connection_host.py
+++ b/packages/papayapost-node/src/papayapost_node/http/connection_host.py
@@ -47,6 +47,10 @@
     def close_if_idle(self) -> None:
         """Close the connection unless a request has begun to arrive."""
 
+    @abstractmethod
+    def evict(self) -> bool:
+        """Close the connection if no request is being served on it."""
+
     @abstractmethod
     def abort(self) -> None:
         """Close the connection at once, discarding unsent data."""
--- a/packages/papayapost-node/src/papayapost_node/http/limits.py
+++ b/packages/papayapost-node/src/papayapost_node/http/limits.py
@@ -30,6 +30,9 @@
         send: at least `pace_bytes` in each period of `pace_timeout_ms`.
     pipelined
         Largest number of safe requests of one connection served at once.
+    evicts_idle
+        Whether the oldest connection without a request is closed for a new
+        one above the limit, so that nobody can occupy an address.
     """
 
     connections: int = 2_000
@@ -40,6 +43,7 @@
     pace_timeout_ms: int = 10_000
     pace_bytes: int = 4 << 10
     pipelined: int = 1
+    evicts_idle: bool = False
 
 
 class LimitsSource(ABC):
--- a/packages/papayapost-node/src/papayapost_node/http/server.py
+++ b/packages/papayapost-node/src/papayapost_node/http/server.py
@@ -66,7 +66,7 @@
         # one after the other, and each copies the data before the next read.
         self.read_buffer = memoryview(bytearray(_READ_BUFFER_BYTES))
         self.is_draining = False
-        self._connections: set[HostedConnection] = set()
+        self._connections: dict[HostedConnection, None] = {}
         self._all_closed = asyncio.Event()
         self._listening: socket.socket | None = None
         self._accepting: set[asyncio.Task] = set()
@@ -106,7 +106,7 @@
         """Add a new connection; return False if idle ones are closed."""
         if self._is_closing_idle:
             return False
-        self._connections.add(connection)
+        self._connections[connection] = None
         return True
 
     def limit_met(self, limit: HttpLimit) -> None:
@@ -115,7 +115,7 @@
 
     def remove(self, connection: HostedConnection) -> None:
         """Remove a closed connection."""
-        self._connections.discard(connection)
+        self._connections.pop(connection, None)
         if not (self._connections or self._accepting):
             self._all_closed.set()
 
@@ -136,8 +136,9 @@
 
         The connections that callers have opened until now are accepted first.
         """
-        while self._listening is not None and self._accept_waiting():
-            pass
+        for _ in range(_BACKLOG // _MAX_ACCEPTS + 1):
+            if not self._accept_waiting():
+                break
         self._stop_listening()
 
     def drain(self) -> None:
@@ -188,9 +189,8 @@
                 loop.remove_reader(listening.fileno())
                 loop.call_later(_ACCEPT_RETRY_S, self._watch_listening)
                 return False
-            if self._is_full():
+            if self._is_full() and not self._make_room():
                 accepted.close()
-                self.limit_met(HttpLimit.CONNECTIONS)
                 continue
             accepted.setblocking(False)
             task = loop.create_task(self._open(accepted))
@@ -202,6 +202,17 @@
         open_connections = len(self._connections) + len(self._accepting)
         return open_connections >= self.limits.connections
 
+    def _make_room(self) -> bool:
+        """Close an idle connection above the limit, if that is allowed."""
+        self.limit_met(HttpLimit.CONNECTIONS)
+        if not self.limits.evicts_idle:
+            return False
+        for connection in self._connections:
+            if connection.evict():
+                del self._connections[connection]
+                return True
+        return False
+
     async def _open(self, accepted: socket.socket) -> None:
         loop = asyncio.get_running_loop()
         try:
--- a/packages/papayapost-node/src/papayapost_node/http/server_connection.py
+++ b/packages/papayapost-node/src/papayapost_node/http/server_connection.py
@@ -170,6 +170,13 @@
         """Close the connection once the write buffer is sent."""
         self._socket.close()
 
+    def evict(self) -> bool:
+        """Close the connection if no request is being served on it."""
+        if not self._pipeline.is_idle:
+            return False
+        self.abort()
+        return True
+
     def abort(self) -> None:
         """Close the connection at once, discarding unsent data."""
         self._socket.abort()
@@ -177,7 +184,8 @@
     def shed(self) -> None:
         """Give up what the connection holds, as the process holds too much."""
         self._host.limit_met(HttpLimit.HELD)
-        is_single = self._pipeline.first is self._pipeline.last
+        first = self._pipeline.first
+        is_single = first is self._pipeline.last and first.framing.can_refuse
         if is_single and self._socket.is_writable and not self._socket.is_closing:
             self._writer.refuse(_SERVICE_UNAVAILABLE)
         else:
--- a/packages/papayapost-node/src/papayapost_node/rule_limits.py
+++ b/packages/papayapost-node/src/papayapost_node/rule_limits.py
@@ -1,6 +1,7 @@
 """Limits on callers' requests that the rules in force may set."""
 
 from dataclasses import replace
+from typing import Any
 
 from papayapost.distribution import RulesTable
 from papayapost.rules import CallerLimits
@@ -46,5 +47,7 @@
         "head_timeout_ms": rule.head_timeout_ms,
         "idle_timeout_ms": rule.idle_timeout_ms,
     }
-    given = {name: value for name, value in values.items() if value is not None}
+    given: dict[str, Any] = {
+        name: value for name, value in values.items() if value is not None
+    }
     return replace(limits, **given)
--- a/packages/papayapost-node/src/papayapost_node/server_limits.py
+++ b/packages/papayapost-node/src/papayapost_node/server_limits.py
@@ -35,4 +35,5 @@
         connections=settings.control_connections,
         body_bytes=body_bytes,
         pipelined=1,
+        evicts_idle=True,
     )
--- a/packages/papayapost-node/tests/test_http_limits.py
+++ b/packages/papayapost-node/tests/test_http_limits.py
@@ -8,6 +8,7 @@
 
 import pytest
 
+from papayapost_node.addresses import split_address
 from papayapost_node.http import (
     HeldBytes,
     HttpAnswer,
@@ -22,6 +23,7 @@
 from papayapost_node.http.exchange import RequestHandler
 from papayapost_node.http.held_bytes import Holder
 from papayapost_node.http.server_connection import ServerConnection
+from papayapost_testing.ports import free_addresses
 
 ADDRESS = "127.0.0.1:1"
 GET = b"GET /a HTTP/1.1\r\nhost: a\r\n\r\n"
@@ -398,3 +400,32 @@
         assert counts.counts["address", HttpLimit.HELD] == len(refused)
 
     run(scenario)
+
+
+@pytest.mark.parametrize("evicts_idle", [False, True])
+def test_an_address_of_the_node_itself_cannot_be_occupied(evicts_idle):
+    # Readiness checks must be answered while others hold connections open.
+    async def scenario():
+        (address,) = free_addresses(1)
+        limits = HttpLimits(connections=3, evicts_idle=evicts_idle)
+        server = WholeRequestServer(
+            address, lambda call: call.answer(HttpAnswer(200)), limits=limits
+        )
+        await server.start()
+        held = []
+        for _ in range(5):
+            held.append(await asyncio.open_connection(*split_address(address)))
+            held[-1][1].write(GET[:9])
+            await asyncio.sleep(0.02)
+        reader, writer = await asyncio.open_connection(*split_address(address))
+        writer.write(GET)
+        try:
+            answered = await reader.readexactly(12)
+        except (asyncio.IncompleteReadError, ConnectionResetError):
+            answered = b""
+        assert (answered == b"HTTP/1.1 200") is evicts_idle
+        for _, other in [*held, (reader, writer)]:
+            other.close()
+        await server.close()
+
+    run(scenario)
