Give a body that waits for its turn no time-out

A connection whose received bytes wait is not read, so that its body makes no progress; under a long queue it would have got 408 or been closed for the node's own delay. The test fails without the change.

--- a/packages/papayapost-node/src/papayapost_node/http/server_connection.py
+++ b/packages/papayapost-node/src/papayapost_node/http/server_connection.py
@@ -217,7 +217,9 @@
         elif exchange is None or self._pipeline.last.exchange is None:
             self._expire_idle()
         elif not exchange.is_writable or self._waits_for_body():
-            if self._timer.is_progress_sufficient():
+            # While received bytes wait for their turn, the node is slow.
+            is_behind = exchange.is_writable and self._reader.is_behind
+            if is_behind or self._timer.is_progress_sufficient():
                 self._timer.expect_body()
             elif exchange.is_writable:
                 self._writer.refuse(_REQUEST_TIMEOUT)
--- a/packages/papayapost-node/tests/test_http_limits.py
+++ b/packages/papayapost-node/tests/test_http_limits.py
@@ -354,6 +354,22 @@
     run(scenario)
 
 
+def test_a_body_that_waits_for_its_turn_is_not_too_slow():
+    async def scenario():
+        handler = CountingHandler()
+        turns = Turns(units_per_pass=1)
+        shared = SharedLimits(None, turns)
+        limits = HttpLimits(pace_timeout_ms=10)
+        server = StreamingServer(ADDRESS, handler, limits, shared=shared)
+        connection, transport = connect(server)
+        send(connection, transport, CHUNKED + ONE_BYTE_CHUNK * 5_000 + b"0\r\n\r\n")
+        while not handler.ended:
+            assert not transport.is_ended
+            await asyncio.sleep(0.002)
+
+    run(scenario)
+
+
 class RecordingHolder(Holder):
     def __init__(self, name, shed):
         self.name = name
