--- a/packages/papayapost-node/src/papayapost_node/http/server.py
+++ b/packages/papayapost-node/src/papayapost_node/http/server.py
@@ -7,8 +7,14 @@
 from papayapost.ids import Address
 from papayapost_node.addresses import split_address
 from papayapost_node.batch import InputBatching, NoBatching
+from papayapost_node.http.connection_host import (
+    ConnectionHost,
+    HostedConnection,
+    SharedLimits,
+)
 from papayapost_node.http.exchange import RequestHandler
-from papayapost_node.http.limits import HttpLimits
+from papayapost_node.http.limit_counts import HttpLimit
+from papayapost_node.http.limits import FixedLimits, HttpLimits, LimitsSource
 from papayapost_node.http.server_connection import ServerConnection
 
 __all__ = ["StreamingServer"]
@@ -23,7 +29,7 @@
 _READ_BUFFER_BYTES = 64 << 10
 
 
-class StreamingServer:
+class StreamingServer(ConnectionHost):
     """Accepts connections and passes requests to a handler piece by piece.
 
     Parameters
@@ -33,42 +39,48 @@
         handles them.
     setting
         Name of the setting that holds the address, for error messages.
-
-    Attributes
-    ----------
-    is_draining
-        Whether the server is draining: each connection is closed after its
-        current answer.
-    read_buffer
-        Buffer that the event loop reads into, shared by all connections.
-    refused_connections
-        Number of connections that were closed at once because of the limit.
+    shared
+        Bounds that all servers of the process share.
     """
 
     def __init__(
         self,
         address: Address,
         handler: RequestHandler,
-        limits: HttpLimits | None = None,
+        limits: HttpLimits | LimitsSource | None = None,
         batch: InputBatching | None = None,
         setting: str = "address",
+        shared: SharedLimits | None = None,
     ):
         self._address = address
         self._setting = setting
         self.handler = handler
-        self.limits = limits or HttpLimits()
+        self._limits_source: LimitsSource = (
+            limits
+            if isinstance(limits, LimitsSource)
+            else FixedLimits(limits or HttpLimits())
+        )
         self.batch = batch or NoBatching()
+        self.shared = shared or SharedLimits()
         # One buffer is enough for all connections: the event loop reads them
         # one after the other, and each copies the data before the next read.
         self.read_buffer = memoryview(bytearray(_READ_BUFFER_BYTES))
         self.is_draining = False
-        self.refused_connections = 0
-        self._connections: set[ServerConnection] = set()
+        self._connections: dict[HostedConnection, None] = {}
         self._all_closed = asyncio.Event()
         self._listening: socket.socket | None = None
         self._accepting: set[asyncio.Task] = set()
         self._is_closing_idle = False
 
+    @property
+    def limits(self) -> HttpLimits:
+        """Limits of the connections that are opened now."""
+        return self._limits_source.current()
+
+    @limits.setter
+    def limits(self, limits: HttpLimits) -> None:
+        self._limits_source = FixedLimits(limits)
+
     async def start(self) -> None:
         """Listen at the address.
 
@@ -90,19 +102,20 @@
         self._listening = listening
         self._watch_listening()
 
-    def admit(self, connection: ServerConnection) -> bool:
-        """Add a new connection; return False if the limit is reached."""
-        if len(self._connections) >= self.limits.connections:
-            self.refused_connections += 1
-            return False
+    def admit(self, connection: HostedConnection) -> bool:
+        """Add a new connection; return False if idle ones are closed."""
         if self._is_closing_idle:
             return False
-        self._connections.add(connection)
+        self._connections[connection] = None
         return True
 
-    def remove(self, connection: ServerConnection) -> None:
+    def limit_met(self, limit: HttpLimit) -> None:
+        """Record that a caller met a limit."""
+        self.shared.counts.note(self._setting.removesuffix("_address"), limit)
+
+    def remove(self, connection: HostedConnection) -> None:
         """Remove a closed connection."""
-        self._connections.discard(connection)
+        self._connections.pop(connection, None)
         if not (self._connections or self._accepting):
             self._all_closed.set()
 
@@ -123,8 +136,9 @@
 
         The connections that callers have opened until now are accepted first.
         """
-        while self._listening is not None and self._accept_waiting():
-            pass
+        for _ in range(_BACKLOG // _MAX_ACCEPTS + 1):
+            if not self._accept_waiting():
+                break
         self._stop_listening()
 
     def drain(self) -> None:
@@ -175,12 +189,30 @@
                 loop.remove_reader(listening.fileno())
                 loop.call_later(_ACCEPT_RETRY_S, self._watch_listening)
                 return False
+            if self._is_full() and not self._make_room():
+                accepted.close()
+                continue
             accepted.setblocking(False)
             task = loop.create_task(self._open(accepted))
             self._accepting.add(task)
             task.add_done_callback(self._end_accepting)
         return True
 
+    def _is_full(self) -> bool:
+        open_connections = len(self._connections) + len(self._accepting)
+        return open_connections >= self.limits.connections
+
+    def _make_room(self) -> bool:
+        """Close an idle connection above the limit, if that is allowed."""
+        self.limit_met(HttpLimit.CONNECTIONS)
+        if not self.limits.evicts_idle:
+            return False
+        for connection in self._connections:
+            if connection.evict():
+                del self._connections[connection]
+                return True
+        return False
+
     async def _open(self, accepted: socket.socket) -> None:
         loop = asyncio.get_running_loop()
         try:
