Find the pace of a starting backend server from its answers

The fixed ramp of 5 s neither knows whether a server is cold nor holds it back when its siblings are full. With slow_start adaptive, the owner node limits the slots of a new process and doubles the limit while its answers take about as long as its own earlier ones or its siblings'. The ramp stays the default.

The load simulation knows servers that restart or hang, waves and links.

--- a/packages/papayapost-node/src/papayapost_node/settings/__init__.py
+++ b/packages/papayapost-node/src/papayapost_node/settings/__init__.py
@@ -14,6 +14,7 @@
     SecurityMode,
     SecuritySettings,
     Settings,
+    SlowStart,
 )
 
 __all__ = [
@@ -26,6 +27,7 @@
     "SecurityMode",
     "SecuritySettings",
     "Settings",
+    "SlowStart",
     "load_keys",
     "load_settings",
 ]
--- a/packages/papayapost-node/src/papayapost_node/settings/model.py
+++ b/packages/papayapost-node/src/papayapost_node/settings/model.py
@@ -17,6 +17,7 @@
     "SecurityMode",
     "SecuritySettings",
     "Settings",
+    "SlowStart",
 ]
 
 
@@ -137,6 +138,17 @@
     TARGETS = "targets"
 
 
+class SlowStart(StrEnum):
+    """Pace of a backend server that has just started or recovered.
+
+    With ``ramp``, entry nodes raise its share over 5 s. With ``adaptive``, its
+    owner node finds the pace from how it answers.
+    """
+
+    RAMP = "ramp"
+    ADAPTIVE = "adaptive"
+
+
 class SecurityMode(Enum):
     """Method by which nodes authenticate each other."""
 
@@ -236,6 +248,9 @@
         every node, also by one without contact to the store or other nodes.
         With null, such a node goes on serving the keys that it knows. It needs
         the discovery method ``roster``.
+    slow_start
+        Pace of a backend server that has just started or recovered; it needs a
+        backend server that sends reports.
     """
 
     node_id: NameText
@@ -265,6 +280,7 @@
     hold_ms: Annotated[int, Meta(ge=0, le=60_000)] = 2_000
     retry_budget: RetryBudgetSettings | None = None
     revocation_ms: Annotated[int, Meta(ge=1_000, le=3_600_000)] | None = None
+    slow_start: SlowStart = SlowStart.RAMP
 
     def differing_keys(self, other: "Settings") -> list[str]:
         """Return the names of the keys that have another value in `other`."""
--- a/packages/papayapost-node/src/papayapost_node/world.py
+++ b/packages/papayapost-node/src/papayapost_node/world.py
@@ -19,7 +19,7 @@
 from papayapost.traffic import SharedBudget, TrafficOptions
 from papayapost.traffic.owner.queues import QueueDiscipline
 from papayapost_node.clock import Clock
-from papayapost_node.settings import Discovery, QueueOrder, Settings
+from papayapost_node.settings import Discovery, QueueOrder, Settings, SlowStart
 
 __all__ = ["build_world", "self_row"]
 
@@ -90,6 +90,7 @@
         settings.drain_announce_ms * 1000,
         settings.queue is QueueOrder.TARGETS,
         settings.report_address is not None,
+        settings.slow_start is SlowStart.ADAPTIVE,
     )
 
 
--- a/packages/papayapost-node/tests/test_settings.py
+++ b/packages/papayapost-node/tests/test_settings.py
@@ -83,6 +83,7 @@
         ({"seeds": "127.0.0.1:1"}, "S005 seeds"),
         ({"seeds": [7]}, "S005 seeds.0"),
         ({"link_mbps": -0.5}, "S006 link_mbps"),
+        ({"slow_start": "fast"}, "S007 slow_start"),
         ({"security": {"mode": 1}}, "S005 security.mode"),
         ({"stop_limit_s": -1}, "S006 stop_limit_s"),
         ({"caller_address": "localhost:80"}, "S007 caller_address"),
--- a/packages/papayapost-testing/src/papayapost_testing/load_patterns/mesh.py
+++ b/packages/papayapost-testing/src/papayapost_testing/load_patterns/mesh.py
@@ -1,7 +1,7 @@
 """The servers and nodes of a load pattern's mesh."""
 
 import math
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from random import Random
 
 from papayapost.ids import NodeId, ServiceName
@@ -16,7 +16,6 @@
 
 __all__ = ["ServerRow", "nodes_of", "servers_of"]
 
-_SPEEDS = (0.8, 0.8, 1.4)
 _RETRY_BUDGET_RATIO = 0.2
 _BUDGET_WINDOW_US = 10_000_000
 
@@ -28,6 +27,7 @@
     service: ServiceName
     place: Place
     speed: float
+    link_mbps: float = 0.0
     troubles: list[TroubleRow] = field(default_factory=list)
 
 
@@ -38,8 +38,9 @@
         for place, count in service.servers.items():
             for number in range(count):
                 node_id = NodeId(f"{place.data_centre}-{service.name}-{number}")
-                speed = _SPEEDS[len(servers) % len(_SPEEDS)]
-                servers[node_id] = ServerRow(service.name, place, speed)
+                speed = service.speeds[len(servers) % len(service.speeds)]
+                link_mbps = service.links_mbps[len(servers) % len(service.links_mbps)]
+                servers[node_id] = ServerRow(service.name, place, speed, link_mbps)
     for trouble in pattern.troubles:
         candidates = [
             server
@@ -59,7 +60,10 @@
     """Return the traffic part of each node, which knows all others."""
     slots = {service.name: service.slots for service in pattern.services}
     rows = [
-        backend_row(node_id, server.service, server.place, slots[server.service])
+        replace(
+            backend_row(node_id, server.service, server.place, slots[server.service]),
+            link_mbps=server.link_mbps,
+        )
         for node_id, server in servers.items()
     ]
     options = TrafficOptions(
@@ -68,6 +72,7 @@
         ),
         has_targets=True,
         has_exact_slots=True,
+        has_adaptive_start=pattern.has_adaptive_start,
     )
     rules = "".join(map(_rule_of, pattern.kinds))
     return {
@@ -84,5 +89,6 @@
     return (
         f"route {method} /{kind.name}/* -> {kind.service} rank={kind.rank.name.lower()}"
         f" idempotent={idempotent} retries=2 timeout_ms={kind.timeout_ms}"
-        f" target_ms={kind.target_ms} link=yes # Ana: load pattern\n"
+        f" target_ms={kind.target_ms} link={'last' if kind.is_link_last else 'yes'}"
+        " # Ana: load pattern\n"
     )
--- a/packages/papayapost-testing/src/papayapost_testing/load_patterns/rows.py
+++ b/packages/papayapost-testing/src/papayapost_testing/load_patterns/rows.py
@@ -1,5 +1,6 @@
 """Rows that describe a load: kinds of calls, servers, bursts and troubles."""
 
+import math
 from dataclasses import dataclass
 from enum import Enum
 
@@ -15,19 +16,27 @@
     "ServiceRow",
     "Trouble",
     "TroubleRow",
+    "WaveRow",
 ]
 
+DEFAULT_SPEEDS = (0.8, 0.8, 1.4)
+SMALL_ANSWER_BYTES = 1_000
+
 
 class Trouble(Enum):
     """What is wrong with a backend server.
 
     A slow one takes longer for each call. One that sheds refuses calls as not
-    run; one that fails answers them with status 500.
+    run; one that fails answers them with status 500. One that hangs neither
+    answers nor reports. One that restarts leaves at the begin of its trouble,
+    and a new process of it starts at its end, which may be cold at first.
     """
 
     SLOW = "slow"
     SHEDDING = "shedding"
     FAILING = "failing"
+    HANGING = "hanging"
+    RESTARTING = "restarting"
 
 
 @dataclass(frozen=True, slots=True)
@@ -59,6 +68,9 @@
         Mean time for which a backend server works on a call; it varies.
     patience_ms
         Time for which a caller waits, over all of its attempts.
+    answer_bytes
+        Length of an answer. Large answers to other nodes share the link of the
+        server's VM.
     """
 
     name: str
@@ -71,15 +83,26 @@
     patience_ms: int
     is_idempotent: bool = True
     inner: InnerCalls | None = None
+    answer_bytes: int = SMALL_ANSWER_BYTES
+    is_link_last: bool = False
 
 
 @dataclass(frozen=True, slots=True)
 class ServiceRow:
-    """A service, with the number of its backend servers in each place."""
+    """A service, with the number of its backend servers in each place.
+
+    Parameters
+    ----------
+    speeds, links_mbps
+        Factors of the working time and rates of the links that its servers
+        have in turn. A link of rate 0 is never full.
+    """
 
     name: ServiceName
     slots: int
     servers: dict[Place, int]
+    speeds: tuple[float, ...] = DEFAULT_SPEEDS
+    links_mbps: tuple[float, ...] = (0.0,)
 
 
 @dataclass(frozen=True, slots=True)
@@ -91,6 +114,21 @@
     factor: float
 
 
+@dataclass(frozen=True, slots=True)
+class WaveRow:
+    """A load of callers in one place that rises and falls by a share."""
+
+    place: Place
+    share: float
+    period_s: float
+    phase_s: float
+
+    def factor_at(self, at_s: float) -> float:
+        """Return by how much the calls are multiplied at a time."""
+        angle = 2 * math.pi * (at_s + self.phase_s) / self.period_s
+        return 1 + self.share * math.sin(angle)
+
+
 @dataclass(frozen=True, slots=True)
 class TroubleRow:
     """A time in which some backend servers of a service are in trouble.
@@ -100,8 +138,10 @@
     share
         Share of the service's backend servers, in the given place if any.
     strength
-        Factor of the time for a slow server, else the share of the calls that
-        the server refuses or fails.
+        Factor of the time for a slow server, or for a new process while it is
+        cold; else the share of the calls that the server refuses or fails.
+    cold_s
+        Time for which the new process of a server that restarts is cold.
     """
 
     from_s: float
@@ -111,6 +151,7 @@
     share: float
     strength: float
     place: Place | None = None
+    cold_s: float = 0.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -130,9 +171,15 @@
     kinds: tuple[KindRow, ...]
     seconds: float
     bursts: tuple[BurstRow, ...] = ()
+    waves: tuple[WaveRow, ...] = ()
     troubles: tuple[TroubleRow, ...] = ()
     impatient_share: float = 0.0
     retry_slack: float = 172.0
+    has_adaptive_start: bool = False
+
+    def slots_of(self, service: ServiceName) -> int:
+        """Return the slots of each backend server of a service."""
+        return next(row.slots for row in self.services if row.name == service)
 
     def factor_at(self, at_s: float) -> float:
         """Return by how much a burst multiplies the calls at a time."""
--- a/packages/papayapost-testing/src/papayapost_testing/load_patterns/simulation.py
+++ b/packages/papayapost-testing/src/papayapost_testing/load_patterns/simulation.py
@@ -3,17 +3,21 @@
 import heapq
 import itertools
 import math
+from collections import defaultdict
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from functools import partial
 from random import Random
 
-from papayapost.ids import AttemptId, CallId, Micros, NodeId
+from papayapost.ids import AttemptId, CallId, Micros, NodeId, ServiceName
+from papayapost.membership import BackendServerRow, Directory, DirectoryChanged
 from papayapost.peering import PeerSend
 from papayapost.states import LinkClass, Outcome
 from papayapost.traffic import (
     AnswerBegun,
+    AnswerBlocked,
     AnswerEnded,
+    AnswerUnblocked,
     AttemptOffer,
     BackendCallBegun,
     BackendCallCancel,
@@ -26,7 +30,9 @@
     OfferSend,
 )
 from papayapost_testing.load_patterns.figures import CallEnd, KindFigures
-from papayapost_testing.load_patterns.mesh import nodes_of, servers_of
+from papayapost_testing.load_patterns.links import SimulatedLink
+from papayapost_testing.load_patterns.mesh import ServerRow, nodes_of, servers_of
+from papayapost_testing.load_patterns.reports import ServerReports
 from papayapost_testing.load_patterns.rows import (
     KindRow,
     LoadPattern,
@@ -34,7 +40,7 @@
     TroubleRow,
 )
 
-__all__ = ["LoadSimulation"]
+__all__ = ["LoadSimulation", "RunRow"]
 
 _HOP_US = 500
 _HOP_BETWEEN_REGIONS_US = 30_000
@@ -45,6 +51,15 @@
 _MAX_WAIT_SHARE = 1 / 3
 """Longest time to return that callers accept, as a share of the time left."""
 
+_DEADLINE_MARGIN_US = 90_000
+"""Time after the patience of a caller in which an answer that has begun may
+end: the time limit counts for its begin."""
+
+_DIRECTORY_DELAY_US = 300_000
+"""Time until other nodes know of a change of a directory row."""
+
+_NEVER_US = 3_600_000_000
+_REPORTED_TROUBLES = (Trouble.HANGING, Trouble.RESTARTING)
 _CALLER_ATTEMPTS = 2
 _IMPATIENT_ATTEMPTS = 4
 
@@ -70,15 +85,24 @@
     attempt_us: int = 0
     started_us: int | None = None
     is_open: bool = True
+    end: CallEnd | None = None
 
 
 @dataclass(slots=True)
-class _Run:
-    """A request that a backend server works on."""
+class RunRow:
+    """A request that a backend server works on, or has worked on.
+
+    Attributes
+    ----------
+    ended_us
+        Time at which it left its slot, None before.
+    """
 
     attempt_id: AttemptId
     node_id: NodeId
     request: _Request
+    started_us: int
+    ended_us: int | None = None
     pending: int = 1
     status: int = 200
     is_cancelled: bool = False
@@ -95,6 +119,11 @@
     ----------
     figures
         What became of the calls, by kind.
+    servers, runs
+        The backend servers, and all requests that they have worked on.
+    idle_shares
+        Share of the slots of a kind's service that were free when a call of
+        the kind was refused in the end.
     """
 
     def __init__(self, pattern: LoadPattern, seed: int = 5):
@@ -105,13 +134,25 @@
         self._sequence = itertools.count()
         self._call_ids = itertools.count(1)
         self._kinds = {kind.name: kind for kind in pattern.kinds}
-        self._servers = servers_of(pattern, self._random)
+        self.servers = self._servers = servers_of(pattern, self._random)
         self._nodes = nodes_of(pattern, self._servers)
+        self._links = {
+            node_id: SimulatedLink(server.link_mbps)
+            for node_id, server in self._servers.items()
+        }
+        self._reports = [
+            ServerReports(node_id, server, pattern.slots_of(server.service))
+            for node_id, server in self._servers.items()
+            if any(row.trouble in _REPORTED_TROUBLES for row in server.troubles)
+        ]
+        self._revisions: dict[NodeId, int] = {}
+        self.runs: list[RunRow] = []
+        self.idle_shares: dict[str, list[float]] = defaultdict(list)
         self._wakes: dict[NodeId, int] = {}
         self._calls: dict[tuple[NodeId, CallId], _Request] = {}
         self._offers: dict[AttemptId, tuple[_Request, AttemptOffer]] = {}
-        self._runs: dict[AttemptId, _Run] = {}
-        self._answers: dict[AttemptId, int] = {}
+        self._runs: dict[AttemptId, RunRow] = {}
+        self._answers: dict[AttemptId, tuple[int, int]] = {}
         self.figures = {kind.name: KindFigures() for kind in pattern.kinds}
 
     def run(self) -> dict[str, KindFigures]:
@@ -119,6 +160,8 @@
         for kind in self._pattern.kinds:
             if kind.per_s:
                 self._call_later(0, partial(self._send_next, kind))
+        for reports in self._reports:
+            self._call_later(0, partial(self._report, reports))
         while self._events:
             at_us, _, action = heapq.heappop(self._events)
             self._now_us = max(self._now_us, at_us)
@@ -134,12 +177,14 @@
         if at_s >= self._pattern.seconds:
             return
         rate_per_s = kind.per_s * self._pattern.factor_at(at_s)
+        if self._pattern.waves:
+            rate_per_s *= sum(self._place_weights(at_s)) / len(self._nodes)
         delay_us = self._random.expovariate(rate_per_s) * 1e6
         self._call_later(delay_us, lambda: self._send_next(kind))
         is_impatient = self._random.random() < self._pattern.impatient_share
         request = _Request(
             kind,
-            self._random.choice(list(self._nodes)),
+            self._draw_entry_node(at_s),
             self._now_us,
             self._now_us + kind.patience_ms * 1000,
             _IMPATIENT_ATTEMPTS if is_impatient else _CALLER_ATTEMPTS,
@@ -147,6 +192,28 @@
         )
         self._attempt(request)
 
+    def _place_weights(self, at_s: float) -> list[float]:
+        """Return for each node how many calls its callers send now."""
+        factors = {wave.place: wave.factor_at(at_s) for wave in self._pattern.waves}
+        return [factors.get(server.place, 1.0) for server in self._servers.values()]
+
+    def _draw_entry_node(self, at_s: float) -> NodeId:
+        nodes = list(self._nodes)
+        if not self._pattern.waves:
+            return self._random.choice(nodes)
+        return self._random.choices(nodes, self._place_weights(at_s))[0]
+
+    def _report(self, reports: ServerReports) -> None:
+        """Send the reports of a server that are due, and plan the next."""
+        at_s = self._now_us / 1e6
+        report = reports.report_at(at_s)
+        if report is not None:
+            self._tick(reports.node_id, report)
+        next_s = reports.next_after(at_s)
+        if next_s <= self._pattern.seconds:
+            delay_us = max(1, int((next_s - at_s) * 1e6))
+            self._call_later(delay_us, partial(self._report, reports))
+
     def _attempt(self, request: _Request) -> None:
         kind = request.kind
         budget_us = request.deadline_us - self._now_us
@@ -168,12 +235,35 @@
         world = self._nodes[node_id].world
         for effect in world.tick(Micros(self._now_us), messages):
             self._apply(node_id, effect)
+        if self._reports:
+            self._spread_own_row(node_id)
         due_us = world.next_due_us()
         if due_us is not None and due_us != self._wakes.get(node_id):
             self._wakes[node_id] = due_us
             delay_us = max(0, due_us - self._now_us)
             self._call_later(delay_us, lambda: self._wake(node_id, due_us))
 
+    def _spread_own_row(self, node_id: NodeId) -> None:
+        """Tell all other nodes of a change of this node's directory row."""
+        row = self._nodes[node_id].directory.require(node_id)
+        known = self._revisions.setdefault(node_id, 1)
+        if row.revision == known:
+            return
+        self._revisions[node_id] = row.revision
+        for other_id, node in self._nodes.items():
+            if other_id != node_id:
+                changed = replace(row)
+                receive = partial(self._receive_row, other_id, node.directory, changed)
+                self._call_later(_DIRECTORY_DELAY_US, receive)
+
+    def _receive_row(
+        self, node_id: NodeId, directory: Directory, row: BackendServerRow
+    ) -> None:
+        known = directory.require(row.node_id)
+        if known.revision < row.revision:
+            directory.put(row.node_id, row)
+            self._tick(node_id, DirectoryChanged((row,)))
+
     def _wake(self, node_id: NodeId, due_us: int) -> None:
         if self._wakes.get(node_id) == due_us:
             del self._wakes[node_id]
@@ -192,7 +282,14 @@
             self._cancel(effect.attempt_id)
         elif isinstance(effect, ForwardAnswer):
             request = self._calls.pop((node_id, effect.call_id))
-            self._handle_answer(request, self._answers[effect.attempt_id])
+            status, arrives_us = self._answers[effect.attempt_id]
+            delay_us = max(0, arrives_us - self._now_us)
+            if delay_us:
+                self._call_later(
+                    delay_us, partial(self._handle_answer, request, status)
+                )
+            else:
+                self._handle_answer(request, status)
         elif isinstance(effect, CallRefusal):
             self._handle_refusal(self._calls.pop((node_id, effect.call_id)), effect)
         elif isinstance(effect, CutAnswer):
@@ -222,10 +319,15 @@
         request, _ = self._offers[attempt_id]
         server = self._servers[node_id]
         work_us = _drawn_work_us(request.kind, server.speed, self._random)
-        run = _Run(attempt_id, node_id, request)
+        run = RunRow(attempt_id, node_id, request, self._now_us)
+        work_us *= _cold_factor(server, self._now_us)
         for trouble in _active(server.troubles, self._now_us):
+            if trouble.trouble is Trouble.RESTARTING:
+                continue
             if trouble.trouble is Trouble.SLOW:
                 work_us *= trouble.strength
+            elif trouble.trouble is Trouble.HANGING:
+                work_us = _NEVER_US
             elif self._random.random() >= trouble.strength:
                 continue
             elif trouble.trouble is Trouble.SHEDDING:
@@ -236,6 +338,7 @@
         if request.started_us is None:
             request.started_us = self._now_us
         self._runs[attempt_id] = run
+        self.runs.append(run)
         inner = request.kind.inner
         if inner is not None and self._random.random() < inner.share:
             kind = self._kinds[inner.kind]
@@ -250,7 +353,7 @@
         ended = BackendCallEnded(attempt_id, True, False, True)
         self._call_later(_HOP_US, lambda: self._tick(node_id, ended))
 
-    def _call_inner(self, run: _Run, kind: KindRow) -> None:
+    def _call_inner(self, run: RunRow, kind: KindRow) -> None:
         patience_us = self._now_us + kind.patience_ms * 1000
         deadline_us = min(run.request.deadline_us, patience_us)
         inner = _Request(
@@ -264,7 +367,7 @@
         )
         self._call_later(0, lambda: self._attempt(inner))
 
-    def _end_step(self, run: _Run, is_good: bool) -> None:
+    def _end_step(self, run: RunRow, is_good: bool) -> None:
         run.pending -= 1
         if not is_good:
             run.status = 500
@@ -272,22 +375,49 @@
             return
         attempt_id, node_id = run.attempt_id, run.node_id
         del self._runs[attempt_id]
+        run.ended_us = self._now_us
         _, offer = self._offers[attempt_id]
-        self._answers[attempt_id] = run.status
+        size_bytes = run.request.kind.answer_bytes
+        sent_us = self._now_us
+        if offer.sender != node_id:
+            sent_us = self._links[node_id].send(size_bytes, self._now_us)
+        hop_us = self._hop_us(node_id, offer.sender)
+        self._answers[attempt_id] = (run.status, sent_us + hop_us)
+        ended = self._backend_call_ended(attempt_id, size_bytes)
+        blocked: tuple[object, ...] = ()
+        if sent_us > self._now_us:
+            blocked = (AnswerBlocked(attempt_id),)
         begun = BackendCallBegun(attempt_id, run.status)
-        self._tick(node_id, begun, BackendCallEnded(attempt_id, True, True))
+        self._tick(node_id, begun, ended, *blocked)
+        self._send_answer(run, offer, sent_us, hop_us)
+
+    def _backend_call_ended(
+        self, attempt_id: AttemptId, size_bytes: int
+    ) -> BackendCallEnded:
+        return BackendCallEnded(attempt_id, True, True)
+
+    def _send_answer(
+        self, run: RunRow, offer: AttemptOffer, sent_us: int, hop_us: int
+    ) -> None:
+        node_id, attempt_id = run.node_id, run.attempt_id
         free_slots = self._nodes[node_id].traffic.owner.free_slots
-        answer = (
-            AnswerBegun(node_id, attempt_id, run.status, free_slots),
-            AnswerEnded(node_id, attempt_id, True),
-        )
-        hop_us = self._hop_us(node_id, offer.sender)
-        self._call_later(hop_us, lambda: self._tick(offer.sender, *answer))
+        head = AnswerBegun(node_id, attempt_id, run.status, free_slots)
+        size_bytes = run.request.kind.answer_bytes
+        tail = AnswerEnded(node_id, attempt_id, True, size_bytes)
+        if sent_us == self._now_us:
+            self._call_later(hop_us, lambda: self._tick(offer.sender, head, tail))
+            return
+        delay_us = sent_us - self._now_us
+        unblocked = AnswerUnblocked(attempt_id)
+        self._call_later(delay_us, lambda: self._tick(node_id, unblocked))
+        self._call_later(hop_us, lambda: self._tick(offer.sender, head))
+        self._call_later(delay_us + hop_us, lambda: self._tick(offer.sender, tail))
 
     def _cancel(self, attempt_id: AttemptId) -> None:
         run = self._runs.pop(attempt_id, None)
         if run is not None:
             run.is_cancelled = True
+            run.ended_us = self._now_us
             ended = BackendCallEnded(attempt_id, True, False)
             self._call_later(0, lambda: self._tick(run.node_id, ended))
 
@@ -300,7 +430,9 @@
         if status == 200:
             taken_us = self._now_us - request.begun_us
             is_timely = taken_us <= kind.target_ms * 1000
-            self._end(request, CallEnd.TIMELY if is_timely else CallEnd.LATE)
+            end = CallEnd.TIMELY if is_timely else CallEnd.LATE
+            is_in_vain = self._now_us > request.deadline_us + _DEADLINE_MARGIN_US
+            self._end(request, CallEnd.FAILED if is_in_vain else end)
         elif request.attempts_left and kind.is_idempotent:
             self._call_later(_CALLER_PAUSE_US, lambda: self._attempt(request))
         else:
@@ -323,12 +455,26 @@
             self._call_later(pause_us, lambda: self._attempt(request))
             return
         figures.refused_in_the_end_ms.append(refused_ms)
+        self.idle_shares[request.kind.name].append(
+            self._idle_share(request.kind.service)
+        )
         self._end(request, CallEnd.REFUSED)
 
+    def _idle_share(self, service: ServiceName) -> float:
+        """Return the share of a service's slots that are free now."""
+        owners = [
+            node.traffic.owner
+            for node_id, node in self._nodes.items()
+            if self._servers[node_id].service == service
+        ]
+        slots = sum(owner.slots for owner in owners)
+        running = sum(min(owner.slots, owner.running) for owner in owners)
+        return (slots - running) / max(1, slots)
+
     def _end(self, request: _Request, end: CallEnd) -> None:
         if not request.is_open:
             return
-        request.is_open = False
+        request.is_open, request.end = False, end
         self.figures[request.kind.name].ends[end] += 1
         if request.on_end is not None:
             request.on_end(end in (CallEnd.TIMELY, CallEnd.LATE))
@@ -339,6 +485,15 @@
     return [row for row in troubles if row.from_s <= now_s < row.to_s]
 
 
+def _cold_factor(server: ServerRow, now_us: int) -> float:
+    """Return by how much a server that has restarted is slower now."""
+    factor, now_s = 1.0, now_us / 1e6
+    for row in server.troubles:
+        if row.trouble is Trouble.RESTARTING and 0 <= now_s - row.to_s < row.cold_s:
+            factor *= row.strength
+    return factor
+
+
 def _drawn_work_us(kind: KindRow, speed: float, random: Random) -> float:
     mean = -_WORK_SPREAD * _WORK_SPREAD / 2
     factor = math.exp(random.gauss(mean, _WORK_SPREAD))
--- a/packages/papayapost/src/papayapost/traffic/entry/balancing.py
+++ b/packages/papayapost/src/papayapost/traffic/entry/balancing.py
@@ -6,6 +6,7 @@
 
 from papayapost.ids import Micros, NodeId
 from papayapost.states import LinkClass
+from papayapost.traffic.entry.newcomers import FixedRamp, NewcomerPolicy
 from papayapost.traffic.entry.upstreams import ServiceRow, UpstreamRow
 from papayapost.traffic.owner.tables import OwnerTables
 
@@ -21,9 +22,6 @@
 _ACROSS_ROUND_TRIP_US = 60_000
 """Time of a message between regions and its answer."""
 
-_RAMP_US = 5_000_000
-_RAMP_MIN_SHARE = 0.1
-
 
 class BalancingPolicy(ABC):
     """Chooses an upstream for an attempt among those of a service."""
@@ -77,10 +75,18 @@
     penalises_failures
         Whether a backend server gets fewer attempts when some of its attempts
         fail or are refused, even if it fails too rarely to be ejected.
+    newcomers
+        How upstreams are used that have just started; a ramp if None.
     """
 
-    def __init__(self, owner: OwnerTables, penalises_failures: bool = False):
+    def __init__(
+        self,
+        owner: OwnerTables,
+        penalises_failures: bool = False,
+        newcomers: NewcomerPolicy | None = None,
+    ):
         self._owner = owner
+        self._newcomers = newcomers or FixedRamp()
         self._failure_cost = _FAILURE_COST if penalises_failures else 0.0
         self._max_failure_rate = _MAX_FAILURE_RATE if penalises_failures else 1.0
 
@@ -133,11 +139,11 @@
             is_second_better = self._score(service, second, now_us) < self._score(
                 service, first, now_us
             )
-            # Little is known yet of an upstream in its ramp, so that its share
-            # alone decides whether its draw counts.
+            # Little is known yet of an upstream that has just started, so that
+            # the policy alone decides whether its draw counts.
             if first.ramp_start_us is not None:
-                is_second_better = _is_passed_over(first, now_us, random)
-            elif _is_passed_over(second, now_us, random):
+                is_second_better = self._newcomers.is_passed_over(first, now_us, random)
+            elif self._newcomers.is_passed_over(second, now_us, random):
                 is_second_better = False
             if is_second_better:
                 first = second
@@ -157,6 +163,8 @@
             return True
         if row.failure_rate_at(now_us) > self._max_failure_rate:
             return True
+        if row.ramp_start_us is not None and self._newcomers.is_full(row):
+            return True
         if row.distance is LinkClass.SELF:
             return self._owner.free_slots <= 0
         return len(row.attempts) >= row.slots
@@ -184,13 +192,6 @@
     return score + _expected_wait_us(row, now_us)
 
 
-def _is_passed_over(row: UpstreamRow, now_us: Micros, random: Random) -> bool:
-    """Return whether a draw of an upstream in its ramp does not count."""
-    if row.ramp_start_us is None:
-        return False
-    return random.random() >= _ramp_share(row, now_us)
-
-
 def _expected_wait_us(row: UpstreamRow, now_us: Micros) -> int:
     """Return the reported wait, less the time since the report."""
     return max(0, row.expected_wait_us - (now_us - row.reported_us))
@@ -200,11 +201,3 @@
     return any(
         0 < _expected_wait_us(row, now_us) <= _ACROSS_ROUND_TRIP_US for row in rows
     )
-
-
-def _ramp_share(row: UpstreamRow, now_us: Micros) -> float:
-    age_us = now_us - (row.ramp_start_us or 0)
-    if age_us >= _RAMP_US:
-        row.ramp_start_us = None
-        return 1.0
-    return max(_RAMP_MIN_SHARE, age_us / _RAMP_US)
--- a/packages/papayapost/src/papayapost/traffic/entry/call_endings.py
+++ b/packages/papayapost/src/papayapost/traffic/entry/call_endings.py
@@ -6,6 +6,7 @@
 from papayapost.states import LinkClass
 from papayapost.traffic.entry.answer_times import AnswerTimes
 from papayapost.traffic.entry.link_budget import HEAD_BYTES, LinkBudget
+from papayapost.traffic.entry.newcomers import FixedRamp, NewcomerPolicy
 from papayapost.traffic.entry.offers import (
     Offers,
     close_call,
@@ -52,7 +53,9 @@
         ejector: OutlierEjector,
         link: LinkBudget,
         answer_times: AnswerTimes,
+        newcomers: NewcomerPolicy | None = None,
     ):
+        self._newcomers = newcomers or FixedRamp()
         self._tables = tables
         self._upstreams = upstreams
         self._offers = offers
@@ -117,6 +120,7 @@
         latency_us = tick.now_us - attempt.offered_us
         upstream.sample_latency(latency_us, tick.now_us)
         service.sample_latency(latency_us)
+        self._newcomers.sample(call, upstream, latency_us, tick.now_us)
         self._ejector.succeeded(tick, upstream)
         self._retries.succeeded(call)
 
--- a/packages/papayapost/src/papayapost/traffic/entry/offers.py
+++ b/packages/papayapost/src/papayapost/traffic/entry/offers.py
@@ -9,6 +9,7 @@
 from papayapost.traffic.claims.tables import digest_of_key, partition_of
 from papayapost.traffic.entry.balancing import BalancingPolicy
 from papayapost.traffic.entry.link_budget import HEAD_BYTES, LinkBudget
+from papayapost.traffic.entry.newcomers import FixedRamp, NewcomerPolicy
 from papayapost.traffic.entry.retries import RetryPolicy
 from papayapost.traffic.entry.tables import (
     AttemptRow,
@@ -81,6 +82,8 @@
     retries
         Decides when a call that waits for its answer hedges or gives up its
         attempt.
+    newcomers
+        How upstreams are used that have just started; a ramp if None.
     """
 
     def __init__(
@@ -91,7 +94,9 @@
         policy: BalancingPolicy,
         link: LinkBudget,
         retries: RetryPolicy,
+        newcomers: NewcomerPolicy | None = None,
     ):
+        self._newcomers = newcomers or FixedRamp()
         self._me = me
         self._tables = tables
         self._upstreams = upstreams
@@ -241,6 +246,7 @@
             call.despite_failures,
             None if route.target_ms is None else Micros(route.target_ms * 1000),
             call.account,
+            self._newcomers.sibling_us(call, upstream, tick.now_us),
         )
 
     def _target_remaining_us(
--- a/packages/papayapost/src/papayapost/traffic/messages.py
+++ b/packages/papayapost/src/papayapost/traffic/messages.py
@@ -252,6 +252,10 @@
         servers of other owner nodes fail too.
     account
         Client account that the call belongs to, or None.
+    sibling_us
+        Time in µs that other backend servers took for such work, as the entry
+        node has seen it; None if the backend server of this owner node is not
+        starting.
     """
 
     sender: NodeId
@@ -273,6 +277,7 @@
     despite_failures: bool = False
     rule_target_us: Micros | None = None
     account: AccountName | None = None
+    sibling_us: Micros | None = None
 
 
 @define
--- a/packages/papayapost/src/papayapost/traffic/owner/admission.py
+++ b/packages/papayapost/src/papayapost/traffic/owner/admission.py
@@ -344,6 +344,8 @@
         elif ended.is_whole and not row.is_shed:
             self._slot_times.add_sample(offer, held_us, tick.now_us)
             self._concurrency.ended(offer.rank, held_us, is_saturated, tick.now_us)
+            if self._concurrency.answered(offer, held_us, tick.now_us):
+                tick.emit(Noted(Event.BACKEND_SERVER_AT_FULL_SHARE))
         elif not (row.has_answer_begun or row.is_cancelled or ended.is_whole):
             self._replies.fail(tick, offer)
 
--- a/packages/papayapost/src/papayapost/traffic/owner/backend_server.py
+++ b/packages/papayapost/src/papayapost/traffic/owner/backend_server.py
@@ -86,6 +86,7 @@
         self._queue = queue
         self._concurrency = concurrency
         self._drain = drain
+        self._interval_us = interval_us
         self._silence_us = max(_MIN_SILENCE_US, _MAX_MISSED_REPORTS * interval_us)
 
     def run(self, tick: Tick) -> None:
@@ -179,7 +180,13 @@
         if known is None or known.process != row.process:
             detail = f"instance {row.instance}, started at {row.born_ms} ms"
             tick.emit(Noted(Event.BACKEND_SERVER_SEEN, detail=detail))
+            # Also a node that restarts sees a new process. The number of its
+            # reports tells for how long it has been running.
+            age_us = row.sequence * self._interval_us
+            if self._concurrency.server_started(age_us, tick.now_us):
+                tick.emit(Noted(Event.BACKEND_SERVER_STARTING))
         self._resize(row.slots)
+        self._owner.limit = self._concurrency.limit
         return row
 
     def _apply_silence(self, tick: Tick, instance: InstanceId) -> None:
--- a/packages/papayapost/src/papayapost/traffic/owner/concurrency.py
+++ b/packages/papayapost/src/papayapost/traffic/owner/concurrency.py
@@ -6,6 +6,7 @@
 from papayapost.ids import Micros
 from papayapost.kernel import Table
 from papayapost.states import Rank
+from papayapost.traffic.messages import AttemptOffer
 from papayapost.traffic.owner.tables import WorkClass
 
 __all__ = ["AdaptiveLimit", "ConcurrencyLimit", "FixedLimit", "ServiceTimes"]
@@ -141,6 +142,31 @@
             Whether all slots up to the limit were in use when it ended.
         """
 
+    def server_started(self, age_us: int, now_us: Micros) -> bool:
+        """Record that a new process of the backend server was seen.
+
+        Parameters
+        ----------
+        age_us
+            Time in µs for which the process has been running at least.
+
+        Returns
+        -------
+        bool
+            Whether the limit is low at first for that reason.
+        """
+        return False
+
+    def answered(self, offer: AttemptOffer, held_us: int, now_us: Micros) -> bool:
+        """Record the slot time in µs of a good answer.
+
+        Returns
+        -------
+        bool
+            Whether this answer ends the start of the backend server.
+        """
+        return False
+
 
 class FixedLimit(ConcurrencyLimit):
     """Always allows all slots.
--- a/packages/papayapost/src/papayapost/traffic/part.py
+++ b/packages/papayapost/src/papayapost/traffic/part.py
@@ -16,6 +16,11 @@
 from papayapost.traffic.entry.call_endings import EndCalls
 from papayapost.traffic.entry.failed_attempts import HandleFailedAttempts
 from papayapost.traffic.entry.link_budget import LinkBudget
+from papayapost.traffic.entry.newcomers import (
+    FixedRamp,
+    NewcomerPolicy,
+    OwnerPacedStart,
+)
 from papayapost.traffic.entry.offers import Offers
 from papayapost.traffic.entry.retries import BudgetedRetries, RetryPolicy
 from papayapost.traffic.entry.routing import HOLD_US, RouteCalls
@@ -36,6 +41,7 @@
 from papayapost.traffic.owner.replies import Replies
 from papayapost.traffic.owner.seen import SeenAttempts
 from papayapost.traffic.owner.shares import ActiveShares
+from papayapost.traffic.owner.slow_start import AdaptiveStart
 from papayapost.traffic.owner.tables import OwnerTables
 from papayapost.traffic.owner.targeted import TargetedQueues
 
@@ -91,6 +97,9 @@
     has_exact_slots
         Whether the backend server reports its number of slots. If so, the
         concurrency limit ignores its refusals and its latency.
+    has_adaptive_start
+        Whether the owner node finds the pace of a backend server that has just
+        started from its answers. If not, entry nodes use it over a ramp.
     """
 
     shared_budget: SharedBudget | None = None
@@ -100,6 +109,7 @@
     drain_announce_us: int = 0
     has_targets: bool = False
     has_exact_slots: bool = False
+    has_adaptive_start: bool = False
 
 
 def build_traffic(
@@ -145,13 +155,20 @@
     if retries is None and options.shared_budget is not None:
         retries = WindowedRetries(options.shared_budget, directory)
     retries = retries or BudgetedRetries()
-    policy = balancing or NearestOfTwo(owner, options.shared_budget is not None)
-    offers = Offers(me, calls, upstreams, policy, link, retries)
+    newcomers: NewcomerPolicy = FixedRamp()
+    if options.has_adaptive_start:
+        newcomers = OwnerPacedStart()
+    policy = balancing or NearestOfTwo(
+        owner, options.shared_budget is not None, newcomers
+    )
+    offers = Offers(me, calls, upstreams, policy, link, retries, newcomers)
     if queue is None:
         queue = TargetedQueues(slots) if options.has_targets else RankedQueues(slots)
     if concurrency is None:
         has_exact_slots = options.has_exact_slots
         concurrency = FixedLimit(slots) if has_exact_slots else AdaptiveLimit(slots)
+    if options.has_adaptive_start:
+        concurrency = AdaptiveStart(concurrency, slots)
     systems: list[System] = [
         StartDrain(
             me,
@@ -198,7 +215,9 @@
             drain,
         ),
         HandleFailedAttempts(calls, upstreams, offers, retries, ejector),
-        EndCalls(calls, upstreams, offers, retries, ejector, link, answer_times),
+        EndCalls(
+            calls, upstreams, offers, retries, ejector, link, answer_times, newcomers
+        ),
         FinishDrain(drain, calls, owner, claims, me, replies),
     ]
     first: list[object] = [TrafficStarted()]
