Mend what the reviews of quotas, roll-outs, limits and accounts found

- An order for another service gave a trial its attempts once more.
- After a restart of all nodes, most servers may have a version that no order has completed; it is not taken for the stable one.
- A node without a version used any server but its own; a node that goes by the version of most servers uses them at once; a move is complete only by counts younger than its lease.
- Held calls used tokens of an earlier window; a holder lost its lease to its own delayed write; an answer about one partition ended the requests of the other; a release without an answer was not repeated.
- Evidence for a version was lost when a newer one was read before it was in force; a node with late evidence looked at it once only.
- A closing connection that had stopped reading could reset its answer; held answers of later requests were counted late.

--- a/packages/papayapost-node/src/papayapost_node/exchange/keys.py
+++ b/packages/papayapost-node/src/papayapost_node/exchange/keys.py
@@ -35,10 +35,10 @@
     >>> key_digest_of(b"Basic dXNlcg==") is None
     True
     """
-    if not _has_key(authorization):
+    words = authorization.split(None, 1)
+    if len(words) < 2 or words[0].lower() != _SCHEME:
         return None
-    key = authorization.strip()[len(_SCHEME) :].strip()
-    return digest_of_key(key) if key else None
+    return digest_of_key(words[1].strip())
 
 
 def without_key(headers: Headers) -> Headers:
@@ -51,4 +51,6 @@
 
 
 def _has_key(authorization: bytes) -> bool:
-    return authorization.strip()[: len(_SCHEME)].lower() == _SCHEME
+    # A value that names the scheme anywhere is not forwarded: other programs
+    # may read a list of credentials.
+    return _SCHEME in authorization.lower()
--- a/packages/papayapost-node/src/papayapost_node/http/answer_writer.py
+++ b/packages/papayapost-node/src/papayapost_node/http/answer_writer.py
@@ -201,6 +201,7 @@
             if is_ended:
                 slot.exchange = None
                 slot.is_answered = True
+            self._count_held()
             return
         self._socket.write(encoded)
         if is_ended:
--- a/packages/papayapost-node/src/papayapost_node/http/caller_socket.py
+++ b/packages/papayapost-node/src/papayapost_node/http/caller_socket.py
@@ -149,6 +149,11 @@
                 # The caller has reset the connection; nobody reads the rest.
                 transport.abort()
                 return
+        if self._pauses:
+            # Unread bytes would make the close a reset, which could reach the
+            # caller before the answer.
+            self._pauses.clear()
+            transport.resume_reading()
         self.is_closing = self.is_held_back = True
         if transport.get_write_buffer_size():
             self.timer.expect_body()
--- a/packages/papayapost/src/papayapost/distribution/confirming.py
+++ b/packages/papayapost/src/papayapost/distribution/confirming.py
@@ -24,6 +24,9 @@
 __all__ = ["ConfirmRules"]
 
 _ECHO_INTERVAL_US = 500_000
+_LATE_CHECK_US = 500_000
+"""Interval at which late evidence is looked at again."""
+
 _LATE_SHARE = 0.6
 """Age of the evidence, as a fraction of its limit, at which a node watches the
 store itself although relays report contact."""
@@ -70,6 +73,7 @@
         self._tables = tables
         self._last_echo_us: dict[NodeId, Micros] = {}
         self._was_fresh = True
+        self._is_late_noted = False
         self._started_us: Micros | None = None
 
     def run(self, tick: Tick) -> None:
@@ -117,6 +121,8 @@
         tick.emit(PeerSend(address, echo))
 
     def _record_echo(self, tick: Tick, echo: ContactEcho) -> None:
+        if echo.sender not in self._directory:
+            return
         known = self._tables.echoes.get(echo.sender)
         is_new = known is None or known.incarnation != echo.incarnation
         self._tables.echoes.put(
@@ -158,10 +164,12 @@
         since_us = self._started_us if row.confirmed_us is None else row.confirmed_us
         late_us = Micros((since_us or 0) + int(limit_us * _LATE_SHARE))
         if tick.now_us < late_us:
+            self._is_late_noted = False
             tick.set_timer(EvidenceLate, late_us, EvidenceLate())
             return
         if tick.take(EvidenceLate) and not self._contact.is_watching:
             tick.post(CoverDue())
-        if is_fresh:
-            due_us = Micros((since_us or 0) + limit_us + 1)
+        if tick.take(EvidenceLate) or not self._is_late_noted:
+            self._is_late_noted = True
+            due_us = Micros(tick.now_us + _LATE_CHECK_US)
             tick.set_timer(EvidenceLate, due_us, EvidenceLate())
--- a/packages/papayapost/src/papayapost/distribution/evidence.py
+++ b/packages/papayapost/src/papayapost/distribution/evidence.py
@@ -1,5 +1,7 @@
 """Tables of the evidence that the rules in force are the newest."""
 
+from dataclasses import field
+
 from papayapost.define import define
 from papayapost.distribution.peer_messages import Confirmation
 from papayapost.ids import Incarnation, Micros, NodeId, RuleVersion
@@ -7,6 +9,10 @@
 
 __all__ = ["EchoRow", "EvidenceRow", "EvidenceTables"]
 
+_MAX_PENDING = 16
+"""Versions that may be known before they are in force. In a storm of versions
+the one in force may stay behind the newest for seconds."""
+
 _MAX_ECHO_AGE_US = 10_000_000
 """Age at which a relay forgets the clock of a node. Clocks that run at
 different rates would make older readings wrong by milliseconds."""
@@ -24,15 +30,14 @@
     confirmed_us
         Tick time in µs at which the store held no newer rules than those in
         force; None if that is not known.
-    pending_version, pending_us
-        Newest version that is known but not in force yet, and the tick time in
-        µs at which the store held no newer one.
+    pending
+        Tick time in µs at which the store held no newer version, for each
+        version that is known but not in force yet.
     """
 
     limit_us: Micros | None = None
     confirmed_us: Micros | None = None
-    pending_version: RuleVersion = RuleVersion(0)
-    pending_us: Micros | None = None
+    pending: dict[RuleVersion, Micros] = field(default_factory=dict)
 
     def is_fresh(self, now_us: Micros) -> bool:
         """Return whether the keys of the rules in force can be relied on."""
@@ -47,14 +52,16 @@
         """Record that the store held nothing newer than a version."""
         if version <= in_force:
             self._confirm(newest_at_us)
-        elif version >= self.pending_version:
-            self.pending_version, self.pending_us = version, newest_at_us
+        else:
+            known_us = self.pending.get(version, newest_at_us)
+            self.pending[version] = max(known_us, newest_at_us)
+            if len(self.pending) > _MAX_PENDING:
+                del self.pending[min(self.pending)]
 
     def apply_in_force(self, in_force: RuleVersion) -> None:
         """Let the evidence for a version count that is now in force."""
-        if self.pending_us is not None and self.pending_version <= in_force:
-            self._confirm(self.pending_us)
-            self.pending_us = None
+        for version in [item for item in self.pending if item <= in_force]:
+            self._confirm(self.pending.pop(version))
 
     def _confirm(self, newest_at_us: Micros) -> None:
         confirmed_us = self.confirmed_us
--- a/packages/papayapost/src/papayapost/quota/leasing.py
+++ b/packages/papayapost/src/papayapost/quota/leasing.py
@@ -140,7 +140,9 @@
         for conflict in tick.take(UpdateConflicted):
             lease = self._answered(conflict.key.kind, conflict.request_id)
             if lease is not None:
-                self._lose(tick, lease, "another node has written it")
+                # The write may have met an earlier one of this process whose
+                # answer was lost. The read tells whose the lease is.
+                lease.step = LeaseStep.NONE
                 self._read_soon(tick, lease)
 
     def _apply_failures(self, tick: Tick) -> None:
@@ -350,7 +352,8 @@
         if self._contact.role is WatchRole.STARTING:
             lease.due_us = Micros(tick.now_us + _ROLE_CHECK_US)
             return True
-        if self._turn(lease) is None:
+        is_own = lease.holder == self._me.node_id
+        if self._turn(lease) is None and not is_own:
             return False
         if lease.version is None:
             self._read(tick, lease)
--- a/packages/papayapost/src/papayapost/quota/lending.py
+++ b/packages/papayapost/src/papayapost/quota/lending.py
@@ -12,7 +12,6 @@
     Address,
     CallId,
     Micros,
-    NodeId,
     QuotaPartition,
 )
 from papayapost.kernel import System, Tick
@@ -128,7 +127,7 @@
         for sent in tick.take(TokensSent):
             self._receive(tick, sent)
         for refusal in tick.take(NotLender):
-            self._end_request(tick, refusal.sender)
+            self._end_request(tick, refusal)
         for wanted in tick.take(TokenWanted):
             self._serve_entrant(tick, wanted)
         for asked in tick.take(TokensWanted):
@@ -433,9 +432,11 @@
         missing = len(row.waiting) - row.tokens
         return missing <= row.own_rate_per_s * _ACCRUAL_WAIT_S
 
-    def _end_request(self, tick: Tick, sender: NodeId) -> None:
+    def _end_request(self, tick: Tick, refusal: NotLender) -> None:
         """Forget requests to a node that turned out not to lend."""
-        for row in self._tables.buckets:
-            if row.asked_us is not None and row.lender == sender:
+        if refusal.call_ids or refusal.incarnation != self._me.incarnation:
+            return
+        for row in self._tables.buckets.find("partition", refusal.partition):
+            if row.asked_us is not None and row.lender == refusal.sender:
                 row.asked_us = None
                 row.next_ask_us = Micros(tick.now_us + _ASK_INTERVAL_US)
--- a/packages/papayapost/src/papayapost/rollout/following.py
+++ b/packages/papayapost/src/papayapost/rollout/following.py
@@ -1,6 +1,8 @@
 """The system by which every node learns of orders and their stages."""
 
-from papayapost.ids import Micros, ServiceName
+from collections.abc import Iterable
+
+from papayapost.ids import Micros, ServiceName, SoftwareVersion
 from papayapost.kernel import System, Tick
 from papayapost.membership import Directory, DirectoryChanged
 from papayapost.observe import Event, Noted
@@ -17,7 +19,7 @@
 from papayapost.rollout.tables import OrderRow, RolloutTables
 from papayapost.rollout.versions import OrderedVersions
 from papayapost.states import BackendServerState
-from papayapost.storage import OrdersRead
+from papayapost.storage import OrderObject, OrdersRead, OrderState
 from papayapost.traffic.entry.upstreams import Upstreams
 from papayapost.traffic.owner_messages import RefuseQueuedAttempts
 
@@ -78,8 +80,10 @@
         self._versions.set_time(tick.now_us)
         for wanted in tick.take(OrdersWanted):
             tick.emit(PeerSend(wanted.reply_to, self._known()))
-        if any(read.is_whole for read in tick.take(OrdersRead)):
-            self._establish(tick)
+        for read in tick.take(OrdersRead):
+            if read.is_whole and not tables.is_established:
+                tables.unproven_versions = _unproven_versions(read.orders)
+                self._establish(tick)
         for known in tick.take(OrdersKnown):
             self._apply_known(tick, known)
         for stage in tick.take(RolloutStage):
@@ -144,8 +148,10 @@
         for row in tick.random.sample(others, count):
             wanted = OrdersWanted(me.node_id, me.peer_address)
             tick.emit(PeerSend(row.peer_address, wanted))
-        if tick.now_us - self._started_us >= _GUESS_AFTER_US:
+        may_guess = tick.now_us - self._started_us >= _GUESS_AFTER_US
+        if may_guess and not tables.may_guess:
             tables.may_guess = True
+            self._reopen(tick)
 
     def _known(self) -> OrdersKnown:
         tables = self._tables
@@ -161,6 +167,11 @@
         if tables.is_established:
             return
         tables.is_established = True
+        self._reopen(tick)
+
+    def _reopen(self, tick: Tick) -> None:
+        """Use the versions that this node knows now, or takes for stable."""
+        tables = self._tables
         for service in {row.service for row in self._directory if row.service}:
             tables.stable_version(service)
             self._upstreams.rebuild(service, tick.now_us)
@@ -224,11 +235,16 @@
         if order.phase is Phase.COMPLETED:
             tables.stable_versions[order.service] = order.target_version
         tables.orders.put(order.service, row)
-        if (
+        own = tables.own_row
+        is_own = own is not None and own.service == order.service
+        is_new = (
             before is None
             or before.order.target_version != order.target_version
             or (before.is_final and not row.is_final)
-        ):
+        )
+        if is_own and is_new:
+            # An order for another service must not give this node's trial
+            # more attempts.
             tables.start_count()
         known = before.order if before is not None else None
         if known != order:
@@ -267,6 +283,17 @@
     return True
 
 
+def _unproven_versions(
+    orders: Iterable[OrderObject],
+) -> dict[ServiceName, SoftwareVersion]:
+    """Return the target versions of orders that are not completed."""
+    return {
+        ServiceName(found.name): found.spec.target_version
+        for found in orders
+        if found.spec is not None and found.current_state is not OrderState.COMPLETED
+    }
+
+
 def _with_phase(order: StagedOrder, phase: Phase) -> StagedOrder:
     return StagedOrder(
         order.service,
--- a/packages/papayapost/src/papayapost/rollout/steps.py
+++ b/packages/papayapost/src/papayapost/rollout/steps.py
@@ -18,6 +18,10 @@
 _HEARD_US = 1_200_000
 """Age at which the counts of a node are too old to go by."""
 
+_MOVED_HEARD_US = 600_000
+"""Age at which the count of an old server no longer shows that it is idle. It
+is below the lease of the move, after which the server takes calls again."""
+
 _MEET_US = 800_000
 """Time for which a controller collects counts before it exposes anything."""
 
@@ -227,10 +231,13 @@
         """
         if len(old) < _MIN_OLD_NODES * row.most_old_nodes:
             return False
+        oldest_us = now_us - _MOVED_HEARD_US
         for server in old:
             node = self._counted(row, server, now_us)
             if node is None or node.counts.is_open or node.counts.running_once:
                 return False
+            if node.heard_us < oldest_us:
+                return False
             if node.counts.running:
                 return False
         return True
--- a/packages/papayapost/src/papayapost/rollout/tables.py
+++ b/packages/papayapost/src/papayapost/rollout/tables.py
@@ -126,6 +126,9 @@
     may_guess
         Whether the node has waited long enough for the orders to go by the
         version of most servers.
+    unproven_versions
+        Target versions of the orders that the store held, not completed, when
+        this node first read them. Most servers may have such a version.
     admitted
         Attempts that this node has admitted since its order or start.
     counted_orders
@@ -141,6 +144,7 @@
         self.stable_versions: dict[ServiceName, SoftwareVersion] = {}
         self.is_established = False
         self.may_guess = False
+        self.unproven_versions: dict[ServiceName, SoftwareVersion] = {}
         self.admitted = 0
         self.counted_orders = 0
         self.counters = RolloutCounters()
@@ -186,7 +190,9 @@
         A version that an order has not moved all calls to does not count.
         """
         row = self.orders.get(service)
-        excluded = row.order.target_version if row is not None else None
+        excluded = self.unproven_versions.get(service)
+        if row is not None:
+            excluded = row.order.target_version
         if row is not None and row.order.phase is Phase.COMPLETED:
             return row.order.target_version
         counts: dict[SoftwareVersion, int] = {}
--- a/packages/papayapost/src/papayapost/rollout/versions.py
+++ b/packages/papayapost/src/papayapost/rollout/versions.py
@@ -44,7 +44,7 @@
         current = self._tables.current_version(service, self._now_us)
         if current is None:
             own = self._tables.own_row
-            return [row for row in rows if row is not own]
+            return [row for row in rows if row is not own or not row.software_version]
         return [row for row in rows if row.software_version in (current, "")]
 
     def trial_nodes(
--- a/packages/papayapost/src/papayapost/traffic/entry/routing.py
+++ b/packages/papayapost/src/papayapost/traffic/entry/routing.py
@@ -135,11 +135,10 @@
             self._note_ignored_quotas(tick)
         if new_rules or changes:
             for row in list(held):
-                self._route(tick, row.arrived, row.arrived_us, row.token)
+                self._route(tick, row.arrived, row.arrived_us)
         for expired in tick.take(HoldExpired):
             held_call = held.pop(expired.call_id)
             if held_call is not None:
-                _return_token(tick, held_call.token)
                 self._refuse(tick, expired.call_id, _UNAVAILABLE, held_call.code)
 
     def _route(
@@ -147,7 +146,6 @@
         tick: Tick,
         arrived: CallArrived,
         arrived_us: Micros,
-        token: TokenGrant | None = None,
     ) -> None:
         in_force = self._rules.in_force
         if in_force is None:
@@ -182,10 +180,9 @@
             return
         call.version = in_force.version
         call.chosen_service = self._service_chooser.choose(route, tick.random)
-        call.token = token
         account = access.account
         is_limited = account is not None and account.has_quota
-        if account is not None and is_limited and self._has_lenders and token is None:
+        if account is not None and is_limited and self._has_lenders:
             self._end_hold(tick, arrived.call_id)
             self._tables.quota_waits.put(call.call_id, QuotaWaitRow(call))
             tick.post(TokenNeeded(call.call_id, account.name, call.deadline_us))
@@ -197,7 +194,9 @@
         if call.deadline_us <= tick.now_us or not self._offers.offer(tick, call):
             code = RefusalCode.NO_BACKEND_SERVER
             budget_us = call.deadline_us - call.arrived_us
-            self._hold(tick, call.arrived, call.arrived_us, budget_us, code, call.token)
+            # A token counts for its window only, and the hold may be long.
+            _return_token(tick, call.token)
+            self._hold(tick, call.arrived, call.arrived_us, budget_us, code)
             return
         self._end_hold(tick, call.call_id)
         self._tables.calls.put(call.call_id, call)
@@ -254,24 +253,20 @@
         arrived_us: Micros,
         budget_us: int,
         code: RefusalCode,
-        token: TokenGrant | None = None,
     ) -> None:
         held = self._tables.held
         call_id = arrived.call_id
         if call_id not in held and len(held) >= _MAX_HELD_CALLS:
-            _return_token(tick, token)
             self._refuse(tick, call_id, _UNAVAILABLE, code)
             return
-        held.put(call_id, HeldCallRow(arrived, arrived_us, code, token))
+        held.put(call_id, HeldCallRow(arrived, arrived_us, code))
         # A fifth of the time budget stays free for an attempt after the hold.
         hold_end_us = arrived_us + min(self._hold_us, budget_us * 4 // 5)
         tick.set_timer(("held", call_id), Micros(hold_end_us), HoldExpired(call_id))
 
     def _abandon(self, tick: Tick, call_id: CallId) -> None:
         """End the wait of a call that will have no attempt."""
-        held_call = self._tables.held.get(call_id)
-        if held_call is not None:
-            _return_token(tick, held_call.token)
+        if call_id in self._tables.held:
             self._end_hold(tick, call_id)
         elif self._tables.quota_waits.pop(call_id) is not None:
             tick.post(TokenUnneeded(call_id))
--- a/packages/papayapost/src/papayapost/traffic/entry/tables.py
+++ b/packages/papayapost/src/papayapost/traffic/entry/tables.py
@@ -185,14 +185,11 @@
     ----------
     code
         Code with which the call is refused if it is held for too long.
-    token
-        Token of its account's quota that the call already has, or None.
     """
 
     arrived: CallArrived
     arrived_us: Micros
     code: RefusalCode
-    token: TokenGrant | None = None
 
 
 @define
