Spread the returns of refused callers, and refuse those that come early

An entry node remembers refused requests by their name and refuses a repetition that comes before its time at once. With an account, a returning request is also due from when it was first sent.

--- a/packages/papayapost-testing/src/papayapost_testing/load_patterns/simulation.py
+++ b/packages/papayapost-testing/src/papayapost_testing/load_patterns/simulation.py
@@ -15,6 +15,7 @@
     KeyDigest,
     Micros,
     NodeId,
+    RequestName,
     ServiceName,
 )
 from papayapost.membership import DirectoryChanged
@@ -78,6 +79,7 @@
     deadline_us: int
     attempts_left: int
     is_impatient: bool
+    name: RequestName
     account: AccountName | None = None
     on_end: Callable[[bool], None] | None = None
     attempt_us: int = 0
@@ -121,6 +123,7 @@
         self._events: list[tuple[int, int, Callable[[], None]]] = []
         self._sequence = itertools.count()
         self._call_ids = itertools.count(1)
+        self._request_names = itertools.count(1)
         self._kinds = {kind.name: kind for kind in pattern.kinds}
         self._servers = servers_of(pattern, self._random)
         self._nodes = nodes_of(pattern, self._servers)
@@ -193,6 +196,7 @@
             self._now_us + kind.patience_ms * 1000,
             _IMPATIENT_ATTEMPTS if is_impatient else self._pattern.caller_attempts,
             is_impatient,
+            RequestName(f"caller-{next(self._request_names)}"),
             account,
         )
         self._attempt(request)
@@ -274,7 +278,13 @@
         if request.account is not None:
             digest = key_of(request.account)
         arrived = CallArrived(
-            call_id, method, "h", path, Micros(budget_us), key_digest=digest
+            call_id,
+            method,
+            "h",
+            path,
+            Micros(budget_us),
+            name=request.name,
+            key_digest=digest,
         )
         self._tick(request.node_id, arrived)
 
@@ -382,6 +392,7 @@
             deadline_us,
             1,
             False,
+            RequestName(f"server-{next(self._request_names)}"),
             on_end=lambda is_answered: self._end_step(run, is_answered),
         )
         self._call_later(0, lambda: self._attempt(inner))
--- a/packages/papayapost/src/papayapost/traffic/entry/offers.py
+++ b/packages/papayapost/src/papayapost/traffic/entry/offers.py
@@ -9,7 +9,9 @@
 from papayapost.traffic.claims.tables import digest_of_key, partition_of
 from papayapost.traffic.entry.balancing import BalancingPolicy
 from papayapost.traffic.entry.link_budget import HEAD_BYTES, LinkBudget
+from papayapost.traffic.entry.refused_callers import record_refusal
 from papayapost.traffic.entry.retries import RetryPolicy
+from papayapost.traffic.entry.return_times import retry_after_ms
 from papayapost.traffic.entry.tables import (
     AttemptRow,
     AttemptState,
@@ -314,5 +316,8 @@
     else:
         counters.refused_calls += 1
     status = _STATUS_BY_CODE.get(code, _UNAVAILABLE)
-    name, retry_after_ms = call.arrived.name, call.retry_after_ms
-    tick.emit(CallRefusal(call.call_id, status, code, outcome, retry_after_ms, name))
+    return_ms = retry_after_ms(call, tick.now_us, tick.random)
+    if outcome is Outcome.NOT_RUN and return_ms is not None:
+        record_refusal(tables, call, tick.now_us, return_ms)
+    name = call.arrived.name
+    tick.emit(CallRefusal(call.call_id, status, code, outcome, return_ms, name))
--- a/packages/papayapost/src/papayapost/traffic/entry/routing.py
+++ b/packages/papayapost/src/papayapost/traffic/entry/routing.py
@@ -11,6 +11,7 @@
 from papayapost.traffic.entry.answer_times import AnswerTimes
 from papayapost.traffic.entry.caller_wait import CallerWaitEstimator
 from papayapost.traffic.entry.offers import Offers
+from papayapost.traffic.entry.refused_callers import take_return
 from papayapost.traffic.entry.retries import RetryPolicy
 from papayapost.traffic.entry.tables import CallRow, EntryTables, HeldCallRow
 from papayapost.traffic.entry.weighted_services import WeightedServiceChooser
@@ -136,6 +137,8 @@
         call.arrived_us = arrived_us
         _apply_access(call, access)
         call.waited_us = self._wait_estimator.waited_us(route, arrived.budget_us)
+        if self._has_returned_early(tick, call):
+            return
         if self._may_outlast_process(tick, call):
             self._end_hold(tick, arrived.call_id)
             code = RefusalCode.DRAINING
@@ -152,6 +155,29 @@
         self._retries.record_call_start(call, tick.now_us)
         self._offers.set_next_step(tick, call)
 
+    def _has_returned_early(self, tick: Tick, call: CallRow) -> bool:
+        """Refuse a call whose caller was asked to return later."""
+        returned = take_return(self._tables, call, tick.now_us)
+        if returned is None:
+            return False
+        if call.account is not None:
+            # Without accounts, returning callers that start before the others
+            # of their rank make more of these wait in vain (pattern `burst`).
+            call.waited_us = max(call.waited_us, returned.waited_us)
+        if not returned.early_us:
+            return False
+        self._end_hold(tick, call.call_id)
+        counters = self._tables.counters
+        counters.early_returns += 1
+        counters.refused_calls += 1
+        code, retry_after_ms = RefusalCode.QUEUE_FULL, 1 + returned.early_us // 1000
+        tick.emit(
+            CallRefusal(
+                call.call_id, _UNAVAILABLE, code, Outcome.NOT_RUN, retry_after_ms
+            )
+        )
+        return True
+
     def _may_outlast_process(self, tick: Tick, call: CallRow) -> bool:
         """Return whether this process may stop before it has the answer.
 
--- a/packages/papayapost/src/papayapost/traffic/entry/tables.py
+++ b/packages/papayapost/src/papayapost/traffic/entry/tables.py
@@ -10,6 +10,7 @@
     CallId,
     Micros,
     NodeId,
+    RequestName,
     RuleVersion,
     ServiceName,
 )
@@ -157,6 +158,8 @@
         Ejections of upstreams.
     offers_to_draining
         Offers to nodes that the directory listed as draining or gone.
+    early_returns
+        Calls refused because their caller was asked to return later.
     """
 
     calls: int = 0
@@ -170,6 +173,7 @@
     budget_denials: int = 0
     ejections: int = 0
     offers_to_draining: int = 0
+    early_returns: int = 0
 
 
 @define
@@ -187,6 +191,27 @@
     code: RefusalCode
 
 
+@define
+class RefusedCallerRow:
+    """A request that was refused as not run, and whose caller may return.
+
+    Parameters
+    ----------
+    begun_us
+        Tick time in µs at which the caller sent its request first.
+    refused_us, return_us
+        Tick times in µs of the refusal, and at which the caller was asked to
+        return.
+    deadline_us
+        Tick time in µs at which the caller's time ends.
+    """
+
+    begun_us: Micros
+    deadline_us: Micros
+    refused_us: Micros
+    return_us: Micros
+
+
 class EntryTables:
     """Tables of calls, held calls and attempts at the entry node."""
 
@@ -194,4 +219,7 @@
         self.calls: Table[CallId, CallRow] = Table("calls")
         self.held: Table[CallId, HeldCallRow] = Table("held calls")
         self.attempts: Table[AttemptId, AttemptRow] = Table("attempts")
+        self.refused_callers: Table[RequestName, RefusedCallerRow] = Table(
+            "refused callers"
+        )
         self.counters = EntryCounters()
--- a/packages/papayapost/src/papayapost/traffic/owner/admission.py
+++ b/packages/papayapost/src/papayapost/traffic/owner/admission.py
@@ -22,7 +22,7 @@
 from papayapost.traffic.owner.server_breaker import BreakerState, ServerBreaker
 from papayapost.traffic.owner.shares import ActiveShares
 from papayapost.traffic.owner.slot_times import SlotTimes
-from papayapost.traffic.owner.tables import OwnedRow, OwnedState, OwnerTables
+from papayapost.traffic.owner.tables import OwnedRow, OwnedState, OwnerTables, Standing
 from papayapost.traffic.owner.waiting import WaitingAttempts
 from papayapost.traffic.owner_messages import (
     AnswerBlocked,
@@ -44,6 +44,10 @@
 """Time allowed for an attempt in a drain, in multiples of the mean time of its
 kind."""
 
+_OVER_SHARE_PERIOD_US = 10_000_000
+"""Shortest time between two log lines about accounts over their share, which
+are refused many times a second."""
+
 _MAX_CLAIMED_BUDGET_US = 300_000_000
 """Cap on the time budget of an attempt that claims an idempotency key. It is
 below the retention of claims, so that the claim outlasts the attempt."""
@@ -94,6 +98,7 @@
         self._slot_times = SlotTimes(me.node_id, tables, queue, concurrency)
         self._breaker = ServerBreaker(tables)
         self._queue_waits = QueueWaits()
+        self._noted_over_share_us = -_OVER_SHARE_PERIOD_US
 
     def run(self, tick: Tick) -> None:
         """Release the slots of ended calls first, then fill the free slots."""
@@ -197,6 +202,7 @@
         if not self._queue_waits.is_worthwhile(
             offer, wait_us, min_service_us, tick.now_us, standing
         ):
+            self._note_if_over_share(tick, offer)
             self._replies.refuse(tick, offer, RefusalCode.DEADLINE, wait_us)
             return None
         needs_claim = not offer.idempotent and offer.idempotency_key is not None
@@ -212,6 +218,19 @@
             self._waiting_attempts.enqueue(tick, row, wait_us)
         return row
 
+    def _note_if_over_share(self, tick: Tick, offer: AttemptOffer) -> None:
+        """Count a refusal due to the share of the attempt's account."""
+        if self._queue.standing(offer) is not Standing.OVER_SHARE:
+            return
+        self._tables.counters.over_share += 1
+        if tick.now_us - self._noted_over_share_us >= _OVER_SHARE_PERIOD_US:
+            self._noted_over_share_us = tick.now_us
+            detail = f"account {offer.account}"
+            attempt_id = offer.attempt_id
+            tick.emit(
+                Noted(Event.ACCOUNT_OVER_SHARE, attempt_id=attempt_id, detail=detail)
+            )
+
     def _reason_to_refuse(self, tick: Tick, offer: AttemptOffer) -> RefusalCode | None:
         """Return why this node cannot admit an offer at all, or None."""
         tables = self._tables
@@ -381,6 +400,7 @@
 
     def _refuse_late_overflow(self, tick: Tick) -> None:
         for row in self._queue.advance(tick.now_us):
+            self._note_if_over_share(tick, row.offer)
             wait_us = self._slot_times.expected_wait_us(row.offer, tick.now_us)
             self._waiting_attempts.refuse(tick, row, RefusalCode.QUEUE_FULL, wait_us)
         self._tables.waiting = len(self._queue)
--- a/packages/papayapost/src/papayapost/traffic/owner/tables.py
+++ b/packages/papayapost/src/papayapost/traffic/owner/tables.py
@@ -156,6 +156,8 @@
         Attempts whose idempotency key another attempt had claimed.
     offers_after_grace
         Offers that arrived after the grace period of a drain.
+    over_share
+        Attempts refused because their account had more than its share.
     """
 
     started: list[int] = field(default_factory=lambda: [0] * len(Rank))
@@ -167,6 +169,7 @@
     stale_epochs: int = 0
     duplicates: int = 0
     offers_after_grace: int = 0
+    over_share: int = 0
 
 
 class OwnerTables:
--- a/packages/papayapost/tests/traffic/test_load_patterns.py
+++ b/packages/papayapost/tests/traffic/test_load_patterns.py
@@ -144,3 +144,13 @@
     figures = replay(name, 64)
     for kind in ("feed", "publishing"):
         assert quantile(figures[kind].refusals_ms, 0.5) < 50
+
+
+@pytest.mark.parametrize("kind", ["lookup", "order"])
+def test_callers_that_ignore_retry_after_gain_nothing(kind):
+    simulation = LoadSimulation(pattern("repeats", 64))
+    figures = simulation.run()[kind]
+    impatient = simulation.impatient_figures[kind]
+    count = figures.total - impatient.total
+    timely = figures.ends[CallEnd.TIMELY] - impatient.ends[CallEnd.TIMELY]
+    assert impatient.share(CallEnd.TIMELY) <= timely / count
