Place calls with large answers by the links of their owner nodes

On deployments with downloads, the outbound link of an owner node's VM is what runs out, while its slots are free: attempts went on to servers whose answers waited for seconds. The owner node now plans the bytes of its large answers, refuses with link-full or deadline what would leave too late, and says with its answers for how long its link is busy. Small answers no longer count the unsent large ones as taken slots.

--- a/packages/papayapost-node/src/papayapost_node/composition.py
+++ b/packages/papayapost-node/src/papayapost_node/composition.py
@@ -269,6 +269,10 @@
         backend = self.world.traffic.owner.backend
         return backend.instance if backend is not None else None
 
+    def _link_wait_ms(self) -> int | None:
+        wait_us = self.world.traffic.owner.link_wait_us(self._clock.now_us())
+        return wait_us // 1000 or None
+
     def _build_owner_side(self, budget: WindowBudget) -> OwnerSide:
         backend = self._settings.backend_server
         pool = BackendPool(
@@ -288,6 +292,7 @@
             self._instance,
             self._settings.http.hold_answer_bytes,
             BulkPacer(self._settings.link_mbps),
+            self._link_wait_ms,
         )
 
     def _build_health_poller(self) -> HealthPoller | None:
--- a/packages/papayapost-node/src/papayapost_node/exchange/answers.py
+++ b/packages/papayapost-node/src/papayapost_node/exchange/answers.py
@@ -124,7 +124,10 @@
             return
         attempt.head = head
         sender, attempt_id = head.sender, head.attempt_id
-        self._post(AnswerBegun(sender, attempt_id, head.status, head.free_slots))
+        begun = AnswerBegun(
+            sender, attempt_id, head.status, head.free_slots, head.link_wait_ms
+        )
+        self._post(begun)
         if head.is_ended:
             size = len(head.body)
             self._post(AnswerEnded(sender, attempt_id, head.is_whole, size))
--- a/packages/papayapost-node/src/papayapost_node/exchange/backend_call.py
+++ b/packages/papayapost-node/src/papayapost_node/exchange/backend_call.py
@@ -5,6 +5,7 @@
 from papayapost.errors import CreditExceeded
 from papayapost.ids import Micros, RequestName
 from papayapost.traffic import (
+    LARGE_ANSWER_BYTES,
     AnswerBlocked,
     AnswerUnblocked,
     BackendCallBegun,
@@ -46,9 +47,6 @@
 A backend server that answers 504 at the deadline needs a moment to send it.
 """
 
-_SMALL_ANSWER_BYTES = 16 << 10
-"""Largest body that is not paced; a link of 3.5 Mbit/s sends it in 40 ms."""
-
 _CONTINUE_STATUS = 100
 
 _MAX_REFUSED = 64
@@ -85,6 +83,7 @@
         self._connection: BackendConnection | None = None
         self._answer_sender: BodySender | None = None
         self._window: SendWindow | None = None
+        self._answer_bytes = 0
         self._answer_sent_bytes = 0
         self._request_bytes = len(owned.request.body)
         self._body_receiver: BodyReceiver | None = None
@@ -246,6 +245,7 @@
     def answer_received(self, data: bytes) -> None:
         """Buffer a piece of the body, to send what one read brings at once."""
         self._buffered += data
+        self._answer_bytes += len(data)
         if self._is_held and len(self._buffered) > self._services.hold_bytes:
             self._release_held_answer()
         if len(self._buffered) >= MAX_PART_BYTES:
@@ -304,6 +304,7 @@
                 not self._is_truncated,
                 self._services.free_slots(),
                 self._trailers if is_complete else [],
+                self._services.link_wait_ms(),
             )
         )
         if is_complete:
@@ -320,7 +321,7 @@
 
     def _send_window(self, received_bytes: int) -> SendWindow:
         credit_bytes, pacer = self._owned.answer_window_bytes, self._services.pacer
-        is_small = not self._is_running and received_bytes <= _SMALL_ANSWER_BYTES
+        is_small = not self._is_running and received_bytes <= LARGE_ANSWER_BYTES
         if is_small or self._owned.is_local:
             return SendWindow(credit_bytes)
         return PacedWindow(credit_bytes, pacer, self._link_has_room)
@@ -340,7 +341,9 @@
                 # the rest for an entry node that grants no credit would not
                 # help it.
                 self._answer_sender.drop_unsent()
-        ended = BackendCallEnded(self._owned.attempt_id, True, is_whole)
+        attempt_id = self._owned.attempt_id
+        size_bytes = self._answer_bytes if is_whole else 0
+        ended = BackendCallEnded(attempt_id, True, is_whole, False, size_bytes)
         self._services.post(ended)
         if self._answer_sender is not None:
             self._answer_sender.end(self._trailers)
--- a/packages/papayapost-node/src/papayapost_node/exchange/owner_services.py
+++ b/packages/papayapost-node/src/papayapost_node/exchange/owner_services.py
@@ -43,6 +43,9 @@
         sent to the entry node; 0 if no answer is held.
     pacer
         Limits the rate of large answers on the link of this VM.
+    link_wait_ms
+        Returns for how long large answers keep that link busy, in ms; None if
+        they don't.
     """
 
     node_id: NodeId
@@ -55,3 +58,4 @@
     instance: Callable[[], InstanceId | None] = _any_instance
     hold_bytes: int = 0
     pacer: BulkPacer = field(default_factory=lambda: BulkPacer(0))
+    link_wait_ms: Callable[[], int | None] = lambda: None
--- a/packages/papayapost-node/src/papayapost_node/exchange/owner_side.py
+++ b/packages/papayapost-node/src/papayapost_node/exchange/owner_side.py
@@ -58,6 +58,9 @@
     pacer
         Limits the rate of large answers on the link of this VM; None for no
         limit.
+    link_wait_ms
+        Returns for how long large answers keep that link busy, in ms; None if
+        they don't.
     """
 
     def __init__(
@@ -72,6 +75,7 @@
         instance: Callable[[], InstanceId | None] = lambda: None,
         hold_bytes: int = 0,
         pacer: BulkPacer | None = None,
+        link_wait_ms: Callable[[], int | None] = lambda: None,
     ):
         self._node_id = node_id
         self._pool = pool
@@ -89,6 +93,7 @@
             instance,
             hold_bytes,
             pacer or BulkPacer(0),
+            link_wait_ms,
         )
 
     @property
--- a/packages/papayapost-node/src/papayapost_node/wire/carriers.py
+++ b/packages/papayapost-node/src/papayapost_node/wire/carriers.py
@@ -114,6 +114,9 @@
         Number of free slots of the backend server.
     trailers
         Trailer fields of the answer.
+    link_wait_ms
+        Time in ms for which large answers keep the owner node's link busy;
+        None if they don't.
     """
 
     sender: NodeId
@@ -125,6 +128,7 @@
     is_whole: bool
     free_slots: int
     trailers: list[tuple[bytes, bytes]]
+    link_wait_ms: int | None = None
 
 
 @define
--- a/packages/papayapost-testing/src/papayapost_testing/bench/balance.py
+++ b/packages/papayapost-testing/src/papayapost_testing/bench/balance.py
@@ -52,6 +52,7 @@
         reach: LinkClass,
         now_us: Micros,
         random: Random,
+        answer_bytes: float = 0.0,
     ) -> UpstreamRow | None:
         """Return a random untried upstream, or None if all were tried."""
         for tier in service.tiers[: reach + 1]:
@@ -60,7 +61,9 @@
                 return random.choice(untried)
         return None
 
-    def is_full(self, row: UpstreamRow, now_us: Micros) -> bool:
+    def is_full(
+        self, row: UpstreamRow, now_us: Micros, answer_bytes: float = 0.0
+    ) -> bool:
         """Return False: every attempt may be refused for want of a slot."""
         return False
 
--- a/packages/papayapost-testing/src/papayapost_testing/load_patterns/mesh.py
+++ b/packages/papayapost-testing/src/papayapost_testing/load_patterns/mesh.py
@@ -1,5 +1,6 @@
 """The servers and nodes of a load pattern's mesh."""
 
+import itertools
 import math
 from dataclasses import dataclass, field, replace
 from random import Random
@@ -35,12 +36,14 @@
     """Return a server for each node, with troubles drawn among them."""
     servers: dict[NodeId, ServerRow] = {}
     for service in pattern.services:
+        links_mbps = itertools.cycle(service.links_mbps)
         for place, count in service.servers.items():
             for number in range(count):
                 node_id = NodeId(f"{place.data_centre}-{service.name}-{number}")
                 speed = service.speeds[len(servers) % len(service.speeds)]
-                link_mbps = service.links_mbps[len(servers) % len(service.links_mbps)]
-                servers[node_id] = ServerRow(service.name, place, speed, link_mbps)
+                servers[node_id] = ServerRow(
+                    service.name, place, speed, next(links_mbps)
+                )
     for trouble in pattern.troubles:
         candidates = [
             server
--- a/packages/papayapost-testing/src/papayapost_testing/load_patterns/patterns.py
+++ b/packages/papayapost-testing/src/papayapost_testing/load_patterns/patterns.py
@@ -12,6 +12,7 @@
     ServiceRow,
     Trouble,
     TroubleRow,
+    WaveRow,
 )
 from papayapost_testing.traffic_worlds import FOUR_PLACES, NORTH_1
 
@@ -21,6 +22,12 @@
 _STOCK = ServiceName("stock")
 _LOOKUP, _ORDER, _SCAN, _COUNT = "lookup", "order", "scan", "count"
 _BOOKING = "booking"
+_BOOK, _VAULT = ServiceName("book"), ServiceName("vault")
+_DOWNLOAD, _CORRECTION, _PAGE = "download", "correction", "page"
+_DOWNLOAD_BYTES = 90_000
+_VAULT_LINKS_MBPS = (10.0, 7.5, 7.5, 10.0, 5.0)
+_VAULT_LINKS_LOAD = 0.74
+_SPEEDS_NEAR_ONE = (0.8, 1.0, 1.2)
 
 
 def _mesh(nodes: int) -> tuple[ServiceRow, ...]:
@@ -147,6 +154,87 @@
     )
 
 
+def _downloads(nodes: int) -> LoadPattern:
+    """Return a service whose links are nearly full of large answers.
+
+    One of its five servers is alone in each data centre of the second region.
+    Each of the five has three slots and also serves the calls of the servers
+    that take corrections. Large answers need 0.74 of all links, and all that
+    the two in the second region have.
+    """
+    places = FOUR_PLACES
+    others = max(1, nodes // len(places) - 1)
+    books = max(1, others // 3)
+    vault = dict(zip(places, (2, 1, 1, 1), strict=True))
+    services = (
+        ServiceRow(_BOOK, 3, dict.fromkeys(places, books)),
+        ServiceRow(_DESK, 3, dict.fromkeys(places, others - books)),
+        ServiceRow(_VAULT, 3, vault, _SPEEDS_NEAR_ONE, _VAULT_LINKS_MBPS),
+    )
+    corrections_per_s = 0.45 * len(places) * books * 3 / 0.18
+    return LoadPattern(
+        "downloads over links that are nearly full",
+        services,
+        (
+            KindRow(
+                _DOWNLOAD,
+                _VAULT,
+                Rank.NORMAL,
+                _VAULT_LINKS_LOAD * sum(_VAULT_LINKS_MBPS) / 8 * 1e6 / _DOWNLOAD_BYTES,
+                110,
+                1_324,
+                3_310,
+                3_310,
+                answer_bytes=_DOWNLOAD_BYTES,
+                is_link_last=True,
+            ),
+            KindRow(
+                _CORRECTION,
+                _BOOK,
+                Rank.HIGH,
+                corrections_per_s,
+                180,
+                1_123,
+                2_807,
+                2_807,
+                False,
+                InnerCalls(_PAGE, 1, 0.7),
+            ),
+            KindRow(_PAGE, _VAULT, Rank.HIGH, 0, 40, 259, 865, 865),
+        ),
+        15,
+    )
+
+
+def _waves(nodes: int) -> LoadPattern:
+    waves = tuple(
+        WaveRow(place, 0.5, 8, 2 * at) for at, place in enumerate(FOUR_PLACES)
+    )
+    return LoadPattern(
+        "data centres whose load varies by half at different times",
+        _mesh(nodes),
+        _kinds(nodes, 0.8),
+        8,
+        waves=waves,
+    )
+
+
+def _speeds(nodes: int) -> LoadPattern:
+    services = tuple(replace(row, speeds=(0.5, 1.0, 1.5)) for row in _mesh(nodes))
+    return LoadPattern("servers of threefold speed", services, _kinds(nodes, 0.8), 8)
+
+
+def _all_shedding(nodes: int) -> LoadPattern:
+    trouble = TroubleRow(2, 11, _DESK, Trouble.SHEDDING, 1.0, 0.5)
+    return LoadPattern(
+        "all servers of a service refuse half of their calls for 9 s",
+        _mesh(nodes),
+        _kinds(nodes, 0.5),
+        12,
+        troubles=(trouble,),
+    )
+
+
 _BUILDERS = {
     "calm": lambda nodes: LoadPattern("calm", _mesh(nodes), _kinds(nodes, 0.5), 6),
     "burst": _burst,
@@ -156,6 +244,10 @@
     "failing": _failing,
     "partly-shedding": _partly_shedding,
     "contended": _contended,
+    "downloads": _downloads,
+    "waves": _waves,
+    "speeds": _speeds,
+    "all-shedding": _all_shedding,
 }
 
 LOAD_PATTERNS = tuple(_BUILDERS)
--- a/packages/papayapost-testing/src/papayapost_testing/load_patterns/simulation.py
+++ b/packages/papayapost-testing/src/papayapost_testing/load_patterns/simulation.py
@@ -383,7 +383,7 @@
             sent_us = self._links[node_id].send(size_bytes, self._now_us)
         hop_us = self._hop_us(node_id, offer.sender)
         self._answers[attempt_id] = (run.status, sent_us + hop_us)
-        ended = self._backend_call_ended(attempt_id, size_bytes)
+        ended = BackendCallEnded(attempt_id, True, True, False, size_bytes)
         blocked: tuple[object, ...] = ()
         if sent_us > self._now_us:
             blocked = (AnswerBlocked(attempt_id),)
@@ -391,17 +391,15 @@
         self._tick(node_id, begun, ended, *blocked)
         self._send_answer(run, offer, sent_us, hop_us)
 
-    def _backend_call_ended(
-        self, attempt_id: AttemptId, size_bytes: int
-    ) -> BackendCallEnded:
-        return BackendCallEnded(attempt_id, True, True)
-
     def _send_answer(
         self, run: RunRow, offer: AttemptOffer, sent_us: int, hop_us: int
     ) -> None:
         node_id, attempt_id = run.node_id, run.attempt_id
-        free_slots = self._nodes[node_id].traffic.owner.free_slots
-        head = AnswerBegun(node_id, attempt_id, run.status, free_slots)
+        owner = self._nodes[node_id].traffic.owner
+        link_wait_ms = owner.link_wait_us(self._now_us) // 1000 or None
+        head = AnswerBegun(
+            node_id, attempt_id, run.status, owner.free_slots, link_wait_ms
+        )
         size_bytes = run.request.kind.answer_bytes
         tail = AnswerEnded(node_id, attempt_id, True, size_bytes)
         if sent_us == self._now_us:
--- a/packages/papayapost/src/papayapost/traffic/entry/balancing.py
+++ b/packages/papayapost/src/papayapost/traffic/entry/balancing.py
@@ -8,6 +8,7 @@
 from papayapost.states import LinkClass
 from papayapost.traffic.entry.newcomers import FixedRamp, NewcomerPolicy
 from papayapost.traffic.entry.upstreams import ServiceRow, UpstreamRow
+from papayapost.traffic.owner.link_plan import bulk_bytes_per_us
 from papayapost.traffic.owner.tables import OwnerTables
 
 __all__ = ["BalancingPolicy", "NearestOfTwo"]
@@ -19,6 +20,10 @@
 """Failure rate above which a backend server counts as full, so that one
 farther away that has room is preferred."""
 
+_MAX_COMPARED = 4
+"""Largest number of upstreams of one distance that are compared for a call
+with a large answer."""
+
 _ACROSS_ROUND_TRIP_US = 60_000
 """Time of a message between regions and its answer."""
 
@@ -34,6 +39,7 @@
         reach: LinkClass,
         now_us: Micros,
         random: Random,
+        answer_bytes: float = 0.0,
     ) -> UpstreamRow | None:
         """Return the upstream for an attempt, or None if there is none.
 
@@ -49,10 +55,14 @@
             Time of the tick clock in µs.
         random
             Source of the random choice.
+        answer_bytes
+            Expected length of the answer in bytes if it is large, else 0.
         """
 
     @abstractmethod
-    def is_full(self, row: UpstreamRow, now_us: Micros) -> bool:
+    def is_full(
+        self, row: UpstreamRow, now_us: Micros, answer_bytes: float = 0.0
+    ) -> bool:
         """Return whether an attempt at an upstream would probably wait."""
 
 
@@ -97,12 +107,17 @@
         reach: LinkClass,
         now_us: Micros,
         random: Random,
+        answer_bytes: float = 0.0,
     ) -> UpstreamRow | None:
         """Return the upstream for an attempt, or None if there is none.
 
         If all upstreams within reach are full, the one with the lowest
         expected wait is chosen; the wait counts more at a larger distance.
         """
+        if answer_bytes:
+            return self._choose_for_large(
+                service, tried, reach, now_us, random, answer_bytes
+            )
         full_upstreams: list[UpstreamRow] = []
         for distance in range(reach + 1):
             tier = service.tiers[distance]
@@ -123,6 +138,56 @@
             key=lambda row: (1 + row.distance) * self._score(service, row, now_us),
         )
 
+    def _choose_for_large(
+        self,
+        service: ServiceRow,
+        tried: Container[NodeId],
+        reach: LinkClass,
+        now_us: Micros,
+        random: Random,
+        answer_bytes: float,
+    ) -> UpstreamRow | None:
+        """Return the upstream from which a large answer is expected first.
+
+        Load pattern: five servers serve all downloads of a mesh, over links
+        whose rates differ twofold. What is nearest or has free slots says
+        little about when an answer of 90 KB arrives. Upstreams of this region
+        are all alike near for it, so that they share what they have to spare;
+        those of another region are used if the near ones are full and the
+        answer is expected earlier with the way there and back.
+        """
+
+        def due_us(row: UpstreamRow) -> float:
+            return self._large_answer_us(service, row, now_us, answer_bytes)
+
+        near: list[UpstreamRow] = []
+        for distance in range(min(reach, LinkClass.REGION) + 1):
+            near += _sampled(service.tiers[distance], tried, random)
+        best = min(near, key=due_us, default=None)
+        if best is not None and not self.is_full(best, now_us, answer_bytes):
+            return best
+        if reach < LinkClass.ACROSS:
+            return best
+        across = _sampled(service.tiers[LinkClass.ACROSS], tried, random)
+        return min([*across, *([best] if best else [])], key=due_us, default=None)
+
+    def _large_answer_us(
+        self, service: ServiceRow, row: UpstreamRow, now_us: Micros, answer_bytes: float
+    ) -> float:
+        """Return the expected time in µs to the end of a large answer."""
+        expected_us = self._score(service, row, now_us)
+        if self.is_full(row, now_us):
+            expected_us += row.latency_us or service.latency_us
+        if row.distance is LinkClass.SELF:
+            return expected_us
+        if row.distance is LinkClass.ACROSS:
+            expected_us += _ACROSS_ROUND_TRIP_US
+        expected_us += max(0, row.link_free_us - now_us)
+        if row.link_mbps:
+            sending_us = answer_bytes / bulk_bytes_per_us(row.link_mbps)
+            expected_us += sending_us * (1 + len(row.attempts))
+        return expected_us
+
     def _choose_in_tier(
         self,
         service: ServiceRow,
@@ -157,10 +222,14 @@
             default=None,
         )
 
-    def is_full(self, row: UpstreamRow, now_us: Micros) -> bool:
+    def is_full(
+        self, row: UpstreamRow, now_us: Micros, answer_bytes: float = 0.0
+    ) -> bool:
         """Return whether an attempt at an upstream would probably wait."""
         if now_us < row.full_until_us:
             return True
+        if answer_bytes and now_us < row.link_full_until_us:
+            return True
         if row.failure_rate_at(now_us) > self._max_failure_rate:
             return True
         if row.ramp_start_us is not None and self._newcomers.is_full(row):
@@ -192,6 +261,16 @@
     return score + _expected_wait_us(row, now_us)
 
 
+def _sampled(
+    tier: list[UpstreamRow], tried: Container[NodeId], random: Random
+) -> list[UpstreamRow]:
+    """Return the untried upstreams of a tier, but few of a large one."""
+    untried = [row for row in tier if row.node_id not in tried]
+    if len(untried) <= _MAX_COMPARED:
+        return untried
+    return random.sample(untried, _MAX_COMPARED)
+
+
 def _expected_wait_us(row: UpstreamRow, now_us: Micros) -> int:
     """Return the reported wait, less the time since the report."""
     return max(0, row.expected_wait_us - (now_us - row.reported_us))
--- a/packages/papayapost/src/papayapost/traffic/entry/call_endings.py
+++ b/packages/papayapost/src/papayapost/traffic/entry/call_endings.py
@@ -4,6 +4,7 @@
 from papayapost.kernel import System, Tick
 from papayapost.observe import Event, Noted
 from papayapost.states import LinkClass
+from papayapost.traffic.entry.answer_sizes import AnswerSizes
 from papayapost.traffic.entry.answer_times import AnswerTimes
 from papayapost.traffic.entry.link_budget import HEAD_BYTES, LinkBudget
 from papayapost.traffic.entry.newcomers import FixedRamp, NewcomerPolicy
@@ -54,7 +55,9 @@
         link: LinkBudget,
         answer_times: AnswerTimes,
         newcomers: NewcomerPolicy | None = None,
+        answer_sizes: AnswerSizes | None = None,
     ):
+        self._answer_sizes = answer_sizes or AnswerSizes()
         self._newcomers = newcomers or FixedRamp()
         self._tables = tables
         self._upstreams = upstreams
@@ -113,6 +116,7 @@
     ) -> None:
         upstream = attempt.upstream
         upstream.report(begun.free_slots, tick.now_us)
+        upstream.report_link((begun.link_wait_ms or 0) * 1000, tick.now_us)
         service = self._upstreams.service(call.service, tick.now_us)
         if begun.status in self._retries.bad_statuses:
             self._ejector.failed(tick, upstream, service)
@@ -167,6 +171,8 @@
         if call is not None:
             duration_us = tick.now_us - call.arrived_us
             self._answer_times.add_sample(call.route, duration_us)
+            if ended.is_whole:
+                self._answer_sizes.add_sample(call.route, ended.body_bytes)
             close_call(tick, self._tables, call)
 
     def _expire_call(self, tick: Tick, call_id: CallId) -> None:
--- a/packages/papayapost/src/papayapost/traffic/entry/failed_attempts.py
+++ b/packages/papayapost/src/papayapost/traffic/entry/failed_attempts.py
@@ -50,6 +50,7 @@
         RefusalCode.SHED,
     ]
 )
+_PROBE_CODES = frozenset([RefusalCode.LINK_FULL, RefusalCode.NO_FREE_SLOT])
 _FAILURE_CODES = frozenset([RefusalCode.UNREACHABLE, RefusalCode.WRONG_SERVICE])
 
 
@@ -103,9 +104,15 @@
         attempt = remove_attempt(self._tables, refused.attempt_id)
         if attempt is None:
             return
-        upstream = attempt.upstream
+        upstream, call = attempt.upstream, self._call_of(attempt)
         upstream.report(refused.free_slots, tick.now_us)
-        upstream.expected_wait_us = refused.retry_after_ms * 1000
+        if self._is_for_link(refused, call):
+            wait_us = refused.retry_after_ms * 1000
+            upstream.report_link(wait_us, tick.now_us)
+            pause_us = min(wait_us, _MAX_FULL_PAUSE_US)
+            upstream.link_full_until_us = tick.now_us + pause_us
+        else:
+            upstream.expected_wait_us = refused.retry_after_ms * 1000
         if refused.code is RefusalCode.NO_FREE_SLOT:
             # The owner node refuses such an attempt at once. If the refusal
             # took long, it has waited on a slow link, as an answer would.
@@ -115,7 +122,6 @@
             upstream.full_until_us = tick.now_us + pause_us
         if refused.code is RefusalCode.SHED:
             upstream.sample_outcome(False, tick.now_us)
-        call = self._call_of(attempt)
         if refused.code is RefusalCode.DRAINING:
             self._mark_draining(upstream, call)
         if call is None:
@@ -126,6 +132,12 @@
             self._record_failure(tick, call, upstream)
         self._record_not_run(tick, call, refused.attempt_id, refused.code)
 
+    def _is_for_link(self, refused: AttemptRefused, call: CallRow | None) -> bool:
+        """Return whether a refusal is due to the link of the owner node."""
+        if refused.code is RefusalCode.DEADLINE and call is not None:
+            return self._offers.large_bytes(call) > 0
+        return refused.code is RefusalCode.LINK_FULL
+
     def _handle_undelivered(self, tick: Tick, attempt_id: AttemptId) -> None:
         attempt = remove_attempt(self._tables, attempt_id)
         call = self._call_of(attempt)
@@ -207,7 +219,7 @@
             self._offers.offer(tick, call) or self._offer_despite_failures(tick, call)
         ):
             return False
-        if call.last_code is not RefusalCode.NO_FREE_SLOT:
+        if call.last_code not in _PROBE_CODES:
             call.redirects += 1
         self._tables.counters.redirects += 1
         self._offers.set_next_step(tick, call)
@@ -319,7 +331,8 @@
 
 def _note_refusal(call: CallRow, upstream: UpstreamRow, code: RefusalCode) -> None:
     """Record in a call what a refusal says about its further attempts."""
-    if code is RefusalCode.NO_FREE_SLOT:
+    call.link_refusals += code is RefusalCode.LINK_FULL
+    if code in _PROBE_CODES:
         # The attempt did not wait there, so a later one may.
         call.tried.remove(upstream.node_id)
         call.is_refused_across |= upstream.distance is LinkClass.ACROSS
--- a/packages/papayapost/src/papayapost/traffic/entry/offers.py
+++ b/packages/papayapost/src/papayapost/traffic/entry/offers.py
@@ -7,6 +7,7 @@
 from papayapost.place import SelfRow
 from papayapost.states import LinkClass, Outcome
 from papayapost.traffic.claims.tables import digest_of_key, partition_of
+from papayapost.traffic.entry.answer_sizes import AnswerSizes
 from papayapost.traffic.entry.balancing import BalancingPolicy
 from papayapost.traffic.entry.link_budget import HEAD_BYTES, LinkBudget
 from papayapost.traffic.entry.newcomers import FixedRamp, NewcomerPolicy
@@ -84,6 +85,8 @@
         attempt.
     newcomers
         How upstreams are used that have just started; a ramp if None.
+    answer_sizes
+        Lengths of the answers of each route.
     """
 
     def __init__(
@@ -95,7 +98,9 @@
         link: LinkBudget,
         retries: RetryPolicy,
         newcomers: NewcomerPolicy | None = None,
+        answer_sizes: AnswerSizes | None = None,
     ):
+        self._answer_sizes = answer_sizes or AnswerSizes()
         self._newcomers = newcomers or FixedRamp()
         self._me = me
         self._tables = tables
@@ -139,7 +144,7 @@
         self._sequence += 1
         attempt_id = AttemptId(f"{self._prefix}{self._sequence:x}")
         may_queue = len(call.refused) >= _MAX_PROBES or self._policy.is_full(
-            upstream, tick.now_us
+            upstream, tick.now_us, self.large_bytes(call)
         )
         offer = self._build_offer(tick, call, attempt_id, upstream, may_queue)
         call.tried.append(upstream.node_id)
@@ -171,6 +176,10 @@
         step, due_us = self._retries.next_step(call, service.latency_us, tick.now_us)
         set_step(tick, call, step, due_us)
 
+    def large_bytes(self, call: CallRow) -> float:
+        """Return the expected length of a call's answer if large, else 0."""
+        return self._answer_sizes.large_bytes(call.route)
+
     def cancel_attempts(self, tick: Tick, call: CallRow) -> None:
         """Cancel all outstanding attempts of a call."""
         for attempt_id in call.outstanding:
@@ -194,10 +203,20 @@
         if route.cross_link and self._link.allows(call.rank, tick.now_us):
             reach = LinkClass.ACROSS
         service = self._upstreams.service(call.service, tick.now_us)
-        is_last_resort = route.link_last or call.is_refused_across
+        # Near links that are full are as good as none for a large answer.
+        is_link_needed = call.link_refusals >= _MAX_PROBES
+        is_link_spared = route.link_last and not is_link_needed
+        is_last_resort = is_link_spared or call.is_refused_across
         if is_last_resort and any(service.tiers[: LinkClass.ACROSS]):
             reach = LinkClass.REGION
-        return self._policy.choose(service, call.tried, reach, tick.now_us, tick.random)
+        return self._policy.choose(
+            service,
+            call.tried,
+            reach,
+            tick.now_us,
+            tick.random,
+            self.large_bytes(call),
+        )
 
     def _preferred(
         self, service: ServiceRow, key: IdempotencyKey, call: CallRow
--- a/packages/papayapost/src/papayapost/traffic/entry/tables.py
+++ b/packages/papayapost/src/papayapost/traffic/entry/tables.py
@@ -68,6 +68,8 @@
     failing_servers, despite_failures
         Number of refusals because a backend server fails, and whether the call
         is to be tried all the same.
+    link_refusals
+        Number of refusals because the link of an owner node is full.
     is_refused_across
         Whether an owner node of another region had no free slot. A further one
         would cost the time of the way there and back again.
@@ -100,6 +102,7 @@
     redirects: int = 0
     failing_servers: int = 0
     despite_failures: bool = False
+    link_refusals: int = 0
     is_refused_across: bool = False
     is_hedged: bool = False
     may_have_run: bool = False
--- a/packages/papayapost/src/papayapost/traffic/entry/upstreams.py
+++ b/packages/papayapost/src/papayapost/traffic/entry/upstreams.py
@@ -60,6 +60,13 @@
         report took to arrive.
     full_until_us
         Time until which the upstream counts as full after a refusal.
+    link_mbps
+        Rate of the link of the owner node's VM in Mbit/s; 0 if it is unknown.
+    link_free_us
+        Time until which large answers keep that link busy, as the owner node
+        last reported it.
+    link_full_until_us
+        Time until which the link counts as full after a refusal.
     failure_rate, failure_rate_sampled_us
         Decayed fraction of the attempts that were refused, failed or lost, and
         time of the last sample.
@@ -86,6 +93,9 @@
     outstanding_at_report: int = 0
     expected_wait_us: int = 0
     full_until_us: int = 0
+    link_mbps: float = 0.0
+    link_free_us: int = 0
+    link_full_until_us: int = 0
     failure_rate: float = 0.0
     failure_rate_sampled_us: Micros = Micros(0)
     ramp_start_us: Micros | None = None
@@ -102,6 +112,10 @@
         self.outstanding_at_report = len(self.attempts)
         self.expected_wait_us = 0
 
+    def report_link(self, wait_us: int, now_us: Micros) -> None:
+        """Store for how long the link is busy by the owner node's report."""
+        self.link_free_us = now_us + wait_us
+
     def sample_outcome(self, is_good: bool, now_us: Micros) -> None:
         """Update the decayed failure rate with the outcome of one attempt."""
         rate = self.failure_rate_at(now_us)
@@ -320,6 +334,7 @@
             )
             self.rows.put(row.node_id, known)
         known.slots = max(1, row.slots)
+        known.link_mbps = row.link_mbps
         return known
 
 
--- a/packages/papayapost/src/papayapost/traffic/messages.py
+++ b/packages/papayapost/src/papayapost/traffic/messages.py
@@ -79,6 +79,7 @@
     UNKNOWN_KEY = "unknown-key"
     KEYS_UNCERTAIN = "keys-uncertain"
     QUOTA = "quota"
+    LINK_FULL = "link-full"
 
 
 class LossCause(Enum):
@@ -317,12 +318,16 @@
         HTTP status of the answer.
     free_slots
         Number of free slots at the owner node.
+    link_wait_ms
+        Time in ms for which large answers keep the owner node's link busy;
+        None if they don't.
     """
 
     sender: NodeId
     attempt_id: AttemptId
     status: int
     free_slots: int
+    link_wait_ms: int | None = None
 
 
 @define
--- a/packages/papayapost/src/papayapost/traffic/owner/admission.py
+++ b/packages/papayapost/src/papayapost/traffic/owner/admission.py
@@ -15,6 +15,7 @@
     RefusalCode,
 )
 from papayapost.traffic.owner.concurrency import ConcurrencyLimit
+from papayapost.traffic.owner.link_plan import LinkPlan
 from papayapost.traffic.owner.queue_wait import QueueWaits, longest_hold_us
 from papayapost.traffic.owner.queues import QueueDiscipline
 from papayapost.traffic.owner.replies import Replies
@@ -91,7 +92,10 @@
         self._replies = replies
         self._drain = drain
         self._waiting_attempts = WaitingAttempts(tables, queue, replies)
-        self._slot_times = SlotTimes(me.node_id, tables, queue, concurrency)
+        self._link_plan = LinkPlan(me, directory, tables)
+        self._slot_times = SlotTimes(
+            me.node_id, tables, queue, concurrency, self._link_plan
+        )
         self._breaker = ServerBreaker(tables)
         self._queue_waits = QueueWaits()
 
@@ -101,6 +105,7 @@
         blocked_answers.update(a.attempt_id for a in tick.take(AnswerBlocked))
         for unblocked in tick.take(AnswerUnblocked):
             blocked_answers.discard(unblocked.attempt_id)
+            self._link_plan.unblocked(tick.now_us)
         for cancel in tick.take(AttemptCancel):
             self._cancel(tick, cancel.attempt_id)
         for begun in tick.take(BackendCallBegun):
@@ -187,6 +192,15 @@
             self._replies.refuse(tick, offer, RefusalCode.SERVER_FAILING, trial_us)
             return None
         wait_us = self._slot_times.expected_wait_us(offer, tick.now_us)
+        if self._link_plan.plans(offer):
+            work_us = wait_us + self._slot_times.mean_us(offer, tick.now_us)
+            if not self._link_plan.is_worthwhile(offer, work_us, tick.now_us):
+                link_us = self._link_plan.wait_us(offer, tick.now_us)
+                code = RefusalCode.LINK_FULL
+                if offer.may_queue:
+                    code = RefusalCode.DEADLINE
+                self._replies.refuse(tick, offer, code, link_us)
+                return None
         if not (offer.may_queue or self._slot_times.has_free_slot(offer)):
             self._replies.refuse(tick, offer, RefusalCode.NO_FREE_SLOT, wait_us)
             return None
@@ -342,6 +356,7 @@
             self._waiting_attempts.release_claim(tick, row)
             self._replies.refuse(tick, offer, RefusalCode.UNREACHABLE, 0)
         elif ended.is_whole and not row.is_shed:
+            self._link_plan.ended(row, ended.answer_bytes, tick.now_us)
             self._slot_times.add_sample(offer, held_us, tick.now_us)
             self._concurrency.ended(offer.rank, held_us, is_saturated, tick.now_us)
             if self._concurrency.answered(offer, held_us, tick.now_us):
--- a/packages/papayapost/src/papayapost/traffic/owner/slot_times.py
+++ b/packages/papayapost/src/papayapost/traffic/owner/slot_times.py
@@ -3,6 +3,7 @@
 from papayapost.ids import Micros, NodeId
 from papayapost.traffic.messages import AttemptOffer
 from papayapost.traffic.owner.concurrency import ConcurrencyLimit, ServiceTimes
+from papayapost.traffic.owner.link_plan import LinkPlan
 from papayapost.traffic.owner.queues import QueueDiscipline
 from papayapost.traffic.owner.tables import OwnerTables, work_class
 
@@ -24,7 +25,9 @@
         tables: OwnerTables,
         queue: QueueDiscipline,
         concurrency: ConcurrencyLimit,
+        link_plan: LinkPlan,
     ):
+        self._link_plan = link_plan
         self._node_id = node_id
         self._tables = tables
         self._queue = queue
@@ -36,10 +39,13 @@
 
         Answers that wait to be sent hold no slot. They show that the link of
         this VM is full, and an answer to another node would wait behind them.
+        They are not counted where the link's rate and the length of the answer
+        are known: small answers pass them, and `LinkPlan` tells for how long a
+        large one would wait.
         """
         tables = self._tables
         taken = tables.running + tables.waiting
-        if offer.sender != self._node_id:
+        if offer.sender != self._node_id and not self._is_link_planned(offer):
             taken += len(tables.blocked_answers)
         return taken < self._concurrency.limit
 
@@ -60,6 +66,9 @@
         oldest_wait_us = self._queue.oldest_wait_us(offer.rank, due_us, now_us)
         return max(queue_wait_us + next_slot_us, oldest_wait_us)
 
+    def _is_link_planned(self, offer: AttemptOffer) -> bool:
+        return self._link_plan.is_known_small(offer) or self._link_plan.plans(offer)
+
     def mean_us(self, offer: AttemptOffer, now_us: Micros) -> float:
         """Return the mean time in µs for which such attempts hold a slot."""
         return self._service_times.mean_us(work_class(offer), now_us)
--- a/packages/papayapost/src/papayapost/traffic/owner/tables.py
+++ b/packages/papayapost/src/papayapost/traffic/owner/tables.py
@@ -187,6 +187,9 @@
     blocked_answers
         Attempts that hold no slot any more, but whose answer waits for credit
         of its entry node.
+    link_free_us
+        Tick time in µs until which large answers keep the link of this VM
+        busy.
     """
 
     def __init__(self, slots: int):
@@ -203,8 +206,13 @@
         self.departures = DepartureTables()
         self.attempts: Table[AttemptId, OwnedRow] = Table("owned attempts")
         self.blocked_answers: set[AttemptId] = set()
+        self.link_free_us = 0
         self.counters = OwnerCounters()
 
+    def link_wait_us(self, now_us: int) -> int:
+        """Return for how long large answers keep the link of this VM busy."""
+        return max(0, self.link_free_us - now_us)
+
     @property
     def free_slots(self) -> int:
         """Slots within the limit that no running or waiting attempt needs."""
--- a/packages/papayapost/src/papayapost/traffic/part.py
+++ b/packages/papayapost/src/papayapost/traffic/part.py
@@ -11,6 +11,7 @@
 from papayapost.traffic.claims.results import ApplyClaimResults
 from papayapost.traffic.claims.tables import ClaimTables
 from papayapost.traffic.drain import GRACE_US, DrainRow, FinishDrain, StartDrain
+from papayapost.traffic.entry.answer_sizes import AnswerSizes
 from papayapost.traffic.entry.answer_times import AnswerTimes
 from papayapost.traffic.entry.balancing import BalancingPolicy, NearestOfTwo
 from papayapost.traffic.entry.call_endings import EndCalls
@@ -161,7 +162,10 @@
     policy = balancing or NearestOfTwo(
         owner, options.shared_budget is not None, newcomers
     )
-    offers = Offers(me, calls, upstreams, policy, link, retries, newcomers)
+    answer_sizes = AnswerSizes()
+    offers = Offers(
+        me, calls, upstreams, policy, link, retries, newcomers, answer_sizes
+    )
     if queue is None:
         queue = TargetedQueues(slots) if options.has_targets else RankedQueues(slots)
     if concurrency is None:
@@ -216,7 +220,15 @@
         ),
         HandleFailedAttempts(calls, upstreams, offers, retries, ejector),
         EndCalls(
-            calls, upstreams, offers, retries, ejector, link, answer_times, newcomers
+            calls,
+            upstreams,
+            offers,
+            retries,
+            ejector,
+            link,
+            answer_times,
+            newcomers,
+            answer_sizes,
         ),
         FinishDrain(drain, calls, owner, claims, me, replies),
     ]
--- a/packages/papayapost/tests/traffic/test_load_patterns.py
+++ b/packages/papayapost/tests/traffic/test_load_patterns.py
@@ -91,3 +91,15 @@
 def test_inner_calls_are_served_like_fresh_work_of_their_rank():
     figures = replay("contended", 64)
     assert answered(figures["count"]) > answered(figures["booking"]) - 0.05
+
+
+@pytest.mark.parametrize("nodes", SIZES)
+def test_downloads_share_links_that_have_room_in_any_data_centre(nodes):
+    downloads = replay("downloads", nodes)["download"]
+    assert downloads.share(CallEnd.TIMELY) > 0.95
+    assert downloads.across < 0.1 * downloads.offers
+
+
+@pytest.mark.parametrize("nodes", SIZES)
+def test_small_answers_are_in_time_beside_downloads(nodes):
+    assert replay("downloads", nodes)["page"].share(CallEnd.TIMELY) > 0.98
