Keep attempts from a server that sheds part of its load

A server that refuses half of its attempts answers at once and looks the least loaded, and a good answer between two refusals kept its breaker closed. Its owner node now keeps the share that it refuses: above four tenths, few attempts reach it, and others are refused before it, at no retry; trials end that. If other owner nodes refuse as well, their servers shed too, and it admits all.

--- a/packages/papayapost-testing/src/papayapost_testing/load_patterns/patterns.py
+++ b/packages/papayapost-testing/src/papayapost_testing/load_patterns/patterns.py
@@ -235,6 +235,17 @@
     )
 
 
+def _some_shedding(nodes: int) -> LoadPattern:
+    trouble = TroubleRow(2, 7, _DESK, Trouble.SHEDDING, 0.33, 0.6)
+    return LoadPattern(
+        "a third of the servers refuse six tenths of their calls",
+        _mesh(nodes),
+        _kinds(nodes, 0.5),
+        8,
+        troubles=(trouble,),
+    )
+
+
 _BUILDERS = {
     "calm": lambda nodes: LoadPattern("calm", _mesh(nodes), _kinds(nodes, 0.5), 6),
     "burst": _burst,
@@ -248,6 +259,7 @@
     "waves": _waves,
     "speeds": _speeds,
     "all-shedding": _all_shedding,
+    "some-shedding": _some_shedding,
 }
 
 LOAD_PATTERNS = tuple(_BUILDERS)
--- a/packages/papayapost/src/papayapost/traffic/owner/admission.py
+++ b/packages/papayapost/src/papayapost/traffic/owner/admission.py
@@ -368,15 +368,20 @@
         self, tick: Tick, row: OwnedRow, ended: BackendCallEnded
     ) -> None:
         is_good = ended.is_whole and not (ended.is_refused or row.is_failed)
-        state = self._breaker.record(is_good, tick.now_us)
+        is_shed = ended.is_refused or row.is_shed
+        before = self._breaker.state
+        state = self._breaker.record(is_good, tick.now_us, is_shed)
+        if state is None:
+            return
         if state is BreakerState.OPEN:
-            tick.emit(
-                Noted(Event.BACKEND_SERVER_CLOSED, attempt_id=row.offer.attempt_id)
-            )
-        elif state is BreakerState.CLOSED:
-            tick.emit(
-                Noted(Event.BACKEND_SERVER_REOPENED, attempt_id=row.offer.attempt_id)
-            )
+            event = Event.BACKEND_SERVER_CLOSED
+        elif state is BreakerState.SHEDDING:
+            event = Event.BACKEND_SERVER_SHEDS
+        elif before is BreakerState.SHEDDING:
+            event = Event.BACKEND_SERVER_SHEDS_LESS
+        else:
+            event = Event.BACKEND_SERVER_REOPENED
+        tick.emit(Noted(event, attempt_id=row.offer.attempt_id))
 
     def _cancel(self, tick: Tick, attempt_id: AttemptId) -> None:
         row = self._tables.attempts.get(attempt_id)
--- a/packages/papayapost/tests/traffic/test_load_patterns.py
+++ b/packages/papayapost/tests/traffic/test_load_patterns.py
@@ -103,3 +103,25 @@
 @pytest.mark.parametrize("nodes", SIZES)
 def test_small_answers_are_in_time_beside_downloads(nodes):
     assert replay("downloads", nodes)["page"].share(CallEnd.TIMELY) > 0.98
+
+
+@pytest.mark.parametrize("nodes", SIZES)
+def test_calls_go_elsewhere_when_some_servers_shed(nodes):
+    figures = replay("some-shedding", nodes)
+    assert answered(figures["lookup"]) > 0.95
+    assert answered(figures["order"]) > 0.95
+
+
+@pytest.mark.parametrize("nodes", SIZES)
+def test_servers_that_all_shed_half_of_their_load_stay_in_use(nodes):
+    lookups = replay("all-shedding", nodes)["lookup"]
+    assert answered(lookups) > 0.75
+    assert lookups.offers < 2 * lookups.attempts
+
+
+@pytest.mark.parametrize("name", ["speeds", "waves"])
+@pytest.mark.parametrize("nodes", SIZES)
+def test_uneven_servers_and_uneven_loads_leave_calls_in_time(name, nodes):
+    figures = replay(name, nodes)
+    assert figures["lookup"].share(CallEnd.TIMELY) > 0.95
+    assert answered(figures["order"]) > 0.93
--- a/packages/papayapost/tests/traffic/test_server_breaker.py
+++ b/packages/papayapost/tests/traffic/test_server_breaker.py
@@ -96,3 +96,56 @@
     owner = owner_of_failing_server()
     arrived = CallArrived(CallId(1), "GET", "h", "/x")
     assert len(started(owner.tick(arrived))) == 1
+
+
+SHEDS_HALF = (503, 200) * 30
+
+
+def shedding_owner():
+    owner = Owner(slots=2)
+    for status in SHEDS_HALF:
+        offer = owner.offer()
+        # Long enough after the last one to be a trial, once it sheds.
+        assert started(owner.tick(offer, after_us=250_000)) == [offer.attempt_id]
+        owner.end(offer.attempt_id, status=status, after_us=1_000)
+    return owner
+
+
+def test_a_server_that_sheds_half_of_its_load_gets_few_attempts():
+    owner = shedding_owner()
+    codes = [refused_code(owner) for _ in range(10)]
+    assert codes.count(FAILING) >= 9
+
+
+def test_a_server_that_sheds_a_quarter_stays_in_use():
+    owner = Owner(slots=2)
+    for status in (503, 200, 200, 200) * 20:
+        offer = owner.offer()
+        assert started(owner.tick(offer)) == [offer.attempt_id]
+        owner.end(offer.attempt_id, status=status, after_us=1_000)
+
+
+def test_good_trials_end_the_refusals_of_a_server_that_shed_half():
+    owner = shedding_owner()
+    for _ in range(10):
+        attempt_id = trial(owner, after_us=200_000)
+        owner.end(attempt_id, after_us=1_000)
+    assert refused_code(owner) is None
+
+
+def test_attempts_that_other_owners_refused_reach_a_server_that_sheds():
+    owner = shedding_owner()
+    offer = owner.offer(despite_failures=True)
+    assert started(owner.tick(offer)) == [offer.attempt_id]
+
+
+def test_if_the_siblings_shed_as_well_attempts_are_admitted():
+    # Another server would refuse them as often, at two messages each.
+    owner = shedding_owner()
+    for _ in range(6):
+        refused_code(owner)
+        offer = owner.offer(despite_failures=True)
+        owner.tick(offer)
+        owner.end(offer.attempt_id, status=503, after_us=1_000)
+        owner.tick(owner.offer(despite_failures=True))
+    assert refused_code(owner) is not FAILING
