Offer calls that a full region refuses to another region once

With loads that vary at different times, one region refused calls while two fifths of the slots of the other were idle: the link was used only for waits above the way there and back as entry nodes estimate them, which age. A call that the near owner nodes refuse for its wait is now offered once to another region, without leave to queue there, where its rule and the link's budget allow it. After a refusal there, a pause of 0.5 to 4 s keeps calls from being held while both regions are full.

--- a/packages/papayapost-testing/src/papayapost_testing/bench/balance.py
+++ b/packages/papayapost-testing/src/papayapost_testing/bench/balance.py
@@ -53,6 +53,7 @@
         now_us: Micros,
         random: Random,
         answer_bytes: float = 0.0,
+        is_refused_near: bool = False,
     ) -> UpstreamRow | None:
         """Return a random untried upstream, or None if all were tried."""
         for tier in service.tiers[: reach + 1]:
--- a/packages/papayapost/src/papayapost/traffic/entry/balancing.py
+++ b/packages/papayapost/src/papayapost/traffic/entry/balancing.py
@@ -40,6 +40,7 @@
         now_us: Micros,
         random: Random,
         answer_bytes: float = 0.0,
+        is_refused_near: bool = False,
     ) -> UpstreamRow | None:
         """Return the upstream for an attempt, or None if there is none.
 
@@ -57,6 +58,8 @@
             Source of the random choice.
         answer_bytes
             Expected length of the answer in bytes if it is large, else 0.
+        is_refused_near
+            Whether only an upstream of another region is of use.
         """
 
     @abstractmethod
@@ -108,12 +111,16 @@
         now_us: Micros,
         random: Random,
         answer_bytes: float = 0.0,
+        is_refused_near: bool = False,
     ) -> UpstreamRow | None:
         """Return the upstream for an attempt, or None if there is none.
 
         If all upstreams within reach are full, the one with the lowest
         expected wait is chosen; the wait counts more at a larger distance.
         """
+        if is_refused_near:
+            tier = service.tiers[LinkClass.ACROSS]
+            return self._choose_in_tier(service, tier, tried, now_us, random)
         if answer_bytes:
             return self._choose_for_large(
                 service, tried, reach, now_us, random, answer_bytes
--- a/packages/papayapost/src/papayapost/traffic/entry/call_endings.py
+++ b/packages/papayapost/src/papayapost/traffic/entry/call_endings.py
@@ -124,6 +124,8 @@
         latency_us = tick.now_us - attempt.offered_us
         upstream.sample_latency(latency_us, tick.now_us)
         service.sample_latency(latency_us)
+        if upstream.distance is LinkClass.ACROSS:
+            service.answered_across()
         self._newcomers.sample(call, upstream, latency_us, tick.now_us)
         self._ejector.succeeded(tick, upstream)
         self._retries.succeeded(call)
--- a/packages/papayapost/src/papayapost/traffic/entry/failed_attempts.py
+++ b/packages/papayapost/src/papayapost/traffic/entry/failed_attempts.py
@@ -50,6 +50,9 @@
         RefusalCode.SHED,
     ]
 )
+_FULL_NEAR_CODES = frozenset(
+    [RefusalCode.DEADLINE, RefusalCode.EVICTED, RefusalCode.QUEUE_FULL]
+)
 _PROBE_CODES = frozenset([RefusalCode.LINK_FULL, RefusalCode.NO_FREE_SLOT])
 _FAILURE_CODES = frozenset([RefusalCode.UNREACHABLE, RefusalCode.WRONG_SERVICE])
 
@@ -128,6 +131,10 @@
             return
         call.retry_after_ms = refused.retry_after_ms
         _note_refusal(call, upstream, refused.code)
+        is_across = upstream.distance is LinkClass.ACROSS
+        if is_across and refused.code in _PROBE_CODES:
+            service = self._upstreams.service(call.service, tick.now_us)
+            service.refused_across(tick.now_us)
         if refused.code in _FAILURE_CODES:
             self._record_failure(tick, call, upstream)
         self._record_not_run(tick, call, refused.attempt_id, refused.code)
@@ -194,6 +201,8 @@
             return
         if call.may_have_run and not call.route.idempotent:
             self._end_unknown(tick, call)
+        elif code in _FULL_NEAR_CODES and self._cross(tick, call):
+            return
         elif self._retries.costs_no_retry(call, code):
             # Without enough time or an untried upstream, the conditions of an
             # ordinary retry decide whether the call goes on or ends.
@@ -225,6 +234,15 @@
         self._offers.set_next_step(tick, call)
         return True
 
+    def _cross(self, tick: Tick, call: CallRow) -> bool:
+        """Offer a call whose wait would be too long near to another region."""
+        if not (self._offers.may_cross(tick, call) and self._has_time(tick, call)):
+            return False
+        call.is_refused_near = True
+        is_offered = self._redirect(tick, call)
+        call.is_refused_near = False
+        return is_offered
+
     def _offer_despite_failures(self, tick: Tick, call: CallRow) -> bool:
         """Offer the call to a failing server again if there is no other."""
         is_refused = call.last_code is RefusalCode.SERVER_FAILING
--- a/packages/papayapost/src/papayapost/traffic/entry/offers.py
+++ b/packages/papayapost/src/papayapost/traffic/entry/offers.py
@@ -146,6 +146,8 @@
         may_queue = len(call.refused) >= _MAX_PROBES or self._policy.is_full(
             upstream, tick.now_us, self.large_bytes(call)
         )
+        if call.is_refused_near and upstream.distance is LinkClass.ACROSS:
+            may_queue = False
         offer = self._build_offer(tick, call, attempt_id, upstream, may_queue)
         call.tried.append(upstream.node_id)
         call.outstanding.append(attempt_id)
@@ -216,8 +218,24 @@
             tick.now_us,
             tick.random,
             self.large_bytes(call),
+            call.is_refused_near and reach is LinkClass.ACROSS,
         )
 
+    def may_cross(self, tick: Tick, call: CallRow) -> bool:
+        """Return whether a call refused near may be offered to another region.
+
+        Load pattern: data centres whose load varies at different times. One
+        region refuses calls while two fifths of the slots of the other are
+        idle. A pause after each refusal there keeps calls from being held for
+        the way there and back while both regions are full.
+        """
+        route = call.route
+        if not route.cross_link or route.link_last or call.is_refused_across:
+            return False
+        service = self._upstreams.service(call.service, tick.now_us)
+        is_paused = tick.now_us < service.across_full_until_us
+        return not is_paused and self._link.allows(call.rank, tick.now_us)
+
     def _preferred(
         self, service: ServiceRow, key: IdempotencyKey, call: CallRow
     ) -> UpstreamRow | None:
--- a/packages/papayapost/src/papayapost/traffic/entry/tables.py
+++ b/packages/papayapost/src/papayapost/traffic/entry/tables.py
@@ -70,6 +70,9 @@
         is to be tried all the same.
     link_refusals
         Number of refusals because the link of an owner node is full.
+    is_refused_near
+        Whether the owner nodes of this region have refused the call and one
+        of another region is to be tried.
     is_refused_across
         Whether an owner node of another region had no free slot. A further one
         would cost the time of the way there and back again.
@@ -103,6 +106,7 @@
     failing_servers: int = 0
     despite_failures: bool = False
     link_refusals: int = 0
+    is_refused_near: bool = False
     is_refused_across: bool = False
     is_hedged: bool = False
     may_have_run: bool = False
--- a/packages/papayapost/src/papayapost/traffic/entry/upstreams.py
+++ b/packages/papayapost/src/papayapost/traffic/entry/upstreams.py
@@ -31,6 +31,11 @@
 _FAILURE_RATE_WEIGHT = 0.1
 _FAILURE_RATE_HALF_LIFE_US = 2_000_000
 _MIN_FAILURE_RATE = 0.01
+_MIN_ACROSS_PAUSE_US = 500_000
+_MAX_ACROSS_PAUSE_US = 4_000_000
+"""Pauses of calls to another region that had no free slot. Each such call is
+held for the way there and back before it is refused."""
+
 _LEAVING_STATES = frozenset([BackendServerState.DRAINING, BackendServerState.GONE])
 
 
@@ -158,6 +163,10 @@
     is_known
         Whether the last build found any upstreams. If so, upstreams that are
         found later start with a smaller share of the attempts.
+    across_full_until_us, across_pause_us
+        Time until which calls that the near owner nodes refuse are not offered
+        to another region, and length of the last such pause. It doubles with
+        each refusal there.
     preferred
         For each claims object, the upstreams in order of preference for the
         keys that it holds. All nodes of a data centre compute the same order.
@@ -171,8 +180,20 @@
     is_stale: bool = True
     uses_ejected: bool = False
     is_known: bool = False
+    across_full_until_us: int = 0
+    across_pause_us: int = 0
     preferred: dict[str, list[UpstreamRow]] = field(default_factory=dict)
 
+    def refused_across(self, now_us: Micros) -> None:
+        """Pause offers to another region, which has no free slot either."""
+        doubled_us = max(_MIN_ACROSS_PAUSE_US, 2 * self.across_pause_us)
+        self.across_pause_us = min(_MAX_ACROSS_PAUSE_US, doubled_us)
+        self.across_full_until_us = now_us + self.across_pause_us
+
+    def answered_across(self) -> None:
+        """End the pauses: another region has free slots."""
+        self.across_pause_us = 0
+
     def sample_latency(self, latency_us: int) -> None:
         """Update the decayed latency with the latency of one answer."""
         self.latency_us += _LATENCY_WEIGHT * (latency_us - self.latency_us)
--- a/packages/papayapost/src/papayapost/traffic/owner/server_breaker.py
+++ b/packages/papayapost/src/papayapost/traffic/owner/server_breaker.py
@@ -36,13 +36,13 @@
 
 _SHEDDING_TRIAL_INTERVAL_US = 200_000
 
-_SIBLING_WEIGHT = 0.1
+_SIBLING_WEIGHT = 0.2
 _SIBLINGS_SHED_SHARE = 0.2
 """Share of the offers that other owner nodes have refused, above which the
 siblings shed as well. If all do, it is a third; if a third of them does, less
 than a tenth."""
 
-_SIBLINGS_SHED_US = 2_000_000
+_SIBLINGS_SHED_US = 10_000_000
 """Time for which attempts are admitted then. Another server would refuse them
 as often, and each refusal costs two messages."""
 
--- a/packages/papayapost/tests/traffic/test_balancing.py
+++ b/packages/papayapost/tests/traffic/test_balancing.py
@@ -298,3 +298,42 @@
     first = only(entry.call())
     second = only(entry.tick(OfferUndelivered(first.offer.attempt_id)))
     assert second.address != first.address
+
+
+def refuse_as_too_late(entry, call):
+    """Have the near owner refuse a call, twice as a probe, then for good."""
+    offer = only(call)
+    for _ in range(2):
+        offer = only(refuse(entry, offer, after_us=1_000))
+    attempt_id, sender = offer.offer.attempt_id, offer.offer.sender
+    refused = AttemptRefused(sender, attempt_id, RefusalCode.DEADLINE, 400, 0)
+    return entry.tick(refused)
+
+
+def entry_beside_a_full_region():
+    rows = [backend_row("near", "far"), backend_row("far", "far", SOUTH_1)]
+    return Entry(rows)
+
+
+def test_a_call_refused_in_its_region_goes_to_another_one_once():
+    entry = entry_beside_a_full_region()
+    crossing = only(refuse_as_too_late(entry, entry.call("/far/a")))
+    assert crossing.address == "far:1"
+    assert not crossing.offer.may_queue
+    effects = refuse(entry, crossing, after_us=60_000)
+    assert "far:1" not in [offer.address for offer in offers_sent(effects)]
+
+
+def test_calls_are_not_held_for_another_region_that_was_just_full():
+    entry = entry_beside_a_full_region()
+    crossing = only(refuse_as_too_late(entry, entry.call("/far/a")))
+    refuse(entry, crossing, after_us=60_000)
+    effects = refuse_as_too_late(entry, entry.call("/far/a"))
+    assert "far:1" not in [offer.address for offer in offers_sent(effects)]
+
+
+def test_a_route_without_the_link_is_refused_in_its_region():
+    rows = [backend_row("near", "gusts"), backend_row("far", "gusts", SOUTH_1)]
+    entry = Entry(rows)
+    effects = refuse_as_too_late(entry, entry.call("/gusts/a"))
+    assert "far:1" not in [offer.address for offer in offers_sent(effects)]
--- a/packages/papayapost/tests/traffic/test_load_patterns.py
+++ b/packages/papayapost/tests/traffic/test_load_patterns.py
@@ -125,3 +125,9 @@
     figures = replay(name, nodes)
     assert figures["lookup"].share(CallEnd.TIMELY) > 0.95
     assert answered(figures["order"]) > 0.93
+
+
+def test_another_region_takes_what_a_full_one_refuses():
+    orders = replay("waves", 64)["order"]
+    assert orders.share(CallEnd.REFUSED) < 0.02
+    assert orders.across < 0.05 * orders.offers
