Refuse for a full link in a form that earlier versions can read

A refusal code that a node does not know makes it drop the frame, so that its call waits for the whole time limit. A refusal for the link now has the codes of one for want of a slot, with the wait for the link in a last field that is left out otherwise.

--- a/packages/papayapost/src/papayapost/traffic/entry/failed_attempts.py
+++ b/packages/papayapost/src/papayapost/traffic/entry/failed_attempts.py
@@ -53,7 +53,6 @@
 _FULL_NEAR_CODES = frozenset(
     [RefusalCode.DEADLINE, RefusalCode.EVICTED, RefusalCode.QUEUE_FULL]
 )
-_PROBE_CODES = frozenset([RefusalCode.LINK_FULL, RefusalCode.NO_FREE_SLOT])
 _FAILURE_CODES = frozenset([RefusalCode.UNREACHABLE, RefusalCode.WRONG_SERVICE])
 
 
@@ -109,20 +108,13 @@
             return
         upstream, call = attempt.upstream, self._call_of(attempt)
         upstream.report(refused.free_slots, tick.now_us)
-        if self._is_for_link(refused, call):
-            wait_us = refused.retry_after_ms * 1000
+        if refused.link_wait_ms is not None:
+            wait_us = refused.link_wait_ms * 1000
             upstream.report_link(wait_us, tick.now_us)
             pause_us = min(wait_us, _MAX_FULL_PAUSE_US)
             upstream.link_full_until_us = tick.now_us + pause_us
         else:
-            upstream.expected_wait_us = refused.retry_after_ms * 1000
-        if refused.code is RefusalCode.NO_FREE_SLOT:
-            # The owner node refuses such an attempt at once. If the refusal
-            # took long, it has waited on a slow link, as an answer would.
-            upstream.expected_wait_us += tick.now_us - attempt.offered_us
-        if refused.code in _FULL_CODES:
-            pause_us = min(upstream.expected_wait_us, _MAX_FULL_PAUSE_US)
-            upstream.full_until_us = tick.now_us + pause_us
+            self._note_wait(tick, refused, attempt)
         if refused.code is RefusalCode.SHED:
             upstream.sample_outcome(False, tick.now_us)
         if refused.code is RefusalCode.DRAINING:
@@ -130,20 +122,29 @@
         if call is None:
             return
         call.retry_after_ms = refused.retry_after_ms
+        call.link_refusals += refused.link_wait_ms is not None
         _note_refusal(call, upstream, refused.code)
         is_across = upstream.distance is LinkClass.ACROSS
-        if is_across and refused.code in _PROBE_CODES:
+        if is_across and refused.code is RefusalCode.NO_FREE_SLOT:
             service = self._upstreams.service(call.service, tick.now_us)
             service.refused_across(tick.now_us)
         if refused.code in _FAILURE_CODES:
             self._record_failure(tick, call, upstream)
         self._record_not_run(tick, call, refused.attempt_id, refused.code)
 
-    def _is_for_link(self, refused: AttemptRefused, call: CallRow | None) -> bool:
-        """Return whether a refusal is due to the link of the owner node."""
-        if refused.code is RefusalCode.DEADLINE and call is not None:
-            return self._offers.large_bytes(call) > 0
-        return refused.code is RefusalCode.LINK_FULL
+    def _note_wait(
+        self, tick: Tick, refused: AttemptRefused, attempt: AttemptRow
+    ) -> None:
+        """Store for how long attempts have to wait at an upstream."""
+        upstream = attempt.upstream
+        upstream.expected_wait_us = refused.retry_after_ms * 1000
+        if refused.code is RefusalCode.NO_FREE_SLOT:
+            # The owner node refuses such an attempt at once. If the refusal
+            # took long, it has waited on a slow link, as an answer would.
+            upstream.expected_wait_us += tick.now_us - attempt.offered_us
+        if refused.code in _FULL_CODES:
+            pause_us = min(upstream.expected_wait_us, _MAX_FULL_PAUSE_US)
+            upstream.full_until_us = tick.now_us + pause_us
 
     def _handle_undelivered(self, tick: Tick, attempt_id: AttemptId) -> None:
         attempt = remove_attempt(self._tables, attempt_id)
@@ -228,7 +229,7 @@
             self._offers.offer(tick, call) or self._offer_despite_failures(tick, call)
         ):
             return False
-        if call.last_code not in _PROBE_CODES:
+        if call.last_code is not RefusalCode.NO_FREE_SLOT:
             call.redirects += 1
         self._tables.counters.redirects += 1
         self._offers.set_next_step(tick, call)
@@ -241,6 +242,7 @@
         call.is_refused_near = True
         is_offered = self._redirect(tick, call)
         call.is_refused_near = False
+        self._tables.counters.crossings += is_offered
         return is_offered
 
     def _offer_despite_failures(self, tick: Tick, call: CallRow) -> bool:
@@ -349,8 +351,7 @@
 
 def _note_refusal(call: CallRow, upstream: UpstreamRow, code: RefusalCode) -> None:
     """Record in a call what a refusal says about its further attempts."""
-    call.link_refusals += code is RefusalCode.LINK_FULL
-    if code in _PROBE_CODES:
+    if code is RefusalCode.NO_FREE_SLOT:
         # The attempt did not wait there, so a later one may.
         call.tried.remove(upstream.node_id)
         call.is_refused_across |= upstream.distance is LinkClass.ACROSS
--- a/packages/papayapost/src/papayapost/traffic/entry/retries.py
+++ b/packages/papayapost/src/papayapost/traffic/entry/retries.py
@@ -18,12 +18,7 @@
 _PAUSE_MIN_US = 5_000
 _PAUSE_MAX_US = 100_000
 _NO_RETRY_CODES = frozenset(
-    [
-        RefusalCode.DRAINING,
-        RefusalCode.LINK_FULL,
-        RefusalCode.NO_FREE_SLOT,
-        RefusalCode.SERVER_FAILING,
-    ]
+    [RefusalCode.DRAINING, RefusalCode.NO_FREE_SLOT, RefusalCode.SERVER_FAILING]
 )
 
 
--- a/packages/papayapost/src/papayapost/traffic/entry/shared_budget.py
+++ b/packages/papayapost/src/papayapost/traffic/entry/shared_budget.py
@@ -41,7 +41,6 @@
 _FULL_QUEUE_CODES = frozenset(
     [RefusalCode.DEADLINE, RefusalCode.EVICTED, RefusalCode.QUEUE_FULL]
 )
-_PROBE_CODES = frozenset([RefusalCode.LINK_FULL, RefusalCode.NO_FREE_SLOT])
 _MAYBE_REACHED_CODES = frozenset(
     [RefusalCode.SHED, RefusalCode.LOST, RefusalCode.DUPLICATE]
 )
@@ -108,7 +107,7 @@
         The result is False once a call had `_MAX_REDIRECTS` such attempts. The
         entry node bounds the attempts that may not queue by itself.
         """
-        if code in _PROBE_CODES:
+        if code is RefusalCode.NO_FREE_SLOT:
             return True
         if code in _FULL_QUEUE_CODES and len(call.refused) >= _MAX_REFUSALS_IF_FULL:
             return False
--- a/packages/papayapost/src/papayapost/traffic/entry/tables.py
+++ b/packages/papayapost/src/papayapost/traffic/entry/tables.py
@@ -162,6 +162,9 @@
         Retries within the limit of the rule that the budget did not allow.
     ejections
         Ejections of upstreams.
+    crossings
+        Calls that were offered to another region because the owner nodes of
+        this one had refused them.
     offers_to_draining
         Offers to nodes that the directory listed as draining or gone.
     """
@@ -177,6 +180,7 @@
     budget_denials: int = 0
     ejections: int = 0
     offers_to_draining: int = 0
+    crossings: int = 0
 
 
 @define
--- a/packages/papayapost/src/papayapost/traffic/messages.py
+++ b/packages/papayapost/src/papayapost/traffic/messages.py
@@ -79,7 +79,6 @@
     UNKNOWN_KEY = "unknown-key"
     KEYS_UNCERTAIN = "keys-uncertain"
     QUOTA = "quota"
-    LINK_FULL = "link-full"
 
 
 class LossCause(Enum):
@@ -299,6 +298,9 @@
         Time in ms after which another attempt may succeed.
     free_slots
         Number of free slots at the owner node.
+    link_wait_ms
+        Time in ms for which large answers keep the owner node's link busy, if
+        the attempt was refused for that; else None.
     """
 
     sender: NodeId
@@ -306,6 +308,7 @@
     code: RefusalCode
     retry_after_ms: int
     free_slots: int
+    link_wait_ms: int | None = None
 
 
 @define
--- a/packages/papayapost/src/papayapost/traffic/owner/admission.py
+++ b/packages/papayapost/src/papayapost/traffic/owner/admission.py
@@ -195,11 +195,8 @@
         if self._link_plan.plans(offer):
             work_us = wait_us + self._slot_times.mean_us(offer, tick.now_us)
             if not self._link_plan.is_worthwhile(offer, work_us, tick.now_us):
-                link_us = self._link_plan.wait_us(offer, tick.now_us)
-                code = RefusalCode.LINK_FULL
-                if offer.may_queue:
-                    code = RefusalCode.DEADLINE
-                self._replies.refuse(tick, offer, code, link_us)
+                link_wait_us = self._link_plan.wait_us(offer, tick.now_us)
+                self._replies.refuse_for_link(tick, offer, link_wait_us)
                 return None
         if not (offer.may_queue or self._slot_times.has_free_slot(offer)):
             self._replies.refuse(tick, offer, RefusalCode.NO_FREE_SLOT, wait_us)
--- a/packages/papayapost/src/papayapost/traffic/owner/replies.py
+++ b/packages/papayapost/src/papayapost/traffic/owner/replies.py
@@ -29,8 +29,27 @@
         self._me = me
         self._tables = tables
 
+    def refuse_for_link(
+        self, tick: Tick, offer: AttemptOffer, link_wait_us: float
+    ) -> None:
+        """Refuse an attempt whose answer would leave this VM too late.
+
+        The code is that of an attempt that would wait too long for a slot, so
+        that nodes of earlier versions can read it.
+        """
+        self._tables.counters.link_full += 1
+        code = RefusalCode.NO_FREE_SLOT
+        if offer.may_queue:
+            code = RefusalCode.DEADLINE
+        self.refuse(tick, offer, code, link_wait_us, int(link_wait_us / 1_000))
+
     def refuse(
-        self, tick: Tick, offer: AttemptOffer, code: RefusalCode, wait_us: float
+        self,
+        tick: Tick,
+        offer: AttemptOffer,
+        code: RefusalCode,
+        wait_us: float,
+        link_wait_ms: int | None = None,
     ) -> None:
         """Tell the entry node that an attempt was not run and never will be.
 
@@ -39,6 +58,8 @@
         wait_us
             Expected wait in µs of a new attempt. The caller is asked to retry
             after about that time; jitter of ±25 % spreads the retries.
+        link_wait_ms
+            Time in ms for which the link is busy, if that is the reason.
         """
         self._tables.counters.refused[offer.rank] += 1
         jitter = 0.75 + 0.5 * tick.random.random()
@@ -49,6 +70,7 @@
             code,
             int(min(_MAX_RETRY_AFTER_MS, wait_ms)),
             self._tables.free_slots,
+            link_wait_ms,
         )
         tick.emit(DropOffer(offer.attempt_id))
         self._send(tick, offer, refused)
--- a/packages/papayapost/src/papayapost/traffic/owner/tables.py
+++ b/packages/papayapost/src/papayapost/traffic/owner/tables.py
@@ -141,6 +141,9 @@
         Attempts whose idempotency key another attempt had claimed.
     offers_after_grace
         Offers that arrived after the grace period of a drain.
+    link_full
+        Attempts that were refused because their answer would have left this VM
+        too late.
     """
 
     started: list[int] = field(default_factory=lambda: [0] * len(Rank))
@@ -152,6 +155,7 @@
     stale_epochs: int = 0
     duplicates: int = 0
     offers_after_grace: int = 0
+    link_full: int = 0
 
 
 class OwnerTables:
