Keep large answers in their data centre while they are in time

A large answer now comes from farther away only if no nearer one is expected within the target. A breaker for partial shedding counts refusals as not run only, not status 503, which servers also give when their inner calls are refused, and closes at 0.65: in known faults all servers refuse 55 in 100.

--- a/packages/papayapost-testing/src/papayapost_testing/bench/balance.py
+++ b/packages/papayapost-testing/src/papayapost_testing/bench/balance.py
@@ -54,6 +54,7 @@
         random: Random,
         answer_bytes: float = 0.0,
         is_refused_near: bool = False,
+        left_us: float = 0.0,
     ) -> UpstreamRow | None:
         """Return a random untried upstream, or None if all were tried."""
         for tier in service.tiers[: reach + 1]:
--- a/packages/papayapost/src/papayapost/traffic/entry/balancing.py
+++ b/packages/papayapost/src/papayapost/traffic/entry/balancing.py
@@ -20,6 +20,7 @@
 """Failure rate above which a backend server counts as full, so that one
 farther away that has room is preferred."""
 
+_NO_TARGET_US = float("inf")
 _MAX_COMPARED = 4
 """Largest number of upstreams of one distance that are compared for a call
 with a large answer."""
@@ -41,6 +42,7 @@
         random: Random,
         answer_bytes: float = 0.0,
         is_refused_near: bool = False,
+        left_us: float = _NO_TARGET_US,
     ) -> UpstreamRow | None:
         """Return the upstream for an attempt, or None if there is none.
 
@@ -60,6 +62,8 @@
             Expected length of the answer in bytes if it is large, else 0.
         is_refused_near
             Whether only an upstream of another region is of use.
+        left_us
+            Time in µs that is left to the latency target.
         """
 
     @abstractmethod
@@ -112,6 +116,7 @@
         random: Random,
         answer_bytes: float = 0.0,
         is_refused_near: bool = False,
+        left_us: float = _NO_TARGET_US,
     ) -> UpstreamRow | None:
         """Return the upstream for an attempt, or None if there is none.
 
@@ -123,7 +128,7 @@
             return self._choose_in_tier(service, tier, tried, now_us, random)
         if answer_bytes:
             return self._choose_for_large(
-                service, tried, reach, now_us, random, answer_bytes
+                service, tried, reach, now_us, random, answer_bytes, left_us
             )
         full_upstreams: list[UpstreamRow] = []
         for distance in range(reach + 1):
@@ -153,30 +158,31 @@
         now_us: Micros,
         random: Random,
         answer_bytes: float,
+        left_us: float,
     ) -> UpstreamRow | None:
-        """Return the upstream from which a large answer is expected first.
+        """Return the nearest upstream whose large answer will be in time.
 
         Load pattern: five servers serve all downloads of a mesh, over links
         whose rates differ twofold. What is nearest or has free slots says
-        little about when an answer of 90 KB arrives. Upstreams of this region
-        are all alike near for it, so that they share what they have to spare;
-        those of another region are used if the near ones are full and the
-        answer is expected earlier with the way there and back.
+        little about when an answer of 90 KB arrives. As bytes between data
+        centres are paid for, an answer comes from farther away only if it is
+        not expected within the target from the best upstream that is nearer.
         """
 
         def due_us(row: UpstreamRow) -> float:
             return self._large_answer_us(service, row, now_us, answer_bytes)
 
-        near: list[UpstreamRow] = []
-        for distance in range(min(reach, LinkClass.REGION) + 1):
-            near += _sampled(service.tiers[distance], tried, random)
-        best = min(near, key=due_us, default=None)
-        if best is not None and not self.is_full(best, now_us, answer_bytes):
-            return best
-        if reach < LinkClass.ACROSS:
-            return best
-        across = _sampled(service.tiers[LinkClass.ACROSS], tried, random)
-        return min([*across, *([best] if best else [])], key=due_us, default=None)
+        too_late: list[UpstreamRow] = []
+        for distance in range(reach + 1):
+            candidates = _sampled(service.tiers[distance], tried, random)
+            best = min(candidates, key=due_us, default=None)
+            if best is None:
+                continue
+            is_full = self.is_full(best, now_us, answer_bytes)
+            if not is_full and due_us(best) <= left_us:
+                return best
+            too_late.append(best)
+        return min(too_late, key=due_us, default=None)
 
     def _large_answer_us(
         self, service: ServiceRow, row: UpstreamRow, now_us: Micros, answer_bytes: float
--- a/packages/papayapost/src/papayapost/traffic/entry/offers.py
+++ b/packages/papayapost/src/papayapost/traffic/entry/offers.py
@@ -219,8 +219,14 @@
             tick.random,
             self.large_bytes(call),
             call.is_refused_near and reach is LinkClass.ACROSS,
+            self._left_us(tick, call),
         )
 
+    def _left_us(self, tick: Tick, call: CallRow) -> float:
+        """Return the time in µs that is left to the target of a call."""
+        left_us = self._target_remaining_us(tick, call, 0)
+        return float("inf") if left_us is None else left_us
+
     def may_cross(self, tick: Tick, call: CallRow) -> bool:
         """Return whether a call refused near may be offered to another region.
 
--- a/packages/papayapost/src/papayapost/traffic/owner/admission.py
+++ b/packages/papayapost/src/papayapost/traffic/owner/admission.py
@@ -365,9 +365,8 @@
         self, tick: Tick, row: OwnedRow, ended: BackendCallEnded
     ) -> None:
         is_good = ended.is_whole and not (ended.is_refused or row.is_failed)
-        is_shed = ended.is_refused or row.is_shed
         before = self._breaker.state
-        state = self._breaker.record(is_good, tick.now_us, is_shed)
+        state = self._breaker.record(is_good, tick.now_us, ended.is_refused)
         if state is None:
             return
         if state is BreakerState.OPEN:
--- a/packages/papayapost/src/papayapost/traffic/owner/server_breaker.py
+++ b/packages/papayapost/src/papayapost/traffic/owner/server_breaker.py
@@ -23,8 +23,8 @@
 twice is one."""
 
 
-_SHEDDING_SHARE = 0.4
-_RECOVERED_SHARE = 0.2
+_SHEDDING_SHARE = 0.65
+_RECOVERED_SHARE = 0.3
 """Share of refused attempts at which a backend server counts as shedding, and
 below which it no longer does. Other servers of its service may have more to
 give; if none has, its attempts come back `despite_failures`."""
@@ -32,7 +32,9 @@
 _SHARE_WEIGHT = 0.05
 _TRIAL_SHARE_WEIGHT = 0.15
 """Weight of one attempt in the share, and that of a trial, of which there are
-fewer. A server that sheds a quarter seldom comes over the limit by chance."""
+fewer. A server that sheds half seldom comes over the limit by chance; in known
+faults, all servers of a service refuse 55 in 100, so that others are no
+better."""
 
 _SHEDDING_TRIAL_INTERVAL_US = 200_000
 
@@ -70,7 +72,7 @@
     before they reach the server, and lets single attempts through to learn of
     the end of the trouble.
 
-    Load pattern: servers that refuse, at once, half of what they get. Between
+    Load pattern: servers that refuse, at once, most of what they get. Between
     two refusals there is a good answer, so that they are never failing, and
     they look the least loaded. The owner node keeps the share that its server
     refuses; while it is large, few attempts reach the server.
@@ -131,7 +133,9 @@
         Parameters
         ----------
         is_shed
-            Whether it refused the attempt as not run.
+            Whether it refused the attempt as not run. A status 503 alone does
+            not tell: servers answer so too when their inner calls are refused,
+            which is the case at all of them in a burst.
 
         Returns
         -------
