--- a/packages/papayapost/tests/traffic/test_slow_start.py
+++ b/packages/papayapost/tests/traffic/test_slow_start.py
@@ -153,7 +153,10 @@
 
 
 def test_a_server_that_recovers_from_hanging_keeps_its_limit():
-    for adaptive, ramp in zip(
-        measured("hung", True), measured("hung", False), strict=True
-    ):
-        assert adaptive.idle < ramp.idle + 0.05
+    # One seed alone differs by more than the policies do.
+    def idle(is_adaptive):
+        case = CASES["hung"]
+        figures = [measure_start(case, is_adaptive, 0.85, seed) for seed in (1, 2, 3)]
+        return sum(row.idle for row in figures)
+
+    assert idle(True) < idle(False)
