--- a/packages/papayapost/src/papayapost/quota/leasing.py
+++ b/packages/papayapost/src/papayapost/quota/leasing.py
@@ -311,7 +311,7 @@
                 self._write(tick, lease, LeaseStep.RELEASE)
 
     def _release(self, tick: Tick, lease: LeaseRow) -> None:
-        """Stop to lend, before the store holds the release."""
+        """Stop lending, before the store holds the release."""
         if lease.state is not LeaseState.HELD:
             return
         lease.state, lease.term = LeaseState.OTHERS, LeaseTerm(0)
