--- a/packages/papayapost-testing/tests/test_client_accounts.py
+++ b/packages/papayapost-testing/tests/test_client_accounts.py
@@ -7,24 +7,16 @@
 import asyncio
 from dataclasses import dataclass, field
 
-import msgspec
 import pytest
 
 from papayapost.ids import Address
 from papayapost_node.composition import build_node
 from papayapost_node.exchange import digest_of_key
-from papayapost_node.http import (
-    ClientConnection,
-    Headers,
-    HttpAnswer,
-    HttpRequest,
-    ServerCall,
-    WholeRequestServer,
-)
-from papayapost_node.settings import Settings
+from papayapost_node.http import Headers, HttpAnswer, ServerCall, WholeRequestServer
 from papayapost_node.store import HttpStoreClient
 from papayapost_testing import ObjectStoreStandIn
 from papayapost_testing.ports import free_addresses
+from papayapost_testing.two_nodes import get, node_settings
 
 SECRET = "s3cret-of-the-shapers"
 WRONG = "an0ther-s3cret"
@@ -45,44 +37,12 @@
     stored: bytes = b""
 
 
-def settings_of(addresses: list[Address], number: int) -> Settings:
-    store, *rest = addresses
-    caller, peer, backend, admin = rest[number * 4 : number * 4 + 4]
-    return msgspec.convert(
-        {
-            "node_id": f"n{number}",
-            "data_centre": "north-1",
-            "region": "north",
-            "caller_address": caller,
-            "peer_address": peer,
-            "store_address": store,
-            "admin_address": admin,
-            "security": {"mode": "none"},
-            "seeds": [rest[1]],
-            "backend_server": {
-                "service": "gusts" if number else "archive",
-                "address": backend,
-                "slots": 8,
-                "connections": 100,
-            },
-        },
-        Settings,
-    )
-
-
-async def get(address: Address, target: str, headers: Headers) -> HttpAnswer:
-    connection = await ClientConnection.open(address)
-    try:
-        sent = [(b"host", b"wind.example"), *headers]
-        return await connection.call(HttpRequest("GET", target, sent))
-    finally:
-        connection.close()
-
-
 async def observe() -> Observed:
     observed = Observed()
     addresses = free_addresses(9)
-    settings = [settings_of(addresses, number) for number in (0, 1)]
+    settings = [
+        node_settings(addresses, number, seeds=[addresses[2]]) for number in (0, 1)
+    ]
 
     def answer(call: ServerCall) -> None:
         observed.received.append(call.request.headers)
@@ -119,7 +79,7 @@
     for item in settings:
         for page in ("/metrics", "/timeline", "/status"):
             admin = Address(item.admin_address or "")
-            observed.pages += (await get(admin, page, [])).body
+            observed.pages += (await get(admin, page)).body
     for kind in ("status", "record", "record-detail", "directory", "accepted"):
         for stored in (await client.list_kind(kind, False)).values():
             observed.stored += stored.value
--- a/packages/papayapost-testing/tests/test_quotas.py
+++ b/packages/papayapost-testing/tests/test_quotas.py
@@ -8,24 +8,17 @@
 from collections import Counter
 from dataclasses import dataclass, field
 
-import msgspec
 import pytest
 
 from papayapost.ids import AccountName, Address
 from papayapost.quota.tables import partition_of_account
 from papayapost_node.composition import build_node
 from papayapost_node.exchange import digest_of_key
-from papayapost_node.http import (
-    ClientConnection,
-    HttpAnswer,
-    HttpRequest,
-    ServerCall,
-    WholeRequestServer,
-)
-from papayapost_node.settings import Settings
+from papayapost_node.http import Headers, HttpAnswer, ServerCall, WholeRequestServer
 from papayapost_node.store import HttpStoreClient
 from papayapost_testing import ObjectStoreStandIn
 from papayapost_testing.ports import free_addresses
+from papayapost_testing.two_nodes import get, node_settings
 
 ACCOUNTS = ("shapers", "waxers")
 RATE_PER_S, BURST = 40, 20
@@ -49,47 +42,18 @@
     span_s: dict[str, float] = field(default_factory=dict)
 
 
-def settings_of(addresses: list[Address], number: int) -> Settings:
-    store, *rest = addresses
-    caller, peer, backend, admin = rest[number * 4 : number * 4 + 4]
-    return msgspec.convert(
-        {
-            "node_id": f"n{number}",
-            "data_centre": "north-1",
-            "region": "north",
-            "data_centres": {"north-1": "north", "south-1": "south"},
-            "discovery": "roster",
-            "caller_address": caller,
-            "peer_address": peer,
-            "store_address": store,
-            "admin_address": admin,
-            "security": {"mode": "none"},
-            "backend_server": {
-                "service": "gusts" if number else "archive",
-                "address": backend,
-                "slots": 8,
-                "connections": 100,
-            },
-        },
-        Settings,
-    )
-
-
-async def get(address: Address, target: str, name: str = "") -> HttpAnswer:
-    connection = await ClientConnection.open(address)
-    headers = [(b"host", b"wind.example")]
-    if name:
-        headers.append((b"authorization", f"Bearer {name}".encode()))
-    try:
-        return await connection.call(HttpRequest("GET", target, headers))
-    finally:
-        connection.close()
+def key_of(name: str) -> Headers:
+    return [(b"authorization", f"Bearer {name}".encode())]
 
 
 async def observe() -> Observed:
     observed = Observed()
     addresses = free_addresses(9)
-    settings = [settings_of(addresses, number) for number in (0, 1)]
+    data_centres = {"north-1": "north", "south-1": "south"}
+    settings = [
+        node_settings(addresses, number, data_centres=data_centres, discovery="roster")
+        for number in (0, 1)
+    ]
 
     def answer(call: ServerCall) -> None:
         call.answer(HttpAnswer(200, [], b"whole"))
@@ -109,12 +73,12 @@
     loop = asyncio.get_running_loop()
     async with asyncio.timeout(20):
         for name in ACCOUNTS:
-            while (await get(entry, "/gusts/0", name)).status != 200:
+            while (await get(entry, "/gusts/0", key_of(name))).status != 200:
                 await asyncio.sleep(0.05)
     for name in ACCOUNTS:
         started_s = loop.time()
         observed.answers[name] = await asyncio.gather(
-            *(get(entry, f"/gusts/{number}", name) for number in range(CALLS))
+            *(get(entry, f"/gusts/{number}", key_of(name)) for number in range(CALLS))
         )
         observed.span_s[name] = loop.time() - started_s
     for item in settings:
--- a/packages/papayapost-testing/tests/test_whole_path.py
+++ b/packages/papayapost-testing/tests/test_whole_path.py
@@ -8,25 +8,15 @@
 from papayapost.timeline import merge_rows, select_call
 from papayapost_node.admin import TimelineReport
 from papayapost_node.composition import build_node
-from papayapost_node.http import ClientConnection, HttpAnswer, HttpRequest
-from papayapost_node.settings import Settings
+from papayapost_node.http import HttpAnswer
 from papayapost_node.store import HttpStoreClient
 from papayapost_testing import BackendServerStandIn, ObjectStoreStandIn
 from papayapost_testing.ports import free_addresses
+from papayapost_testing.two_nodes import get, node_settings
 
 RULES = "route GET /gusts/* -> gusts rank=urgent idempotent=yes # Mei: wind desk\n"
 
 
-async def get(address: Address, target: str) -> HttpAnswer:
-    connection = await ClientConnection.open(address)
-    try:
-        return await connection.call(
-            HttpRequest("GET", target, [(b"host", b"wind.example")])
-        )
-    finally:
-        connection.close()
-
-
 async def get_until_ok(address: Address, target: str) -> HttpAnswer:
     async with asyncio.timeout(10):
         while (answer := await get(address, target)).status != 200:
@@ -34,30 +24,6 @@
         return answer
 
 
-def node_settings(addresses: list[Address], store: Address, number: int) -> Settings:
-    caller, peer, backend, admin = addresses[number * 4 : number * 4 + 4]
-    return msgspec.convert(
-        {
-            "node_id": f"n{number}",
-            "data_centre": "north-1",
-            "region": "north",
-            "caller_address": caller,
-            "peer_address": peer,
-            "store_address": store,
-            "admin_address": admin,
-            "security": {"mode": "none"},
-            "seeds": [addresses[1]],
-            "backend_server": {
-                "service": "gusts" if number else "archive",
-                "address": backend,
-                "slots": 8,
-                "connections": 100,
-            },
-        },
-        Settings,
-    )
-
-
 @dataclass(slots=True)
 class ServedRule:
     answer: HttpAnswer
@@ -68,10 +34,12 @@
 
 
 async def serve_one_rule() -> ServedRule:
-    store_address, *addresses = free_addresses(9)
-    store = ObjectStoreStandIn(store_address)
+    addresses = free_addresses(9)
+    store = ObjectStoreStandIn(addresses[0])
     await store.start()
-    settings = [node_settings(addresses, store_address, number) for number in (0, 1)]
+    settings = [
+        node_settings(addresses, number, seeds=[addresses[2]]) for number in (0, 1)
+    ]
     backends = [
         BackendServerStandIn(Address(item.backend_server.address))
         for item in settings
@@ -82,7 +50,7 @@
     nodes = [await build_node(item) for item in settings]
     for node in nodes:
         await node.start()
-    client = HttpStoreClient(store_address)
+    client = HttpStoreClient(addresses[0])
     version = await client.update("config", "rules", RULES.encode(), 0)
     client.close()
     entry = Address(settings[0].caller_address)
