Remove the order of preference of upstreams, which nothing uses

Cause: entry nodes no longer choose an upstream by the key of a call; the method, its table and its hash stayed behind. Change: they are removed; no decision changes. Measured: lint passes, 107 tests of entry nodes and claims pass.

--- a/packages/papayapost/src/papayapost/traffic/entry/offers.py
+++ b/packages/papayapost/src/papayapost/traffic/entry/offers.py
@@ -1,13 +1,12 @@
 """Offers and cancels attempts on behalf of the systems of the entry node."""
 
-from papayapost.ids import AttemptId, IdempotencyKey, Micros
+from papayapost.ids import AttemptId, Micros
 from papayapost.kernel import Tick
 from papayapost.observe import Event, Noted
 from papayapost.peering import PeerSend
 from papayapost.place import SelfRow
 from papayapost.quota import TokenUnused
 from papayapost.states import LinkClass, Outcome
-from papayapost.traffic.claims.tables import digest_of_key, partition_of
 from papayapost.traffic.entry.balancing import BalancingPolicy
 from papayapost.traffic.entry.link_budget import HEAD_BYTES, LinkBudget
 from papayapost.traffic.entry.newcomers import FixedRamp, NewcomerPolicy
@@ -21,7 +20,7 @@
     CallStep,
     EntryTables,
 )
-from papayapost.traffic.entry.upstreams import ServiceRow, UpstreamRow, Upstreams
+from papayapost.traffic.entry.upstreams import UpstreamRow, Upstreams
 from papayapost.traffic.internal import CallStepDue
 from papayapost.traffic.messages import (
     AttemptCancel,
@@ -230,20 +229,6 @@
             return None
         return found
 
-    def _preferred(
-        self, service: ServiceRow, key: IdempotencyKey, call: CallRow
-    ) -> UpstreamRow | None:
-        """Return the preferred upstream of a key, or None if it has no slot.
-
-        Conditional updates of the object store conflict less often when one
-        owner node writes all claims of a partition.
-        """
-        partition = partition_of(service.name, digest_of_key(key))
-        for row in service.preferred_upstreams(partition.name):
-            if row.node_id not in call.tried:
-                return row if len(row.attempts) < row.slots else None
-        return None
-
     def _build_offer(
         self,
         tick: Tick,
--- a/packages/papayapost/src/papayapost/traffic/entry/upstreams.py
+++ b/packages/papayapost/src/papayapost/traffic/entry/upstreams.py
@@ -145,9 +145,6 @@
     is_known
         Whether the last build found any upstreams. If so, upstreams that are
         found later start with a smaller share of the attempts.
-    preferred
-        For each claims object, the upstreams in order of preference for the
-        keys that it holds. All nodes of a data centre compute the same order.
     """
 
     name: ServiceName
@@ -158,7 +155,6 @@
     is_stale: bool = True
     uses_ejected: bool = False
     is_known: bool = False
-    preferred: dict[str, list[UpstreamRow]] = field(default_factory=dict)
 
     def sample_latency(self, latency_us: int) -> None:
         """Update the decayed latency with the latency of one answer."""
@@ -178,21 +174,6 @@
             [row for row in chosen if row.distance is distance]
             for distance in LinkClass
         ]
-        self.preferred.clear()
-
-    def preferred_upstreams(self, partition: str) -> list[UpstreamRow]:
-        """Return the upstreams of this data centre in order of preference."""
-        order = self.preferred.get(partition)
-        if order is None:
-            candidates = [
-                *self.tiers[LinkClass.SELF],
-                *self.tiers[LinkClass.DATA_CENTRE],
-            ]
-            order = sorted(
-                candidates, key=lambda row: _partition_hash(partition, row.node_id)
-            )
-            self.preferred[partition] = order
-        return order
 
 
 class Upstreams:
@@ -358,8 +339,3 @@
             self.rows.put(row.node_id, known)
         known.slots = max(1, row.slots)
         return known
-
-
-def _partition_hash(partition: str, node_id: NodeId) -> int:
-    """Return a rendezvous hash, which ranks the nodes for one partition."""
-    return xxhash.xxh3_64_intdigest(f"{partition}|{node_id}".encode())
