--- a/packages/papayapost-node/src/papayapost_node/composition.py
+++ b/packages/papayapost-node/src/papayapost_node/composition.py
@@ -2,7 +2,8 @@
 
 from pathlib import Path
 
-from papayapost.errors import SettingsRefused
+from papayapost.errors import PapayapostError, SettingsRefused
+from papayapost.findings import Finding
 from papayapost.ids import (
     Address,
     DataCentreId,
@@ -223,6 +224,10 @@
         """Record that the node stops before its drain is complete."""
         self._recorder.note_event(Event.STOPPED_AT_ONCE)
 
+    def note_adjusted_setting(self, finding: Finding) -> None:
+        """Record that another value stands in for a deployment's figure."""
+        self._recorder.note_event(Event.SETTING_ADJUSTED, str(finding))
+
     def reload(self, path: Path) -> None:
         """Log which settings have changed, and reload the keys file.
 
@@ -230,10 +235,11 @@
         addresses would lose the running calls.
         """
         try:
-            changed = self._settings.differing_keys(load_settings(path))
-        except SettingsRefused as refused:
+            loaded = load_settings(path, self.note_adjusted_setting)
+        except PapayapostError as refused:
             self._recorder.note_event(Event.SETTINGS_REFUSED, str(refused))
             return
+        changed = self._settings.differing_keys(loaded)
         detail = ", ".join(changed) or "no setting has changed"
         self._recorder.note_event(Event.SETTINGS_RELOADED, detail)
         self.reload_keys()
--- a/packages/papayapost-node/src/papayapost_node/main.py
+++ b/packages/papayapost-node/src/papayapost_node/main.py
@@ -8,9 +8,11 @@
 import resource
 import signal
 import sys
+from collections.abc import Sequence
 from pathlib import Path
 
 from papayapost.errors import PapayapostError
+from papayapost.findings import Finding
 from papayapost_node.composition import Node, build_node
 from papayapost_node.events import configure_logging
 from papayapost_node.security import new_key_pair
@@ -38,14 +40,15 @@
         Path of the JSON settings file.
     """
     writer = configure_logging()
+    adjusted: list[Finding] = []
     try:
-        loaded = load_settings(Path(settings))
+        loaded = load_settings(Path(settings), adjusted.append)
     except PapayapostError as error:
         print(error, file=sys.stderr)
         sys.exit(_EXIT_USAGE)
     _raise_descriptor_limit()
     try:
-        asyncio.run(_serve(loaded, Path(settings)))
+        asyncio.run(_serve(loaded, Path(settings), adjusted))
     except PapayapostError as error:
         print(f"{loaded.node_id} cannot start: {error}", file=sys.stderr)
         sys.exit(_EXIT_FAILURE)
@@ -70,7 +73,9 @@
         resource.setrlimit(resource.RLIMIT_NOFILE, (new_limit, hard))
 
 
-async def _serve(settings: Settings, path: Path) -> None:
+async def _serve(
+    settings: Settings, path: Path, adjusted: Sequence[Finding] = ()
+) -> None:
     loop = asyncio.get_running_loop()
     drain_requested, stop_requested = asyncio.Event(), asyncio.Event()
 
@@ -84,6 +89,8 @@
     node = await build_node(settings)
     try:
         await node.start()
+        for finding in adjusted:
+            node.note_adjusted_setting(finding)
         _tune_garbage_collector()
         loop.add_signal_handler(signal.SIGHUP, node.reload, path)
         await drain_requested.wait()
--- a/packages/papayapost-node/src/papayapost_node/settings/load.py
+++ b/packages/papayapost-node/src/papayapost_node/settings/load.py
@@ -1,5 +1,6 @@
 """Loads a settings file and reports all of its findings at once."""
 
+from collections.abc import Callable
 from pathlib import Path
 
 import msgspec
@@ -7,6 +8,7 @@
 from papayapost.errors import SettingsRefused
 from papayapost.findings import Finding
 from papayapost_node.settings.consistency import consistency_findings
+from papayapost_node.settings.deployment import with_deployment_settings
 from papayapost_node.settings.keys import load_keys
 from papayapost_node.settings.model import SecurityMode, Settings
 from papayapost_node.settings_file import (
@@ -18,16 +20,28 @@
 __all__ = ["load_settings"]
 
 
-def load_settings(path: Path) -> Settings:
+def load_settings(
+    path: Path, note_adjusted: Callable[[Finding], None] | None = None
+) -> Settings:
     """Read and validate a settings file and the keys file that it names.
 
+    Parameters
+    ----------
+    note_adjusted
+        Receives a finding for each figure of the deployment that another value
+        stands in for.
+
     Raises
     ------
     SettingsRefused
         If a file has findings. The error holds all of them; each names the
         path of its key in the file.
+    SurroundingsUnknown
+        If the file holds figures of a deployment, and the platform module that
+        knows them cannot be loaded.
     """
-    text = read_settings_file(Path(path))
+    derived = with_deployment_settings(read_settings_file(Path(path)))
+    text = derived.text
     raw = _decode_json(text)
     findings = [
         *findings_in(text, Settings),
@@ -36,6 +50,9 @@
     ]
     if findings:
         raise SettingsRefused(findings)
+    if note_adjusted is not None:
+        for finding in derived.findings:
+            note_adjusted(finding)
     return msgspec.json.decode(text, type=Settings)
 
 
--- a/packages/papayapost-node/src/papayapost_node/settings_file.py
+++ b/packages/papayapost-node/src/papayapost_node/settings_file.py
@@ -45,6 +45,7 @@
     CONTRADICTION = "S009"
     NO_KEYS = "S010"
     BAD_KEY = "S011"
+    ADJUSTED = "S012"
 
 
 class SettingsModel(
