--- a/packages/papayapost-node/src/papayapost_node/exchange/answer_output.py
+++ b/packages/papayapost-node/src/papayapost_node/exchange/answer_output.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable
 
+from papayapost.traffic import LARGE_ANSWER_BYTES
 from papayapost_node.exchange.body_sender import MAX_PART_BYTES, BodySender
 from papayapost_node.exchange.owner_services import OwnerServices
 from papayapost_node.exchange.pacing import PacedWindow
@@ -12,9 +13,6 @@
 
 __all__ = ["AnswerOutput"]
 
-_SMALL_ANSWER_BYTES = 16 << 10
-"""Largest body that is not paced; a link of 3.5 Mbit/s sends it in 40 ms."""
-
 
 class AnswerOutput:
     """Buffers an answer's body, and sends head and parts as credit allows.
@@ -32,6 +30,8 @@
 
     Attributes
     ----------
+    received_bytes
+        Length of the body that has arrived.
     is_truncated
         Whether the answer broke off, so that its last part is marked.
     """
@@ -54,6 +54,7 @@
         self._window: SendWindow | None = None
         self._sent_bytes = 0
         self._trailers: Headers = []
+        self.received_bytes = 0
         self.is_truncated = False
 
     @property
@@ -74,6 +75,7 @@
     def buffer(self, data: bytes) -> None:
         """Keep a piece of the body until it is sent."""
         self._buffered += data
+        self.received_bytes += len(data)
 
     def begin(self, status: int, headers: Headers, is_running: bool) -> bool:
         """Send the head with the body so far; return whether that was all.
@@ -162,7 +164,7 @@
 
     def _send_window(self, received_bytes: int, is_running: bool) -> SendWindow:
         credit_bytes, pacer = self._owned.answer_window_bytes, self._services.pacer
-        is_small = not is_running and received_bytes <= _SMALL_ANSWER_BYTES
+        is_small = not is_running and received_bytes <= LARGE_ANSWER_BYTES
         if is_small or self._owned.is_local:
             return SendWindow(credit_bytes)
         return PacedWindow(credit_bytes, pacer, self._on_room)
--- a/packages/papayapost-node/src/papayapost_node/exchange/backend_call.py
+++ b/packages/papayapost-node/src/papayapost_node/exchange/backend_call.py
@@ -287,7 +287,10 @@
                 # the rest for an entry node that grants no credit would not
                 # help it.
                 output.drop_unsent()
-        ended = BackendCallEnded(self._owned.attempt_id, True, is_whole)
+        size = output.received_bytes if is_whole else 0
+        ended = BackendCallEnded(
+            self._owned.attempt_id, True, is_whole, answer_bytes=size
+        )
         self._services.post(ended)
         if is_streaming:
             output.end()
--- a/packages/papayapost-node/src/papayapost_node/exchange/pacing.py
+++ b/packages/papayapost-node/src/papayapost_node/exchange/pacing.py
@@ -3,14 +3,11 @@
 import asyncio
 from collections.abc import Callable
 
+from papayapost.traffic import bulk_bytes_per_us
 from papayapost_node.exchange.windows import SendWindow
 
 __all__ = ["BulkPacer", "PacedWindow"]
 
-_LINK_SHARE = 0.7
-"""Fraction of the link's rate for large answers. Small answers, offers and
-heartbeats take up to a quarter of the links in known deployments."""
-
 _BURST_S = 0.02
 _MIN_BURST_BYTES = 16 << 10
 _MIN_PART_BYTES = 8 << 10
@@ -33,7 +30,7 @@
     """
 
     def __init__(self, link_mbps: float):
-        self._rate_bytes_per_s = link_mbps * 1e6 / 8 * _LINK_SHARE
+        self._rate_bytes_per_s = bulk_bytes_per_us(link_mbps) * 1e6
         self._burst_bytes = max(_MIN_BURST_BYTES, self._rate_bytes_per_s * _BURST_S)
         self._tokens_bytes = self._burst_bytes
         self._refilled_s = 0.0
--- a/packages/papayapost-node/src/papayapost_node/world.py
+++ b/packages/papayapost-node/src/papayapost_node/world.py
@@ -20,6 +20,7 @@
 from papayapost.traffic import SharedBudget, TrafficOptions
 from papayapost.traffic.owner.queues import QueueDiscipline
 from papayapost_node.clock import Clock
+from papayapost_node.drain import StopTimes
 from papayapost_node.settings import Discovery, QueueOrder, Settings, SlowStart
 
 __all__ = ["build_world", "self_row"]
@@ -109,6 +110,7 @@
         backend.report_interval_ms * 1000 if backend else default.report_interval_us,
         settings.drain_grace_ms * 1000,
         settings.drain_announce_ms * 1000,
+        Micros(StopTimes.within(settings.stop_limit_s).work_ms * 1000),
         settings.queue is QueueOrder.TARGETS,
         settings.report_address is not None,
         settings.rollout is not None,
--- a/packages/papayapost-node/tests/test_answer_verdicts.py
+++ b/packages/papayapost-node/tests/test_answer_verdicts.py
@@ -116,7 +116,9 @@
 
 def test_an_answer_to_another_request_is_skipped():
     async def scenario(owner, server):
-        assert await owner.run("b") == BackendCallEnded(ATTEMPT_ID, True, True)
+        assert await owner.run("b") == BackendCallEnded(
+            ATTEMPT_ID, True, True, answer_bytes=4
+        )
         assert owner.bodies() == [b"mine"]
 
     run_scenario(scenario, answer_bytes("a", "late") + answer_bytes("b", "mine"))
--- a/packages/papayapost-node/tests/test_backend_calls.py
+++ b/packages/papayapost-node/tests/test_backend_calls.py
@@ -92,7 +92,9 @@
     async def scenario(owner, server):
         await server.start()
         for _ in range(3):
-            assert await owner.run() == BackendCallEnded(AttemptId("n1/1"), True, True)
+            assert await owner.run() == BackendCallEnded(
+                AttemptId("n1/1"), True, True, answer_bytes=2
+            )
         assert server.connections == 1
         for head in heads:
             remaining_ms = int(head.partition(b"papayapost-timeout-ms: ")[2].split()[0])
@@ -203,7 +205,7 @@
         while AnswerBlocked(attempt_id) not in owner.posted:
             await asyncio.sleep(0.01)
         assert owner.posted[-2:] == [
-            BackendCallEnded(attempt_id, True, True),
+            BackendCallEnded(attempt_id, True, True, answer_bytes=90_000),
             AnswerBlocked(attempt_id),
         ]
         call.grant(10_000)
--- a/packages/papayapost-testing/src/papayapost_testing/load_patterns/links.py
+++ b/packages/papayapost-testing/src/papayapost_testing/load_patterns/links.py
@@ -1,15 +1,12 @@
 """The outbound link of a simulated VM."""
 
-__all__ = ["SimulatedLink"]
-
-_BULK_SHARE = 0.7
-"""Share of the link that a node gives to large answers (`BulkPacer`)."""
+from papayapost.traffic import LARGE_ANSWER_BYTES, bulk_bytes_per_us
 
-_SMALL_ANSWER_BYTES = 16 << 10
+__all__ = ["SimulatedLink"]
 
 
 class SimulatedLink:
-    """Sends large answers one after the other, at a share of the link's rate.
+    """Sends large answers one after the other, at the rate of `BulkPacer`.
 
     Small answers pass at once, as a node's pacing lets them.
 
@@ -20,12 +17,12 @@
     """
 
     def __init__(self, mbps: float):
-        self._bytes_per_us = mbps / 8 * _BULK_SHARE
+        self._bytes_per_us = bulk_bytes_per_us(mbps)
         self._free_us = 0
 
     def send(self, size_bytes: int, now_us: int) -> int:
         """Send an answer and return when its last byte has left."""
-        if not self._bytes_per_us or size_bytes <= _SMALL_ANSWER_BYTES:
+        if not self._bytes_per_us or size_bytes <= LARGE_ANSWER_BYTES:
             return now_us
         begin_us = max(now_us, self._free_us)
         self._free_us = begin_us + int(size_bytes / self._bytes_per_us)
--- a/packages/papayapost-testing/src/papayapost_testing/load_patterns/simulation.py
+++ b/packages/papayapost-testing/src/papayapost_testing/load_patterns/simulation.py
@@ -531,7 +531,7 @@
     def _backend_call_ended(
         self, attempt_id: AttemptId, size_bytes: int
     ) -> BackendCallEnded:
-        return BackendCallEnded(attempt_id, True, True)
+        return BackendCallEnded(attempt_id, True, True, answer_bytes=size_bytes)
 
     def _send_answer(
         self, run: RunRow, offer: AttemptOffer, sent_us: int, hop_us: int
--- a/packages/papayapost/src/papayapost/traffic/__init__.py
+++ b/packages/papayapost/src/papayapost/traffic/__init__.py
@@ -33,6 +33,7 @@
 )
 from papayapost.traffic.owner.admission import AdmitAttempts
 from papayapost.traffic.owner.departures import Departure
+from papayapost.traffic.owner.link_plan import LARGE_ANSWER_BYTES, bulk_bytes_per_us
 from papayapost.traffic.owner.tables import OwnerTables
 from papayapost.traffic.owner_messages import (
     AnswerBlocked,
@@ -54,6 +55,7 @@
 from papayapost.traffic.part import TrafficOptions, TrafficPart, build_traffic
 
 __all__ = [
+    "LARGE_ANSWER_BYTES",
     "AdmitAttempts",
     "AnswerBegun",
     "AnswerBlocked",
@@ -109,4 +111,5 @@
     "Upstreams",
     "WindowedRetries",
     "build_traffic",
+    "bulk_bytes_per_us",
 ]
--- a/packages/papayapost/src/papayapost/traffic/owner/admission.py
+++ b/packages/papayapost/src/papayapost/traffic/owner/admission.py
@@ -15,6 +15,7 @@
     RefusalCode,
 )
 from papayapost.traffic.owner.concurrency import ConcurrencyLimit
+from papayapost.traffic.owner.link_plan import LinkPlan
 from papayapost.traffic.owner.queue_wait import QueueWaits, longest_hold_us
 from papayapost.traffic.owner.queues import QueueDiscipline
 from papayapost.traffic.owner.replies import Replies
@@ -85,6 +86,7 @@
         shares: ActiveShares,
         replies: Replies,
         drain: DrainRow,
+        link_plan: LinkPlan,
         versions: VersionPolicy | None = None,
     ):
         self._me = me
@@ -96,6 +98,7 @@
         self._shares = shares
         self._replies = replies
         self._drain = drain
+        self._link_plan = link_plan
         self._versions = versions or AnyVersion()
         self._waiting_attempts = WaitingAttempts(tables, queue, replies)
         self._slot_times = SlotTimes(me.node_id, tables, queue, concurrency)
@@ -109,6 +112,7 @@
         blocked_answers.update(a.attempt_id for a in tick.take(AnswerBlocked))
         for unblocked in tick.take(AnswerUnblocked):
             blocked_answers.discard(unblocked.attempt_id)
+            self._link_plan.sent(unblocked.attempt_id, tick.now_us)
         for cancel in tick.take(AttemptCancel):
             self._cancel(tick, cancel.attempt_id)
         for begun in tick.take(BackendCallBegun):
@@ -208,6 +212,12 @@
             self._note_if_over_share(tick, offer)
             self._replies.refuse(tick, offer, RefusalCode.DEADLINE, wait_us)
             return None
+        work_us = wait_us + self._slot_times.mean_us(offer, tick.now_us)
+        if not self._link_plan.is_deliverable(offer, work_us, tick.now_us):
+            tables.counters.link_full += 1
+            link_us = self._link_plan.wait_us(offer, tick.now_us)
+            self._replies.refuse(tick, offer, RefusalCode.DEADLINE, link_us)
+            return None
         needs_claim = not offer.idempotent and offer.idempotency_key is not None
         budget_us = offer.budget_us
         if needs_claim:
@@ -270,7 +280,8 @@
         is_long = needed_us > drain.end_us - drain.started_us
         if is_long and offer.idempotent:
             mean_us = self._slot_times.mean_us(offer, tick.now_us)
-            needed_us = min(needed_us, mean_us * _SERVICE_TIME_MARGIN)
+            delay_us = self._link_plan.delay_us(offer, mean_us, tick.now_us)
+            needed_us = min(needed_us, mean_us * _SERVICE_TIME_MARGIN + delay_us)
         return tick.now_us + needed_us > drain.end_us
 
     def _apply_claim_verdict(self, tick: Tick, settled: ClaimSettled) -> None:
@@ -370,6 +381,7 @@
             self._waiting_attempts.release_claim(tick, row)
             self._replies.refuse(tick, offer, RefusalCode.UNREACHABLE, 0)
         elif ended.is_whole and not row.is_shed:
+            self._link_plan.ended(offer, ended.answer_bytes, tick.now_us)
             self._slot_times.add_sample(offer, held_us, tick.now_us)
             self._concurrency.ended(offer.rank, held_us, is_saturated, tick.now_us)
             if self._concurrency.answered(offer, held_us, tick.now_us):
@@ -396,6 +408,7 @@
         if row is None:
             self._seen.cancel(attempt_id)
             if attempt_id in self._tables.blocked_answers:
+                self._link_plan.cancelled(attempt_id)
                 tick.emit(BackendCallCancel(attempt_id))
             return
         row.is_cancelled = True
--- a/packages/papayapost/src/papayapost/traffic/owner/tables.py
+++ b/packages/papayapost/src/papayapost/traffic/owner/tables.py
@@ -170,6 +170,9 @@
         Offers that arrived after the grace period of a drain.
     over_share
         Attempts refused because their account had more than its share.
+    link_full
+        Attempts refused because their answer would have waited too long for
+        the link of this VM.
     """
 
     started: list[int] = field(default_factory=lambda: [0] * len(Rank))
@@ -182,6 +185,7 @@
     duplicates: int = 0
     offers_after_grace: int = 0
     over_share: int = 0
+    link_full: int = 0
 
 
 class OwnerTables:
--- a/packages/papayapost/src/papayapost/traffic/owner_messages.py
+++ b/packages/papayapost/src/papayapost/traffic/owner_messages.py
@@ -76,12 +76,15 @@
         Whether the whole answer arrived.
     is_refused
         Whether the backend server stated that it did not run the request.
+    answer_bytes
+        Length of the body of a whole answer.
     """
 
     attempt_id: AttemptId
     is_sent: bool
     is_whole: bool
     is_refused: bool = False
+    answer_bytes: int = 0
 
 
 @define
--- a/packages/papayapost/src/papayapost/traffic/part.py
+++ b/packages/papayapost/src/papayapost/traffic/part.py
@@ -2,6 +2,7 @@
 
 from papayapost.define import define
 from papayapost.distribution import EvidenceRow, RulesTable
+from papayapost.ids import Micros
 from papayapost.kernel import System
 from papayapost.membership import Directory
 from papayapost.place import SelfRow
@@ -38,6 +39,7 @@
 )
 from papayapost.traffic.owner.departure_record import RecordDepartures
 from papayapost.traffic.owner.fair import FairQueues
+from papayapost.traffic.owner.link_plan import LinkPlan
 from papayapost.traffic.owner.queues import QueueDiscipline, RankedQueues
 from papayapost.traffic.owner.replies import Replies
 from papayapost.traffic.owner.seen import SeenAttempts
@@ -92,6 +94,9 @@
     drain_announce_us
         Time in µs between a drain request and the directory entry that asks
         other nodes to send no more attempts.
+    drain_limit_us
+        Time in µs that a stopping node has for its running calls; None if the
+        deployment does not state it.
     has_targets
         Whether the owner node starts attempts that can still meet the latency
         target of their rule before those that cannot.
@@ -110,6 +115,7 @@
     report_interval_us: int = _REPORT_INTERVAL_US
     drain_grace_us: int = GRACE_US
     drain_announce_us: int = 0
+    drain_limit_us: Micros | None = None
     has_targets: bool = False
     has_exact_slots: bool = False
     announces_version: bool = False
@@ -225,6 +231,7 @@
             ActiveShares(rules),
             replies,
             drain,
+            LinkPlan(me, directory, owner, options.drain_limit_us),
             versions,
         ),
         HandleFailedAttempts(calls, upstreams, offers, retries, ejector),
