--- a/packages/papayapost-node/src/papayapost_node/exchange/answers.py
+++ b/packages/papayapost-node/src/papayapost_node/exchange/answers.py
@@ -11,6 +11,7 @@
 from papayapost_node.deadline import DeadlineTimer
 from papayapost_node.exchange.dialect import Dialect
 from papayapost_node.exchange.tables import CallerRow, OfferedRow
+from papayapost_node.http import Headers, content_length
 from papayapost_node.wire import (
     AnswerCarrier,
     AnswerPart,
@@ -23,6 +24,14 @@
 """Longest time without a part of an answer whose call is past its deadline.
 A part takes half of it on a link of 3.5 Mbit/s."""
 
+_MAX_KEPT_BYTES = 1 << 20
+_MAX_ALL_KEPT_BYTES = 8 << 20
+"""Limits on the length of one answer that is kept until it is whole, and on
+all of them. Longer answers are sent on as they arrive."""
+
+_BAD_GATEWAY = 502
+_TIMED_OUT = 504
+
 
 class AnswerForwarding:
     """Receives the answers to attempts and forwards one answer for each call.
@@ -39,6 +48,8 @@
         Attempts that still wait for their answer.
     finish
         Removes a call and its attempts from the tables.
+    fail
+        Ends a call with a status that says that its outcome is unknown.
     dialect
         Provides the headers that the entry node adds to an answer.
 
@@ -55,6 +66,7 @@
         post: Callable[[object], None],
         attempts: Table[AttemptId, OfferedRow],
         finish: Callable[[CallerRow], None],
+        fail: Callable[[CallerRow, int], None],
         dialect: Dialect,
     ):
         self._dialect = dialect
@@ -62,6 +74,8 @@
         self._post = post
         self._attempts = attempts
         self._finish = finish
+        self._fail = fail
+        self._kept_bytes = 0
         self.late_answers = 0
 
     def carriers(self) -> dict[type, Callable]:
@@ -72,29 +86,40 @@
             InterimAnswer: self._informational_arrived,
         }
 
-    def forward(self, attempt: OfferedRow) -> None:
+    def forward(self, attempt: OfferedRow, until_whole: bool = False) -> None:
         """Choose an attempt's answer and send the caller what has arrived.
 
-        Does nothing if the call has a chosen attempt already, or if the head
-        of this answer has not arrived.
+        Does nothing if the call has another chosen attempt, or if the head of
+        this answer has not arrived. The head of an answer whose body still
+        waits for the link of the owner node is kept until a part of the body
+        arrives: until then, the caller can get another answer.
+
+        Parameters
+        ----------
+        until_whole
+            Whether to send nothing before the answer is whole, if it is not
+            too long to be kept. It may be asked for later, as long as the
+            answer has not begun.
         """
         call, head = attempt.call, attempt.head
-        if call.chosen_attempt is not None or head is None:
+        if head is None:
+            return
+        size = content_length(head.headers)
+        if call.chosen_attempt is not None:
+            if call.chosen_attempt is attempt and until_whole:
+                self._keep(call, size)
             return
         call.chosen_attempt = attempt
-        is_complete = head.is_ended and head.is_whole
-        exchange = call.exchange
         if head.is_ended:
             self._finish(call)
-        headers = [
-            *head.headers,
-            *self._dialect.added_answer_headers(self._node_id, call.call_id),
-        ]
-        exchange.begin(head.status, headers, head.body, is_complete, head.trailers)
-        if head.is_ended:
+            self._begin(call, head, head.body, head.is_whole, head.trailers)
             if not head.is_whole:
-                exchange.cut_short()
+                call.exchange.cut_short()
             return
+        if until_whole:
+            self._keep(call, size)
+        if not call.kept_bytes and (head.body or not size):
+            self._begin(call, head, head.body, False, head.trailers)
         loop = asyncio.get_running_loop()
         call.stall_deadline = DeadlineTimer(loop, lambda: self._on_stall(attempt))
         while attempt.held_parts:
@@ -102,12 +127,42 @@
         if call.chosen_attempt is attempt:
             self._grant_credit(attempt)
 
+    def release(self, call: CallerRow) -> None:
+        """Give back the memory for an answer that is kept no more."""
+        self._kept_bytes -= call.kept_bytes
+        call.kept_bytes = 0
+
+    def _keep(self, call: CallerRow, size: int | None) -> None:
+        """Keep an answer until it is whole, if there is room for it."""
+        if call.has_begun or call.kept_bytes or size is None:
+            return
+        has_room = self._kept_bytes + size <= _MAX_ALL_KEPT_BYTES
+        if size <= _MAX_KEPT_BYTES and has_room:
+            call.kept_bytes = size
+            self._kept_bytes += size
+
+    def _begin(
+        self,
+        call: CallerRow,
+        head: AnswerCarrier,
+        data: bytes,
+        is_complete: bool,
+        trailers: Headers,
+    ) -> None:
+        """Send the caller the head of an answer with the first of its body."""
+        call.has_begun = True
+        headers = [
+            *head.headers,
+            *self._dialect.added_answer_headers(self._node_id, call.call_id),
+        ]
+        call.exchange.begin(head.status, headers, data, is_complete, trailers)
+
     def answer_writable(self, attempt: OfferedRow) -> None:
         """Grant the owner node credit after a slow caller has caught up."""
         self._grant_credit(attempt)
 
     def hurry(self, attempt: OfferedRow) -> None:
-        """Cut the answer of a call past its deadline as soon as it stalls."""
+        """End the answer of a call past its deadline as soon as it stalls."""
         call = attempt.call
         if call.chosen_attempt is not attempt or call.stall_deadline is None:
             return
@@ -160,19 +215,45 @@
             attempt.call.exchange.send_informational(interim.status, interim.headers)
 
     def _stream(self, attempt: OfferedRow, part: AnswerPart) -> None:
-        call = attempt.call
+        call, head = attempt.call, attempt.head
+        assert head is not None
         exchange = call.exchange
+        if call.kept_bytes:
+            self._add_kept(attempt, part)
+            return
+        is_broken = part.is_ended and not part.is_whole
+        if is_broken and not call.has_begun:
+            self._fail(call, _BAD_GATEWAY)
+            return
         if part.is_ended:
             self._finish(call)
-        exchange.send(part.data, part.is_ended and part.is_whole, part.trailers)
+        is_complete = part.is_ended and part.is_whole
+        if call.has_begun:
+            exchange.send(part.data, is_complete, part.trailers)
+        elif part.data or is_complete:
+            self._begin(call, head, part.data, is_complete, part.trailers)
         if not part.is_ended:
             self._grant_credit(attempt)
         elif not part.is_whole:
             exchange.cut_short()
 
+    def _add_kept(self, attempt: OfferedRow, part: AnswerPart) -> None:
+        """Add a part to a kept answer, and send it once it is whole."""
+        call, head = attempt.call, attempt.head
+        assert head is not None
+        if not part.is_ended:
+            attempt.kept_body += part.data
+            self._grant_credit(attempt)
+        elif part.is_whole:
+            self._finish(call)
+            body = head.body + bytes(attempt.kept_body) + part.data
+            self._begin(call, head, body, True, part.trailers)
+        else:
+            self._fail(call, _BAD_GATEWAY)
+
     def _grant_credit(self, attempt: OfferedRow) -> None:
         stall_deadline = attempt.call.stall_deadline
-        if not attempt.call.exchange.is_writable:
+        if not (attempt.call.exchange.is_writable or attempt.call.kept_bytes):
             # The caller is slow, not the owner node, so the stall deadline
             # does not apply. The caller's connection enforces the minimum
             # rate at which a caller reads.
@@ -192,8 +273,15 @@
         return True
 
     def _on_stall(self, attempt: OfferedRow) -> None:
-        if attempt.attempt_id in self._attempts:
-            self._abort_call(attempt.call)
+        if attempt.attempt_id not in self._attempts:
+            return
+        call = attempt.call
+        if call.has_begun:
+            self._abort_call(call)
+            return
+        is_overdue = call.stall_timeout_s == _OVERDUE_STALL_TIMEOUT_S
+        self._fail(call, _TIMED_OUT if is_overdue else _BAD_GATEWAY)
+        self._post(CallerGone(call.call_id))
 
     def _abort_call(self, call: CallerRow) -> None:
         self._finish(call)
--- a/packages/papayapost-node/src/papayapost_node/exchange/entry_side.py
+++ b/packages/papayapost-node/src/papayapost_node/exchange/entry_side.py
@@ -10,12 +10,14 @@
 from papayapost.kernel import Table
 from papayapost.states import Outcome
 from papayapost.traffic import (
+    AnswerGivenUp,
     AnswerOverdue,
     CallerGone,
     CallRefusal,
     CutAnswer,
     DropAnswer,
     ForwardAnswer,
+    GiveUpAnswer,
     OfferSend,
     OfferUndelivered,
     RefusalCode,
@@ -88,7 +90,7 @@
         self._calls: Table[CallId, CallerRow] = Table("caller exchanges")
         self._attempts: Table[AttemptId, OfferedRow] = Table("offered attempts")
         self.answers = AnswerForwarding(
-            node_id, post, self._attempts, self._finish, self._dialect
+            node_id, post, self._attempts, self._finish, self._fail, self._dialect
         )
 
     @property
@@ -104,6 +106,7 @@
             ForwardAnswer: self._forward,
             DropAnswer: self._drop,
             CutAnswer: self._cut,
+            GiveUpAnswer: self._give_up,
             AnswerOverdue: self._hurry,
         }
 
@@ -265,15 +268,18 @@
         A part of its body has been sent to an owner node and is not kept here,
         so the outcome of the call is unknown.
         """
-        self._refuse(
-            CallRefusal(call.call_id, _BAD_GATEWAY, RefusalCode.LOST, Outcome.UNKNOWN)
-        )
+        self._fail(call, _BAD_GATEWAY)
         self._post(CallerGone(call.call_id))
 
+    def _fail(self, call: CallerRow, status: int) -> None:
+        """End a call that may have run with a status of this node."""
+        code, outcome = RefusalCode.LOST, Outcome.UNKNOWN
+        self._refuse(CallRefusal(call.call_id, status, code, outcome))
+
     def _forward(self, effect: ForwardAnswer) -> None:
         attempt = self._attempts.get(effect.attempt_id)
         if attempt is not None and attempt.call.call_id == effect.call_id:
-            self.answers.forward(attempt)
+            self.answers.forward(attempt, effect.until_whole)
 
     def _hurry(self, effect: AnswerOverdue) -> None:
         attempt = self._attempts.get(effect.attempt_id)
@@ -287,12 +293,21 @@
 
     def _cut(self, effect: CutAnswer) -> None:
         call = self._calls.get(effect.call_id)
-        if call is not None:
+        if call is not None and not call.has_begun:
+            self._fail(call, _BAD_GATEWAY)
+        elif call is not None:
             self._finish(call)
             call.exchange.cut_short()
 
+    def _give_up(self, effect: GiveUpAnswer) -> None:
+        call = self._calls.get(effect.call_id)
+        if call is not None and not call.has_begun:
+            self._fail(call, _BAD_GATEWAY)
+            self._post(AnswerGivenUp(call.call_id))
+
     def _finish(self, call: CallerRow) -> None:
         self._calls.pop(call.call_id)
+        self.answers.release(call)
         if call.stall_deadline is not None:
             call.stall_deadline.close()
         for attempt in call.attempts:
--- a/packages/papayapost-node/src/papayapost_node/exchange/tables.py
+++ b/packages/papayapost-node/src/papayapost_node/exchange/tables.py
@@ -43,6 +43,11 @@
         Attempts that have been offered to owner nodes.
     chosen_attempt
         The attempt whose answer is forwarded to the caller, or None.
+    has_begun
+        Whether a part of an answer was sent to the caller.
+    kept_bytes
+        Length of the answer that is kept until it is whole; 0 if it is sent on
+        as it arrives.
     stall_deadline
         Deadline for the next part of the forwarded answer.
     stall_timeout_s
@@ -58,6 +63,8 @@
     trailers: Headers = field(default_factory=list)
     attempts: list["OfferedRow"] = field(default_factory=list)
     chosen_attempt: "OfferedRow | None" = None
+    has_begun: bool = False
+    kept_bytes: int = 0
     stall_deadline: DeadlineTimer | None = None
     stall_timeout_s: float = STALL_TIMEOUT_S
 
@@ -78,6 +85,9 @@
         The answer's head, once it has arrived.
     held_parts
         Parts of the answer that arrived before they could be forwarded.
+    kept_body
+        Body of an answer that is kept until it is whole, without the bytes
+        that came with the head.
     body_bytes
         Length of the body parts that arrived after the head.
     is_answer_ended
@@ -91,6 +101,7 @@
     upload: BodySender | None = None
     head: AnswerCarrier | None = None
     held_parts: deque[AnswerPart] = field(default_factory=deque)
+    kept_body: bytearray = field(default_factory=bytearray)
     body_bytes: int = 0
     is_answer_ended: bool = False
 
--- a/packages/papayapost-testing/src/papayapost_testing/node_pair.py
+++ b/packages/papayapost-testing/src/papayapost_testing/node_pair.py
@@ -1,7 +1,7 @@
 """Runs an entry node and an owner node in one process, for tests."""
 
 import asyncio
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Mapping
 from contextlib import asynccontextmanager, closing
 from dataclasses import dataclass
 
@@ -48,7 +48,10 @@
 
 @asynccontextmanager
 async def node_pair(
-    script: Script, slots: int = 4, surroundings: str | None = None
+    script: Script,
+    slots: int = 4,
+    surroundings: str | None = None,
+    changes: Mapping[str, object] | None = None,
 ) -> AsyncIterator[NodePair]:
     """Run two nodes, an object store stand-in and a scripted backend server.
 
@@ -63,6 +66,8 @@
     surroundings
         Module with the platform adapters of the nodes; None for the native
         ones.
+    changes
+        Further settings of both nodes.
     """
     store_address, backend_address, *addresses = free_addresses(6)
     store = ObjectStoreStandIn(store_address)
@@ -91,6 +96,7 @@
             "seeds": [peer_addresses[0]],
             "surroundings": surroundings,
             "backend_server": backend_settings if number else None,
+            **(changes or {}),
         }
         nodes.append(await build_node(msgspec.convert(settings, Settings)))
     for node in nodes:
--- a/packages/papayapost/src/papayapost/traffic/entry/call_endings.py
+++ b/packages/papayapost/src/papayapost/traffic/entry/call_endings.py
@@ -3,7 +3,8 @@
 from papayapost.ids import CallId
 from papayapost.kernel import System, Tick
 from papayapost.observe import Event, Noted
-from papayapost.states import LinkClass
+from papayapost.states import LinkClass, NodeState
+from papayapost.traffic.drain_row import DrainRow
 from papayapost.traffic.entry.answer_times import AnswerTimes
 from papayapost.traffic.entry.link_budget import HEAD_BYTES, LinkBudget
 from papayapost.traffic.entry.newcomers import FixedRamp, NewcomerPolicy
@@ -54,7 +55,9 @@
         link: LinkBudget,
         answer_times: AnswerTimes,
         newcomers: NewcomerPolicy | None = None,
+        drain: DrainRow | None = None,
     ):
+        self._drain = drain or DrainRow()
         self._newcomers = newcomers or FixedRamp()
         self._tables = tables
         self._upstreams = upstreams
@@ -96,7 +99,10 @@
         tick.cancel_timer(("call", call.call_id))
         if len(call.outstanding) > 1:
             self._cancel_others(tick, call, attempt)
-        tick.emit(ForwardAnswer(call.call_id, attempt.attempt_id))
+        # An answer that has begun cannot be replaced if a node stops midway.
+        is_stopping = self._drain.state is NodeState.DRAINING
+        until_whole = is_stopping or attempt.upstream.is_draining
+        tick.emit(ForwardAnswer(call.call_id, attempt.attempt_id, until_whole))
 
     def _limit_answer(self, tick: Tick, begun: AnswerBegun) -> None:
         """Set the deadline of an answer that has begun, but not ended."""
--- a/packages/papayapost/src/papayapost/traffic/entry/offers.py
+++ b/packages/papayapost/src/papayapost/traffic/entry/offers.py
@@ -1,5 +1,7 @@
 """Offers and cancels attempts on behalf of the systems of the entry node."""
 
+from collections.abc import Iterable
+
 from papayapost.ids import AttemptId, Micros
 from papayapost.kernel import Tick
 from papayapost.observe import Event, Noted
@@ -28,12 +30,20 @@
     CallExpired,
     CallRefusal,
     ChoiceBasis,
+    ForwardAnswer,
     OfferSend,
     RefusalCode,
 )
 from papayapost.traffic.versions import AnyVersion, VersionPolicy
 
-__all__ = ["Offers", "close_call", "refuse_call", "remove_attempt", "set_step"]
+__all__ = [
+    "Offers",
+    "close_call",
+    "keep_answers",
+    "refuse_call",
+    "remove_attempt",
+    "set_step",
+]
 
 # The time budget of an offer ends by this margin before the deadline, so
 # that the owner node's refusal as "not run" arrives before the call expires.
@@ -314,6 +324,16 @@
     return attempt
 
 
+def keep_answers(tick: Tick, attempts: Iterable[AttemptRow]) -> None:
+    """Begin no answer of some attempts before it is whole.
+
+    A node that stops may lose the rest of it.
+    """
+    for attempt in attempts:
+        if attempt.state is AttemptState.ANSWERING:
+            tick.emit(ForwardAnswer(attempt.call_id, attempt.attempt_id, True))
+
+
 def close_call(tick: Tick, tables: EntryTables, call: CallRow) -> None:
     """Remove a call and its timer."""
     tables.calls.pop(call.call_id)
--- a/packages/papayapost/src/papayapost/traffic/entry/upstream_tracking.py
+++ b/packages/papayapost/src/papayapost/traffic/entry/upstream_tracking.py
@@ -6,6 +6,7 @@
 from papayapost.observe import Event, Noted
 from papayapost.states import BackendServerState
 from papayapost.traffic.entry.link_budget import LinkBudget
+from papayapost.traffic.entry.offers import keep_answers
 from papayapost.traffic.entry.tables import AttemptRow, AttemptState, EntryTables
 from papayapost.traffic.entry.upstreams import ServiceRow, UpstreamRow, Upstreams
 from papayapost.traffic.internal import (
@@ -139,6 +140,8 @@
             upstream.is_cold = True
         elif known.state is BackendServerState.DRAINING:
             upstream.is_draining = True
+            attempts = map(self._tables.attempts.require, upstream.attempts)
+            keep_answers(tick, attempts)
 
     def _update_service(
         self, row: BackendServerRow, service: ServiceName, upstream: UpstreamRow | None
--- a/packages/papayapost/src/papayapost/traffic/messages.py
+++ b/packages/papayapost/src/papayapost/traffic/messages.py
@@ -31,6 +31,7 @@
     "NO_INCARNATION",
     "AnswerBegun",
     "AnswerEnded",
+    "AnswerGivenUp",
     "AnswerOverdue",
     "AttemptCancel",
     "AttemptFailed",
@@ -44,6 +45,7 @@
     "CutAnswer",
     "DropAnswer",
     "ForwardAnswer",
+    "GiveUpAnswer",
     "LossCause",
     "OfferSend",
     "OfferUndelivered",
@@ -211,10 +213,18 @@
 
 @define
 class ForwardAnswer:
-    """Effect at the entry node: send this attempt's answer to the caller."""
+    """Effect at the entry node: send the answer of an attempt to the caller.
+
+    Parameters
+    ----------
+    until_whole
+        Whether to wait until the answer is whole, if its length allows it,
+        because its rest may be lost when a node stops.
+    """
 
     call_id: CallId
     attempt_id: AttemptId
+    until_whole: bool = False
 
 
 @define
@@ -393,6 +403,24 @@
     attempt_id: AttemptId
 
 
+@define
+class GiveUpAnswer:
+    """Effect at the entry node: end a call whose answer comes too late.
+
+    If no part of an answer was sent to the caller, the caller is told that the
+    outcome is unknown, and `AnswerGivenUp` follows. If not, nothing happens.
+    """
+
+    call_id: CallId
+
+
+@define
+class AnswerGivenUp:
+    """Input at the entry node: a call was ended without its answer."""
+
+    call_id: CallId
+
+
 @define
 class AnswerOverdue:
     """Effect at the entry node: the call's deadline has passed midway.
--- a/packages/papayapost/src/papayapost/traffic/part.py
+++ b/packages/papayapost/src/papayapost/traffic/part.py
@@ -15,6 +15,7 @@
 from papayapost.traffic.entry.answer_times import AnswerTimes
 from papayapost.traffic.entry.balancing import BalancingPolicy, NearestOfTwo
 from papayapost.traffic.entry.call_endings import EndCalls
+from papayapost.traffic.entry.closing import CloseCalls
 from papayapost.traffic.entry.failed_attempts import HandleFailedAttempts
 from papayapost.traffic.entry.link_budget import LinkBudget
 from papayapost.traffic.entry.newcomers import (
@@ -236,9 +237,18 @@
         ),
         HandleFailedAttempts(calls, upstreams, offers, retries, ejector),
         EndCalls(
-            calls, upstreams, offers, retries, ejector, link, answer_times, newcomers
+            calls,
+            upstreams,
+            offers,
+            retries,
+            ejector,
+            link,
+            answer_times,
+            newcomers,
+            drain,
         ),
         FinishDrain(drain, calls, owner, claims, me, replies),
+        CloseCalls(calls, offers),
     ]
     first: list[object] = [TrafficStarted()]
     if options.has_exact_slots:
--- a/packages/papayapost/tests/traffic/test_retries.py
+++ b/packages/papayapost/tests/traffic/test_retries.py
@@ -102,7 +102,8 @@
     for state in (BackendServerState.DRAINING, BackendServerState.GONE):
         row.state = state
         assert not entry.tick(DirectoryChanged((row,)))
-    assert ForwardAnswer(CallId(1), offer.offer.attempt_id) in entry.answer(offer)
+    forwarded = ForwardAnswer(CallId(1), offer.offer.attempt_id, until_whole=True)
+    assert forwarded in entry.answer(offer)
 
 
 @pytest.mark.parametrize("loss", ["connection", "deadline"])
