--- a/packages/papayapost-node/src/papayapost_node/http/backend.py
+++ b/packages/papayapost-node/src/papayapost_node/http/backend.py
@@ -12,7 +12,7 @@
 from papayapost_node.deadline import DeadlineTimer
 from papayapost_node.http.answer_bounds import AnswerBounds
 from papayapost_node.http.answer_sink import AnswerReading, AnswerSink
-from papayapost_node.http.head_check import HeadCheck
+from papayapost_node.http.head_check import HeadCheck, check_final_head
 from papayapost_node.http.headers import has_known_end
 from papayapost_node.http.messages import Headers, HttpRequest
 
@@ -304,6 +304,7 @@
             else:
                 sink.answer_received(bytes(event.data))
         elif type(event) is h11.Response:
+            check_final_head(event)
             self._begin_answer(sink, event.status_code, list(event.headers))
         elif type(event) is h11.EndOfMessage:
             self._end(sink, list(event.headers))
--- a/packages/papayapost-node/src/papayapost_node/http/connection.py
+++ b/packages/papayapost-node/src/papayapost_node/http/connection.py
@@ -7,6 +7,7 @@
 
 from papayapost.ids import Address
 from papayapost_node.addresses import split_address
+from papayapost_node.http.head_check import check_final_head
 from papayapost_node.http.messages import HttpAnswer, HttpRequest
 
 __all__ = ["ClientConnection"]
@@ -85,6 +86,7 @@
             raise ConnectionResetError(
                 "the connection closed before the head of an answer arrived"
             )
+        check_final_head(head)
         answer = HttpAnswer(head.status_code, list(head.headers))
         await self._read_body(answer, max_body_bytes)
         return answer
--- a/packages/papayapost-node/src/papayapost_node/http/head_check.py
+++ b/packages/papayapost-node/src/papayapost_node/http/head_check.py
@@ -1,10 +1,13 @@
-"""Checks the start of an answer's head before the head is complete."""
+"""Checks the heads of answers beyond what the HTTP parser does."""
 
 import re
 
 import h11
 
-__all__ = ["HeadCheck"]
+__all__ = ["HeadCheck", "check_final_head"]
+
+_MAX_STATUS = 599
+_VERSION_PREFIX = b"1."
 
 _CHECKED_BYTES = 256
 """Bytes at the start of each line that are checked; longer names are rare."""
@@ -16,6 +19,24 @@
 _FORBIDDEN = b"\x00"
 
 
+def check_final_head(head: h11.Response) -> None:
+    """Check the status line of a final answer that the parser accepts.
+
+    The parser refuses statuses below 200 here, but not those above the last
+    class of HTTP, nor those of other protocols.
+
+    Raises
+    ------
+    h11.RemoteProtocolError
+        If the status is above 599, or the version is not HTTP/1.x.
+    """
+    if head.status_code > _MAX_STATUS:
+        raise h11.RemoteProtocolError(f"{head.status_code} is no status of HTTP")
+    if not head.http_version.startswith(_VERSION_PREFIX):
+        version = head.http_version.decode("ascii")
+        raise h11.RemoteProtocolError(f"HTTP/{version} is not HTTP/1.x")
+
+
 class HeadCheck:
     """Checks the lines of one head as they arrive.
 
