--- a/packages/papayapost-node/src/papayapost_node/exchange/body_sender.py
+++ b/packages/papayapost-node/src/papayapost_node/exchange/body_sender.py
@@ -45,6 +45,7 @@
         self._resume = resume
         self._unsent: deque[bytes] = deque()
         self._is_source_ended = False
+        self._is_sending = False
         self._trailers: Headers = []
         self.is_ended = False
 
@@ -84,6 +85,17 @@
             self._resume()
 
     def _send_unsent(self) -> None:
+        # Within this node, a part may be answered with credit at once. The
+        # loop that sent it goes on, so that the stack stays flat.
+        if self._is_sending:
+            return
+        self._is_sending = True
+        try:
+            self._send_while_possible()
+        finally:
+            self._is_sending = False
+
+    def _send_while_possible(self) -> None:
         unsent = self._unsent
         while unsent:
             piece = unsent.popleft()
