--- a/packages/papayapost-node/src/papayapost_node/exchange/backend_call.py
+++ b/packages/papayapost-node/src/papayapost_node/exchange/backend_call.py
@@ -159,6 +159,12 @@
             # completed its answer and only parts for the entry node remain.
             self._end(is_sent=self._status is not None)
 
+    def end_unsent(self) -> None:
+        """End the call as not sent if it still waits for a connection."""
+        is_waiting = self._connection is None and self._status is None
+        if is_waiting and not self._is_finished:
+            self._end(is_sent=False)
+
     def request_writable(self) -> None:
         """Grant the entry node credit for the body that was written so far."""
         if self._input.is_open and self._is_running:
--- a/packages/papayapost-node/src/papayapost_node/exchange/owner_side.py
+++ b/packages/papayapost-node/src/papayapost_node/exchange/owner_side.py
@@ -12,6 +12,7 @@
     BackendCallEnded,
     BackendCallStart,
     DropOffer,
+    EndUnsentCalls,
 )
 from papayapost_node.exchange.backend_call import BackendCall
 from papayapost_node.exchange.carrier_delivery import CarrierDelivery
@@ -106,6 +107,7 @@
             BackendCallStart: self._start,
             BackendCallCancel: self._cancel,
             DropOffer: self._drop,
+            EndUnsentCalls: self._end_unsent,
         }
 
     def carriers(self) -> dict[type, Callable]:
@@ -165,6 +167,10 @@
         if call is not None:
             call.cancel()
 
+    def _end_unsent(self, effect: EndUnsentCalls) -> None:
+        for call in list(self._running):
+            call.end_unsent()
+
     def _drop(self, effect: DropOffer) -> None:
         self._offered.pop(effect.attempt_id)
 
--- a/packages/papayapost-node/tests/test_backend_calls.py
+++ b/packages/papayapost-node/tests/test_backend_calls.py
@@ -215,3 +215,49 @@
         assert await owner.finished.get() == attempt_id
 
     run_scenario(scenario, script)
+
+
+def test_a_call_that_waits_for_a_connection_is_ended_as_not_sent():
+    """Guards against requests that arrive long after the server's drain."""
+
+    async def scenario(owner, server):
+        call = owner.start()
+        # The connection is being opened; nothing has been sent on it.
+        call.end_unsent()
+        assert owner.posted == [BackendCallEnded(AttemptId("n1/1"), False, False)]
+        await server.start()
+        await asyncio.sleep(0.1)
+        assert heads == []
+        assert len(owner.posted) == 1
+
+    heads = []
+
+    async def script(reader, writer):
+        heads.append(await reader.readuntil(b"\r\n\r\n"))
+
+    run_scenario(scenario, script)
+
+
+def test_a_call_that_was_sent_is_not_ended_as_not_sent():
+    async def scenario(owner, server):
+        await server.start()
+        call = owner.start()
+        await arrived.wait()
+        call.end_unsent()
+        assert owner.posted == []
+        answer.set()
+        await owner.finished.get()
+        ended = BackendCallEnded(AttemptId("n1/1"), True, True, answer_bytes=2)
+        assert owner.posted[-1] == ended
+        call.end_unsent()
+        assert owner.posted[-1] == ended
+
+    arrived, answer = asyncio.Event(), asyncio.Event()
+
+    async def script(reader, writer):
+        await reader.readuntil(b"\r\n\r\n")
+        arrived.set()
+        await answer.wait()
+        writer.write(ANSWER)
+
+    run_scenario(scenario, script)
--- a/packages/papayapost/src/papayapost/traffic/__init__.py
+++ b/packages/papayapost/src/papayapost/traffic/__init__.py
@@ -51,6 +51,7 @@
     DrainComplete,
     DrainRequested,
     DropOffer,
+    EndUnsentCalls,
     ReportDeferred,
     ReportTaken,
 )
@@ -93,6 +94,7 @@
     "DropAnswer",
     "DropOffer",
     "EndCalls",
+    "EndUnsentCalls",
     "EntryCounters",
     "EntryTables",
     "ForwardAnswer",
--- a/packages/papayapost/src/papayapost/traffic/owner/admission.py
+++ b/packages/papayapost/src/papayapost/traffic/owner/admission.py
@@ -34,6 +34,7 @@
     BackendCallEnded,
     BackendCallStart,
     DropOffer,
+    EndUnsentCalls,
     RefuseQueuedAttempts,
 )
 from papayapost.traffic.versions import AnyVersion, VersionPolicy
@@ -427,6 +428,8 @@
         self._tables.waiting = len(self._queue)
 
     def _refuse_waiting(self, tick: Tick) -> None:
+        """Let no attempt reach the backend server that has not reached it."""
+        tick.emit(EndUnsentCalls())
         for row in [r for r in self._tables.attempts if _has_not_started(r)]:
             self._waiting_attempts.remove(row)
             self._waiting_attempts.refuse(tick, row, RefusalCode.DRAINING, 0)
--- a/packages/papayapost/src/papayapost/traffic/owner_messages.py
+++ b/packages/papayapost/src/papayapost/traffic/owner_messages.py
@@ -25,6 +25,7 @@
     "DrainComplete",
     "DrainRequested",
     "DropOffer",
+    "EndUnsentCalls",
     "RefuseQueuedAttempts",
     "ReportDeferred",
     "ReportTaken",
@@ -104,6 +105,14 @@
     attempt_id: AttemptId
 
 
+@define
+class EndUnsentCalls:
+    """Effect at the owner node: end the calls that wait for a connection.
+
+    No byte of them was sent, and the backend server takes no more work.
+    """
+
+
 @define
 class DropOffer:
     """Effect at the owner node: discard a request that will not be run."""
--- a/packages/papayapost/tests/traffic/test_backend_server.py
+++ b/packages/papayapost/tests/traffic/test_backend_server.py
@@ -4,7 +4,13 @@
 
 from papayapost.ids import ReportId
 from papayapost.states import BackendServerState
-from papayapost.traffic import DrainRequested, RefusalCode, ReportTaken
+from papayapost.traffic import (
+    BackendCallEnded,
+    DrainRequested,
+    EndUnsentCalls,
+    RefusalCode,
+    ReportTaken,
+)
 
 from .owners import refusals, started
 from .reported_owner import DRAINING, INTERVAL_US, READY, ReportedOwner
@@ -41,6 +47,21 @@
     assert owner.is_idle()
 
 
+@pytest.mark.parametrize("leave", [True, False])
+def test_calls_without_a_connection_end_before_a_departure_is_acknowledged(leave):
+    """Guards against requests that arrive long after the server's drain."""
+    owner = ReportedOwner()
+    owner.report()
+    running = owner.offer()
+    owner.tick(running)
+    effects = owner.leave() if leave else owner.report(state=DRAINING)
+    kinds = [type(effect) for effect in effects]
+    assert kinds.count(EndUnsentCalls) == 1
+    assert kinds.index(EndUnsentCalls) < kinds.index(ReportTaken)
+    ended = BackendCallEnded(running.attempt_id, False, False)
+    assert refusals(owner.tick(ended)) == {running.attempt_id: RefusalCode.UNREACHABLE}
+
+
 def test_a_delayed_report_from_before_a_drain_is_ignored():
     owner = ReportedOwner()
     owner.report(sequence=4)
