--- a/packages/papayapost-node/src/papayapost_node/composition.py
+++ b/packages/papayapost-node/src/papayapost_node/composition.py
@@ -36,6 +36,7 @@
     EntrySide,
     NodeCarrierDelivery,
     OwnerSide,
+    UnsentAnswers,
     WindowBudget,
 )
 from papayapost_node.frames import max_frame_bytes
@@ -334,6 +335,10 @@
             self._instance,
             self._settings.http.hold_answer_bytes,
             BulkPacer(self._settings.link_mbps),
+            UnsentAnswers(
+                self._settings.http.unsent_bytes,
+                lambda: self._shared_limits.counts.note("answers", HttpLimit.HELD),
+            ),
         )
 
     def _build_health_poller(self) -> HealthPoller | None:
--- a/packages/papayapost-node/src/papayapost_node/exchange/__init__.py
+++ b/packages/papayapost-node/src/papayapost_node/exchange/__init__.py
@@ -21,6 +21,7 @@
 )
 from papayapost_node.exchange.owner_side import OwnerSide
 from papayapost_node.exchange.pacing import BulkPacer
+from papayapost_node.exchange.unsent_answers import UnsentAnswers
 from papayapost_node.exchange.windows import WindowBudget
 
 __all__ = [
@@ -35,6 +36,7 @@
     "NativeDialect",
     "NodeCarrierDelivery",
     "OwnerSide",
+    "UnsentAnswers",
     "WindowBudget",
     "digest_of_key",
     "key_digest_of",
--- a/packages/papayapost-node/src/papayapost_node/exchange/answer_output.py
+++ b/packages/papayapost-node/src/papayapost_node/exchange/answer_output.py
@@ -62,6 +62,17 @@
         """Number of bytes that arrived and were not passed on yet."""
         return len(self._buffered)
 
+    @property
+    def unsent_bytes(self) -> int:
+        """Number of bytes that wait for credit or for the link."""
+        return self._sender.unsent_bytes if self._sender is not None else 0
+
+    @property
+    def waits_for_credit(self) -> bool:
+        """Whether the entry node has granted no credit for what waits."""
+        window = self._window
+        return bool(self.unsent_bytes and window and not window.credit_bytes)
+
     @property
     def is_streaming(self) -> bool:
         """Whether the head was sent and the body follows in parts."""
@@ -158,7 +169,9 @@
         )
 
     def close(self) -> None:
-        """Release what the window holds; nothing more is sent."""
+        """Release all memory and the window; nothing more is sent."""
+        self._buffered.clear()
+        self.drop_unsent()
         if self._window is not None:
             self._window.close()
 
--- a/packages/papayapost-node/src/papayapost_node/exchange/backend_call.py
+++ b/packages/papayapost-node/src/papayapost_node/exchange/backend_call.py
@@ -16,6 +16,7 @@
 from papayapost_node.exchange.owner_services import OwnerServices
 from papayapost_node.exchange.request_input import RequestInput
 from papayapost_node.exchange.tables import OwnedRequest
+from papayapost_node.exchange.unsent_answers import UnsentAnswer
 from papayapost_node.http import (
     AnswerReading,
     AnswerSink,
@@ -44,7 +45,7 @@
 """Refused requests after which a connection is closed, to forget them."""
 
 
-class BackendCall(AnswerSink):
+class BackendCall(AnswerSink, UnsentAnswer):
     """Runs one admitted request on a connection to the backend server.
 
     The request's slot becomes free when the backend server has completed its
@@ -159,6 +160,15 @@
             # completed its answer and only parts for the entry node remain.
             self._end(is_sent=self._status is not None)
 
+    @property
+    def waits_for_caller(self) -> bool:
+        """Whether the entry node has granted no credit for the answer."""
+        return self._output.waits_for_credit
+
+    def end_unread(self) -> None:
+        """End an answer that its caller does not read, as incomplete."""
+        self._on_stall()
+
     def end_unsent(self) -> None:
         """End the call as not sent if it still waits for a connection."""
         is_waiting = self._connection is None and self._status is None
@@ -316,9 +326,12 @@
             # The call waits for credit from the entry node or for data from
             # the backend server; the stall timeout limits both.
             self._set_stall_deadline(True)
-            if not self._is_running and not self._is_blocked:
+            if self._is_running:
+                return
+            if not self._is_blocked:
                 self._is_blocked = True
                 self._services.post(AnswerBlocked(self._owned.attempt_id))
+            self._services.unsent.update(self, output.unsent_bytes)
 
     def _pause(self) -> None:
         if self._connection is not None:
@@ -378,6 +391,7 @@
 
     def _finish(self) -> None:
         self._is_finished = True
+        self._services.unsent.remove(self)
         if self._stall_deadline is not None:
             self._stall_deadline.close()
         self._input.close()
--- a/packages/papayapost-node/src/papayapost_node/exchange/body_sender.py
+++ b/packages/papayapost-node/src/papayapost_node/exchange/body_sender.py
@@ -30,6 +30,8 @@
     ----------
     is_ended
         Whether the last part has been sent.
+    unsent_bytes
+        Length of the data that waits for credit.
     """
 
     def __init__(
@@ -48,6 +50,7 @@
         self._is_sending = False
         self._trailers: Headers = []
         self.is_ended = False
+        self.unsent_bytes = 0
 
     @property
     def is_blocked(self) -> bool:
@@ -59,6 +62,7 @@
         if not data:
             return
         self._unsent.append(data)
+        self.unsent_bytes += len(data)
         self._send_unsent()
         if self._unsent:
             self._pause()
@@ -72,6 +76,7 @@
     def drop_unsent(self) -> None:
         """Discard the data that waits for credit."""
         self._unsent.clear()
+        self.unsent_bytes = 0
 
     def grant(self, size_bytes: int) -> None:
         """Add credit and send queued data.
@@ -104,6 +109,7 @@
                 unsent.appendleft(piece[size:])
             if not size:
                 return
+            self.unsent_bytes -= size
             is_last = self._is_source_ended and not unsent
             self._send(piece[:size] if size < len(piece) else piece, is_last)
         if self._is_source_ended and not self.is_ended:
--- a/packages/papayapost-node/src/papayapost_node/exchange/owner_services.py
+++ b/packages/papayapost-node/src/papayapost_node/exchange/owner_services.py
@@ -1,5 +1,6 @@
 """Functions and settings that the backend calls of an owner node share."""
 
+import sys
 from collections.abc import Callable
 from dataclasses import field
 
@@ -8,6 +9,7 @@
 from papayapost_node.exchange.carrier_delivery import CarrierDelivery
 from papayapost_node.exchange.dialect import Dialect, NativeDialect
 from papayapost_node.exchange.pacing import BulkPacer
+from papayapost_node.exchange.unsent_answers import UnsentAnswers
 from papayapost_node.exchange.windows import WindowBudget
 
 __all__ = ["OwnerServices"]
@@ -43,6 +45,8 @@
         sent to the entry node; 0 if no answer is held.
     pacer
         Limits the rate of large answers on the link of this VM.
+    unsent
+        Bounds the memory for answers that their callers do not read.
     """
 
     node_id: NodeId
@@ -55,3 +59,4 @@
     instance: Callable[[], InstanceId | None] = _any_instance
     hold_bytes: int = 0
     pacer: BulkPacer = field(default_factory=lambda: BulkPacer(0))
+    unsent: UnsentAnswers = field(default_factory=lambda: UnsentAnswers(sys.maxsize))
--- a/packages/papayapost-node/src/papayapost_node/exchange/owner_side.py
+++ b/packages/papayapost-node/src/papayapost_node/exchange/owner_side.py
@@ -3,6 +3,7 @@
 This is the owner node's part of an exchange.
 """
 
+import sys
 from collections.abc import Callable
 
 from papayapost.ids import Address, AttemptId, InstanceId, NodeId
@@ -20,6 +21,7 @@
 from papayapost_node.exchange.owner_services import OwnerServices
 from papayapost_node.exchange.pacing import BulkPacer
 from papayapost_node.exchange.tables import OwnedRequest
+from papayapost_node.exchange.unsent_answers import UnsentAnswers
 from papayapost_node.exchange.windows import WindowBudget
 from papayapost_node.http import BackendPool, HttpRequest
 from papayapost_node.wire import AnswerCredit, OfferCarrier, RequestPart
@@ -63,6 +65,9 @@
     pacer
         Limits the rate of large answers on the link of this VM; None for no
         limit.
+    unsent
+        Bounds the memory for answers that their callers do not read; None for
+        no limit.
     """
 
     def __init__(
@@ -77,6 +82,7 @@
         instance: Callable[[], InstanceId | None] = lambda: None,
         hold_bytes: int = 0,
         pacer: BulkPacer | None = None,
+        unsent: UnsentAnswers | None = None,
     ):
         self._node_id = node_id
         self._pool = pool
@@ -94,6 +100,7 @@
             instance,
             hold_bytes,
             pacer or BulkPacer(0),
+            unsent or UnsentAnswers(sys.maxsize),
         )
 
     @property
--- a/packages/papayapost-node/src/papayapost_node/settings/model.py
+++ b/packages/papayapost-node/src/papayapost_node/settings/model.py
@@ -75,6 +75,10 @@
         Maximum of what all connections of callers hold together: bytes that
         were not handled yet, open requests and answers that were not read.
         Above it, the connections that hold most are closed.
+    unsent_bytes
+        Maximum of what answers of this node's backend server hold together
+        while they wait to be sent. Above it, those whose callers have not
+        read for longest are ended.
     control_connections
         Maximum number of open connections at each of the readiness, report
         and admin addresses.
@@ -99,6 +103,7 @@
     head_bytes: Annotated[int, Meta(ge=1_024, le=262_144)] = 16_384
     body_bytes: Annotated[int, Meta(ge=1_024, le=1 << 40)] = 67_108_864
     held_bytes: Annotated[int, Meta(ge=1 << 20, le=1 << 40)] = 33_554_432
+    unsent_bytes: Annotated[int, Meta(ge=1 << 20, le=1 << 32)] = 33_554_432
     control_connections: Annotated[int, Meta(ge=1, le=100_000)] = 64
     report_bytes: Annotated[int, Meta(ge=256, le=2 << 20)] = 65_536
     head_timeout_ms: Annotated[int, Meta(ge=10, le=600_000)] = 10_000
